--- /dev/null
+++ b/coordination/dispatch/dispatcher.go
@@ -0,0 +1,335 @@
+// Package dispatch runs the steps of one request in order: admission, claim,
+// routing, grant, call, release and outcome. It knows no encoding and no transport.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/booking"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/request"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// A Sink receives the chunks of a streamed answer.
+type Sink interface {
+	// Chunk passes one chunk on. An error means that the caller is gone.
+	Chunk(chunk request.Chunk) error
+}
+
+// An Admission limits the requests in flight.
+type Admission interface {
+	// Admit returns a function that ends the request's share of the limits, or
+	// a *verdict.Error with verdict NotRun.
+	Admit(r *request.Request) (func(), error)
+}
+
+// Claims makes requests that may not be repeated run at most once.
+type Claims interface {
+	// Claim returns a ticket to run the request, or the recorded outcome of an
+	// earlier try. Its error is a *verdict.Error.
+	Claim(ctx context.Context, r *request.Request) (booking.Ticket, *booking.Outcome, error)
+	// Resolve records the outcome of a claimed request. A NotRun outcome
+	// removes the claim, so that a retry may run.
+	Resolve(ctx context.Context, ticket booking.Ticket, outcome booking.Outcome) error
+}
+
+// A Router chooses engines.
+type Router interface {
+	// Choose returns an engine that is not in tried, or a *verdict.Error.
+	Choose(r *request.Request, tried []fleet.EngineName) (fleet.EngineName, error)
+}
+
+// A Demand asks the owner of an engine for a grant.
+type Demand struct {
+	// Engine is the engine that the request was routed to.
+	Engine fleet.EngineName
+	// Adapter is the exact version; its Version is at least 1.
+	Adapter fleet.AdapterReference
+	// Request and Holder identify who is to hold the grant.
+	Request fleet.RequestID
+	Holder  fleet.HostName
+	// Patience is how long the request may wait for its adapter.
+	Patience time.Duration
+	// Duration is how long the grant is to last.
+	Duration time.Duration
+	// Urgency orders the demand against others.
+	Urgency string
+}
+
+// Grants pins instances.
+type Grants interface {
+	// Demand returns a grant, or a *verdict.Error with verdict NotRun.
+	Demand(ctx context.Context, demand Demand) (fleet.Grant, error)
+	// Release ends a grant. It does not wait.
+	Release(grant fleet.Grant)
+}
+
+// An EngineCaller runs a request on an engine.
+type EngineCaller interface {
+	// Complete runs the request on the instance of the grant. Chunks go to
+	// sink when the request is streamed. resume is the number of chunks that
+	// the caller already has; it is more than zero only after an earlier call
+	// for the same request on the same engine. The error is a *verdict.Error.
+	Complete(ctx context.Context, grant fleet.Grant, r *request.Request, resume int, sink Sink) (request.Answer, error)
+}
+
+// A ServiceCaller runs a request on a plain service.
+type ServiceCaller interface {
+	// Call makes one try on one server of the service. The error is a *verdict.Error.
+	Call(ctx context.Context, r *request.Request) (request.Answer, error)
+}
+
+// A RetryBudget bounds retries.
+type RetryBudget interface {
+	// Next returns the pause before the given retry, counted from 1, and
+	// whether the budget allows it.
+	Next(r *request.Request, retry int) (time.Duration, bool)
+}
+
+// A Recorder counts outcomes.
+type Recorder interface {
+	// Finished is called once for each request.
+	Finished(r *request.Request, answer request.Answer, failure *verdict.Error)
+}
+
+// A Dispatcher runs requests. Its fields are set before use and not changed
+// afterwards; it may be used by many goroutines.
+type Dispatcher struct {
+	Host       fleet.HostName
+	Admission  Admission
+	Claims     Claims
+	Router     Router
+	Grants     Grants
+	Engines    EngineCaller
+	Services   ServiceCaller
+	Retries    RetryBudget
+	Recorder   Recorder
+	GrantLimit time.Duration
+}
+
+// resolveTimeout bounds the time for recording an outcome after the caller's
+// own deadline.
+const resolveTimeout = 5 * time.Second
+
+// Dispatch runs a request to its end. The error is a *verdict.Error; with a
+// nil error the whole answer was returned or passed to sink.
+func (d *Dispatcher) Dispatch(ctx context.Context, r *request.Request, sink Sink) (request.Answer, error) {
+	answer, err := d.admitted(ctx, r, sink)
+	failure := verdict.From(err)
+	d.Recorder.Finished(r, answer, failure)
+	if failure != nil {
+		return answer, failure
+	}
+	return answer, nil
+}
+
+func (d *Dispatcher) admitted(ctx context.Context, r *request.Request, sink Sink) (request.Answer, error) {
+	leave, err := d.Admission.Admit(r)
+	if err != nil {
+		return request.Answer{}, err
+	}
+	defer leave()
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	if r.Repeatable() {
+		return d.repeated(ctx, r, sink)
+	}
+	return d.claimed(ctx, r, sink)
+}
+
+// claimed runs a request that may not be repeated, once.
+func (d *Dispatcher) claimed(ctx context.Context, r *request.Request, sink Sink) (request.Answer, error) {
+	ticket, outcome, err := d.Claims.Claim(ctx, r)
+	if err != nil {
+		return request.Answer{}, err
+	}
+	if outcome != nil {
+		return recorded(outcome)
+	}
+	// A whole answer is recorded, so a booking is not streamed to the caller
+	// before its outcome is known.
+	answer, err := d.once(ctx, r)
+	resolveContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), resolveTimeout)
+	defer cancel()
+	resolveErr := d.Claims.Resolve(resolveContext, ticket, outcomeOf(answer, err))
+	if err != nil {
+		return answer, err
+	}
+	if resolveErr != nil {
+		// The answer is whole and is the caller's; only its record is missing.
+		return answer, nil
+	}
+	return answer, nil
+}
+
+// once makes tries until one of them may have run.
+func (d *Dispatcher) once(ctx context.Context, r *request.Request) (request.Answer, error) {
+	return d.tries(ctx, r, nil)
+}
+
+// repeated makes tries until one succeeds or the budget is spent.
+func (d *Dispatcher) repeated(ctx context.Context, r *request.Request, sink Sink) (request.Answer, error) {
+	return d.tries(ctx, r, sink)
+}
+
+func recorded(outcome *booking.Outcome) (request.Answer, error) {
+	if outcome.Verdict == verdict.Ran && outcome.Answer != nil {
+		answer := *outcome.Answer
+		answer.Replayed = true
+		return answer, nil
+	}
+	return request.Answer{}, verdict.Doubt(verdict.CodeClaimUnresolved, nil, "an earlier try of this request may have run")
+}
+
+func outcomeOf(answer request.Answer, err error) booking.Outcome {
+	failure := verdict.From(err)
+	if failure == nil {
+		return booking.Outcome{Verdict: verdict.Ran, Answer: &answer}
+	}
+	return booking.Outcome{Verdict: failure.Verdict, Code: failure.Code}
+}
+
+// progress is what the tries of one request have in common.
+type progress struct {
+	tried   []fleet.EngineName
+	stalled time.Duration
+	chunks  *countingSink
+	// resumable is the engine that holds the stream of the last try.
+	resumable fleet.EngineName
+}
+
+func (d *Dispatcher) tries(ctx context.Context, r *request.Request, sink Sink) (request.Answer, error) {
+	p := &progress{chunks: &countingSink{sink: sink}}
+	for retry := 1; ; retry++ {
+		answer, err := d.try(ctx, r, p)
+		if err == nil {
+			answer.Stalled = p.stalled
+			return answer, nil
+		}
+		failure := verdict.From(err)
+		if !d.mayRetry(r, p, failure) {
+			return request.Answer{}, failure
+		}
+		pause, allowed := d.Retries.Next(r, retry)
+		if !allowed || !sleep(ctx, pause) {
+			return request.Answer{}, failure
+		}
+	}
+}
+
+// mayRetry says whether another try cannot run the request twice against its
+// repeat rule and cannot change what the caller already has.
+func (d *Dispatcher) mayRetry(r *request.Request, p *progress, failure *verdict.Error) bool {
+	if failure.Code == verdict.CodeCanceled || failure.Code == verdict.CodeDeadline {
+		return false
+	}
+	if p.chunks.count > 0 && p.resumable == "" {
+		return false
+	}
+	if failure.Verdict == verdict.NotRun {
+		return true
+	}
+	return failure.Verdict == verdict.MayHaveRun && r.Repeatable()
+}
+
+func (d *Dispatcher) try(ctx context.Context, r *request.Request, p *progress) (request.Answer, error) {
+	if r.Service != "" {
+		return d.Services.Call(ctx, r)
+	}
+	engine, err := d.engineFor(r, p)
+	if err != nil {
+		return request.Answer{}, err
+	}
+	sent := time.Now()
+	grant, err := d.Grants.Demand(ctx, d.demandFor(r, engine, sent))
+	if err != nil {
+		p.tried = append(p.tried, engine)
+		return request.Answer{}, err
+	}
+	defer d.Grants.Release(grant)
+	p.stalled += grant.Stalled
+	end := sent.Add(grant.Duration)
+	if !time.Now().Before(end) {
+		return request.Answer{}, verdict.Refuse(verdict.CodeNoGrant, "grant on engine %s ended before dispatch", engine)
+	}
+	callContext, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	answer, err := d.Engines.Complete(callContext, grant, r, p.chunks.count, p.chunks)
+	if err != nil {
+		p.note(engine, err)
+	}
+	return answer, err
+}
+
+func (d *Dispatcher) engineFor(r *request.Request, p *progress) (fleet.EngineName, error) {
+	if p.resumable != "" && p.chunks.count > 0 {
+		return p.resumable, nil
+	}
+	return d.Router.Choose(r, p.tried)
+}
+
+func (d *Dispatcher) demandFor(r *request.Request, engine fleet.EngineName, now time.Time) Demand {
+	left := r.Deadline.Sub(now)
+	return Demand{
+		Engine:   engine,
+		Adapter:  r.Adapter,
+		Request:  r.ID,
+		Holder:   d.Host,
+		Patience: left,
+		Duration: min(left, d.GrantLimit),
+		Urgency:  string(r.Kind.Urgency),
+	}
+}
+
+// note remembers what a failed call means for the next try.
+func (p *progress) note(engine fleet.EngineName, err error) {
+	var failure *verdict.Error
+	if !errors.As(err, &failure) {
+		return
+	}
+	if failure.Code == verdict.CodeUnknownInstance {
+		// The owner learns of the restart; the same engine may serve the next try.
+		return
+	}
+	if failure.Code == verdict.CodeBackendLost || failure.Code == verdict.CodeIncomplete {
+		p.resumable = engine
+		return
+	}
+	if !slices.Contains(p.tried, engine) {
+		p.tried = append(p.tried, engine)
+	}
+}
+
+// countingSink counts the chunks that the caller has. A nil inner sink drops them.
+type countingSink struct {
+	sink  Sink
+	count int
+}
+
+// Chunk passes the chunk on and counts it.
+func (s *countingSink) Chunk(chunk request.Chunk) error {
+	if s.sink == nil {
+		return nil
+	}
+	if err := s.sink.Chunk(chunk); err != nil {
+		return err
+	}
+	s.count++
+	return nil
+}
+
+// sleep waits for the pause and reports whether ctx is still alive.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/cmd/cmd.go
@@ -0,0 +1,63 @@
+// Package cmd has the commands of persimmonmux, one file each.
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// The exit codes of every command.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// A command is one subcommand.
+type command interface {
+	flags.Commander
+	name() string
+	short() string
+	long() string
+}
+
+// Main runs the command line and returns the exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	parser := flags.NewNamedParser("persimmonmux", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "serves requests through LoRA adapters"
+	for _, c := range commands(stdout, stderr) {
+		if _, err := parser.AddCommand(c.name(), c.short(), c.long(), c); err != nil {
+			fmt.Fprintf(stderr, "persimmonmux: command %s: %v\n", c.name(), err)
+			return exitUsage
+		}
+	}
+	_, err := parser.ParseArgs(arguments)
+	return exitCode(err, stdout, stderr)
+}
+
+// commands returns all subcommands.
+func commands(stdout, _ io.Writer) []command {
+	return []command{
+		&versionCommand{stdout: stdout},
+	}
+}
+
+func exitCode(err error, stdout, stderr io.Writer) int {
+	if err == nil {
+		return exitOK
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			fmt.Fprintln(stdout, usage.Message)
+			return exitOK
+		}
+		fmt.Fprintf(stderr, "persimmonmux: %v\n", err)
+		return exitUsage
+	}
+	fmt.Fprintf(stderr, "persimmonmux: %v\n", err)
+	return exitFailure
+}
--- /dev/null
+++ b/state/booking/booking.go
@@ -0,0 +1,65 @@
+// Package booking has the plain structs of requests that may not be repeated:
+// their claims and recorded outcomes.
+package booking
+
+import (
+	"strings"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/request"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// A Key identifies a request that may not be repeated.
+type Key struct {
+	// Application is the application that called.
+	Application configuration.ApplicationName `json:"application"`
+	// Caller is the caller on whose behalf the application called.
+	Caller string `json:"caller"`
+	// Request is a UUID version 7 in lower case.
+	Request fleet.RequestID `json:"request"`
+}
+
+// String returns the form "application/caller/request". Slashes and percent
+// signs within a part are escaped, so that different keys have different forms.
+func (k Key) String() string {
+	escape := strings.NewReplacer("%", "%25", "/", "%2f")
+	return escape.Replace(string(k.Application)) + "/" + escape.Replace(k.Caller) + "/" + escape.Replace(string(k.Request))
+}
+
+// A Token is fresh for each claim, so that a host can tell its own claim from
+// another's.
+type Token string
+
+// A Ticket is the right to run a request once.
+type Ticket struct {
+	// Key is the request that was claimed.
+	Key Key
+	// Token is the token of the claim.
+	Token Token
+}
+
+// An Outcome is how a claimed request ended.
+type Outcome struct {
+	// Verdict is Ran or MayHaveRun. A claim with verdict NotRun is removed.
+	Verdict verdict.Verdict `json:"verdict"`
+	// Code is the cause when the verdict is MayHaveRun.
+	Code verdict.Code `json:"code,omitempty"`
+	// Answer is the whole answer when the verdict is Ran.
+	Answer *request.Answer `json:"answer,omitempty"`
+}
+
+// A Claim is the record of a claimed request in the platform's table.
+type Claim struct {
+	// Token is never empty.
+	Token Token `json:"token"`
+	// Host and Start identify the process that claimed.
+	Host  fleet.HostName    `json:"host"`
+	Start fleet.StartNumber `json:"start"`
+	// Claimed is the wall-clock time of the claim; it serves clean-up only.
+	Claimed time.Time `json:"claimed"`
+	// Outcome is nil while the request is unresolved. Once set it never changes.
+	Outcome *Outcome `json:"outcome,omitempty"`
+}
--- /dev/null
+++ b/state/verdict/error.go
@@ -0,0 +1,95 @@
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// A Code is a stable, documented name of a cause of failure.
+type Code string
+
+// The codes that callers and operators see.
+const (
+	CodeMalformed         Code = "malformed"
+	CodeTooLarge          Code = "too-large"
+	CodeUnauthorized      Code = "unauthorized"
+	CodeUnknownAdapter    Code = "unknown-adapter"
+	CodeUnknownKind       Code = "unknown-kind"
+	CodeUnknownService    Code = "unknown-service"
+	CodeRequestID         Code = "request-id"
+	CodeNoConfiguration   Code = "no-configuration"
+	CodeStopping          Code = "stopping"
+	CodeOverloaded        Code = "overloaded"
+	CodeDeadline          Code = "deadline"
+	CodeClaimRefused      Code = "claim-refused"
+	CodeClaimUnresolved   Code = "claim-unresolved"
+	CodeTableUnavailable  Code = "table-unavailable"
+	CodeConflict          Code = "conflict"
+	CodeNotOwner          Code = "not-owner"
+	CodeNoGrant           Code = "no-grant"
+	CodeLoadFailed        Code = "load-failed"
+	CodeUnknownInstance   Code = "unknown-instance"
+	CodeBackendRefused    Code = "backend-refused"
+	CodeBackendLost       Code = "backend-lost"
+	CodeIncomplete        Code = "incomplete"
+	CodeWrongInstance     Code = "wrong-instance"
+	CodeCanceled          Code = "canceled"
+	CodeInternal          Code = "internal"
+	CodeStoreUnavailable  Code = "store-unavailable"
+	CodeIsolated          Code = "isolated"
+	CodeRetryBudgetSpent  Code = "retry-budget-spent"
+	CodeApplicationLimits Code = "application-limits"
+)
+
+// An Error is a failure with its verdict.
+type Error struct {
+	// Verdict says whether the request may have run. It is never empty.
+	Verdict Verdict
+	// Code names the cause. It is never empty.
+	Code Code
+	// Message names the thing that failed first, then the cause.
+	Message string
+	// RetryAfter is the time after which a retry may succeed; zero means that
+	// no time is known.
+	RetryAfter time.Duration
+	// Cause is the underlying error; it may be nil.
+	Cause error
+}
+
+// Error returns the message, followed by the cause.
+func (e *Error) Error() string {
+	if e.Cause == nil {
+		return e.Message
+	}
+	return e.Message + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Cause
+}
+
+// Refuse returns an Error with verdict NotRun. Callers must hold proof that no
+// byte of the request reached a backend server.
+func Refuse(code Code, format string, args ...any) *Error {
+	return &Error{Verdict: NotRun, Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// Doubt returns an Error with verdict MayHaveRun.
+func Doubt(code Code, cause error, format string, args ...any) *Error {
+	return &Error{Verdict: MayHaveRun, Code: code, Message: fmt.Sprintf(format, args...), Cause: cause}
+}
+
+// From returns err as an Error. An error without a verdict becomes MayHaveRun,
+// because nothing proves that the request did not run. From(nil) is nil.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var known *Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return Doubt(CodeInternal, err, "request failed")
+}
