--- /dev/null
+++ b/state/fleet/heartbeat.go
@@ -0,0 +1,64 @@
+package fleet
+
+import "time"
+
+// An EngineSummary is what the owner of an engine tells the other hosts of it.
+type EngineSummary struct {
+	// Engine is the engine.
+	Engine EngineName `json:"engine"`
+	// Owner is the host that holds the lease of the engine.
+	Owner HostName `json:"owner"`
+	// Epoch is the epoch of the lease. Of two summaries the one with the higher
+	// epoch is right; within an epoch the one with the higher Version.
+	Epoch Epoch `json:"epoch"`
+	// Version grows with each change of Instances within an epoch.
+	Version uint64 `json:"version"`
+	// Start is the start number of the engine.
+	Start StartNumber `json:"start"`
+	// Instances are the instances that may be granted.
+	Instances []Instance `json:"instances"`
+	// Running and Waiting are the engine's load as last reported.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// Partial says that Instances is left out because it did not change.
+	Partial bool `json:"partial"`
+	// Received is when this host got the summary, on its own clock.
+	Received time.Time `json:"-"`
+}
+
+// A Leaving names an entry host or a backend server that leaves. It is never
+// unlearned for the same Start.
+type Leaving struct {
+	Name  string      `json:"name"`
+	Start StartNumber `json:"start"`
+}
+
+// A Heartbeat is the state of one entry host as it tells its peers.
+type Heartbeat struct {
+	// Host is the sender.
+	Host Host `json:"host"`
+	// Revision is the configuration in force at the sender; 0 means none.
+	Revision uint64 `json:"revision"`
+	// Engines are the engines that the sender owns.
+	Engines []EngineSummary `json:"engines"`
+	// Leaving lists what the sender knows to be leaving.
+	Leaving []Leaving `json:"leaving"`
+	// Known lists other hosts that the sender knows.
+	Known []Host `json:"known"`
+}
+
+// A HandOver passes an engine from its owner to the next one.
+type HandOver struct {
+	// Engine is the engine.
+	Engine EngineName `json:"engine"`
+	// Epoch is the epoch under which the next owner holds the lease.
+	Epoch Epoch `json:"epoch"`
+	// Start is the start number of the engine that Instances belong to.
+	Start StartNumber `json:"start"`
+	// Instances are resident; no order for them is in flight.
+	Instances []Instance `json:"instances"`
+	// Grants are the grants in force, with their remaining durations.
+	Grants []Grant `json:"grants"`
+	// From is the owner that hands over.
+	From HostName `json:"from"`
+}
--- /dev/null
+++ b/state/table/errors.go
@@ -0,0 +1,11 @@
+package table
+
+import "errors"
+
+// The errors of reads and transactions. Both are wrapped with their cause.
+var (
+	// ErrUnavailable means that the operation had no effect.
+	ErrUnavailable = errors.New("table unavailable")
+	// ErrUnknown means that a transaction may have taken effect.
+	ErrUnknown = errors.New("table outcome unknown")
+)
