--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -183,7 +183,7 @@
 	}
 	t.records[write.Key] = table.Record{
 		Key:     write.Key,
-		Version: t.records[write.Key].Version + 1,
+		Version: table.Version(t.writes),
 		Value:   slices.Clone(write.Value),
 	}
 }
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -5,7 +5,9 @@
 // A Key names a record. Its parts are kebab case, joined by slashes.
 type Key string
 
-// A Version numbers the writes of one record. An absent record has version 0.
+// A Version is the number of the transaction that wrote a record last. It grows
+// over the whole table, so that a record which was deleted and written again
+// never has a version that it had before. An absent record has version 0.
 type Version uint64
 
 // A Record is a record as read.
