--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -39,8 +39,13 @@
 
 // A Router chooses engines.
 type Router interface {
-	// Choose returns an engine that is not in tried, or a *verdict.Error.
+	// Choose returns an engine that is not in tried and counts the request on
+	// it, or returns a *verdict.Error.
 	Choose(r *request.Request, tried []fleet.EngineName) (fleet.EngineName, error)
+	// Again counts a request on an engine that it returns to.
+	Again(engine fleet.EngineName)
+	// Done ends the count of a request on an engine.
+	Done(engine fleet.EngineName)
 }
 
 // A Demand asks the owner of an engine for a grant.
@@ -136,13 +141,14 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	if r.Repeatable() {
-		return d.repeated(ctx, r, sink)
+		return d.tries(ctx, r, sink)
 	}
-	return d.claimed(ctx, r, sink)
+	return d.claimed(ctx, r)
 }
 
-// claimed runs a request that may not be repeated, once.
-func (d *Dispatcher) claimed(ctx context.Context, r *request.Request, sink Sink) (request.Answer, error) {
+// claimed runs a request that may not be repeated. Its answer is not streamed,
+// because the whole answer is recorded for a second try.
+func (d *Dispatcher) claimed(ctx context.Context, r *request.Request) (request.Answer, error) {
 	ticket, outcome, err := d.Claims.Claim(ctx, r)
 	if err != nil {
 		return request.Answer{}, err
@@ -150,30 +156,13 @@
 	if outcome != nil {
 		return recorded(outcome)
 	}
-	// A whole answer is recorded, so a booking is not streamed to the caller
-	// before its outcome is known.
-	answer, err := d.once(ctx, r)
+	answer, err := d.tries(ctx, r, nil)
 	resolveContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), resolveTimeout)
 	defer cancel()
-	resolveErr := d.Claims.Resolve(resolveContext, ticket, outcomeOf(answer, err))
-	if err != nil {
-		return answer, err
-	}
-	if resolveErr != nil {
-		// The answer is whole and is the caller's; only its record is missing.
-		return answer, nil
-	}
-	return answer, nil
-}
-
-// once makes tries until one of them may have run.
-func (d *Dispatcher) once(ctx context.Context, r *request.Request) (request.Answer, error) {
-	return d.tries(ctx, r, nil)
-}
-
-// repeated makes tries until one succeeds or the budget is spent.
-func (d *Dispatcher) repeated(ctx context.Context, r *request.Request, sink Sink) (request.Answer, error) {
-	return d.tries(ctx, r, sink)
+	// A failed Resolve leaves the claim unresolved, so that a second try is
+	// told "may have run". It does not change the outcome of this try.
+	_ = d.Claims.Resolve(resolveContext, ticket, outcomeOf(answer, err))
+	return answer, err
 }
 
 func recorded(outcome *booking.Outcome) (request.Answer, error) {
@@ -202,6 +191,8 @@
 	resumable fleet.EngineName
 }
 
+// tries makes tries until one succeeds, may not be followed by another, or the
+// retry budget is spent.
 func (d *Dispatcher) tries(ctx context.Context, r *request.Request, sink Sink) (request.Answer, error) {
 	p := &progress{chunks: &countingSink{sink: sink}}
 	for retry := 1; ; retry++ {
@@ -244,6 +235,7 @@
 	if err != nil {
 		return request.Answer{}, err
 	}
+	defer d.Router.Done(engine)
 	sent := time.Now()
 	grant, err := d.Grants.Demand(ctx, d.demandFor(r, engine, sent))
 	if err != nil {
@@ -267,6 +259,7 @@
 
 func (d *Dispatcher) engineFor(r *request.Request, p *progress) (fleet.EngineName, error) {
 	if p.resumable != "" && p.chunks.count > 0 {
+		d.Router.Again(p.resumable)
 		return p.resumable, nil
 	}
 	return d.Router.Choose(r, p.tried)
