--- /dev/null
+++ b/coordination/dispatch/dispatcher_test.go
@@ -0,0 +1,215 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/state/booking"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/request"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// parts is an in-memory stand-in for everything around a Dispatcher.
+type parts struct {
+	admitErr error
+	claimErr error
+	recorded *booking.Outcome
+	resolved []booking.Outcome
+	// stall is how long the owner takes to grant; a grant lasts grantFor.
+	stall    time.Duration
+	grantFor time.Duration
+	grantErr []error
+	// calls are the results of the engine, one for each try.
+	calls    []call
+	made     int
+	released int
+	inFlight int
+	resumes  []int
+	engines  []fleet.EngineName
+	finished []*verdict.Error
+}
+
+type call struct {
+	chunks int
+	err    error
+}
+
+func (p *parts) Admit(*request.Request) (func(), error) { return func() {}, p.admitErr }
+
+func (p *parts) Claim(context.Context, *request.Request) (booking.Ticket, *booking.Outcome, error) {
+	return booking.Ticket{Token: "token"}, p.recorded, p.claimErr
+}
+
+func (p *parts) Resolve(_ context.Context, _ booking.Ticket, outcome booking.Outcome) error {
+	p.resolved = append(p.resolved, outcome)
+	return nil
+}
+
+func (p *parts) Choose(_ *request.Request, tried []fleet.EngineName) (fleet.EngineName, error) {
+	p.inFlight++
+	return fleet.EngineName([]string{"first", "second", "third", "fourth"}[len(tried)]), nil
+}
+
+func (p *parts) Again(fleet.EngineName) { p.inFlight++ }
+func (p *parts) Done(fleet.EngineName)  { p.inFlight-- }
+
+func (p *parts) Demand(_ context.Context, demand Demand) (fleet.Grant, error) {
+	time.Sleep(p.stall)
+	if len(p.grantErr) > 0 {
+		err := p.grantErr[0]
+		p.grantErr = p.grantErr[1:]
+		return fleet.Grant{}, err
+	}
+	duration := demand.Duration
+	if p.grantFor > 0 {
+		duration = p.grantFor
+	}
+	return fleet.Grant{Engine: demand.Engine, Duration: duration}, nil
+}
+
+func (p *parts) Release(fleet.Grant) { p.released++ }
+
+func (p *parts) Complete(_ context.Context, grant fleet.Grant, _ *request.Request, resume int, sink Sink) (request.Answer, error) {
+	result := p.calls[p.made]
+	p.made++
+	p.resumes = append(p.resumes, resume)
+	p.engines = append(p.engines, grant.Engine)
+	for i := range result.chunks {
+		if err := sink.Chunk(request.Chunk{Position: resume + i}); err != nil {
+			return request.Answer{}, err
+		}
+	}
+	return request.Answer{Status: 200, Body: []byte("whole")}, result.err
+}
+
+func (p *parts) Call(context.Context, *request.Request) (request.Answer, error) {
+	result := p.calls[p.made]
+	p.made++
+	return request.Answer{Status: 200}, result.err
+}
+
+func (p *parts) Next(_ *request.Request, retry int) (time.Duration, bool) {
+	return time.Millisecond, retry <= 3
+}
+
+func (p *parts) Finished(_ *request.Request, _ request.Answer, failure *verdict.Error) {
+	p.finished = append(p.finished, failure)
+}
+
+// Chunk accepts chunks of the caller.
+func (p *parts) Chunk(request.Chunk) error { return nil }
+
+func dispatcher(p *parts) *Dispatcher {
+	return &Dispatcher{
+		Host: "host", Admission: p, Claims: p, Router: p, Grants: p, Engines: p,
+		Services: p, Retries: p, Recorder: p, GrantLimit: 2 * time.Minute,
+	}
+}
+
+func modelRequest(repeat configuration.RepeatRule) *request.Request {
+	now := time.Now()
+	return &request.Request{
+		ID:       "id",
+		Kind:     configuration.Kind{Repeat: repeat},
+		Adapter:  fleet.AdapterReference{Name: "adapter", Version: 1},
+		Arrived:  now,
+		Deadline: now.Add(time.Minute),
+	}
+}
+
+// TestTries guards against tries that the verdict or the repeat rule forbids,
+// and against engines, grants and counts that are not given back.
+func TestTries(t *testing.T) {
+	refused := verdict.Refuse(verdict.CodeNoGrant, "no grant")
+	unknown := verdict.Refuse(verdict.CodeUnknownInstance, "unknown instance")
+	lost := verdict.Doubt(verdict.CodeBackendLost, nil, "connection lost")
+	wrong := verdict.Doubt(verdict.CodeWrongInstance, nil, "wrong instance")
+	cases := map[string]struct {
+		repeat  configuration.RepeatRule
+		parts   parts
+		verdict verdict.Verdict
+		calls   int
+		resumes []int
+	}{
+		"repeatable, first try succeeds": {configuration.RepeatAllowed, parts{calls: []call{{}}}, "", 1, []int{0}},
+		"repeatable, lost before a chunk": {configuration.RepeatAllowed,
+			parts{calls: []call{{err: lost}, {}}}, "", 2, []int{0, 0}},
+		"repeatable, lost after three chunks resumes": {configuration.RepeatAllowed,
+			parts{calls: []call{{chunks: 3, err: lost}, {chunks: 2}}}, "", 2, []int{0, 3}},
+		"repeatable, wrong instance after a chunk ends": {configuration.RepeatAllowed,
+			parts{calls: []call{{chunks: 1, err: wrong}}}, verdict.MayHaveRun, 1, []int{0}},
+		"repeatable, budget spent": {configuration.RepeatAllowed,
+			parts{calls: []call{{err: wrong}, {err: wrong}, {err: wrong}, {err: wrong}}}, verdict.MayHaveRun, 4, []int{0, 0, 0, 0}},
+		"not repeatable, lost once may have run": {configuration.RepeatForbidden,
+			parts{calls: []call{{err: lost}}}, verdict.MayHaveRun, 1, []int{0}},
+		"not repeatable, unknown instance is tried again": {configuration.RepeatForbidden,
+			parts{calls: []call{{err: unknown}, {}}}, "", 2, []int{0, 0}},
+		"not repeatable, no grant is tried elsewhere": {configuration.RepeatForbidden,
+			parts{grantErr: []error{refused}, calls: []call{{}}}, "", 1, []int{0}},
+		"not repeatable, an error without verdict may have run": {configuration.RepeatForbidden,
+			parts{calls: []call{{err: errors.New("broken")}}}, verdict.MayHaveRun, 1, []int{0}},
+		"claim refused": {configuration.RepeatForbidden,
+			parts{claimErr: verdict.Refuse(verdict.CodeTableUnavailable, "table down")}, verdict.NotRun, 0, nil},
+		"not admitted": {configuration.RepeatAllowed,
+			parts{admitErr: verdict.Refuse(verdict.CodeStopping, "stopping")}, verdict.NotRun, 0, nil},
+		"recorded outcome is returned": {configuration.RepeatForbidden,
+			parts{recorded: &booking.Outcome{Verdict: verdict.Ran, Answer: &request.Answer{Status: 200}}}, "", 0, nil},
+		"recorded doubt is returned": {configuration.RepeatForbidden,
+			parts{recorded: &booking.Outcome{Verdict: verdict.MayHaveRun}}, verdict.MayHaveRun, 0, nil},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				p := &test.parts
+				_, err := dispatcher(p).Dispatch(t.Context(), modelRequest(test.repeat), p)
+				if test.verdict == "" {
+					c.Assert(err, quicktest.IsNil)
+				} else {
+					c.Assert(verdict.From(err).Verdict, quicktest.Equals, test.verdict)
+				}
+				c.Assert(p.made, quicktest.Equals, test.calls)
+				c.Assert(p.resumes, quicktest.DeepEquals, test.resumes)
+				c.Assert(p.released, quicktest.Equals, test.calls)
+				c.Assert(p.inFlight, quicktest.Equals, 0)
+				c.Assert(p.finished, quicktest.HasLen, 1)
+			})
+		})
+	}
+}
+
+// TestGrantThatEndedIsNotUsed guards against a host that was paused past the
+// end of its grant and starts the request on waking.
+func TestGrantThatEndedIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		p := &parts{stall: 2 * time.Second, grantFor: time.Second}
+		_, err := dispatcher(p).Dispatch(t.Context(), modelRequest(configuration.RepeatForbidden), p)
+		failure := verdict.From(err)
+		c.Assert(failure.Verdict, quicktest.Equals, verdict.NotRun)
+		c.Assert(failure.Code, quicktest.Equals, verdict.CodeNoGrant)
+		c.Assert(p.made, quicktest.Equals, 0)
+		c.Assert(p.resolved[0].Verdict, quicktest.Equals, verdict.NotRun)
+	})
+}
+
+// TestResumedStreamReturnsToItsEngine guards against a stream that goes on at
+// an engine which does not know it.
+func TestResumedStreamReturnsToItsEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		lost := verdict.Doubt(verdict.CodeBackendLost, nil, "connection silent")
+		refused := verdict.Refuse(verdict.CodeNoGrant, "no grant")
+		p := &parts{grantErr: []error{refused}, calls: []call{{chunks: 2, err: lost}, {chunks: 1}}}
+		_, err := dispatcher(p).Dispatch(t.Context(), modelRequest(configuration.RepeatAllowed), p)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(p.engines, quicktest.DeepEquals, []fleet.EngineName{"second", "second"})
+	})
+}
