--- /dev/null
+++ b/protocol/refusal/refusal_test.go
@@ -0,0 +1,85 @@
+package refusal_test
+
+import (
+	"encoding/json"
+	"errors"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/protocol/refusal"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// declaredCodes returns all codes that package verdict declares.
+func declaredCodes(c *qt.C) []verdict.Code {
+	file, err := parser.ParseFile(token.NewFileSet(), "../../state/verdict/error.go", nil, 0)
+	c.Assert(err, qt.IsNil)
+	var codes []verdict.Code
+	ast.Inspect(file, func(node ast.Node) bool {
+		value, ok := node.(*ast.ValueSpec)
+		if !ok {
+			return true
+		}
+		if kind, ok := value.Type.(*ast.Ident); ok && kind.Name == "Code" {
+			text, err := strconv.Unquote(value.Values[0].(*ast.BasicLit).Value)
+			c.Assert(err, qt.IsNil)
+			codes = append(codes, verdict.Code(text))
+		}
+		return true
+	})
+	return codes
+}
+
+// A code without a status would reach callers as 500, which clients take for a
+// fault of the host.
+func TestEveryCodeHasStatus(t *testing.T) {
+	c := qt.New(t)
+	codes := declaredCodes(c)
+	c.Assert(len(codes) > 20, qt.IsTrue)
+	for _, code := range codes {
+		status := refusal.Status(code)
+		c.Check(status >= 400 && status < 600, qt.IsTrue, qt.Commentf("%s", code))
+		if code != verdict.CodeInternal {
+			c.Check(status, qt.Not(qt.Equals), 500, qt.Commentf("%s", code))
+		}
+	}
+}
+
+// Callers decide by code and verdict; a change of these keys breaks them.
+func TestEncodeKeepsKeysAndHidesCauses(t *testing.T) {
+	c := qt.New(t)
+	body := refusal.Encode(verdict.From(errors.New("dial 10.0.0.7:80")), "r-1")
+	var decoded map[string]map[string]string
+	c.Assert(json.Unmarshal(body, &decoded), qt.IsNil)
+	c.Assert(decoded["error"], qt.DeepEquals, map[string]string{
+		"message": "request failed", "type": "server_error", "code": "internal",
+		"verdict": "may-have-run", "request-id": "r-1",
+	})
+}
+
+// A refusal for overload without Retry-After lets callers retry at once.
+func TestRetryAfterOfOverloadIsNeverZero(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		code  verdict.Code
+		pause time.Duration
+		want  int
+	}{
+		{"overload without pause", verdict.CodeOverloaded, 0, 1},
+		{"application limit without pause", verdict.CodeApplicationLimits, 0, 1},
+		{"part of a second rounds up", verdict.CodeOverloaded, 1200 * time.Millisecond, 2},
+		{"other code without pause", verdict.CodeUnknownAdapter, 0, 0},
+		{"other code with pause", verdict.CodeStopping, 3 * time.Second, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			failure := &verdict.Error{Code: test.code, RetryAfter: test.pause}
+			qt.Assert(t, refusal.RetryAfter(failure), qt.Equals, test.want)
+		})
+	}
+}
