entry: add the HTTP server for callers

Callers need one address for chat completions, models and plain services, and planned stops must not cut off their streams. Server resolves application, kind, request id, deadline and exact adapter version on arrival and hands a plain request to the dispatcher. Each chunk has its own write deadline, and a body's read deadline is removed once the body is whole, because net/http would otherwise cancel the request when it passes. request.Request gets ContentType, which plain services need.

Streams of kinds that may not be repeated are refused, because their answer is recorded before the caller gets it.

--- a/state/request/request.go
+++ b/state/request/request.go
@@ -25,6 +25,8 @@
 	Service configuration.ServiceName
 	// Method and Path are the HTTP method and path at a plain service.
 	Method, Path string
+	// ContentType is the media type of Body as the caller gave it; it may be empty.
+	ContentType string
 	// Body is the encoded body for the backend server. It is not modified.
 	Body []byte
 	// Stream says that the caller wants chunks as they come.
--- /dev/null
+++ b/transport/entry/server_test.go
@@ -0,0 +1,536 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
+	"github.com/persimmonmux/persimmonmux/protocol/refusal"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/request"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/entry"
+)
+
+const (
+	token = "secret-of-the-chat"
+	body  = `{"model":"latin@2","messages":[{"role":"user","content":"salve"}],"seed":7}`
+	chunk = `{"id":"c-1","object":"chat.completion.chunk","model":"latin@2","choices":[{"index":0,"delta":{"content":"%s"}}]}`
+	whole = `{"id":"c-1","object":"chat.completion","model":"latin@2","choices":[{"index":0,"finish_reason":"stop","message":{"role":"assistant","content":"ave"}}]}`
+)
+
+// source is a configuration that tests set once.
+type source struct{ current *configuration.Configuration }
+
+func (s source) Current() *configuration.Configuration { return s.current }
+
+// dispatcher is a Dispatcher made of a function.
+type dispatcher func(ctx context.Context, r *request.Request, sink dispatch.Sink) (request.Answer, error)
+
+func (d dispatcher) Dispatch(ctx context.Context, r *request.Request, sink dispatch.Sink) (request.Answer, error) {
+	return d(ctx, r, sink)
+}
+
+func testConfiguration() *configuration.Configuration {
+	hash := sha256.Sum256([]byte(token))
+	return &configuration.Configuration{
+		Revision: 1,
+		Adapters: map[fleet.AdapterName]configuration.Adapter{
+			"latin": {Name: "latin", Versions: []fleet.AdapterVersion{1, 2, 3}, Current: 2},
+		},
+		Applications: map[configuration.ApplicationName]configuration.Application{
+			"chat":   {Name: "chat", TokenHash: hex.EncodeToString(hash[:]), Kinds: []configuration.KindName{"chat", "enrolment"}},
+			"broken": {Name: "broken", TokenHash: "zz", Kinds: []configuration.KindName{"chat"}},
+		},
+		Kinds: map[configuration.KindName]configuration.Kind{
+			"chat":      {Name: "chat", Repeat: configuration.RepeatAllowed, Deadline: 20 * time.Second},
+			"enrolment": {Name: "enrolment", Repeat: configuration.RepeatForbidden, Deadline: 20 * time.Second},
+			"other":     {Name: "other", Repeat: configuration.RepeatAllowed, Deadline: time.Second},
+		},
+		Services: map[configuration.ServiceName]configuration.Service{"belegung": {Name: "belegung"}},
+	}
+}
+
+// start runs a server and returns its base URL. It is closed at the end of the test.
+func start(t *testing.T, server *entry.Server) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server.Listener = listener
+	if server.Configuration == nil {
+		server.Configuration = source{testConfiguration()}
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(context.Background()) }()
+	t.Cleanup(func() {
+		qt.Check(t, server.Close(), qt.IsNil)
+		qt.Check(t, <-ended, qt.IsNil)
+	})
+	base := "http://" + listener.Addr().String()
+	resp, err := http.Get(base + "/healthz")
+	qt.Assert(t, err, qt.IsNil)
+	resp.Body.Close()
+	return base
+}
+
+// send sends a request with the token and returns the answer and its body.
+func send(t *testing.T, method, url, content string, header map[string]string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, url, strings.NewReader(content))
+	qt.Assert(t, err, qt.IsNil)
+	r.Header.Set("Authorization", "Bearer "+token)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	qt.Assert(t, err, qt.IsNil)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return resp, string(data)
+}
+
+// streamWords sends each word as a chunk.
+func streamWords(sink dispatch.Sink, words ...string) error {
+	for i, word := range words {
+		if err := sink.Chunk(request.Chunk{Position: i, Data: fmt.Appendf(nil, chunk, word)}); err != nil {
+			return verdict.Doubt(verdict.CodeCanceled, err, "caller left")
+		}
+	}
+	return nil
+}
+
+func client(base string) openai.Client {
+	return openai.NewClient(option.WithBaseURL(base+"/v1"), option.WithAPIKey(token), option.WithMaxRetries(0))
+}
+
+func parameters() openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:    "latin@2",
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("salve")},
+	}
+}
+
+// Guards against answers that the usual client cannot read, and against failed
+// streams that it takes for whole ones.
+func TestOpenAIClientReadsAnswersAndFailures(t *testing.T) {
+	var outcome error
+	base := start(t, &entry.Server{Dispatcher: dispatcher(func(_ context.Context, r *request.Request, sink dispatch.Sink) (request.Answer, error) {
+		if !r.Stream {
+			return request.Answer{Status: 200, Body: []byte(whole)}, outcome
+		}
+		if err := streamWords(sink, "a", "ve"); err != nil {
+			return request.Answer{}, err
+		}
+		return request.Answer{Chunks: 2}, outcome
+	})})
+	api := client(base)
+	refused := &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeOverloaded, Message: "host has no room"}
+	for _, test := range []struct {
+		name    string
+		outcome error
+	}{
+		{"success", nil},
+		{"refusal", refused},
+		{"failure without verdict", errors.New("boom")},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			outcome = test.outcome
+			got, err := api.Chat.Completions.New(t.Context(), parameters())
+			var problem *openai.Error
+			if test.outcome == nil {
+				c.Assert(err, qt.IsNil)
+				c.Assert(got.Choices[0].Message.Content, qt.Equals, "ave")
+			} else {
+				c.Assert(errors.As(err, &problem), qt.IsTrue)
+				c.Assert(problem.Code, qt.Equals, string(verdict.From(test.outcome).Code))
+			}
+			events := api.Chat.Completions.NewStreaming(t.Context(), parameters())
+			text := ""
+			for events.Next() {
+				text += events.Current().Choices[0].Delta.Content
+			}
+			c.Assert(text, qt.Equals, "ave")
+			c.Assert(events.Err() != nil, qt.Equals, test.outcome != nil)
+			if test.outcome != nil {
+				c.Assert(events.Err(), qt.ErrorMatches, `(?s).*"verdict":"`+string(verdict.From(test.outcome).Verdict)+`".*`)
+			}
+		})
+	}
+	list, err := api.Models.List(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, list.Data, qt.HasLen, 3)
+	one, err := api.Models.Get(t.Context(), "latin")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, one.ID, qt.Equals, "latin@2")
+}
+
+// Guards against a failed stream that ends with the closing mark.
+func TestFailedStreamHasNoClosingMark(t *testing.T) {
+	base := start(t, &entry.Server{Dispatcher: dispatcher(func(_ context.Context, _ *request.Request, sink dispatch.Sink) (request.Answer, error) {
+		_ = streamWords(sink, "a")
+		return request.Answer{}, verdict.Doubt(verdict.CodeBackendLost, nil, "engine lost")
+	})})
+	resp, got := send(t, "POST", base+"/v1/chat/completions", strings.Replace(body, "{", `{"stream":true,`, 1), nil)
+	qt.Assert(t, resp.StatusCode, qt.Equals, 200)
+	qt.Assert(t, strings.Contains(got, "[DONE]"), qt.IsFalse)
+	qt.Assert(t, strings.Contains(got, `"code":"backend-lost","verdict":"may-have-run"`), qt.IsTrue)
+}
+
+// Guards against bad input that reaches the dispatcher or gets an unclear refusal.
+func TestBadInputIsRefusedAsNotRun(t *testing.T) {
+	base := start(t, &entry.Server{Dispatcher: dispatcher(func(context.Context, *request.Request, dispatch.Sink) (request.Answer, error) {
+		t.Error("bad input reached the dispatcher")
+		return request.Answer{}, nil
+	})})
+	completions := "/v1/chat/completions"
+	streamed := strings.Replace(body, "{", `{"stream":true,`, 1)
+	v4, v7 := uuid.NewString(), uuid.Must(uuid.NewV7()).String()
+	for _, test := range []struct {
+		name, method, path, body string
+		header                   map[string]string
+		status                   int
+		code                     verdict.Code
+	}{
+		{"no token", "POST", completions, body, map[string]string{"Authorization": ""}, 401, verdict.CodeUnauthorized},
+		{"wrong token", "POST", completions, body, map[string]string{"Authorization": "Bearer x"}, 401, verdict.CodeUnauthorized},
+		{"wrong scheme", "POST", completions, body, map[string]string{"Authorization": "Basic " + token}, 401, verdict.CodeUnauthorized},
+		{"broken JSON", "POST", completions, `{"model":`, nil, 400, verdict.CodeMalformed},
+		{"no body", "POST", completions, "", nil, 400, verdict.CodeMalformed},
+		{"two models", "POST", completions, `{"model":"latin","model":"latin@1","messages":[]}`, nil, 400, verdict.CodeMalformed},
+		{"body over the limit", "POST", completions, strings.Repeat("x", entry.DefaultBodyLimit+1), nil, 413, verdict.CodeTooLarge},
+		{"unknown adapter", "POST", completions, strings.Replace(body, "latin", "greek", 1), nil, 404, verdict.CodeUnknownAdapter},
+		{"unknown version", "POST", completions, strings.Replace(body, "@2", "@9", 1), nil, 404, verdict.CodeUnknownAdapter},
+		{"version that is no number", "POST", completions, strings.Replace(body, "@2", "@x", 1), nil, 404, verdict.CodeUnknownAdapter},
+		{"instance in place of adapter", "POST", completions, strings.Replace(body, "@2", "@2#7", 1), nil, 404, verdict.CodeUnknownAdapter},
+		{"unknown kind", "POST", completions, body, map[string]string{entry.HeaderKind: "nap"}, 400, verdict.CodeUnknownKind},
+		{"kind of another application", "POST", completions, body, map[string]string{entry.HeaderKind: "other"}, 400, verdict.CodeUnknownKind},
+		{"booking without id", "POST", completions, body, map[string]string{entry.HeaderKind: "enrolment"}, 400, verdict.CodeRequestID},
+		{"booking with version 4", "POST", completions, body, map[string]string{entry.HeaderKind: "enrolment", entry.HeaderRequestID: v4}, 400, verdict.CodeRequestID},
+		{"booking with another form of the id", "POST", completions, body, map[string]string{entry.HeaderKind: "enrolment", entry.HeaderRequestID: "{" + v7 + "}"}, 400, verdict.CodeRequestID},
+		{"booking streamed", "POST", completions, streamed, map[string]string{entry.HeaderKind: "enrolment", entry.HeaderRequestID: v7}, 400, verdict.CodeMalformed},
+		{"id that is no UUID", "POST", completions, body, map[string]string{entry.HeaderRequestID: "1"}, 400, verdict.CodeRequestID},
+		{"timeout zero", "POST", completions, body, map[string]string{entry.HeaderTimeout: "0"}, 400, verdict.CodeMalformed},
+		{"timeout with unit", "POST", completions, body, map[string]string{entry.HeaderTimeout: "3s"}, 400, verdict.CodeMalformed},
+		{"caller too long", "POST", completions, body, map[string]string{entry.HeaderCaller: strings.Repeat("x", 300)}, 400, verdict.CodeMalformed},
+		{"unknown service", "GET", "/services/nothing/x", "", nil, 404, verdict.CodeUnknownService},
+		{"dot segments", "GET", "/services/belegung/a/%2e%2e/b", "", nil, 400, verdict.CodeMalformed},
+		{"unknown model", "GET", "/v1/models/greek", "", nil, 404, verdict.CodeUnknownAdapter},
+		{"unknown path", "GET", "/v2", "", nil, 404, verdict.CodeMalformed},
+		{"wrong method", "GET", completions, "", nil, 405, verdict.CodeMalformed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			resp, got := send(t, test.method, base+test.path, test.body, test.header)
+			detail, ok := refusal.Decode([]byte(got))
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%s", got))
+			qt.Check(t, resp.StatusCode, qt.Equals, test.status)
+			qt.Check(t, detail.Code, qt.Equals, test.code)
+			qt.Check(t, detail.Verdict, qt.Equals, verdict.NotRun)
+			qt.Check(t, resp.Header.Get(entry.HeaderVerdict), qt.Equals, string(verdict.NotRun))
+		})
+	}
+}
+
+// Guards against requests that reach the dispatcher with other rules, another
+// version or another body than the caller sent.
+func TestRequestKeepsWhatTheCallerSent(t *testing.T) {
+	var got *request.Request
+	base := start(t, &entry.Server{Dispatcher: dispatcher(func(_ context.Context, r *request.Request, _ dispatch.Sink) (request.Answer, error) {
+		got = r
+		return request.Answer{Status: 409, ContentType: "text/plain", Body: []byte("taken"), Replayed: true}, nil
+	})})
+	id := uuid.Must(uuid.NewV7()).String()
+	header := map[string]string{
+		entry.HeaderKind: "enrolment", entry.HeaderCaller: "student-7", entry.HeaderTimeout: "1500",
+		entry.HeaderRequestID: strings.ToUpper(id), "Content-Type": "text/csv",
+	}
+	t.Run("booking at a plain service", func(t *testing.T) {
+		c := qt.New(t)
+		resp, text := send(t, "PUT", base+"/services/belegung/seats/a%2Fb?term=2", "x,y", header)
+		c.Check(resp.StatusCode, qt.Equals, 409)
+		c.Check(text, qt.Equals, "taken")
+		c.Check(resp.Header.Get(entry.HeaderVerdict), qt.Equals, "ran")
+		c.Check(resp.Header.Get(entry.HeaderReplayed), qt.Equals, "true")
+		c.Check(resp.Header.Get(entry.HeaderRequestID), qt.Equals, id)
+		c.Check(got.Deadline.Sub(got.Arrived), qt.Equals, 1500*time.Millisecond)
+		c.Check(got.Repeatable(), qt.IsFalse)
+		got.Arrived, got.Deadline = time.Time{}, time.Time{}
+		c.Check(got, qt.DeepEquals, &request.Request{
+			ID: fleet.RequestID(id), Caller: "student-7", Application: "chat",
+			Kind: testConfiguration().Kinds["enrolment"], Service: "belegung", Method: "PUT",
+			Path: "/seats/a%2Fb?term=2", ContentType: "text/csv", Body: []byte("x,y"),
+		})
+	})
+	t.Run("chat with defaults", func(t *testing.T) {
+		c := qt.New(t)
+		current := strings.Replace(body, "@2", "", 1)
+		resp, _ := send(t, "POST", base+"/v1/chat/completions", current, nil)
+		c.Check(got.Adapter, qt.Equals, fleet.AdapterReference{Name: "latin", Version: 2})
+		c.Check(string(got.Body), qt.Equals, current)
+		c.Check(got.Caller, qt.Equals, "chat")
+		c.Check(got.Deadline.Sub(got.Arrived), qt.Equals, 20*time.Second)
+		made, err := uuid.Parse(resp.Header.Get(entry.HeaderRequestID))
+		c.Assert(err, qt.IsNil)
+		c.Check(made.Version(), qt.Equals, uuid.Version(7))
+	})
+}
+
+// Guards against a host that serves before it has a configuration.
+func TestHostWithoutConfigurationRefuses(t *testing.T) {
+	base := start(t, &entry.Server{Configuration: source{}})
+	resp, got := send(t, "POST", base+"/v1/chat/completions", body, nil)
+	qt.Assert(t, resp.StatusCode, qt.Equals, 503)
+	qt.Assert(t, strings.Contains(got, `"code":"no-configuration","verdict":"not-run"`), qt.IsTrue)
+	resp, _ = send(t, "GET", base+"/readyz", "", nil)
+	qt.Assert(t, resp.StatusCode, qt.Equals, 503)
+}
+
+// Guards against work that goes on for a caller that left.
+func TestCallerThatLeavesCancelsItsRequest(t *testing.T) {
+	arrived, canceled := make(chan struct{}), make(chan struct{})
+	base := start(t, &entry.Server{BodyTimeout: 50 * time.Millisecond, Dispatcher: dispatcher(func(ctx context.Context, _ *request.Request, _ dispatch.Sink) (request.Answer, error) {
+		// The body's own time limit must not look like a caller that left.
+		time.Sleep(100 * time.Millisecond)
+		qt.Check(t, ctx.Err(), qt.IsNil)
+		close(arrived)
+		<-ctx.Done()
+		close(canceled)
+		return request.Answer{}, verdict.Doubt(verdict.CodeCanceled, ctx.Err(), "caller left")
+	})})
+	conn := dial(t, base)
+	fmt.Fprint(conn, rawPost(body))
+	<-arrived
+	conn.Close()
+	select {
+	case <-canceled:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request goes on")
+	}
+}
+
+// Guards against a slow reader that holds its engine and memory for long.
+func TestSlowReaderIsCutOff(t *testing.T) {
+	ended := make(chan error, 1)
+	base := start(t, &entry.Server{WriteTimeout: 100 * time.Millisecond, Dispatcher: dispatcher(func(_ context.Context, _ *request.Request, sink dispatch.Sink) (request.Answer, error) {
+		data := []byte(strings.Repeat("x", 64<<10))
+		for i := 0; ; i++ {
+			if err := sink.Chunk(request.Chunk{Position: i, Data: data}); err != nil {
+				ended <- err
+				return request.Answer{}, err
+			}
+		}
+	})})
+	conn := dial(t, base)
+	defer conn.Close()
+	fmt.Fprint(conn, rawPost(strings.Replace(body, "{", `{"stream":true,`, 1)))
+	select {
+	case err := <-ended:
+		qt.Assert(t, err, qt.ErrorMatches, ".*timeout.*")
+	case <-time.After(10 * time.Second):
+		t.Fatal("the slow reader was not cut off")
+	}
+}
+
+// Guards against callers that hold connections with half of a request.
+func TestHalfARequestIsEndedByTime(t *testing.T) {
+	base := start(t, &entry.Server{HeaderTimeout: 100 * time.Millisecond, BodyTimeout: 100 * time.Millisecond})
+	for _, test := range []struct{ name, sent, want string }{
+		{"half of the headers", "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n", "408"},
+		{"half of the body", strings.TrimSuffix(rawPost(body), "}"), "400"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			conn := dial(t, base)
+			defer conn.Close()
+			fmt.Fprint(conn, test.sent)
+			qt.Assert(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+			got, err := io.ReadAll(conn)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, len(got) == 0 || strings.Contains(string(got), test.want), qt.IsTrue, qt.Commentf("%s", got))
+		})
+	}
+}
+
+// Guards against a planned stop that cuts off a stream, accepts work after the
+// grace time, or closes the listener while requests are in flight.
+func TestStopFinishesStreamsAndRefusesNewRequests(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	started := make(chan struct{})
+	server := &entry.Server{GraceTime: 200 * time.Millisecond}
+	server.Dispatcher = dispatcher(func(_ context.Context, r *request.Request, sink dispatch.Sink) (request.Answer, error) {
+		if !r.Stream {
+			return request.Answer{Body: []byte(whole)}, nil
+		}
+		if err := streamWords(sink, "a"); err != nil {
+			return request.Answer{}, err
+		}
+		close(started)
+		<-release
+		return request.Answer{}, streamWords(sink, "ve")
+	})
+	base := start(t, server)
+	stream := make(chan string, 1)
+	go func() {
+		_, got := send(t, "POST", base+"/v1/chat/completions", strings.Replace(body, "{", `{"stream":true,`, 1), nil)
+		stream <- got
+	}()
+	<-started
+	closed := make(chan struct{})
+	go func() {
+		qt.Check(t, server.Close(), qt.IsNil)
+		close(closed)
+	}()
+	until(t, func() bool {
+		resp, _ := send(t, "GET", base+"/readyz", "", nil)
+		return resp.StatusCode == 503
+	})
+	resp, _ := send(t, "POST", base+"/v1/chat/completions", body, nil)
+	c.Check(resp.StatusCode, qt.Equals, 200, qt.Commentf("within the grace time"))
+	c.Check(resp.Close, qt.IsTrue)
+	until(t, func() bool {
+		resp, got := send(t, "POST", base+"/v1/chat/completions", body, nil)
+		return resp.StatusCode == 503 && strings.Contains(got, `"code":"stopping","verdict":"not-run"`)
+	})
+	select {
+	case <-closed:
+		t.Fatal("the server closed with a stream in flight")
+	default:
+	}
+	close(release)
+	c.Check(strings.HasSuffix(<-stream, "data: [DONE]\n\n"), qt.IsTrue)
+	<-closed
+	_, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	c.Check(err, qt.IsNotNil)
+}
+
+// Guards against idle connections that cost much memory or outlive the server.
+func TestIdleConnectionsAreBoundedAndEnd(t *testing.T) {
+	c := qt.New(t)
+	before := runtime.NumGoroutine()
+	server := &entry.Server{}
+	base := start(t, server)
+	var first, second runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&first)
+	count := connectionCount()
+	conns := make([]net.Conn, 0, count)
+	defer func() {
+		for _, conn := range conns {
+			conn.Close()
+		}
+	}()
+	for range count {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+		if err != nil {
+			t.Logf("dial after %d connections: %v", len(conns), err)
+			break
+		}
+		conns = append(conns, conn)
+		fmt.Fprint(conn, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+		line, err := bufio.NewReaderSize(conn, 512).ReadString('\n')
+		c.Assert(err, qt.IsNil)
+		c.Assert(line, qt.Equals, "HTTP/1.1 200 OK\r\n")
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&second)
+	used := int64(second.HeapInuse+second.StackInuse) - int64(first.HeapInuse+first.StackInuse)
+	each := used / int64(len(conns))
+	t.Logf("%d idle connections, %d bytes each with both ends", len(conns), each)
+	c.Check(each < 48<<10, qt.IsTrue, qt.Commentf("%d bytes", each))
+	c.Assert(server.Close(), qt.IsNil)
+	http.DefaultClient.CloseIdleConnections()
+	until(t, func() bool { return runtime.NumGoroutine() <= before+2 })
+}
+
+// Guards against data races and mixed answers among concurrent callers.
+func TestConcurrentCallersGetTheirOwnAnswers(t *testing.T) {
+	base := start(t, &entry.Server{Dispatcher: dispatcher(func(_ context.Context, r *request.Request, _ dispatch.Sink) (request.Answer, error) {
+		return request.Answer{Body: []byte(r.Caller + " " + string(r.ID))}, nil
+	})})
+	var callers sync.WaitGroup
+	for i := range 8 {
+		callers.Go(func() {
+			for range 50 {
+				caller, id := fmt.Sprintf("c%d", i), uuid.Must(uuid.NewV7()).String()
+				resp, got := send(t, "POST", base+"/v1/chat/completions", body, map[string]string{entry.HeaderCaller: caller, entry.HeaderRequestID: id})
+				qt.Check(t, got, qt.Equals, caller+" "+id)
+				qt.Check(t, resp.Header.Get(entry.HeaderRequestID), qt.Equals, id)
+			}
+		})
+	}
+	callers.Wait()
+}
+
+// until waits for a condition for up to 10 s.
+func until(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatal("the condition did not come true within 10 s")
+}
+
+func dial(t *testing.T, base string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	qt.Assert(t, err, qt.IsNil)
+	return conn
+}
+
+func rawPost(content string) string {
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", token, len(content), content)
+}
+
+// BenchmarkCompletion measures what the server adds to one request on one
+// connection, client included.
+func BenchmarkCompletion(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(b, err, qt.IsNil)
+	server := &entry.Server{
+		Listener: listener, Configuration: source{testConfiguration()},
+		Dispatcher: dispatcher(func(context.Context, *request.Request, dispatch.Sink) (request.Answer, error) {
+			return request.Answer{Body: []byte(whole)}, nil
+		}),
+	}
+	go func() { _ = server.Run(context.Background()) }()
+	defer server.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(b, err, qt.IsNil)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	sent := []byte(rawPost(body))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := conn.Write(sent); err != nil {
+			b.Fatal(err)
+		}
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
