engineorder: add the engine protocol and single-write connections

Calls to backend servers need one try to be one write, because net/http resends a request by itself on a fresh connection.

--- /dev/null
+++ b/protocol/engineorder/loadorder.go
@@ -0,0 +1,10 @@
+package engineorder
+
+// A LoadOrder loads an adapter version under the name of an instance. A repeated
+// order for a loaded instance succeeds.
+type LoadOrder struct {
+	// LoraName is the name of the instance, such as "adapter@3#7".
+	LoraName string `json:"lora_name"`
+	// LoraPath names the adapter version in the weight store, such as "adapter@3".
+	LoraPath string `json:"lora_path"`
+}
--- /dev/null
+++ b/transport/backend/connection.go
@@ -0,0 +1,58 @@
+package backend
+
+import (
+	"errors"
+	"net"
+	"sync"
+)
+
+// errSealed is returned for a write that would follow the end of its try.
+var errSealed = errors.New("connection is sealed")
+
+// A connection counts its writes, so that a failed try can prove that it wrote
+// nothing.
+type connection struct {
+	net.Conn
+	release func()
+	once    sync.Once
+
+	mutex  sync.Mutex
+	sealed bool
+	// begun counts writes from before they reach the network.
+	begun uint64
+}
+
+// Write counts the write and passes it on.
+func (c *connection) Write(data []byte) (int, error) {
+	c.mutex.Lock()
+	if c.sealed {
+		c.mutex.Unlock()
+		return 0, errSealed
+	}
+	c.begun++
+	c.mutex.Unlock()
+	return c.Conn.Write(data)
+}
+
+// Close closes the connection and ends its count in the pool.
+func (c *connection) Close() error {
+	defer c.once.Do(c.release)
+	return c.Conn.Close()
+}
+
+func (c *connection) writesBegun() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.begun
+}
+
+// seal forbids further writes, closes the connection and returns the number of
+// writes begun. The mutex is not held during a write, which may block.
+func (c *connection) seal() uint64 {
+	c.mutex.Lock()
+	c.sealed = true
+	begun := c.begun
+	c.mutex.Unlock()
+	_ = c.Close()
+	return begun
+}
