--- a/transport/backend/connections.go
+++ b/transport/backend/connections.go
@@ -72,6 +72,9 @@
 // whether a byte of the request may have been written; false is proof that none
 // was or will be. With a nil error the caller closes the body of the answer.
 func (c *Connections) Send(r *http.Request) (answer *http.Response, wrote bool, err error) {
+	// net/http takes these headers for permission to resend.
+	r.Header.Del("Idempotency-Key")
+	r.Header.Del("X-Idempotency-Key")
 	t := &try{}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { t.use(info.Conn) }}
 	answer, err = c.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
