--- /dev/null
+++ b/transport/service/client_test.go
@@ -0,0 +1,146 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	standin "github.com/persimmonmux/persimmonmux/standin/service"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/request"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// fixture is a client and a service with two servers, one in each failure domain.
+type fixture struct {
+	*quicktest.C
+	client        *Client
+	configuration *configuration.Configuration
+	near, far     *standin.Service
+	nearServer    *httptest.Server
+}
+
+func newFixture(t *testing.T) *fixture {
+	c := quicktest.New(t)
+	f := &fixture{C: c, near: standin.New("near", 1), far: standin.New("far", 2)}
+	f.nearServer = httptest.NewServer(f.near)
+	farServer := httptest.NewServer(f.far)
+	f.configuration = &configuration.Configuration{
+		Services: map[configuration.ServiceName]configuration.Service{
+			"belegung": {Name: "belegung", RefusalProves: []int{http.StatusConflict}, Servers: []configuration.Server{
+				{Name: "belegung-2", Domain: "fra-a", Address: farServer.Listener.Addr().String()},
+				{Name: "belegung-1", Domain: "muc-a", Address: f.nearServer.Listener.Addr().String()},
+			}},
+		},
+		Draining: map[string]bool{},
+	}
+	f.client = &Client{
+		Configuration: func() *configuration.Configuration { return f.configuration },
+		Domain:        "muc-a",
+		AnswerLimit:   100 * time.Millisecond,
+	}
+	t.Cleanup(func() {
+		c.Check(f.client.Close(), quicktest.IsNil)
+		f.nearServer.Close()
+		farServer.Close()
+	})
+	return f
+}
+
+func (f *fixture) call(id string) (request.Answer, error) {
+	return f.client.Call(context.Background(), &request.Request{
+		ID: fleet.RequestID(id), Service: "belegung", Method: http.MethodPost, Path: "/seats", Body: []byte(`{"course":1}`),
+	})
+}
+
+// assertServer checks that the named server gave a whole answer to the request.
+func (f *fixture) assertServer(id, server string) {
+	f.Helper()
+	answer, err := f.call(id)
+	f.Assert(err, quicktest.IsNil)
+	var body standin.Answer
+	f.Assert(json.Unmarshal(answer.Body, &body), quicktest.IsNil)
+	f.Assert(body, quicktest.Equals, standin.Answer{Server: server, Request: id, Method: "POST", Path: "/seats", Body: `{"course":1}`})
+}
+
+// TestOrder guards against calls that leave the failure domain without need, and
+// against calls to a draining or a dead server.
+func TestOrder(t *testing.T) {
+	f := newFixture(t)
+	for _, id := range []string{"a", "b", "c"} {
+		f.assertServer(id, "near")
+	}
+	f.configuration.Draining["belegung-1"] = true
+	f.assertServer("d", "far")
+	f.configuration.Draining["belegung-2"] = true
+	_, err := f.call("e")
+	f.Assert(verdict.From(err).Verdict, quicktest.Equals, verdict.NotRun)
+	f.configuration.Draining = map[string]bool{}
+	f.nearServer.Close()
+	f.assertServer("f", "far")
+}
+
+// TestVerdicts guards each row of the verdict table that concerns plain services.
+func TestVerdicts(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults standin.Faults
+		want   verdict.Verdict
+		code   verdict.Code
+		runs   int
+	}{
+		{"dies before the run", standin.Faults{DieBeforeRun: 1}, verdict.MayHaveRun, verdict.CodeBackendLost, 0},
+		{"dies after the run", standin.Faults{DieAfterRun: 1}, verdict.MayHaveRun, verdict.CodeBackendLost, 1},
+		{"hangs after the run", standin.Faults{HangAfterRun: 1}, verdict.MayHaveRun, verdict.CodeBackendLost, 1},
+		{"truncated answer", standin.Faults{Truncate: 1}, verdict.MayHaveRun, verdict.CodeBackendLost, 1},
+		{"overload without proof", standin.Faults{Refuse: 1, RefusalStatus: 503}, verdict.MayHaveRun, verdict.CodeBackendRefused, 0},
+		{"refusal that proves", standin.Faults{Refuse: 1, RefusalStatus: 409}, verdict.NotRun, verdict.CodeBackendRefused, 0},
+		{"redirect that resends", standin.Faults{Refuse: 1, RefusalStatus: 307}, verdict.MayHaveRun, verdict.CodeBackendRefused, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.assertServer("reused", "near")
+			f.near.SetFaults(test.faults)
+			_, err := f.call("a")
+			var failure *verdict.Error
+			f.Assert(errors.As(err, &failure), quicktest.IsTrue)
+			f.Assert(failure.Verdict, quicktest.Equals, test.want, quicktest.Commentf("%v", err))
+			f.Assert(failure.Code, quicktest.Equals, test.code, quicktest.Commentf("%v", err))
+			f.Assert(f.near.Runs("a"), quicktest.Equals, test.runs)
+			f.Assert(f.far.Runs("a"), quicktest.Equals, 0)
+		})
+	}
+}
+
+// TestDialRefused guards against doubt about a request that reached no server.
+func TestDialRefused(t *testing.T) {
+	f := newFixture(t)
+	f.configuration.Draining["belegung-2"] = true
+	f.nearServer.Close()
+	_, err := f.call("a")
+	f.Assert(verdict.From(err).Verdict, quicktest.Equals, verdict.NotRun)
+}
+
+// TestClose guards against goroutines and connections that outlive Close.
+func TestClose(t *testing.T) {
+	before := runtime.NumGoroutine()
+	t.Run("calls", func(t *testing.T) {
+		f := newFixture(t)
+		f.assertServer("a", "near")
+		f.Assert(f.client.Close(), quicktest.IsNil)
+		_, err := f.call("b")
+		f.Assert(verdict.From(err).Code, quicktest.Equals, verdict.CodeStopping)
+	})
+	for end := time.Now().Add(2 * time.Second); runtime.NumGoroutine() > before && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	quicktest.New(t).Assert(runtime.NumGoroutine() <= before, quicktest.IsTrue)
+}
