Add the peer client and server

Entry hosts exchange heartbeats, grants, changes of the configuration and the status of claims over drpc. Client and Server convert between the plain structs and the messages; the conversions stand in protocol/peer.

Every call has a limit. drpc closes the connection of a call whose context ended before the reply, so the next call dials a fresh one. Each call in flight has a connection of its own, bounded per peer, and demands are counted apart, because they wait for loads and would otherwise hold back heartbeats. Idempotent calls are sent again when a pooled connection turned out dead, until a dial shows whether the peer is there; Demand and HandOver are not. A refused dial wraps fleet.ErrConnectionRefused, so that packages that decide can test for it without importing a transport.

Ruled out: one multiplexed connection per peer (drpc carries one call at a time on a connection) and unlimited connections (an owner that stops answering would cost one file descriptor per waiting request).

Tested with go test -race -count=3 ./transport/peer, goroutines counted after Close.

--- /dev/null
+++ b/protocol/peer/convertheartbeat.go
@@ -0,0 +1,135 @@
+// Package peer has the messages between entry hosts and their conversion to and
+// from the plain structs.
+package peer
+
+import (
+	"fmt"
+
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+// FromHeartbeat returns the message of a heartbeat.
+func FromHeartbeat(h fleet.Heartbeat) *Heartbeat {
+	message := &Heartbeat{
+		Host:              fromHost(h.Host),
+		Revision:          h.Revision,
+		Sequence:          h.Sequence,
+		Acknowledged:      h.Acknowledged,
+		AcknowledgedStart: uint64(h.AcknowledgedStart),
+	}
+	for _, summary := range h.Engines {
+		message.Engines = append(message.Engines, fromSummary(summary))
+	}
+	for _, leaving := range h.Leaving {
+		message.Leaving = append(message.Leaving, &Leaving{Name: leaving.Name, Start: uint64(leaving.Start)})
+	}
+	for _, sighting := range h.Known {
+		message.Known = append(message.Known, &Sighting{Host: fromHost(sighting.Host), Revision: sighting.Revision})
+	}
+	return message
+}
+
+// ToHeartbeat returns the heartbeat of a message.
+func ToHeartbeat(message *Heartbeat) (fleet.Heartbeat, error) {
+	h := fleet.Heartbeat{
+		Host:              toHost(message.GetHost()),
+		Revision:          message.GetRevision(),
+		Sequence:          message.GetSequence(),
+		Acknowledged:      message.GetAcknowledged(),
+		AcknowledgedStart: fleet.StartNumber(message.GetAcknowledgedStart()),
+	}
+	if h.Host.Name == "" {
+		return fleet.Heartbeat{}, fmt.Errorf("heartbeat: the host has no name")
+	}
+	for _, summary := range message.GetEngines() {
+		converted, err := toSummary(summary)
+		if err != nil {
+			return fleet.Heartbeat{}, fmt.Errorf("heartbeat of %s: %w", h.Host.Name, err)
+		}
+		h.Engines = append(h.Engines, converted)
+	}
+	for _, leaving := range message.GetLeaving() {
+		h.Leaving = append(h.Leaving, fleet.Leaving{Name: leaving.GetName(), Start: fleet.StartNumber(leaving.GetStart())})
+	}
+	for _, sighting := range message.GetKnown() {
+		h.Known = append(h.Known, fleet.Sighting{Host: toHost(sighting.GetHost()), Revision: sighting.GetRevision()})
+	}
+	return h, nil
+}
+
+func fromHost(h fleet.Host) *Host {
+	return &Host{
+		Name:          string(h.Name),
+		Start:         uint64(h.Start),
+		FailureDomain: string(h.Domain),
+		Region:        string(h.Region),
+		PeerAddress:   h.PeerAddress,
+		State:         string(h.State),
+	}
+}
+
+func toHost(message *Host) fleet.Host {
+	return fleet.Host{
+		Name:        fleet.HostName(message.GetName()),
+		Start:       fleet.StartNumber(message.GetStart()),
+		Domain:      fleet.FailureDomainName(message.GetFailureDomain()),
+		Region:      fleet.RegionName(message.GetRegion()),
+		PeerAddress: message.GetPeerAddress(),
+		State:       fleet.HostState(message.GetState()),
+	}
+}
+
+func fromSummary(s fleet.EngineSummary) *EngineSummary {
+	message := &EngineSummary{
+		Engine:      string(s.Engine),
+		Owner:       string(s.Owner),
+		Epoch:       uint64(s.Epoch),
+		Version:     s.Version,
+		EngineStart: uint64(s.Start),
+		Running:     int32(s.Running),
+		Waiting:     int32(s.Waiting),
+		Report:      s.Report,
+		Partial:     s.Partial,
+	}
+	message.Instances = fromInstances(s.Instances)
+	return message
+}
+
+func toSummary(message *EngineSummary) (fleet.EngineSummary, error) {
+	instances, err := toInstances(message.GetInstances())
+	if err != nil {
+		return fleet.EngineSummary{}, fmt.Errorf("engine %s: %w", message.GetEngine(), err)
+	}
+	return fleet.EngineSummary{
+		Engine:    fleet.EngineName(message.GetEngine()),
+		Owner:     fleet.HostName(message.GetOwner()),
+		Epoch:     fleet.Epoch(message.GetEpoch()),
+		Version:   message.GetVersion(),
+		Start:     fleet.StartNumber(message.GetEngineStart()),
+		Instances: instances,
+		Running:   int(message.GetRunning()),
+		Waiting:   int(message.GetWaiting()),
+		Report:    message.GetReport(),
+		Partial:   message.GetPartial(),
+	}, nil
+}
+
+func fromInstances(instances []fleet.Instance) []string {
+	var names []string
+	for _, instance := range instances {
+		names = append(names, instance.String())
+	}
+	return names
+}
+
+func toInstances(names []string) ([]fleet.Instance, error) {
+	var instances []fleet.Instance
+	for _, name := range names {
+		instance, err := fleet.ParseInstance(name)
+		if err != nil {
+			return nil, err
+		}
+		instances = append(instances, instance)
+	}
+	return instances, nil
+}
--- /dev/null
+++ b/state/fleet/errors.go
@@ -0,0 +1,7 @@
+package fleet
+
+import "errors"
+
+// ErrConnectionRefused means that a host's address refused a connection, which
+// proves that the process that listened there has ended.
+var ErrConnectionRefused = errors.New("connection refused")
--- a/state/fleet/heartbeat.go
+++ b/state/fleet/heartbeat.go
@@ -20,6 +20,9 @@
 	// Running and Waiting are the engine's load as last reported.
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
+	// Report grows with each change of the load within an epoch. The owner's
+	// membership monitor sets it.
+	Report uint64 `json:"report"`
 	// Partial says that Instances is left out because it did not change.
 	Partial bool `json:"partial"`
 	// Received is when this host got the summary, on its own clock.
@@ -44,7 +47,22 @@
 	// Leaving lists what the sender knows to be leaving.
 	Leaving []Leaving `json:"leaving"`
 	// Known lists other hosts that the sender knows.
-	Known []Host `json:"known"`
+	Known []Sighting `json:"known"`
+	// Sequence numbers the sender's state up to which this and earlier
+	// heartbeats tell it to the receiver.
+	Sequence uint64 `json:"sequence"`
+	// Acknowledged is the sequence of the receiver, in its process
+	// AcknowledgedStart, up to which the sender has its state. Both are 0 when
+	// the sender has nothing.
+	Acknowledged      uint64      `json:"acknowledged"`
+	AcknowledgedStart StartNumber `json:"acknowledged-start"`
+}
+
+// A Sighting is a host as another host sees it.
+type Sighting struct {
+	Host Host `json:"host"`
+	// Revision is the configuration in force at Host; 0 means none.
+	Revision uint64 `json:"revision"`
 }
 
 // A HandOver passes an engine from its owner to the next one.
--- /dev/null
+++ b/transport/peer/server.go
@@ -0,0 +1,290 @@
+// Package peer has the server and the client of the calls between entry hosts.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
+	"github.com/persimmonmux/persimmonmux/coordination/duty"
+	"github.com/persimmonmux/persimmonmux/protocol/peer"
+	"github.com/persimmonmux/persimmonmux/state/booking"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+const (
+	// maximumMessageBytes bounds one message. A snapshot with 32,000 adapters
+	// has about 3 MB.
+	maximumMessageBytes = 64 << 20
+	// inactivityLimit ends connections that carry no call. It is longer than
+	// idleLimit of the client, so that the client closes first and never sends
+	// a call on a connection that the server is closing.
+	inactivityLimit = 60 * time.Second
+	// writeLimit bounds one write, so that a peer that stopped reading does
+	// not hold a goroutine.
+	writeLimit = 10 * time.Second
+	// handlerLimit bounds every call but Demand at the server.
+	handlerLimit = 15 * time.Second
+	// demandMargin is added to the patience of a demand, so that the owner's
+	// own refusal arrives before the link's limit.
+	demandMargin = time.Second
+	// stopLimit is how long Close lets calls in flight end by themselves.
+	stopLimit = 5 * time.Second
+)
+
+// Heartbeats answers heartbeats.
+type Heartbeats interface {
+	// Receive takes a heartbeat of a peer and returns the own one.
+	Receive(heartbeat fleet.Heartbeat) fleet.Heartbeat
+}
+
+// Owners serves the engines that this host owns or is to own.
+type Owners interface {
+	// Demand returns a grant, or an error after which the request did not run.
+	Demand(ctx context.Context, demand dispatch.Demand) (fleet.Grant, error)
+	// Release ends grants. Unknown requests are ignored.
+	Release(ctx context.Context, engine fleet.EngineName, requests []fleet.RequestID) error
+	// HandOver adopts an engine and reports whether it did.
+	HandOver(ctx context.Context, handOver fleet.HandOver) (bool, error)
+}
+
+// Holders lists the grants that this host holds.
+type Holders interface {
+	// Holdings returns the grants held on an engine and the start number of
+	// this host. epoch and owner tell of the engine's new owner.
+	Holdings(ctx context.Context, engine fleet.EngineName, epoch fleet.Epoch, owner fleet.HostName) ([]fleet.Grant, fleet.StartNumber, error)
+}
+
+// Configurations takes and gives changes of the configuration.
+type Configurations interface {
+	// PushChanges takes changes in rising order from a host of the failure
+	// domain from, and returns the revision in force at this host afterwards.
+	PushChanges(ctx context.Context, from fleet.FailureDomainName, changes []configuration.Change) (configuration.Revision, error)
+	// PullChanges returns the changes after a revision, or a snapshot where
+	// they are not kept, and the revision in force at this host.
+	PullChanges(ctx context.Context, after configuration.Revision) ([]configuration.Change, *configuration.Configuration, configuration.Revision, error)
+}
+
+// Claims tells of the claims that this host made.
+type Claims interface {
+	// ClaimStatus returns what became of the claim with the token, if the
+	// process with the start number made it.
+	ClaimStatus(ctx context.Context, key booking.Key, token booking.Token, start fleet.StartNumber) (booking.Status, error)
+}
+
+// A Server answers the calls of other entry hosts. Its fields are set before
+// Run. A call whose handler is nil fails.
+type Server struct {
+	// Listener accepts the connections of peers. Run closes it.
+	Listener       net.Listener
+	Heartbeats     Heartbeats
+	Owners         Owners
+	Holders        Holders
+	Configurations Configurations
+	Claims         Claims
+	// Log is called with errors of single connections; it may be nil.
+	Log func(error)
+
+	lifecycle duty.Lifecycle
+	calls     callCounter
+}
+
+// errNotServed is returned for calls without a handler.
+var errNotServed = errors.New("call is not served by this host")
+
+// Run serves until ctx ends or Close.
+func (s *Server) Run(ctx context.Context) error {
+	return s.lifecycle.Run(ctx, func(ctx context.Context) error {
+		mux := drpcmux.New()
+		if err := peer.DRPCRegisterPeer(mux, &endpoint{server: s}); err != nil {
+			return fmt.Errorf("peer server: %w", err)
+		}
+		server := drpcserver.NewWithOptions(&countingHandler{handler: mux, calls: &s.calls}, drpcserver.Options{
+			Log: s.Log,
+			Manager: drpcmanager.Options{
+				Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maximumMessageBytes},
+				InactivityTimeout: inactivityLimit,
+			},
+		})
+		if err := server.Serve(ctx, &boundedListener{Listener: s.Listener}); err != nil && ctx.Err() == nil {
+			return fmt.Errorf("peer server: %w", err)
+		}
+		return nil
+	})
+}
+
+// Close refuses new calls, lets calls in flight end within a limit, and waits
+// until Run has returned.
+func (s *Server) Close() error {
+	s.calls.stop(stopLimit)
+	return s.lifecycle.Close()
+}
+
+// A countingHandler counts the calls in flight, so that Close can wait for them.
+type countingHandler struct {
+	handler drpc.Handler
+	calls   *callCounter
+}
+
+// HandleRPC passes the call on unless the server is stopping.
+func (h *countingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	if !h.calls.enter() {
+		return errors.New("entry host is stopping")
+	}
+	defer h.calls.leave()
+	return h.handler.HandleRPC(stream, rpc)
+}
+
+// An endpoint converts messages and calls the handlers.
+type endpoint struct {
+	server *Server
+}
+
+// Exchange answers a heartbeat.
+func (e *endpoint) Exchange(_ context.Context, message *peer.Heartbeat) (*peer.Heartbeat, error) {
+	if e.server.Heartbeats == nil {
+		return nil, errNotServed
+	}
+	heartbeat, err := peer.ToHeartbeat(message)
+	if err != nil {
+		return nil, err
+	}
+	return peer.FromHeartbeat(e.server.Heartbeats.Receive(heartbeat)), nil
+}
+
+// Demand answers with a grant or a refusal.
+func (e *endpoint) Demand(ctx context.Context, message *peer.DemandRequest) (*peer.DemandReply, error) {
+	if e.server.Owners == nil {
+		return nil, errNotServed
+	}
+	demand, err := peer.ToDemand(message)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, max(demand.Patience, 0)+demandMargin)
+	defer cancel()
+	grant, err := e.server.Owners.Demand(ctx, demand)
+	if err != nil {
+		return &peer.DemandReply{Refusal: peer.FromRefusal(err)}, nil
+	}
+	return &peer.DemandReply{Grant: peer.FromGrant(grant)}, nil
+}
+
+// Release ends grants.
+func (e *endpoint) Release(ctx context.Context, message *peer.ReleaseRequest) (*peer.ReleaseReply, error) {
+	if e.server.Owners == nil {
+		return nil, errNotServed
+	}
+	ctx, cancel := context.WithTimeout(ctx, handlerLimit)
+	defer cancel()
+	requests := make([]fleet.RequestID, len(message.GetRequests()))
+	for i, request := range message.GetRequests() {
+		requests[i] = fleet.RequestID(request)
+	}
+	if err := e.server.Owners.Release(ctx, fleet.EngineName(message.GetEngine()), requests); err != nil {
+		return nil, err
+	}
+	return &peer.ReleaseReply{}, nil
+}
+
+// Holdings lists grants.
+func (e *endpoint) Holdings(ctx context.Context, message *peer.HoldingsRequest) (*peer.HoldingsReply, error) {
+	if e.server.Holders == nil {
+		return nil, errNotServed
+	}
+	ctx, cancel := context.WithTimeout(ctx, handlerLimit)
+	defer cancel()
+	grants, start, err := e.server.Holders.Holdings(ctx, fleet.EngineName(message.GetEngine()),
+		fleet.Epoch(message.GetEpoch()), fleet.HostName(message.GetOwner()))
+	if err != nil {
+		return nil, err
+	}
+	return &peer.HoldingsReply{Grants: peer.FromGrants(grants), Start: uint64(start)}, nil
+}
+
+// HandOver adopts an engine.
+func (e *endpoint) HandOver(ctx context.Context, message *peer.HandOverRequest) (*peer.HandOverReply, error) {
+	if e.server.Owners == nil {
+		return nil, errNotServed
+	}
+	handOver, err := peer.ToHandOver(message)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handlerLimit)
+	defer cancel()
+	accepted, err := e.server.Owners.HandOver(ctx, handOver)
+	if err != nil {
+		return nil, err
+	}
+	return &peer.HandOverReply{Accepted: accepted, Epoch: message.GetEpoch()}, nil
+}
+
+// PushChanges takes changes.
+func (e *endpoint) PushChanges(ctx context.Context, message *peer.PushChangesRequest) (*peer.PushChangesReply, error) {
+	if e.server.Configurations == nil {
+		return nil, errNotServed
+	}
+	changes, err := peer.ToChanges(message.GetChanges())
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handlerLimit)
+	defer cancel()
+	revision, err := e.server.Configurations.PushChanges(ctx, fleet.FailureDomainName(message.GetFromFailureDomain()), changes)
+	if err != nil {
+		return nil, err
+	}
+	return &peer.PushChangesReply{Revision: uint64(revision)}, nil
+}
+
+// PullChanges gives changes or a snapshot.
+func (e *endpoint) PullChanges(ctx context.Context, message *peer.PullChangesRequest) (*peer.PullChangesReply, error) {
+	if e.server.Configurations == nil {
+		return nil, errNotServed
+	}
+	ctx, cancel := context.WithTimeout(ctx, handlerLimit)
+	defer cancel()
+	changes, snapshot, revision, err := e.server.Configurations.PullChanges(ctx, configuration.Revision(message.GetAfterRevision()))
+	if err != nil {
+		return nil, err
+	}
+	encodedChanges, err := peer.FromChanges(changes)
+	if err != nil {
+		return nil, err
+	}
+	encodedSnapshot, err := peer.FromConfiguration(snapshot)
+	if err != nil {
+		return nil, err
+	}
+	return &peer.PullChangesReply{Revision: uint64(revision), Changes: encodedChanges, Snapshot: encodedSnapshot}, nil
+}
+
+// ClaimStatus tells what became of a claim.
+func (e *endpoint) ClaimStatus(ctx context.Context, message *peer.ClaimStatusRequest) (*peer.ClaimStatusReply, error) {
+	if e.server.Claims == nil {
+		return nil, errNotServed
+	}
+	ctx, cancel := context.WithTimeout(ctx, handlerLimit)
+	defer cancel()
+	key := booking.Key{
+		Application: configuration.ApplicationName(message.GetApplication()),
+		Caller:      message.GetCaller(),
+		Request:     fleet.RequestID(message.GetRequest()),
+	}
+	status, err := e.server.Claims.ClaimStatus(ctx, key, booking.Token(message.GetToken()), fleet.StartNumber(message.GetStart()))
+	if err != nil {
+		return nil, err
+	}
+	return &peer.ClaimStatusReply{Status: string(status)}, nil
+}
