lease: hold leases with fencing epochs

Owners of engines need a lease that at most one host holds, with an epoch for their orders. The Keeper is one duty per host; all its renewals go in one transaction. A lease counts from before its write was sent; another host takes it after it saw the record unchanged for the holder's duration plus margin.

Ruled out: an absolute end time in the record, because clocks of hosts differ; deletion at release, because the next record would begin with epoch 1 again; counting an adopted lease from the read, because others may have seen the record earlier. Adopt therefore costs one read and one write.

--- /dev/null
+++ b/coordination/lease/example_test.go
@@ -0,0 +1,39 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/persimmonmux/persimmonmux/coordination/lease"
+	"github.com/persimmonmux/persimmonmux/coordination/ring"
+	"github.com/persimmonmux/persimmonmux/standin/platform"
+)
+
+// A program holds a lease while it does work that only one process may do.
+func Example() {
+	keeper := &lease.Keeper{
+		Host:   "worker-1",
+		Start:  1,
+		Table:  platform.NewTable(1), // any transactional table
+		Events: ring.New[lease.Event](16),
+	}
+	go func() { _ = keeper.Run(context.Background()) }()
+	keeper.Want("nightly-report", 0)
+
+	event := <-keeper.Events.Messages()
+	fmt.Println(event.Name, event.Change, event.Epoch)
+
+	// The epoch goes with each order, so that the receiver can refuse the orders
+	// of an earlier holder.
+	if epoch, ok := keeper.Valid("nightly-report"); ok {
+		fmt.Println("order with epoch", epoch)
+	}
+
+	_ = keeper.Close() // releases the lease
+	_, ok := keeper.Valid("nightly-report")
+	fmt.Println("valid:", ok)
+	// Output:
+	// nightly-report gained 1
+	// order with epoch 1
+	// valid: false
+}
--- /dev/null
+++ b/coordination/lease/keeper_test.go
@@ -0,0 +1,266 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/coordination/ring"
+	"github.com/persimmonmux/persimmonmux/standin/platform"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/table"
+)
+
+// A hostTable is one host's way to the table. While stalled it keeps replies
+// back, like a host that is paused; once dead it refuses everything.
+type hostTable struct {
+	Table
+	stalled atomic.Bool
+	dead    atomic.Bool
+}
+
+func (h *hostTable) Read(ctx context.Context, keys []table.Key) ([]table.Record, error) {
+	if h.dead.Load() {
+		return nil, table.ErrUnavailable
+	}
+	records, err := h.Table.Read(ctx, keys)
+	h.wait()
+	return records, err
+}
+
+func (h *hostTable) Commit(ctx context.Context, transaction table.Transaction) ([]table.WriteResult, error) {
+	if h.dead.Load() {
+		return nil, table.ErrUnavailable
+	}
+	results, err := h.Table.Commit(ctx, transaction)
+	h.wait()
+	return results, err
+}
+
+func (h *hostTable) wait() {
+	for h.stalled.Load() {
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+type testHost struct {
+	*Keeper
+	table *hostTable
+}
+
+func startHost(t Table, name fleet.HostName, start fleet.StartNumber) *testHost {
+	h := &testHost{table: &hostTable{Table: t}}
+	h.Keeper = &Keeper{Host: name, Start: start, Table: h.table, Events: ring.New[Event](1000)}
+	go h.Run(context.Background())
+	return h
+}
+
+func (h *testHost) events() []Event {
+	var events []Event
+	for {
+		select {
+		case e := <-h.Events.Messages():
+			events = append(events, e)
+		default:
+			return events
+		}
+	}
+}
+
+// advance lets virtual time pass and waits until all goroutines are blocked.
+func advance(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func valid(h *testHost, name Name) bool {
+	_, ok := h.Valid(name)
+	return ok
+}
+
+// TestLeaseIsNotTakenWhileHolderMayUseIt guards against a second holder after
+// each way in which the first one stops renewing.
+func TestLeaseIsNotTakenWhileHolderMayUseIt(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		stop func(h *testHost, p *platform.Table)
+		// earliest and latest bound the time until the other host is valid. It
+		// has rank 1: 6.6 s between reads, 11 s unchanged, 3 s for its rank. A
+		// paused holder's last renewal may come 3.3 s after the stop.
+		earliest, latest time.Duration
+	}{
+		{"released", func(h *testHost, _ *platform.Table) { h.Release("e") }, 0, 10 * time.Second},
+		{"closed", func(h *testHost, _ *platform.Table) { h.Close() }, 0, 10 * time.Second},
+		{"dead", func(h *testHost, _ *platform.Table) { h.table.dead.Store(true) }, 7 * time.Second, 21 * time.Second},
+		{"paused", func(h *testHost, _ *platform.Table) { h.table.stalled.Store(true) }, 7 * time.Second, 24 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				p := platform.NewTable(1)
+				a, b := startHost(p, "a", 1), startHost(p, "b", 1)
+				defer b.Close()
+				defer a.Close()
+				defer a.table.stalled.Store(false)
+				a.Want("e", 0)
+				advance(time.Second)
+				b.Want("e", 1)
+				advance(time.Minute)
+				c.Assert(valid(a, "e"), quicktest.IsTrue)
+				c.Assert(valid(b, "e"), quicktest.IsFalse)
+				test.stop(a, p)
+				stopped := time.Now()
+				for !valid(b, "e") {
+					advance(10 * time.Millisecond)
+					c.Assert(valid(a, "e") && valid(b, "e"), quicktest.IsFalse)
+					c.Assert(time.Since(stopped) < test.latest, quicktest.IsTrue)
+				}
+				c.Assert(time.Since(stopped) >= test.earliest, quicktest.IsTrue)
+				epoch, _ := b.Valid("e")
+				c.Assert(epoch, quicktest.Equals, fleet.Epoch(2))
+			})
+		})
+	}
+}
+
+// TestLostReplies guards against a lease that is dropped, or held by two, when
+// replies are lost or writes take effect late.
+func TestLostReplies(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults platform.Faults
+	}{
+		{"lost reply", platform.Faults{LostReply: 1}},
+		{"late write", platform.Faults{LateWrite: 1, LateDelay: time.Second}},
+		{"lost request sometimes", platform.Faults{LostRequest: 0.3}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				p := platform.NewTable(1)
+				p.SetFaults(test.faults)
+				a := startHost(p, "a", 1)
+				defer a.Close()
+				a.Want("e", 0)
+				advance(20 * time.Second)
+				epoch, ok := a.Valid("e")
+				c.Assert(ok, quicktest.IsTrue)
+				c.Assert(epoch, quicktest.Equals, fleet.Epoch(1))
+			})
+		})
+	}
+}
+
+// TestTransfer guards against a transfer that leaves two holders or none.
+func TestTransfer(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults platform.Faults
+		moved  bool
+	}{
+		{"no faults", platform.Faults{}, true},
+		{"lost reply", platform.Faults{LostReply: 1}, true},
+		{"unavailable", platform.Faults{Unavailable: true}, false},
+		{"lost request", platform.Faults{LostRequest: 1}, false},
+		{"late write", platform.Faults{LateWrite: 1, LateDelay: 500 * time.Millisecond}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				p := platform.NewTable(1)
+				a, b := startHost(p, "a", 1), startHost(p, "b", 7)
+				defer a.Close()
+				defer b.Close()
+				a.Want("e", 0)
+				advance(time.Second)
+				b.Want("e", 1)
+				advance(time.Second)
+				p.SetFaults(test.faults)
+				epoch, err := a.Transfer(context.Background(), "e", "b", 7)
+				c.Assert(err == nil, quicktest.Equals, test.moved)
+				c.Assert(valid(a, "e") && errors.Is(err, ErrUnresolved), quicktest.IsFalse)
+				p.SetFaults(platform.Faults{})
+				if test.moved {
+					c.Assert(b.Adopt(context.Background(), "e", epoch+1), quicktest.ErrorIs, ErrNotHeld)
+					c.Assert(b.Adopt(context.Background(), "e", epoch), quicktest.IsNil)
+					c.Assert(valid(b, "e"), quicktest.IsTrue)
+				}
+				advance(10 * time.Second)
+				c.Assert(valid(a, "e"), quicktest.Equals, !valid(b, "e"))
+			})
+		})
+	}
+}
+
+// TestExpiredLeaseIsRegainedWithItsEpoch guards against a change of epoch, and
+// so of all instance names, after a cut that nobody used to take the lease.
+func TestExpiredLeaseIsRegainedWithItsEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		p := platform.NewTable(1)
+		a := startHost(p, "a", 1)
+		defer a.Close()
+		a.Want("e", 0)
+		advance(time.Second)
+		p.SetFaults(platform.Faults{Unavailable: true})
+		advance(9 * time.Second)
+		c.Assert(valid(a, "e"), quicktest.IsFalse)
+		advance(time.Minute)
+		p.SetFaults(platform.Faults{})
+		advance(5 * time.Second)
+		c.Assert(valid(a, "e"), quicktest.IsTrue)
+		var changes []Change
+		for _, e := range a.events() {
+			c.Assert(e.Epoch, quicktest.Equals, fleet.Epoch(1))
+			changes = append(changes, e.Change)
+		}
+		c.Assert(changes, quicktest.DeepEquals, []Change{Gained, Expired, Gained})
+	})
+}
+
+// TestRestartedHostWaits guards against a new process that uses the lease of
+// its paused predecessor.
+func TestRestartedHostWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		p := platform.NewTable(1)
+		old := startHost(p, "a", 1)
+		old.Want("e", 0)
+		advance(time.Second)
+		old.table.dead.Store(true)
+		a := startHost(p, "a", 2)
+		a.Want("e", 0)
+		advance(7 * time.Second)
+		c.Assert(valid(a, "e"), quicktest.IsFalse)
+		advance(7 * time.Second)
+		c.Assert(valid(a, "e"), quicktest.IsTrue)
+		c.Assert(valid(old, "e"), quicktest.IsFalse)
+		old.Close()
+		a.Close()
+	})
+}
+
+// TestRenewalsShareATransaction guards against writes that grow with the number
+// of leases. It prints the writes per host and second.
+func TestRenewalsShareATransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		p := platform.NewTable(1)
+		a := startHost(p, "a", 1)
+		defer a.Close()
+		for i := range 100 {
+			a.Want(Name(string(rune('a'+i%26))+string(rune('a'+i/26))), 0)
+		}
+		advance(10 * time.Second)
+		before, _ := p.Counts()
+		advance(1000 * time.Second)
+		after, _ := p.Counts()
+		t.Logf("100 leases: %.3f writes per second", float64(after-before)/1000)
+		c.Assert(after-before <= 345, quicktest.IsTrue)
+	})
+}
--- /dev/null
+++ b/coordination/lease/record.go
@@ -0,0 +1,91 @@
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/table"
+)
+
+// A Name names a lease.
+type Name string
+
+// Key returns the key of the lease's record.
+func (n Name) Key() table.Key {
+	return table.Key("lease/" + string(n))
+}
+
+// A Record is the value of a lease in the platform's table, as JSON. Records
+// are never deleted, because a new record would begin again with epoch 1.
+type Record struct {
+	// Holder is the host that holds the lease; empty after a release.
+	Holder fleet.HostName `json:"holder"`
+	// Start identifies the process of Holder.
+	Start fleet.StartNumber `json:"start"`
+	// Epoch is at least 1 and grows by one with each change of holder. It does
+	// not change with a release.
+	Epoch fleet.Epoch `json:"epoch"`
+	// Former and FormerStart identify the process that held the lease before,
+	// with the epoch before Epoch; Former is empty for epoch 1. In a released
+	// record they identify the process that released it.
+	Former      fleet.HostName    `json:"former,omitempty"`
+	FormerStart fleet.StartNumber `json:"former-start,omitempty"`
+	// Released says that Former released the lease itself.
+	Released bool `json:"released,omitempty"`
+	// Duration is the holder's lease in milliseconds. Other hosts wait for this
+	// time, because hosts with other settings may share a table.
+	Duration int64 `json:"duration-milliseconds"`
+	// Write numbers the writes of the holder's process, so that the holder
+	// knows which of its writes it reads back. It is 0 in a record that was
+	// written by another host.
+	Write uint64 `json:"write"`
+}
+
+// encode returns the JSON form.
+func (r Record) encode() []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		// A struct of strings and numbers always has a JSON form.
+		panic(err)
+	}
+	return value
+}
+
+// decode parses the JSON form. An absent record gives the zero Record.
+func decode(record table.Record) (Record, error) {
+	if record.Version == 0 {
+		return Record{}, nil
+	}
+	var r Record
+	if err := json.Unmarshal(record.Value, &r); err != nil {
+		return Record{}, fmt.Errorf("lease record %s: %w", record.Key, err)
+	}
+	if r.Epoch == 0 {
+		return Record{}, fmt.Errorf("lease record %s: the epoch is missing", record.Key)
+	}
+	return r, nil
+}
+
+// next returns the record of the next holder.
+func (r Record) next(holder fleet.HostName, start fleet.StartNumber, duration time.Duration, write uint64) Record {
+	n := Record{
+		Holder:      holder,
+		Start:       start,
+		Epoch:       r.Epoch + 1,
+		Former:      r.Holder,
+		FormerStart: r.Start,
+		Duration:    duration.Milliseconds(),
+		Write:       write,
+	}
+	if r.Holder == "" {
+		n.Former, n.FormerStart, n.Released = r.Former, r.FormerStart, r.Epoch > 0
+	}
+	return n
+}
+
+// released returns the record after its holder gave the lease up.
+func (r Record) released() Record {
+	return Record{Epoch: r.Epoch, Former: r.Holder, FormerStart: r.Start, Released: true, Duration: r.Duration}
+}
