--- /dev/null
+++ b/coordination/claim/claim.go
@@ -0,0 +1,73 @@
+// Package claim makes requests that may not be repeated run at most once. A
+// claim is a conditional insert into the platform's table before dispatch.
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/booking"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/table"
+)
+
+// The rules of request ids and claims.
+const (
+	// OldestID is the age from which a request id is refused.
+	OldestID = 24 * time.Hour
+	// NewestID is how far ahead of this host's clock a request id may be.
+	NewestID = 5 * time.Minute
+	// Lifetime is how long a claim stays in the table. It exceeds OldestID and
+	// NewestID together by 55 min, which covers clock differences between hosts.
+	Lifetime = 25 * time.Hour
+	// AnswerLimit is the largest body in bytes that is recorded with an outcome.
+	AnswerLimit = 64 << 10
+)
+
+// The defaults of a Registry.
+const (
+	defaultGroupWait      = 2 * time.Millisecond
+	defaultGroupLimit     = 64
+	defaultInFlight       = 4
+	defaultQuestions      = 16
+	defaultCapacity       = 4096
+	defaultRetainedBytes  = 16 << 20
+	defaultOperationLimit = time.Second
+	defaultSettleLimit    = time.Second
+	defaultCloseLimit     = 10 * time.Second
+)
+
+// A Table is the part of the platform's table that a Registry uses. Reads see
+// all transactions that were confirmed before them.
+type Table interface {
+	// Read returns the records of keys in their order. Absent records have version 0.
+	Read(ctx context.Context, keys []table.Key) ([]table.Record, error)
+	// Commit carries out a transaction. An error that is table.ErrUnavailable
+	// and not table.ErrUnknown proves that it had no effect.
+	Commit(ctx context.Context, transaction table.Transaction) ([]table.WriteResult, error)
+}
+
+// Peers asks other hosts about the claims that they made.
+type Peers interface {
+	// ClaimStatus returns what the given start of the host knows of its claim. A
+	// host with another start answers booking.StatusUnknown.
+	ClaimStatus(ctx context.Context, host fleet.HostName, start fleet.StartNumber, key booking.Key, token booking.Token) (booking.Status, error)
+}
+
+// Counts are the events of a Registry since its start.
+type Counts struct {
+	// Granted is the number of tickets handed out.
+	Granted uint64
+	// Transactions and Writes are the transactions sent to the table and the
+	// writes in them.
+	Transactions, Writes uint64
+	// Abandoned is the number of claims given up with an unknown table state.
+	Abandoned uint64
+	// Replaced is the number of released or abandoned records that were
+	// replaced by a new claim.
+	Replaced uint64
+	// Refused is the number of messages that a full ring refused.
+	Refused uint64
+	// Entries is the number of keys in memory.
+	Entries uint64
+}
--- a/state/booking/booking.go
+++ b/state/booking/booking.go
@@ -43,11 +43,14 @@
 
 // An Outcome is how a claimed request ended.
 type Outcome struct {
-	// Verdict is Ran or MayHaveRun. A claim with verdict NotRun is removed.
+	// Verdict is final when it is Ran or MayHaveRun. A claim with verdict NotRun
+	// is removed, or stays with this verdict where a late insert must find the
+	// key taken; such a record may be replaced by a new claim.
 	Verdict verdict.Verdict `json:"verdict"`
-	// Code is the cause when the verdict is MayHaveRun.
+	// Code is the cause when the verdict is MayHaveRun, or says that the answer
+	// was not kept when the verdict is Ran.
 	Code verdict.Code `json:"code,omitempty"`
-	// Answer is the whole answer when the verdict is Ran.
+	// Answer is the whole answer when the verdict is Ran and the answer was kept.
 	Answer *request.Answer `json:"answer,omitempty"`
 }
 
@@ -60,6 +63,6 @@
 	Start fleet.StartNumber `json:"start"`
 	// Claimed is the wall-clock time of the claim; it serves clean-up only.
 	Claimed time.Time `json:"claimed"`
-	// Outcome is nil while the request is unresolved. Once set it never changes.
+	// Outcome is nil while the request is unresolved. A final outcome never changes.
 	Outcome *Outcome `json:"outcome,omitempty"`
 }
--- a/state/verdict/error.go
+++ b/state/verdict/error.go
@@ -24,6 +24,7 @@
 	CodeDeadline          Code = "deadline"
 	CodeClaimRefused      Code = "claim-refused"
 	CodeClaimUnresolved   Code = "claim-unresolved"
+	CodeAnswerNotKept     Code = "answer-not-kept"
 	CodeTableUnavailable  Code = "table-unavailable"
 	CodeConflict          Code = "conflict"
 	CodeNotOwner          Code = "not-owner"
