retry: add a retry budget by application with full jitter

Retries without a bound multiply the load when engines fail. An application earns a tenth of a retry with each successful request, saves up ten, and may make one retry per five seconds without successes. A fixed rate alone was ruled out, because it is too high for a small application and too low for a large one.

--- /dev/null
+++ b/coordination/retry/budget_test.go
@@ -0,0 +1,135 @@
+package retry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/request"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+var (
+	_ dispatch.RetryBudget = (*Budget)(nil)
+	_ dispatch.Recorder    = (*Budget)(nil)
+)
+
+func newRequest(application configuration.ApplicationName) *request.Request {
+	return &request.Request{Application: application, Deadline: time.Now().Add(time.Hour)}
+}
+
+// started runs a budget until the end of the bubble.
+func started(t *testing.T, b *Budget) *Budget {
+	go func() { _ = b.Run(context.Background()) }()
+	t.Cleanup(func() { _ = b.Close() })
+	return b
+}
+
+// allowed counts the retries that the budget allows out of n.
+func allowed(b *Budget, r *request.Request, n int) int {
+	count := 0
+	for range n {
+		if _, ok := b.Next(r, 1); ok {
+			count++
+		}
+	}
+	return count
+}
+
+// TestRetriesAreAShareOfSuccesses guards against retries that multiply the load
+// during an outage, and against one application that spends the budget of another.
+func TestRetriesAreAShareOfSuccesses(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		successes int
+		failures  int
+		replayed  bool
+		pause     time.Duration
+		want      int
+	}{
+		{name: "nothing earned", want: 0},
+		{name: "a tenth of successes", successes: 45, want: 4},
+		{name: "failures earn nothing", failures: 100, want: 0},
+		{name: "recorded outcomes earn nothing", successes: 100, replayed: true, want: 0},
+		{name: "at most the burst", successes: 1000, want: 10},
+		{name: "the floor after a pause", pause: time.Minute, want: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				b := started(t, &Budget{})
+				r := newRequest("quotes")
+				// The burst and the first retry of the floor.
+				c.Assert(allowed(b, r, 100), quicktest.Equals, 11)
+				time.Sleep(test.pause)
+				for range test.successes {
+					b.Finished(r, request.Answer{Replayed: test.replayed}, nil)
+				}
+				for range test.failures {
+					b.Finished(r, request.Answer{}, verdict.Refuse(verdict.CodeNoGrant, "no grant"))
+				}
+				c.Assert(allowed(b, r, 100), quicktest.Equals, test.want)
+				c.Assert(allowed(b, newRequest("yard"), 100), quicktest.Equals, 11)
+			})
+		})
+	}
+}
+
+// TestNoRetryPastDeadline guards against a retry that starts when the caller has
+// stopped waiting, and against a pause above its limit.
+func TestNoRetryPastDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := started(t, &Budget{Burst: 100_000, Longest: 400 * time.Millisecond})
+		for retry := 1; retry < 40; retry++ {
+			limit := min(50*time.Millisecond<<(min(retry, 10)-1), 400*time.Millisecond)
+			var longest time.Duration
+			for range 200 {
+				r := newRequest("quotes")
+				r.Deadline = time.Now().Add(limit / 2)
+				if pause, ok := b.Next(r, retry); ok {
+					c.Assert(pause < limit/2, quicktest.IsTrue)
+				}
+				r.Deadline = time.Now().Add(time.Hour)
+				pause, ok := b.Next(r, retry)
+				c.Assert(ok, quicktest.IsTrue)
+				c.Assert(pause >= 0 && pause <= limit, quicktest.IsTrue, quicktest.Commentf("retry %d: %v", retry, pause))
+				longest = max(longest, pause)
+			}
+			c.Assert(longest > limit*3/4, quicktest.IsTrue, quicktest.Commentf("retry %d: %v", retry, longest))
+		}
+	})
+}
+
+// TestAccountsAreBounded guards against memory that grows with the number of
+// application names.
+func TestAccountsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := started(t, &Budget{Applications: 3})
+		for i := range 4 {
+			c.Assert(allowed(b, newRequest(configuration.ApplicationName(fmt.Sprint(i))), 20), quicktest.Equals, 11)
+		}
+		c.Assert(allowed(b, newRequest("3"), 20), quicktest.Equals, 0)
+		c.Assert(allowed(b, newRequest("1"), 20), quicktest.Equals, 0)
+		// Application 0 was dropped, so it starts anew.
+		c.Assert(allowed(b, newRequest("0"), 20), quicktest.Equals, 11)
+	})
+}
+
+// TestNextAfterClose guards against a request that waits for a duty that ended.
+func TestNextAfterClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := &Budget{}
+		c.Assert(b.Close(), quicktest.IsNil)
+		_, ok := b.Next(newRequest("quotes"), 1)
+		c.Assert(ok, quicktest.IsFalse)
+	})
+}
