settings: read host settings and configuration strictly

Package json accepts a key twice, ignores unknown keys and drops places, so a typing error would leave a default in force unnoticed. The decoder walks the hujson tree against the struct and reports every problem with file, line and column. The same decoder reads the configuration of a deployment. The reference page is made from the struct, and a test compares them; the examples of both deployments are checked by a test.

--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,134 @@
+package settings_test
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/internal/settings"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+var update = flag.Bool("update", false, "write the settings reference anew")
+
+const minimal = `{
+  "host-name": "a", "failure-domain": "d", "region": "r", // names
+  "caller-address": "0.0.0.0:80", "peer-address": "10.0.0.1:81",
+  "platform-address": "10.0.0.2:82",
+  "decisions": {"load-rate-share": 1},
+}`
+
+// Guards against settings that are taken for others than the file says, and
+// against errors that do not lead to their place.
+func TestDecodeNamesThePlaceOfEachProblem(t *testing.T) {
+	for _, test := range []struct{ name, old, replacement, want string }{
+		{"none", "", "", ""},
+		{"syntax", `"a",`, `"a"`, "host:2:20: .*expected JSON with comments"},
+		{"unknown key", `"region"`, `"regoin"`, "host:1:1: region: missing, expected text\nhost:2:44: regoin: unknown key, expected one of host-name, .*"},
+		{"another case", `"region"`, `"Region"`, "(?s).*Region: unknown key.*"},
+		{"duplicate key", `"region": "r",`, `"region": "r", "region": "s",`, "host:2:59: region: key is there twice, expected once"},
+		{"wrong type", `"a"`, `7`, "host:2:16: host-name: 7 has the wrong type, expected text"},
+		{"null", `"a"`, `null`, "host:2:16: host-name: null has the wrong type, expected text"},
+		{"duration without unit", `"decisions"`, `"timings": {"heartbeat": 3}, "decisions"`, `host:5:28: timings.heartbeat: 3 is no duration, expected a duration with its unit, .*`},
+		{"wrong unit", `"decisions"`, `"timings": {"heartbeat": "3 sec"}, "decisions"`, `host:5:28: timings.heartbeat: "3 sec" is no duration, .*`},
+		{"negative duration", `"decisions"`, `"limits": {"grace-time": "-1s"}, "decisions"`, `.*limits.grace-time: "-1s" is no duration, .*`},
+		{"fraction", `"decisions"`, `"limits": {"host-concurrency": 1.5}, "decisions"`, `.*host-concurrency: 1.5 has the wrong type, expected a whole number`},
+		{"host name as address", `10.0.0.2:82`, `platform:82`, `host:4:23: platform-address: "platform:82" is no address, expected an IP address and a port, .*`},
+		{"address without port", `10.0.0.2:82`, `10.0.0.2`, `host:4:23: platform-address: .* is no address, .*`},
+		{"any host for peers", `10.0.0.1:81`, `0.0.0.0:81`, `host:3:51: peer-address: 0.0.0.0 is out of place, .*`},
+		{"own address as neighbour", `"decisions"`, `"peer-addresses": ["10.0.0.3:1", "10.0.0.1:81"], "decisions"`, `host:5:36: peer-addresses\[1\]: 10.0.0.1:81 is out of place, expected another address than peer-address`},
+		{"one port for callers and peers", `10.0.0.1:81`, `10.0.0.1:80`, `.*peer-address: port 80 is out of place.*`},
+		{"lease shorter than two renewals", `"decisions"`, `"timings": {"lease-duration": "6s"}, "decisions"`, `.*lease-duration: is 6s, expected at least two renewals and the margin, 7s`},
+		{"no share", `{"load-rate-share": 1}`, `{}`, `host:5:16: decisions.load-rate-share: missing, expected a number`},
+		{"share zero", `"load-rate-share": 1`, `"load-rate-share": 0`, `host:5:36: decisions.load-rate-share: is 0, expected more than 0`},
+		{"level", `"decisions"`, `"log-level": "loud", "decisions"`, `.*log-level: "loud" is no level, .*`},
+		{"token in place of its hash", `"decisions"`, `"operator-token-hash": "secret", "decisions"`, `.*operator-token-hash: is no hash, .*`},
+		{"not an object", minimal, `[]`, `host:1:1: is no object, expected {...}(?s).*`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := settings.Decode("host", []byte(strings.Replace(minimal, test.old, test.replacement, 1)))
+			if test.want == "" {
+				qt.Assert(t, err, qt.IsNil)
+				return
+			}
+			qt.Assert(t, err, qt.ErrorMatches, test.want)
+			var problems settings.Problems
+			qt.Assert(t, errors.As(err, &problems), qt.IsTrue)
+		})
+	}
+}
+
+// Guards against defaults that differ from the reference page.
+func TestDefaultsHold(t *testing.T) {
+	s, err := settings.Decode("host", []byte(minimal))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.Timings.IsolatedServiceLimit, qt.Equals, 15*time.Minute)
+	qt.Check(t, s.Limits.BodySize, qt.Equals, int64(1<<20))
+	qt.Check(t, s.LogLevel, qt.Equals, "info")
+}
+
+// Guards against examples that a host does not accept.
+func TestExamplesAreAccepted(t *testing.T) {
+	for _, deployment := range []string{"kurswerk", "medna-ploscha"} {
+		t.Run(deployment, func(t *testing.T) {
+			c := qt.New(t)
+			directory := filepath.Join("../../examples", deployment)
+			data, err := os.ReadFile(filepath.Join(directory, "entry-host.jsonc"))
+			c.Assert(err, qt.IsNil)
+			s, err := settings.Decode("entry-host.jsonc", data)
+			c.Assert(err, qt.IsNil)
+			data, err = os.ReadFile(filepath.Join(directory, "configuration.jsonc"))
+			c.Assert(err, qt.IsNil)
+			configuration, err := settings.DecodeConfiguration("configuration.jsonc", data)
+			c.Assert(err, qt.IsNil)
+			c.Check(configuration.Engines, qt.HasLen, 9)
+			domains := map[fleet.FailureDomainName]int{}
+			for name, engine := range configuration.Engines {
+				c.Check(engine.Name, qt.Equals, name)
+				domains[engine.Domain]++
+			}
+			c.Check(domains, qt.HasLen, 3)
+			c.Check(domains[s.FailureDomain], qt.Equals, 3)
+		})
+	}
+}
+
+// Guards against a configuration that refers to what it does not have.
+func TestDecodeConfigurationChecksReferences(t *testing.T) {
+	data, err := os.ReadFile("../../examples/kurswerk/configuration.jsonc")
+	qt.Assert(t, err, qt.IsNil)
+	for _, test := range []struct{ name, old, replacement, want string }{
+		{"kind", `["adviser"]`, `["advisor"]`, `.*applications.adviser-desk.kinds\[0\]: "advisor" is no kind, .*`},
+		{"current version", `"current": 2`, `"current": 3`, `.*adapters.latin-grammar.current: is 3, .*`},
+		{"versions in falling order", `[1, 2]`, `[2, 1]`, `.*adapters.latin-grammar.versions: .*`},
+		{"version twice", `[1, 2]`, `[1, 2, 2]`, `.*adapters.latin-grammar.versions: .*`},
+		{"reserved sign", `"latin-grammar"`, `"latin@grammar"`, `.*adapters.latin@grammar: .*`},
+		{"repeat rule", `"repeat": "forbidden"`, `"repeat": "never"`, `.*kinds.enrolment.repeat: is "never", expected allowed or forbidden`},
+		{"deadline as number", `"deadline": "5s"`, `"deadline": 5000000000`, `.*kinds.catalogue.deadline: .* is no duration, .*`},
+		{"engine address", `10.20.1.100:8000`, `engine-1:8000`, `.*engines.sprachmodelle-1.address: .*`},
+		{"name that is not the key", `"latin-grammar": {`, `"latin-grammar": {"name": "x", `, `.*adapters.latin-grammar.name: is "x", .*`},
+		{"status that proves nothing", `[429]`, `[200]`, `.*services.belegung.refusal-proves\[0\]: is 200, .*`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := settings.DecodeConfiguration("c", []byte(strings.Replace(string(data), test.old, test.replacement, 1)))
+			qt.Assert(t, err, qt.ErrorMatches, test.want)
+		})
+	}
+}
+
+// Guards against a reference page that differs from the settings.
+func TestReferenceMatchesTheSettings(t *testing.T) {
+	const page = "../../docs/reference/settings.md"
+	if *update {
+		qt.Assert(t, os.WriteFile(page, []byte(settings.Reference()), 0o644), qt.IsNil)
+	}
+	data, err := os.ReadFile(page)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(data), qt.Equals, settings.Reference())
+}
