cmd: add check-settings and load

Operators check settings before a host reads them; every problem of all files is printed. load starts requests at their intended times whether or not earlier ones were answered and counts latency from there, so that a stall of the host shows in every request that was due while it lasted. Every request carries a UUID version 7, which all kinds accept.

--- /dev/null
+++ b/internal/cmd/checksettingscmd.go
@@ -0,0 +1,61 @@
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/persimmonmux/persimmonmux/internal/settings"
+)
+
+// A checkSettingsCommand checks files of settings and configurations.
+type checkSettingsCommand struct {
+	stdout io.Writer
+
+	Configurations []string `long:"configuration" value-name:"FILE" description:"configuration of a deployment; may be given more than once"`
+	Arguments      struct {
+		Files []string `positional-arg-name:"FILE" description:"settings of an entry host"`
+	} `positional-args:"yes"`
+}
+
+// errNoFile is returned when there is nothing to check.
+var errNoFile = errors.New("check-settings: no file given")
+
+func (*checkSettingsCommand) name() string  { return "check-settings" }
+func (*checkSettingsCommand) short() string { return "Check settings files" }
+func (*checkSettingsCommand) long() string {
+	return "Checks settings of entry hosts and configurations of deployments, and prints each problem with file, line and column."
+}
+
+// Execute checks all files and fails when one of them has a problem.
+func (c *checkSettingsCommand) Execute([]string) error {
+	if len(c.Arguments.Files)+len(c.Configurations) == 0 {
+		return errNoFile
+	}
+	var failures []error
+	check := func(file string, decode func(string, []byte) error) {
+		data, err := os.ReadFile(file)
+		if err == nil {
+			err = decode(file, data)
+		}
+		if err != nil {
+			failures = append(failures, err)
+			return
+		}
+		fmt.Fprintf(c.stdout, "%s: ok\n", file)
+	}
+	for _, file := range c.Arguments.Files {
+		check(file, func(file string, data []byte) error {
+			_, err := settings.Decode(file, data)
+			return err
+		})
+	}
+	for _, file := range c.Configurations {
+		check(file, func(file string, data []byte) error {
+			_, err := settings.DecodeConfiguration(file, data)
+			return err
+		})
+	}
+	return errors.Join(failures...)
+}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -41,6 +41,8 @@
 // commands returns all subcommands.
 func commands(stdout, _ io.Writer) []command {
 	return []command{
+		&checkSettingsCommand{stdout: stdout},
+		&loadCommand{stdout: stdout},
 		&versionCommand{stdout: stdout},
 	}
 }
--- /dev/null
+++ b/internal/load/generator.go
@@ -0,0 +1,159 @@
+// Package load sends open-loop load to an entry host and measures the answers.
+package load
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/persimmonmux/persimmonmux/coordination/ring"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+const (
+	// maxInFlight bounds the requests that wait for an answer. A request beyond
+	// it is counted as not sent; open-loop load does not wait.
+	maxInFlight = 10_000
+	// resultCapacity is the room between the senders and the collector.
+	resultCapacity = 4 * maxInFlight
+	// codeNotSent is the code of requests beyond maxInFlight.
+	codeNotSent = verdict.Code("not-sent")
+)
+
+// A Plan says what load to send. Check reports what is wrong with it.
+type Plan struct {
+	// Address is the IP address and port of an entry host.
+	Address string
+	// Rate is the number of requests per second; arrivals are a Poisson process.
+	Rate float64
+	// Duration is how long requests are started.
+	Duration time.Duration
+	// Kinds are the kinds to send, in equal shares; empty means the default kind.
+	Kinds []string
+	// Adapters is the number of adapters; each request names one of them.
+	Adapters int
+	// AdapterFormat makes the name of an adapter from its number, counted from 0.
+	AdapterFormat string
+	// Exponent is the Zipf exponent of the popularity of adapters; zero means
+	// that all are equally popular.
+	Exponent float64
+	// Token is the bearer token of the application.
+	Token string
+	// Seed makes arrivals, adapters and kinds the same in each run.
+	Seed uint64
+	// Stream asks for streamed answers.
+	Stream bool
+	// Timeout is how long a request waits for its answer.
+	Timeout time.Duration
+}
+
+// Check returns an error that names the first wrong field.
+func (p *Plan) Check() error {
+	if address, err := netip.ParseAddrPort(p.Address); err != nil || address.Port() == 0 {
+		return fmt.Errorf("address %q: expected an IP address and a port", p.Address)
+	}
+	if !(p.Rate > 0) || math.IsInf(p.Rate, 0) {
+		return fmt.Errorf("rate %v: expected more than 0", p.Rate)
+	}
+	if p.Duration <= 0 {
+		return fmt.Errorf("duration %s: expected more than 0", p.Duration)
+	}
+	if p.Timeout <= 0 {
+		return fmt.Errorf("timeout %s: expected more than 0", p.Timeout)
+	}
+	if p.Adapters < 1 {
+		return fmt.Errorf("adapters %d: expected at least 1", p.Adapters)
+	}
+	if !(p.Exponent >= 0) || math.IsInf(p.Exponent, 0) {
+		return fmt.Errorf("zipf %v: expected at least 0", p.Exponent)
+	}
+	if first, second := fmt.Sprintf(p.AdapterFormat, 0), fmt.Sprintf(p.AdapterFormat, 1); first == second || strings.Contains(first, "%!") {
+		return fmt.Errorf("adapter-format %q: expected one whole number, as adapter-%%05d", p.AdapterFormat)
+	}
+	for _, kind := range p.Kinds {
+		if kind == "" {
+			return fmt.Errorf("kind: expected a name")
+		}
+	}
+	return nil
+}
+
+// Run sends the load and returns the measured figures. It returns early, with
+// the figures so far, when ctx ends.
+func Run(ctx context.Context, plan Plan) *Report {
+	s := &sender{
+		plan: plan,
+		client: &http.Client{
+			Transport: &http.Transport{MaxIdleConnsPerHost: maxInFlight, MaxIdleConns: maxInFlight, DisableCompression: true},
+		},
+		results: ring.New[result](resultCapacity),
+		places:  make(chan struct{}, maxInFlight),
+	}
+	defer s.client.CloseIdleConnections()
+	report := newReport(plan)
+	ended, collected := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(collected)
+		report.collect(s.results.Messages(), ended)
+	}()
+	report.Sent = s.sendAll(ctx)
+	close(ended)
+	<-collected
+	report.Dropped = s.results.Refused()
+	return report
+}
+
+// arrivals makes the sequence of requests from the seed.
+type arrivals struct {
+	random *rand.Rand
+	// cumulative has the summed popularity of the adapters.
+	cumulative []float64
+	plan       *Plan
+}
+
+func newArrivals(plan *Plan) *arrivals {
+	a := &arrivals{
+		random:     rand.New(rand.NewPCG(plan.Seed, 0)),
+		cumulative: make([]float64, plan.Adapters),
+		plan:       plan,
+	}
+	// math/rand has Zipf for exponents above 1 only; popularity is often below.
+	sum := 0.0
+	for i := range a.cumulative {
+		sum += math.Pow(float64(i+1), -plan.Exponent)
+		a.cumulative[i] = sum
+	}
+	return a
+}
+
+// arrival is one request to be sent.
+type arrival struct {
+	// pause is the time since the arrival before.
+	pause   time.Duration
+	adapter string
+	kind    string
+}
+
+func (a *arrivals) next() arrival {
+	pause := a.random.ExpFloat64() / a.plan.Rate * float64(time.Second)
+	mark := a.random.Float64() * a.cumulative[len(a.cumulative)-1]
+	number := min(sort.SearchFloat64s(a.cumulative, mark), len(a.cumulative)-1)
+	next := arrival{pause: time.Duration(pause), adapter: fmt.Sprintf(a.plan.AdapterFormat, number)}
+	if len(a.plan.Kinds) > 0 {
+		next.kind = a.plan.Kinds[a.random.IntN(len(a.plan.Kinds))]
+	}
+	return next
+}
+
+// requestID returns a new UUID version 7, which every kind of request accepts.
+func requestID() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
