--- a/protocol/peer/convertheartbeat.go
+++ b/protocol/peer/convertheartbeat.go
@@ -16,6 +16,7 @@
 		Sequence:          h.Sequence,
 		Acknowledged:      h.Acknowledged,
 		AcknowledgedStart: uint64(h.AcknowledgedStart),
+		AssumedStart:      uint64(h.AssumedStart),
 	}
 	for _, summary := range h.Engines {
 		message.Engines = append(message.Engines, fromSummary(summary))
@@ -37,6 +38,7 @@
 		Sequence:          message.GetSequence(),
 		Acknowledged:      message.GetAcknowledged(),
 		AcknowledgedStart: fleet.StartNumber(message.GetAcknowledgedStart()),
+		AssumedStart:      fleet.StartNumber(message.GetAssumedStart()),
 	}
 	if h.Host.Name == "" {
 		return fleet.Heartbeat{}, fmt.Errorf("heartbeat: the host has no name")
--- a/state/fleet/heartbeat.go
+++ b/state/fleet/heartbeat.go
@@ -56,6 +56,10 @@
 	// the sender has nothing.
 	Acknowledged      uint64      `json:"acknowledged"`
 	AcknowledgedStart StartNumber `json:"acknowledged-start"`
+	// AssumedStart is the process of the receiver whose acknowledgement the
+	// sender relied on when it left out what was told before. It is 0 when
+	// nothing was left out.
+	AssumedStart StartNumber `json:"assumed-start"`
 }
 
 // A Sighting is a host as another host sees it.
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -27,7 +27,7 @@
 	}
 	testHeartbeat = fleet.Heartbeat{
 		Host:     fleet.Host{Name: "host-1", Start: 9, Domain: "a", Region: "r", PeerAddress: "127.0.0.1:1", State: fleet.HostLive},
-		Revision: 12, Sequence: 5, Acknowledged: 6, AcknowledgedStart: 8,
+		Revision: 12, Sequence: 5, Acknowledged: 6, AcknowledgedStart: 8, AssumedStart: 10,
 		Engines: []fleet.EngineSummary{{
 			Engine: "engine-1", Owner: "host-1", Epoch: 7, Version: 2, Start: 4, Report: 3,
 			Instances: []fleet.Instance{instance}, Running: 1, Waiting: 2,
