--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -127,13 +127,32 @@
 	return answer.Keys, nil
 }
 
-// Hosts returns the host list, which lags behind reality.
-func (c *Client) Hosts(ctx context.Context) ([]fleet.ListedHost, error) {
+// Listing returns the host list, which lags behind reality. Entry hosts and
+// backend servers that the platform does not list are gone.
+func (c *Client) Listing(ctx context.Context) (fleet.Listing, error) {
 	var answer platformstore.HostsAnswer
 	if err := c.get(ctx, platformstore.PathHosts, &answer); err != nil {
-		return nil, fmt.Errorf("read host list: %w", err)
-	}
-	return answer.Hosts, nil
+		return fleet.Listing{}, err
+	}
+	var listing fleet.Listing
+	for _, listed := range answer.Hosts {
+		if listed.Role == fleet.RoleBackend {
+			listing.Servers = append(listing.Servers, fleet.ListedServer{
+				Name:  listed.Name,
+				Start: listed.Start,
+				State: listed.State,
+			})
+			continue
+		}
+		listing.Hosts = append(listing.Hosts, fleet.Host{
+			Name:        fleet.HostName(listed.Name),
+			Start:       listed.Start,
+			Domain:      listed.Domain,
+			PeerAddress: listed.Address,
+			State:       listed.State,
+		})
+	}
+	return listing, nil
 }
 
 func object(key string) string {
--- a/transport/platform/client_test.go
+++ b/transport/platform/client_test.go
@@ -140,18 +140,21 @@
 	f.Assert(f.client.Put(ctx, "other", nil), quicktest.IsNotNil)
 }
 
-// TestHosts guards against a leaving mark that is lost on the way.
-func TestHosts(t *testing.T) {
+// TestListing guards against a leaving mark that is lost on the way.
+func TestListing(t *testing.T) {
 	f := newFixture(t)
 	host := fleet.ListedHost{Name: "muc-a-1", Role: fleet.RoleEntry, Start: 4, Domain: "muc-a", Address: "127.0.0.1:1", State: fleet.HostLive}
 	f.platform.Hosts.Set(host)
 	f.platform.Hosts.MarkLeaving("muc-a-1")
-	host.State = fleet.HostLeaving
-	hosts, err := f.client.Hosts(context.Background())
+	f.platform.Hosts.Set(fleet.ListedHost{Name: "engine-1", Role: fleet.RoleBackend, Start: 2, State: fleet.HostLive})
+	listing, err := f.client.Listing(context.Background())
 	f.Assert(err, quicktest.IsNil)
-	f.Assert(hosts, quicktest.DeepEquals, []fleet.ListedHost{host})
+	f.Assert(listing, quicktest.DeepEquals, fleet.Listing{
+		Hosts:   []fleet.Host{{Name: "muc-a-1", Start: 4, Domain: "muc-a", PeerAddress: "127.0.0.1:1", State: fleet.HostLeaving}},
+		Servers: []fleet.ListedServer{{Name: "engine-1", Start: 2, State: fleet.HostLive}},
+	})
 	f.platform.Hosts.SetUnavailable(true)
-	_, err = f.client.Hosts(context.Background())
+	_, err = f.client.Listing(context.Background())
 	f.Assert(err, quicktest.IsNotNil)
 }
 
@@ -160,7 +163,7 @@
 	before := runtime.NumGoroutine()
 	t.Run("calls", func(t *testing.T) {
 		f := newFixture(t)
-		_, err := f.client.Hosts(context.Background())
+		_, err := f.client.Listing(context.Background())
 		f.Assert(err, quicktest.IsNil)
 	})
 	for end := time.Now().Add(2 * time.Second); runtime.NumGoroutine() > before && time.Now().Before(end); {
