load: start requests at their own intended times

The goroutines of requests shared one variable for the intended start, which the race detector found; latencies could count from a later request's start.

--- /dev/null
+++ b/internal/load/pause_other.go
@@ -0,0 +1,10 @@
+//go:build !linux
+
+package load
+
+import "time"
+
+// pauseShort sleeps with the precision of the Go runtime.
+func pauseShort(pause time.Duration) {
+	time.Sleep(pause)
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -42,6 +42,7 @@
 	// latency has whole answers only; a quick refusal is no quick answer.
 	latency *hdrhistogram.Histogram
 	first   *hdrhistogram.Histogram
+	late    *hdrhistogram.Histogram
 }
 
 // A Line is the figures of one kind in JSON.
@@ -55,6 +56,9 @@
 	Latency Percentiles `json:"latency-ms"`
 	// First counts from the intended start to the first chunk of a stream.
 	First Percentiles `json:"first-chunk-ms"`
+	// Late is how long after their intended starts requests were started. It is
+	// part of Latency and is the generator's own share.
+	Late Percentiles `json:"start-late-ms"`
 	// Dropped is the number of results missing from all lines.
 	Dropped uint64 `json:"dropped-results"`
 }
@@ -77,6 +81,7 @@
 		counts:  map[string]int64{},
 		latency: hdrhistogram.New(lowest, highest, significant),
 		first:   hdrhistogram.New(lowest, highest, significant),
+		late:    hdrhistogram.New(lowest, highest, significant),
 	}
 }
 
@@ -113,6 +118,9 @@
 		if ended.verdict == verdict.Ran {
 			record(f.latency, ended.latency)
 		}
+		if ended.code != codeNotSent {
+			record(f.late, ended.late)
+		}
 		if ended.first > 0 {
 			record(f.first, ended.first)
 		}
@@ -131,7 +139,7 @@
 		f := r.kinds[kind]
 		line := Line{
 			Kind: kind, Rate: r.plan.Rate, Seed: r.plan.Seed, Counts: f.counts,
-			Latency: percentiles(f.latency), First: percentiles(f.first), Dropped: r.Dropped,
+			Latency: percentiles(f.latency), First: percentiles(f.first), Late: percentiles(f.late), Dropped: r.Dropped,
 		}
 		for _, count := range f.counts {
 			line.Count += count
@@ -164,15 +172,15 @@
 		fmt.Fprintf(w, "%d results are missing\n", r.Dropped)
 	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "kind\tcount\tp50\tp90\tp99\tp99.9\tmax\tfirst p50\tfirst p99\toutcomes")
+	fmt.Fprintln(table, "kind\tcount\tp50\tp90\tp99\tp99.9\tmax\tfirst p50\tfirst p99\tlate p50\tlate p99\toutcomes")
 	for _, line := range r.Lines() {
 		var outcomes []string
 		for _, name := range slices.Sorted(maps.Keys(line.Counts)) {
 			outcomes = append(outcomes, fmt.Sprintf("%s: %d", name, line.Counts[name]))
 		}
 		l := line.Latency
-		fmt.Fprintf(table, "%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%s\n",
-			line.Kind, line.Count, l.P50, l.P90, l.P99, l.P999, l.Max, line.First.P50, line.First.P99, strings.Join(outcomes, ", "))
+		fmt.Fprintf(table, "%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%s\n",
+			line.Kind, line.Count, l.P50, l.P90, l.P99, l.P999, l.Max, line.First.P50, line.First.P99, line.Late.P50, line.Late.P99, strings.Join(outcomes, ", "))
 	}
 	return table.Flush()
 }
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -28,6 +28,8 @@
 	// latency and first count from the intended start. first is the time to
 	// the first chunk, zero without one.
 	latency, first time.Duration
+	// late is how long after its intended start the request was started.
+	late time.Duration
 }
 
 // A sender sends the requests of a plan.
@@ -47,20 +49,17 @@
 	defer requests.Wait()
 	sequence := newArrivals(&s.plan)
 	start := time.Now()
-	intended := start
-	timer := time.NewTimer(0)
-	defer timer.Stop()
+	pause := time.Duration(0)
 	for sent := uint64(0); ; sent++ {
 		next := sequence.next()
-		intended = intended.Add(next.pause)
+		pause += next.pause
+		// Each request has its own variable, because it reads it when it ends.
+		intended := start.Add(pause)
 		if intended.Sub(start) > s.plan.Duration {
 			return sent
 		}
-		timer.Reset(time.Until(intended))
-		select {
-		case <-ctx.Done():
+		if !pauseUntil(ctx, intended) {
 			return sent
-		case <-timer.C:
 		}
 		select {
 		case s.places <- struct{}{}:
@@ -74,10 +73,29 @@
 	}
 }
 
+// coarse is the precision of the timers of the Go runtime, with a margin.
+const coarse = 2 * time.Millisecond
+
+// pauseUntil waits for a time and reports whether ctx is still alive.
+func pauseUntil(ctx context.Context, end time.Time) bool {
+	if pause := time.Until(end) - coarse; pause > 0 {
+		timer := time.NewTimer(pause)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+	}
+	for pause := time.Until(end); pause > 0 && ctx.Err() == nil; pause = time.Until(end) {
+		pauseShort(pause)
+	}
+	return ctx.Err() == nil
+}
+
 func (s *sender) send(ctx context.Context, next arrival, intended time.Time) result {
 	ctx, cancel := context.WithTimeout(ctx, s.plan.Timeout)
 	defer cancel()
-	r := result{kind: next.kind}
+	r := result{kind: next.kind, late: time.Since(intended)}
 	r.verdict, r.code = s.exchange(ctx, next, func() { r.first = time.Since(intended) })
 	r.latency = time.Since(intended)
 	return r
