Add the configuration distributor and the checks of changes

An accepted change must be in force on every host within seconds, never revert, and be accepted once however often an operator repeats the call.

Distributor accepts a change by one transaction on the head, the operation record and the change. After a lost answer it sends the same transaction again: its conditions let one of them apply, and the results of a refused transaction do not lag, so that a conflict is never concluded from a lagging read. Changes are pushed at once, directly up to 32 hosts and through two relays per failure domain beyond; what is missed is pulled when a heartbeat shows a higher revision. The first live host of a failure domain reads the head each second. Configuration.Check names the wrong field by its path.

Ruled out: reading the operation record alone after a lost answer (an answer in doubt may still be written later), and pushes by the receiver of a push within one failure domain (each host would get each change several times).

Tested in virtual time with go test -race -count=5 ./coordination/revision.

--- a/coordination/membership/monitor_test.go
+++ b/coordination/membership/monitor_test.go
@@ -50,6 +50,12 @@
 	return l.listing, nil
 }
 
+func (l *hostList) setAway() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.away = true
+}
+
 func (l *hostList) set(listing fleet.Listing) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -271,7 +277,7 @@
 	for _, layout := range layouts {
 		t.Run(layout.name, func(t *testing.T) {
 			inDeployment(t, layout.domains, layout.hosts, layout.limit, func(c *quicktest.C, d *deployment) {
-				d.list.away = true
+				d.list.setAway()
 				m := d.start(testHost(2, 50, 5), d.members[0].Self.PeerAddress)
 				time.Sleep(8 * time.Second)
 				d.assertAll(c, m, fleet.HostLive)
--- /dev/null
+++ b/coordination/revision/distributor_test.go
@@ -0,0 +1,314 @@
+package revision_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/coordination/revision"
+	"github.com/persimmonmux/persimmonmux/standin/deployment"
+	"github.com/persimmonmux/persimmonmux/standin/platform"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// inDeployment runs a test in virtual time on 3 failure domains with 2 hosts.
+func inDeployment(t *testing.T, pushDirectly int, test func(*quicktest.C, *deployment.Deployment)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		d := deployment.New(1)
+		d.PushDirectly = pushDirectly
+		defer d.Close()
+		d.StartAll(3, 2)
+		time.Sleep(3 * time.Second)
+		test(c, d)
+	})
+}
+
+// adapterChange sets one adapter.
+func adapterChange(operation string, version int) configuration.Change {
+	return configuration.Change{
+		Operation: configuration.OperationID(operation),
+		Adapters: map[fleet.AdapterName]configuration.Adapter{
+			"a": {Name: "a", Versions: []fleet.AdapterVersion{fleet.AdapterVersion(version)}, Current: fleet.AdapterVersion(version)},
+		},
+	}
+}
+
+func accept(c *quicktest.C, m *deployment.Member, expected configuration.Revision, operation string) {
+	c.Helper()
+	got, err := m.Distributor.Accept(context.Background(), expected, adapterChange(operation, int(expected)+1))
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(got, quicktest.Equals, expected+1)
+}
+
+func assertRevision(c *quicktest.C, d *deployment.Deployment, want configuration.Revision) {
+	c.Helper()
+	for _, m := range d.Members {
+		c.Assert(m.Distributor.Revision(), quicktest.Equals, want, quicktest.Commentf("%s", m.Host.Name))
+		c.Assert(m.Distributor.Current().Adapters["a"].Current, quicktest.Equals, fleet.AdapterVersion(want))
+	}
+}
+
+// TestChangeReachesEveryHost guards against hosts that a push misses, directly
+// and through relays.
+func TestChangeReachesEveryHost(t *testing.T) {
+	for _, pushDirectly := range []int{0, -1} {
+		t.Run(fmt.Sprint(pushDirectly), func(t *testing.T) {
+			inDeployment(t, pushDirectly, func(c *quicktest.C, d *deployment.Deployment) {
+				c.Assert(d.Members[0].Distributor.Current(), quicktest.IsNil)
+				for expected := range configuration.Revision(3) {
+					accept(c, d.Members[expected], expected, fmt.Sprint(expected))
+					time.Sleep(50 * time.Millisecond)
+					assertRevision(c, d, expected+1)
+				}
+				time.Sleep(2 * time.Second)
+				spread := d.Members[0].Distributor.InForce(3)
+				c.Assert(len(spread.Has), quicktest.Equals, 6)
+				c.Assert(d.Members[0].Distributor.InForce(4).HasNot, quicktest.HasLen, 6)
+			})
+		})
+	}
+}
+
+// TestRacingOperators guards against two accepted changes of one revision, and
+// against a conflict that does not say both revisions.
+func TestRacingOperators(t *testing.T) {
+	inDeployment(t, 0, func(c *quicktest.C, d *deployment.Deployment) {
+		d.Table.SetFaults(platform.Faults{Delay: 10 * time.Millisecond})
+		results := make(chan error, 2)
+		for i := range 2 {
+			go func() {
+				_, err := d.Members[i].Distributor.Accept(context.Background(), 0, adapterChange(fmt.Sprint(i), 1))
+				results <- err
+			}()
+		}
+		first, second := <-results, <-results
+		if first != nil {
+			first, second = second, first
+		}
+		c.Assert(first, quicktest.IsNil)
+		var conflict *revision.Conflict
+		c.Assert(errors.As(second, &conflict), quicktest.IsTrue, quicktest.Commentf("%v", second))
+		c.Assert(*conflict, quicktest.Equals, revision.Conflict{Expected: 0, Actual: 1})
+		c.Assert(verdict.From(second).Verdict, quicktest.Equals, verdict.NotRun)
+		time.Sleep(time.Second)
+		assertRevision(c, d, 1)
+	})
+}
+
+// TestLostAnswers guards against a change that is accepted twice, or refused
+// although it is in force, when the table's answers are lost or late.
+func TestLostAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults platform.Faults
+	}{
+		{name: "lost after the write", faults: platform.Faults{LostReply: 1}},
+		{name: "lost before the write", faults: platform.Faults{LostRequest: 1}},
+		{name: "written late", faults: platform.Faults{LateWrite: 1, LateDelay: 3 * time.Second}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inDeployment(t, 0, func(c *quicktest.C, d *deployment.Deployment) {
+				d.Table.SetFaults(test.faults)
+				time.AfterFunc(time.Second, func() { d.Table.SetFaults(platform.Faults{}) })
+				accept(c, d.Members[0], 0, "operation")
+				time.Sleep(5 * time.Second)
+				assertRevision(c, d, 1)
+				accept(c, d.Members[3], 0, "operation")
+				time.Sleep(5 * time.Second)
+				assertRevision(c, d, 1)
+			})
+		})
+	}
+}
+
+// TestDoubtIsResolvedByRepeating guards against a verdict not-run for a change
+// that may have been accepted, and against a second acceptance by the repeat.
+func TestDoubtIsResolvedByRepeating(t *testing.T) {
+	inDeployment(t, 0, func(c *quicktest.C, d *deployment.Deployment) {
+		d.Table.SetFaults(platform.Faults{LateWrite: 1, LateDelay: time.Minute})
+		_, err := d.Members[0].Distributor.Accept(context.Background(), 0, adapterChange("operation", 1))
+		c.Assert(verdict.From(err).Verdict, quicktest.Equals, verdict.MayHaveRun)
+		d.Table.SetFaults(platform.Faults{})
+		accept(c, d.Members[1], 0, "operation")
+		accept(c, d.Members[1], 1, "next")
+		time.Sleep(2 * time.Minute)
+		assertRevision(c, d, 2)
+	})
+}
+
+// TestTableDownIsNotRun guards against a doubt where nothing was written.
+func TestTableDownIsNotRun(t *testing.T) {
+	inDeployment(t, 0, func(c *quicktest.C, d *deployment.Deployment) {
+		d.Table.SetFaults(platform.Faults{Unavailable: true})
+		_, err := d.Members[0].Distributor.Accept(context.Background(), 0, adapterChange("operation", 1))
+		c.Assert(verdict.From(err).Verdict, quicktest.Equals, verdict.NotRun)
+		c.Assert(verdict.From(err).Code, quicktest.Equals, verdict.CodeTableUnavailable)
+	})
+}
+
+// TestWrongChangeIsRefused guards against changes that are accepted unchecked
+// and operation ids that are used for two changes.
+func TestWrongChangeIsRefused(t *testing.T) {
+	inDeployment(t, 0, func(c *quicktest.C, d *deployment.Deployment) {
+		refused := func(expected configuration.Revision, change configuration.Change, path string) {
+			c.Helper()
+			_, err := d.Members[0].Distributor.Accept(context.Background(), expected, change)
+			var field *configuration.FieldError
+			c.Assert(errors.As(err, &field), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			c.Assert(field.Path, quicktest.Equals, path)
+			c.Assert(verdict.From(err).Verdict, quicktest.Equals, verdict.NotRun)
+			c.Assert(verdict.From(err).Code, quicktest.Equals, verdict.CodeMalformed)
+		}
+		refused(0, configuration.Change{}, "operation")
+		refused(0, adapterChange("o", 0), "adapters.a.versions.0")
+		accept(c, d.Members[0], 0, "operation")
+		refused(1, adapterChange("operation", 9), "operation")
+		time.Sleep(time.Second)
+		assertRevision(c, d, 1)
+	})
+}
+
+// TestLaggingRead guards against a lagging read that takes a host back, that
+// conflicts with a revision in force, or that hides an accepted operation.
+func TestLaggingRead(t *testing.T) {
+	inDeployment(t, 0, func(c *quicktest.C, d *deployment.Deployment) {
+		accept(c, d.Members[0], 0, "first")
+		for _, m := range d.Members {
+			m.Table.Freeze()
+		}
+		accept(c, d.Members[1], 1, "second")
+		time.Sleep(5 * time.Second)
+		assertRevision(c, d, 2)
+		// The head that is read is older than the configuration in force.
+		time.AfterFunc(time.Second, d.Members[0].Table.Thaw)
+		accept(c, d.Members[0], 2, "third")
+		time.Sleep(time.Second)
+		assertRevision(c, d, 3)
+		// The operation record is not read yet, but the head is not expected.
+		accept(c, d.Members[1], 1, "second")
+	})
+}
+
+// TestNewHostWhilePlatformIsAway guards against a new host that serves nothing
+// until the platform is back.
+func TestNewHostWhilePlatformIsAway(t *testing.T) {
+	inDeployment(t, 0, func(c *quicktest.C, d *deployment.Deployment) {
+		accept(c, d.Members[0], 0, "operation")
+		d.Table.SetFaults(platform.Faults{Unavailable: true})
+		d.List.Set(fleet.Listing{}, true)
+		d.Snapshots.SetAway(true)
+		d.Start(deployment.Host(1, 9, 4), d.Members[0].Host.PeerAddress)
+		time.Sleep(3 * time.Second)
+		assertRevision(c, d, 1)
+	})
+}
+
+// TestNewDomainFromThePlatform guards against a failure domain that hears no
+// neighbor and does not read the platform.
+func TestNewDomainFromThePlatform(t *testing.T) {
+	inDeployment(t, 0, func(c *quicktest.C, d *deployment.Deployment) {
+		for expected := range configuration.Revision(230) {
+			accept(c, d.Members[0], expected, fmt.Sprint(expected))
+		}
+		c.Assert(d.Snapshots.Stored(), quicktest.Equals, 2)
+		d.List.Set(fleet.Listing{}, true)
+		alone := d.Start(deployment.Host(7, 1, 4))
+		time.Sleep(3 * time.Second)
+		c.Assert(alone.Monitor.View().Hosts, quicktest.HasLen, 1)
+		assertRevision(c, d, 230)
+	})
+}
+
+// TestCutDuringChangeHeals guards against hosts that stay behind after a cut,
+// and against changes that the cut-off side makes on its own.
+func TestCutDuringChangeHeals(t *testing.T) {
+	for _, pushDirectly := range []int{0, -1} {
+		t.Run(fmt.Sprint(pushDirectly), func(t *testing.T) {
+			inDeployment(t, pushDirectly, func(c *quicktest.C, d *deployment.Deployment) {
+				accept(c, d.Members[0], 0, "before")
+				time.Sleep(time.Second)
+				far := d.Members[4:]
+				for _, m := range far {
+					m.Table.Cut(true)
+					for _, other := range d.Members[:4] {
+						d.Network.Cut(m.Host.PeerAddress, other.Host.PeerAddress, true)
+					}
+				}
+				accept(c, d.Members[0], 1, "during")
+				_, err := far[0].Distributor.Accept(context.Background(), 1, adapterChange("other side", 1))
+				c.Assert(verdict.From(err).Verdict, quicktest.Equals, verdict.NotRun)
+				time.Sleep(10 * time.Second)
+				c.Assert(far[0].Distributor.Revision(), quicktest.Equals, configuration.Revision(1))
+				c.Assert(d.Members[0].Distributor.InForce(2).Silent, quicktest.HasLen, 2)
+				d.Network.Heal()
+				time.Sleep(4 * time.Second)
+				assertRevision(c, d, 2)
+			})
+		})
+	}
+}
+
+// TestManyMissedChanges guards against a host that missed more changes than are
+// kept and gets none of them.
+func TestManyMissedChanges(t *testing.T) {
+	inDeployment(t, 0, func(c *quicktest.C, d *deployment.Deployment) {
+		far := d.Members[5]
+		far.Table.Cut(true)
+		for _, m := range d.Members[:5] {
+			d.Network.Cut(far.Host.PeerAddress, m.Host.PeerAddress, true)
+		}
+		time.Sleep(4 * time.Second)
+		const count = 2300
+		for expected := range configuration.Revision(count) {
+			accept(c, d.Members[0], expected, fmt.Sprint(expected))
+		}
+		time.Sleep(time.Second)
+		changes, snapshot, _, err := d.Members[1].Distributor.PullChanges(context.Background(), count-1000)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(len(changes), quicktest.Equals, 1000)
+		c.Assert(snapshot, quicktest.IsNil)
+		_, snapshot, _, err = d.Members[1].Distributor.PullChanges(context.Background(), count-1001)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(snapshot, quicktest.IsNotNil)
+		d.Network.Heal()
+		time.Sleep(4 * time.Second)
+		assertRevision(c, d, count)
+	})
+}
+
+// TestHeadReadsPerDomain guards against every host reading the table.
+func TestHeadReadsPerDomain(t *testing.T) {
+	inDeployment(t, 0, func(c *quicktest.C, d *deployment.Deployment) {
+		// Reads happen at whole seconds; the window begins between two of them.
+		time.Sleep(500 * time.Millisecond)
+		_, before := d.Table.Counts()
+		time.Sleep(10 * time.Second)
+		_, after := d.Table.Counts()
+		c.Assert(after-before, quicktest.Equals, uint64(30))
+	})
+}
+
+// TestCloseDuringCalls guards against Close that waits for lost messages.
+func TestCloseDuringCalls(t *testing.T) {
+	inDeployment(t, 0, func(c *quicktest.C, d *deployment.Deployment) {
+		for _, m := range d.Members[1:] {
+			d.Network.Cut(d.Members[0].Host.PeerAddress, m.Host.PeerAddress, true)
+		}
+		accept(c, d.Members[0], 0, "operation")
+		began := time.Now()
+		d.Stop(d.Members[0])
+		c.Assert(time.Since(began), quicktest.Equals, time.Duration(0))
+		got, err := d.Members[0].Distributor.PushChanges(context.Background(), "domain-1", []configuration.Change{{Revision: 2}})
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(got, quicktest.Equals, configuration.Revision(1))
+	})
+}
--- /dev/null
+++ b/standin/deployment/tablelink.go
@@ -0,0 +1,78 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/persimmonmux/persimmonmux/standin/platform"
+	"github.com/persimmonmux/persimmonmux/state/table"
+)
+
+// A TableLink is the way of one host to the table. It can be cut, and its
+// reads can lag.
+type TableLink struct {
+	Inner *platform.Table
+
+	mutex  sync.Mutex
+	cut    bool
+	frozen map[table.Key]table.Record
+}
+
+// Cut sets whether the table is unreachable.
+func (l *TableLink) Cut(cut bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.cut = cut
+}
+
+// Freeze makes reads show the present state until Thaw.
+func (l *TableLink) Freeze() {
+	records, err := l.Inner.Scan(context.Background(), "", "", 1<<30)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if err != nil {
+		return
+	}
+	l.frozen = make(map[table.Key]table.Record)
+	for _, record := range records {
+		l.frozen[record.Key] = record
+	}
+}
+
+// Thaw ends Freeze.
+func (l *TableLink) Thaw() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.frozen = nil
+}
+
+// Read returns records, which lag after Freeze.
+func (l *TableLink) Read(ctx context.Context, keys []table.Key) ([]table.Record, error) {
+	l.mutex.Lock()
+	cut, frozen := l.cut, l.frozen
+	l.mutex.Unlock()
+	if cut {
+		return nil, fmt.Errorf("read: %w", table.ErrUnavailable)
+	}
+	if frozen == nil {
+		return l.Inner.Read(ctx, keys)
+	}
+	records := make([]table.Record, len(keys))
+	for i, key := range keys {
+		records[i] = frozen[key]
+		records[i].Key = key
+	}
+	return records, nil
+}
+
+// Commit carries out a transaction.
+func (l *TableLink) Commit(ctx context.Context, transaction table.Transaction) ([]table.WriteResult, error) {
+	l.mutex.Lock()
+	cut := l.cut
+	l.mutex.Unlock()
+	if cut {
+		return nil, fmt.Errorf("commit: %w", table.ErrUnavailable)
+	}
+	return l.Inner.Commit(ctx, transaction)
+}
--- /dev/null
+++ b/state/configuration/check_test.go
@@ -0,0 +1,118 @@
+package configuration
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+// validChange returns a change that sets one thing of each sort.
+func validChange() *Change {
+	return &Change{
+		Operation: "operation",
+		Adapters:  map[fleet.AdapterName]Adapter{"a": {Name: "a", Versions: []fleet.AdapterVersion{1, 3}, Current: 3}},
+		Kinds:     map[KindName]Kind{"chat": {Name: "chat", Urgency: UrgencyPrompt, Repeat: RepeatAllowed, Deadline: time.Second, Objective: 0.9}},
+		Applications: map[ApplicationName]Application{
+			"app": {Name: "app", TokenHash: strings.Repeat("0a", 32), Kinds: []KindName{"chat"}},
+		},
+		Engines: map[fleet.EngineName]fleet.Engine{
+			"e": {Name: "e", Domain: "d", Address: "10.0.0.1:80", Slots: 1, BatchSize: 1, Fencing: fleet.FencingIgnored},
+		},
+		Services: map[ServiceName]Service{
+			"s": {Name: "s", Servers: []Server{{Name: "s-1", Domain: "d", Address: "10.0.0.2:80"}}, RefusalProves: []int{429}},
+		},
+		Draining: map[string]bool{"e": true, "s-1": false},
+	}
+}
+
+// TestCheck guards against a change that is accepted and breaks the hosts that
+// put it in force, and against an error that does not name the field.
+func TestCheck(t *testing.T) {
+	base := (&Configuration{}).Apply(validChange())
+	tests := []struct {
+		name  string
+		path  string
+		alter func(*Change)
+	}{
+		{name: "valid", alter: func(*Change) {}},
+		{name: "no operation", path: "operation", alter: func(c *Change) { c.Operation = "" }},
+		{name: "operation with a slash", path: "operation", alter: func(c *Change) { c.Operation = "a/b" }},
+		{name: "nothing", path: "change", alter: func(c *Change) { *c = Change{Operation: "o"} }},
+		{name: "name differs from key", path: "adapters.a.name", alter: func(c *Change) { c.Adapters["a"] = Adapter{Name: "b", Versions: []fleet.AdapterVersion{1}, Current: 1} }},
+		{name: "reserved character", path: "adapters.a@1", alter: func(c *Change) {
+			c.Adapters["a@1"] = Adapter{Name: "a@1", Versions: []fleet.AdapterVersion{1}, Current: 1}
+		}},
+		{name: "no versions", path: "adapters.a.versions", alter: func(c *Change) { c.Adapters["a"] = Adapter{Name: "a"} }},
+		{name: "falling versions", path: "adapters.a.versions.1", alter: func(c *Change) {
+			c.Adapters["a"] = Adapter{Name: "a", Versions: []fleet.AdapterVersion{2, 1}, Current: 1}
+		}},
+		{name: "current not there", path: "adapters.a.current", alter: func(c *Change) {
+			c.Adapters["a"] = Adapter{Name: "a", Versions: []fleet.AdapterVersion{2}, Current: 1}
+		}},
+		{name: "urgency", path: "kinds.chat.urgency", alter: func(c *Change) {
+			c.Kinds["chat"] = Kind{Name: "chat", Urgency: "now", Repeat: RepeatAllowed, Deadline: 1}
+		}},
+		{name: "repeat", path: "kinds.chat.repeat", alter: func(c *Change) { c.Kinds["chat"] = Kind{Name: "chat", Urgency: UrgencyPrompt, Deadline: 1} }},
+		{name: "deadline", path: "kinds.chat.deadline", alter: func(c *Change) {
+			c.Kinds["chat"] = Kind{Name: "chat", Urgency: UrgencyPrompt, Repeat: RepeatForbidden}
+		}},
+		{name: "objective", path: "kinds.chat.objective", alter: func(c *Change) {
+			c.Kinds["chat"] = Kind{Name: "chat", Urgency: UrgencyPrompt, Repeat: RepeatForbidden, Deadline: 1, Objective: 2}
+		}},
+		{name: "token hash", path: "applications.app.token-hash", alter: func(c *Change) {
+			c.Applications["app"] = Application{Name: "app", TokenHash: "secret", Kinds: []KindName{"chat"}}
+		}},
+		{name: "token of two applications", path: "applications.second.token-hash", alter: func(c *Change) {
+			c.Applications["second"] = Application{Name: "second", TokenHash: strings.Repeat("0a", 32), Kinds: []KindName{"chat"}}
+		}},
+		{name: "unknown kind", path: "applications.app.kinds.0", alter: func(c *Change) {
+			c.Applications["app"] = Application{Name: "app", TokenHash: strings.Repeat("0a", 32), Kinds: []KindName{"none"}}
+		}},
+		{name: "retired kind in use", path: "retire-kinds.0", alter: func(c *Change) {
+			*c = Change{Operation: "o", RetireKinds: []KindName{"chat"}}
+		}},
+		{name: "retired and set", path: "retire-engines.0", alter: func(c *Change) {
+			c.RetireEngines = []fleet.EngineName{"e"}
+			c.Draining = nil
+		}},
+		{name: "retired but unknown", path: "retire-services.0", alter: func(c *Change) { c.RetireServices = []ServiceName{"none"} }},
+		{name: "engine address", path: "engines.e.address", alter: func(c *Change) {
+			c.Engines["e"] = fleet.Engine{Name: "e", Domain: "d", Address: "engine:80", Slots: 1, BatchSize: 1, Fencing: fleet.FencingIgnored}
+		}},
+		{name: "engine slots", path: "engines.e.slots", alter: func(c *Change) {
+			c.Engines["e"] = fleet.Engine{Name: "e", Domain: "d", Address: "10.0.0.1:80", BatchSize: 1, Fencing: fleet.FencingIgnored}
+		}},
+		{name: "engine fencing", path: "engines.e.fencing", alter: func(c *Change) {
+			c.Engines["e"] = fleet.Engine{Name: "e", Domain: "d", Address: "10.0.0.1:80", Slots: 1, BatchSize: 1}
+		}},
+		{name: "no servers", path: "services.s.servers", alter: func(c *Change) { c.Services["s"] = Service{Name: "s"} }},
+		{name: "server name of an engine", path: "services.s.servers.0.name", alter: func(c *Change) {
+			c.Services["s"] = Service{Name: "s", Servers: []Server{{Name: "e", Domain: "d", Address: "10.0.0.2:80"}}}
+		}},
+		{name: "proof by success", path: "services.s.refusal-proves.0", alter: func(c *Change) {
+			c.Services["s"] = Service{Name: "s", Servers: []Server{{Name: "s-1", Domain: "d", Address: "10.0.0.2:80"}}, RefusalProves: []int{200}}
+		}},
+		{name: "draining unknown", path: "draining.x", alter: func(c *Change) { c.Draining["x"] = true }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			change := validChange()
+			test.alter(change)
+			err := base.Check(change)
+			if test.path == "" {
+				c.Assert(err, quicktest.IsNil)
+				c.Assert((*Configuration)(nil).Check(change), quicktest.IsNil)
+				return
+			}
+			var field *FieldError
+			c.Assert(errors.As(err, &field), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			c.Assert(field.Path, quicktest.Equals, test.path, quicktest.Commentf("%v", err))
+		})
+	}
+}
