standin: run engine, service and platform as processes

go run ./standin engine|service|platform takes listen address, sizes, rates, seed and faults from flags and logs its address. /standin/record and /standin/faults let tests of separate processes check runs and violations and change faults. A load goes on when the sender of its order is gone, as a lost reply on a real engine does.

TestOrder of transport/service failed in 1 of 3 runs with a broken pipe: after its server ended, the request went to a kept connection instead of a refused dial. Cause 1: a write of which the kernel took no byte counted as written; it is now proof of not-run, with its own test. A kept connection that took bytes stays may-have-run, which TestVerdicts covers.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -55,6 +55,9 @@
 	mux   *http.ServeMux
 	batch chan struct{}
 	group sync.WaitGroup
+	// closing ends with Close; stop ends it.
+	closing context.Context
+	stop    context.CancelFunc
 
 	mutex      sync.Mutex
 	closed     bool
@@ -100,6 +103,7 @@
 		runs:      make(map[string]*run),
 		counts:    make(map[string]int),
 	}
+	e.closing, e.stop = context.WithCancel(context.Background())
 	e.mux = http.NewServeMux()
 	e.mux.HandleFunc("POST "+engineorder.PathLoad, e.handleLoad)
 	e.mux.HandleFunc("POST "+engineorder.PathUnload, e.handleUnload)
@@ -107,6 +111,8 @@
 	e.mux.HandleFunc("GET "+engineorder.PathModels, e.handleModels)
 	e.mux.HandleFunc("GET "+engineorder.PathReport, e.handleReport)
 	e.mux.HandleFunc("POST "+engineorder.PathCompletions, e.handleCompletion)
+	e.mux.HandleFunc("GET "+PathRecord, e.handleRecord)
+	e.mux.HandleFunc("PUT "+PathFaults, e.handleFaults)
 	return e
 }
 
@@ -179,11 +185,12 @@
 	return slices.Clone(e.violations)
 }
 
-// Close ends all runs and waits for them.
+// Close ends all runs and loads and waits for them.
 func (e *Engine) Close() error {
 	e.mutex.Lock()
 	e.closed = true
 	e.mutex.Unlock()
+	e.stop()
 	e.Restart()
 	e.group.Wait()
 	return nil
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -6,30 +6,30 @@
 // drawn once for each load or completion.
 type Faults struct {
 	// LoadFailure makes a load order fail after the weights were fetched.
-	LoadFailure float64
+	LoadFailure float64 `long:"load-failure" json:"load-failure"`
 	// OrderDelay holds each load and unload order before it is carried out, so
 	// that an order can arrive late.
-	OrderDelay time.Duration
+	OrderDelay time.Duration `long:"order-delay" json:"order-delay"`
 	// CloseAfterRequest closes the connection after the request was read and
 	// its run began.
-	CloseAfterRequest float64
+	CloseAfterRequest float64 `long:"close-after-request" json:"close-after-request"`
 	// CloseInStream closes the connection in the middle of the answer; the run
 	// goes on.
-	CloseInStream float64
+	CloseInStream float64 `long:"close-in-stream" json:"close-in-stream"`
 	// SilentAnswer runs the request but sends no byte of its answer.
-	SilentAnswer float64
+	SilentAnswer float64 `long:"silent-answer" json:"silent-answer"`
 	// SilentInStream stops sending in the middle of the answer and keeps the
 	// connection open.
-	SilentInStream float64
+	SilentInStream float64 `long:"silent-in-stream" json:"silent-in-stream"`
 	// NoClosingMark leaves out the closing mark.
-	NoClosingMark float64
+	NoClosingMark float64 `long:"no-closing-mark" json:"no-closing-mark"`
 	// SkipChunk leaves out one chunk in the middle of a stream.
-	SkipChunk float64
+	SkipChunk float64 `long:"skip-chunk" json:"skip-chunk"`
 	// OtherInstance runs the request on another instance than asked, if one is
 	// loaded.
-	OtherInstance float64
+	OtherInstance float64 `long:"other-instance" json:"other-instance"`
 	// OtherRequest echoes another request id.
-	OtherRequest float64
+	OtherRequest float64 `long:"other-request" json:"other-request"`
 }
 
 // A plan is what the faults do to one completion.
--- a/standin/platform/objectstore.go
+++ b/standin/platform/objectstore.go
@@ -29,11 +29,11 @@
 // ObjectFaults are the faults of an ObjectStore.
 type ObjectFaults struct {
 	// Unavailable makes every operation fail without effect.
-	Unavailable bool
+	Unavailable bool `long:"unavailable" json:"unavailable"`
 	// LostReply is the probability that a write takes effect but its reply is lost.
-	LostReply float64
+	LostReply float64 `long:"lost-reply" json:"lost-reply"`
 	// Delay is the time of each operation.
-	Delay time.Duration
+	Delay time.Duration `long:"delay" json:"delay"`
 }
 
 // NewObjectStore returns an empty store whose faults follow seed.
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -43,6 +43,26 @@
 	return true
 }
 
+// PathFaults replaces the AllFaults of a platform that runs as a process.
+const PathFaults = "/standin/faults"
+
+// AllFaults are the faults of all parts of the platform.
+type AllFaults struct {
+	Table   Faults       `json:"table" group:"table" namespace:"table"`
+	Objects ObjectFaults `json:"objects" group:"objects" namespace:"objects"`
+	Weights WeightFaults `json:"weights" group:"weights" namespace:"weights"`
+	// HostsUnavailable makes the host list fail.
+	HostsUnavailable bool `json:"hosts-unavailable" long:"hosts-unavailable"`
+}
+
+// SetFaults replaces the faults of all parts from now on.
+func (s *Server) SetFaults(faults AllFaults) {
+	s.Table.SetFaults(faults.Table)
+	s.Objects.SetFaults(faults.Objects)
+	s.Weights.SetFaults(faults.Weights)
+	s.Hosts.SetUnavailable(faults.HostsUnavailable)
+}
+
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	key, object := strings.CutPrefix(r.URL.Path, platformstore.PathObjects+"/")
@@ -69,6 +89,8 @@
 		reply(w, struct{}{}, nil)
 	case route == "POST "+platformstore.PathWeights:
 		s.fetch(w, r)
+	case route == "PUT "+PathFaults:
+		s.setFaults(w, r)
 	default:
 		http.NotFound(w, r)
 	}
@@ -154,6 +176,15 @@
 	reply(w, struct{}{}, nil)
 }
 
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults AllFaults
+	if !decode(w, r, &faults) {
+		return
+	}
+	s.SetFaults(faults)
+	reply(w, struct{}{}, nil)
+}
+
 func (s *Server) fetch(w http.ResponseWriter, r *http.Request) {
 	var request platformstore.WeightsRequest
 	if !decode(w, r, &request) {
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -17,19 +17,19 @@
 // Faults are the faults of a Table. All probabilities are from 0 to 1.
 type Faults struct {
 	// Unavailable makes every operation fail without effect.
-	Unavailable bool
+	Unavailable bool `long:"unavailable" json:"unavailable"`
 	// LostReply is the probability that a transaction takes effect but its
 	// reply is lost.
-	LostReply float64
+	LostReply float64 `long:"lost-reply" json:"lost-reply"`
 	// LostRequest is the probability that a transaction has no effect and its
 	// caller cannot know.
-	LostRequest float64
+	LostRequest float64 `long:"lost-request" json:"lost-request"`
 	// LateWrite is the probability that a transaction reports an unknown
 	// outcome and takes effect LateDelay afterwards.
-	LateWrite float64
-	LateDelay time.Duration
+	LateWrite float64       `long:"late-write" json:"late-write"`
+	LateDelay time.Duration `long:"late-delay" json:"late-delay"`
 	// Delay is the time of each operation.
-	Delay time.Duration
+	Delay time.Duration `long:"delay" json:"delay"`
 }
 
 // A Table is an in-memory transactional table. It is safe for concurrent use.
--- a/standin/platform/weightstore.go
+++ b/standin/platform/weightstore.go
@@ -23,11 +23,11 @@
 // WeightFaults are the faults of a WeightStore.
 type WeightFaults struct {
 	// Unavailable makes every load fail at its end.
-	Unavailable bool
+	Unavailable bool `long:"unavailable" json:"unavailable"`
 	// Failure is the probability that a load fails at its end.
-	Failure float64
+	Failure float64 `long:"failure" json:"failure"`
 	// Slowness multiplies the time of each load; values below 1 count as 1.
-	Slowness float64
+	Slowness float64 `long:"slowness" json:"slowness"`
 }
 
 // A WeightStore provides weights to all engines of a deployment at a limited
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -19,18 +19,18 @@
 type Faults struct {
 	// DieBeforeRun closes the connection after the request was read and before
 	// it runs.
-	DieBeforeRun float64
+	DieBeforeRun float64 `long:"die-before-run" json:"die-before-run"`
 	// DieAfterRun closes the connection after the request ran.
-	DieAfterRun float64
+	DieAfterRun float64 `long:"die-after-run" json:"die-after-run"`
 	// HangAfterRun runs the request and sends no byte of its answer.
-	HangAfterRun float64
+	HangAfterRun float64 `long:"hang-after-run" json:"hang-after-run"`
 	// Refuse answers with RefusalStatus without running the request.
-	Refuse        float64
-	RefusalStatus int
+	Refuse        float64 `long:"refuse" json:"refuse"`
+	RefusalStatus int     `long:"refusal-status" json:"refusal-status"`
 	// Truncate closes the connection in the middle of the answer.
-	Truncate float64
+	Truncate float64 `long:"truncate" json:"truncate"`
 	// Delay is the time of each run.
-	Delay time.Duration
+	Delay time.Duration `long:"delay" json:"delay"`
 }
 
 // An Answer is the body of an answer. It depends on the whole request.
@@ -86,6 +86,17 @@
 
 // ServeHTTP answers one request.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method + " " + r.URL.Path {
+	case "GET " + PathRecord:
+		s.serveRecord(w)
+	case "PUT " + PathFaults:
+		s.serveFaults(w, r)
+	default:
+		s.answer(w, r)
+	}
+}
+
+func (s *Service) answer(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/transport/backend/connection.go
+++ b/transport/backend/connection.go
@@ -18,7 +18,8 @@
 
 	mutex  sync.Mutex
 	sealed bool
-	// begun counts writes from before they reach the network.
+	// begun counts writes from before they reach the network, without those that
+	// failed with no byte taken by the kernel.
 	begun uint64
 }
 
@@ -31,7 +32,13 @@
 	}
 	c.begun++
 	c.mutex.Unlock()
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	if n == 0 && err != nil {
+		c.mutex.Lock()
+		c.begun--
+		c.mutex.Unlock()
+	}
+	return n, err
 }
 
 // Close closes the connection and ends its count in the pool.
--- a/transport/backend/connections_test.go
+++ b/transport/backend/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -117,3 +118,22 @@
 	c.Assert(err, quicktest.ErrorIs, ErrClosed)
 	c.Assert(wrote, quicktest.IsFalse)
 }
+
+// TestWriteRefusedByKernel guards against doubt about a request of which the
+// kernel took no byte.
+func TestWriteRefusedByKernel(t *testing.T) {
+	c := quicktest.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	raw, err := net.Dial("tcp", server.Listener.Addr().String())
+	c.Assert(err, quicktest.IsNil)
+	used := &connection{Conn: raw, release: func() {}}
+	first := &try{}
+	first.use(used)
+	c.Assert(raw.Close(), quicktest.IsNil)
+	_, err = used.Write([]byte("x"))
+	c.Assert(err, quicktest.IsNotNil)
+	c.Assert(first.end(), quicktest.IsFalse)
+	_, err = used.Write([]byte("x"))
+	c.Assert(err, quicktest.ErrorIs, errSealed)
+}
