Assemble the entry host and add serve

One request now runs from end to end over separate processes: caller, entry host, owner on another entry host over drpc, stand-in engine and back.

--- /dev/null
+++ b/coordination/placement/policy.go
@@ -0,0 +1,131 @@
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/coordination/ownership"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+// A Policy loads the adapter whose load helps the most waiting requests, and
+// evicts the least popular instance. It implements ownership.Placement and is
+// safe for concurrent use. Its exported fields are set before use.
+type Policy struct {
+	// StallWeight and BatchWeight are the weights of the settings. A high
+	// StallWeight orders loads by urgency; a high BatchWeight orders them by
+	// the number of requests that share a load.
+	StallWeight, BatchWeight float64
+	// HalfLife is the half-life of popularity; zero means DefaultHalfLife.
+	HalfLife time.Duration
+
+	mutex  sync.Mutex
+	sketch *Sketch
+}
+
+// DefaultHalfLife lets popularity follow a shift within a few minutes, while a
+// rate of one request per minute is still told from none.
+const DefaultHalfLife = 2 * time.Minute
+
+// These constants shape the order of loads.
+const (
+	// ageingTime is the wait after which a load counts twice, so that nothing starves.
+	ageingTime = 10 * time.Second
+	// pressingTime is the time to a deadline within which a load is pressing.
+	pressingTime = 3 * time.Second
+	// pressingFactor raises a pressing load over one with fewer waiting requests.
+	pressingFactor = 4
+	// keepTime is how long an instance's popularity is taken to last when its
+	// eviction is weighed against a load.
+	keepTime = 20 * time.Second
+)
+
+// urgencyWeights are what a waiting request of each urgency counts at a ratio
+// of stall-weight to batch-weight of 1.
+var urgencyWeights = map[configuration.Urgency]float64{
+	configuration.UrgencyInteractive: 8,
+	configuration.UrgencyPrompt:      3,
+	configuration.UrgencyDeferred:    1,
+}
+
+// Demanded notes one request for the adapter.
+func (p *Policy) Demanded(adapter fleet.AdapterReference, now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.popularity().Count(adapter, now)
+}
+
+// Next returns the index of the adapter whose load has the highest priority.
+func (p *Policy) Next(_ fleet.Engine, waiting []ownership.Waiting, now time.Time) int {
+	best, highest := -1, 0.0
+	for i := range waiting {
+		priority := p.Priority(waiting[i], now)
+		if priority > highest {
+			best, highest = i, priority
+		}
+	}
+	return best
+}
+
+// Priority returns how much a load helps now: its waiting requests by urgency,
+// raised with their age and near their deadline. It is more than zero.
+func (p *Policy) Priority(w ownership.Waiting, now time.Time) float64 {
+	weight := 1 + (urgencyWeights[w.Urgency]-1)*p.ratio()
+	age := 1 + now.Sub(w.Since).Seconds()/ageingTime.Seconds()
+	priority := float64(max(w.Requests, 1)) * max(weight, 1) * age
+	if w.Deadline.Sub(now) < pressingTime {
+		priority *= pressingFactor
+	}
+	return priority
+}
+
+// Leave returns the index of the least popular instance, or -1 when every
+// instance is worth more than the load.
+func (p *Policy) Leave(_ fleet.Engine, resident []ownership.Resident, next ownership.Waiting, now time.Time) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	best, lowest := -1, 0.0
+	for i := range resident {
+		if !resident[i].Usable {
+			return i
+		}
+		rate := p.popularity().Rate(resident[i].Instance.Adapter, now)
+		if best < 0 || rate < lowest {
+			best, lowest = i, rate
+		}
+	}
+	if p.keep(lowest, next, now) {
+		return -1
+	}
+	return best
+}
+
+// keep says whether the instance with the given rate is worth more than the
+// load. A load that waited, or whose deadline is near, is not held back.
+func (p *Policy) keep(rate float64, next ownership.Waiting, now time.Time) bool {
+	if next.Deadline.Sub(now) < pressingTime || now.Sub(next.Since) > pressingTime {
+		return false
+	}
+	gain := float64(next.Requests) + p.popularity().Rate(next.Adapter, now)*keepTime.Seconds()
+	return rate*keepTime.Seconds() > gain
+}
+
+func (p *Policy) ratio() float64 {
+	total := p.StallWeight + p.BatchWeight
+	if total == 0 {
+		return 1
+	}
+	return 2 * p.StallWeight / total
+}
+
+func (p *Policy) popularity() *Sketch {
+	if p.sketch == nil {
+		halfLife := p.HalfLife
+		if halfLife == 0 {
+			halfLife = DefaultHalfLife
+		}
+		p.sketch = &Sketch{HalfLife: halfLife}
+	}
+	return p.sketch
+}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -39,10 +39,11 @@
 }
 
 // commands returns all subcommands.
-func commands(stdout, _ io.Writer) []command {
+func commands(stdout, stderr io.Writer) []command {
 	return []command{
 		&checkSettingsCommand{stdout: stdout},
 		&loadCommand{stdout: stdout},
+		&serveCommand{stderr: stderr},
 		&versionCommand{stdout: stdout},
 	}
 }
--- /dev/null
+++ b/internal/cmd/servecmd.go
@@ -0,0 +1,90 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/internal/entryhost"
+	"github.com/persimmonmux/persimmonmux/internal/settings"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+// A serveCommand runs an entry host.
+type serveCommand struct {
+	stderr io.Writer
+
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings of the entry host, JSON with comments"`
+	Initial  string `long:"initial-configuration" value-name:"FILE" description:"configuration to accept if the deployment has none yet"`
+}
+
+func (*serveCommand) name() string  { return "serve" }
+func (*serveCommand) short() string { return "Run an entry host" }
+func (*serveCommand) long() string {
+	return "Runs an entry host until SIGTERM or SIGINT. The first signal stops it gracefully: it takes no new requests after the grace time, hands its engines over and finishes its requests. A second signal ends the process at once.\n\nExample: persimmonmux serve --settings examples/kurswerk/entry-host.jsonc"
+}
+
+// Execute serves until a signal.
+func (s *serveCommand) Execute([]string) error {
+	host, err := s.host()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	// After the first signal the default action of a second one ends the process.
+	context.AfterFunc(ctx, stop)
+	return host.Run(ctx)
+}
+
+// host reads the files. Nothing is started if one of them is wrong.
+func (s *serveCommand) host() (*entryhost.Host, error) {
+	data, err := os.ReadFile(s.Settings)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	decoded, err := settings.Decode(s.Settings, data)
+	if err != nil {
+		return nil, err
+	}
+	initial, err := s.initial()
+	if err != nil {
+		return nil, err
+	}
+	level, err := zerolog.ParseLevel(decoded.LogLevel)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	start := time.Now()
+	return &entryhost.Host{
+		Settings: decoded,
+		Start:    fleet.StartNumber(start.UnixNano()),
+		Initial:  initial,
+		Log: zerolog.New(s.stderr).Level(level).With().Timestamp().
+			Str("host", string(decoded.HostName)).
+			Str("failure-domain", string(decoded.FailureDomain)).
+			Logger(),
+	}, nil
+}
+
+func (s *serveCommand) initial() (*configuration.Configuration, error) {
+	if s.Initial == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(s.Initial)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	initial, err := settings.DecodeConfiguration(s.Initial, data)
+	if err != nil {
+		return nil, err
+	}
+	return &initial, nil
+}
--- /dev/null
+++ b/internal/entryhost/parts.go
@@ -0,0 +1,372 @@
+package entryhost
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/dig"
+
+	"github.com/persimmonmux/persimmonmux/coordination/admission"
+	"github.com/persimmonmux/persimmonmux/coordination/budget"
+	"github.com/persimmonmux/persimmonmux/coordination/claim"
+	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
+	"github.com/persimmonmux/persimmonmux/coordination/lease"
+	"github.com/persimmonmux/persimmonmux/coordination/membership"
+	"github.com/persimmonmux/persimmonmux/coordination/ownership"
+	"github.com/persimmonmux/persimmonmux/coordination/placement"
+	"github.com/persimmonmux/persimmonmux/coordination/retry"
+	"github.com/persimmonmux/persimmonmux/coordination/revision"
+	"github.com/persimmonmux/persimmonmux/coordination/ring"
+	"github.com/persimmonmux/persimmonmux/coordination/routing"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/transport/engine"
+	"github.com/persimmonmux/persimmonmux/transport/entry"
+	"github.com/persimmonmux/persimmonmux/transport/metrics"
+	"github.com/persimmonmux/persimmonmux/transport/peer"
+	"github.com/persimmonmux/persimmonmux/transport/platform"
+	"github.com/persimmonmux/persimmonmux/transport/service"
+)
+
+// eventRing is the room for events between two duties.
+const eventRing = 1024
+
+// cleanupLease is the lease of the host that removes expired claims.
+const cleanupLease = lease.Name("claim-cleanup")
+
+// listeners are the sockets of a host.
+type listeners struct {
+	dig.Out
+
+	Caller net.Listener `name:"caller"`
+	Peer   net.Listener `name:"peer"`
+}
+
+// parts are everything that a host consists of.
+type parts struct {
+	dig.In
+
+	Self            fleet.Host
+	CallerListener  net.Listener `name:"caller"`
+	PeerListener    net.Listener `name:"peer"`
+	Platform        *platform.Client
+	PeerClient      *peer.Client
+	EngineClient    *engine.Client
+	ServiceClient   *service.Client
+	Monitor         *membership.Monitor
+	Distributor     *revision.Distributor
+	Keeper          *lease.Keeper
+	Group           *ownership.Group
+	Holder          *ownership.Holder
+	Releaser        *releaser
+	Registry        *claim.Registry
+	Cleaner         *claim.Cleaner
+	Retries         *retry.Budget
+	Gate            *admission.Gate
+	Router          *routing.Router
+	Routes          *routeKeeper
+	Recorder        *metrics.Recorder
+	PeerServer      *peer.Server
+	Server          *entry.Server
+	RevisionWatcher *revisionWatcher
+}
+
+// A namedRunner is a duty with the name that logs use.
+type namedRunner struct {
+	name   string
+	runner runner
+}
+
+// duties returns the duties in the order of their start. Each uses only those
+// before it when it closes.
+func (p *parts) duties() []namedRunner {
+	return []namedRunner{
+		{"peer-server", p.PeerServer},
+		{"membership", p.Monitor},
+		{"revision", p.Distributor},
+		{"leases", p.Keeper},
+		{"releaser", p.Releaser},
+		{"grants", p.Holder},
+		{"engines", p.Group},
+		{"retries", p.Retries},
+		{"claims", p.Registry},
+		{"claim-cleanup", p.Cleaner},
+		{"routes", p.Routes},
+		{"callers", p.Server},
+	}
+}
+
+func (p *parts) closeClients() {
+	_ = p.EngineClient.Close()
+	_ = p.ServiceClient.Close()
+	_ = p.PeerClient.Close()
+	_ = p.Platform.Close()
+	_ = p.Recorder.Close()
+}
+
+// A revisionWatcher breaks the cycle between membership, which tells of
+// revisions, and the distributor, which needs the members.
+type revisionWatcher struct {
+	distributor *revision.Distributor
+}
+
+// Revision returns the revision in force, or 0.
+func (w *revisionWatcher) Revision() configuration.Revision {
+	return w.distributor.Revision()
+}
+
+// RevisionSeen tells that another host has a higher revision in force.
+func (w *revisionWatcher) RevisionSeen(host fleet.Host, seen configuration.Revision) {
+	w.distributor.RevisionSeen(host, seen)
+}
+
+// connect closes the cycles that constructors cannot.
+func (p *parts) connect() {
+	p.RevisionWatcher.distributor = p.Distributor
+}
+
+// providers returns the constructors of all parts.
+func (h *Host) providers() []any {
+	return []any{
+		h.newSelf,
+		h.newListeners,
+		func() *platform.Client { return &platform.Client{Address: "http://" + h.Settings.PlatformAddress.String()} },
+		func() *peer.Client { return &peer.Client{Domain: h.Settings.FailureDomain} },
+		func() *engine.Client { return &engine.Client{} },
+		func(d *revision.Distributor) *service.Client {
+			return &service.Client{Configuration: d.Current, Domain: h.Settings.FailureDomain}
+		},
+		func() *revisionWatcher { return &revisionWatcher{} },
+		h.newMonitor,
+		func(self fleet.Host, p *platform.Client, c *peer.Client, m *membership.Monitor) *revision.Distributor {
+			return &revision.Distributor{Self: self, Table: p, Snapshots: &snapshotStore{objects: p}, Links: c, Members: m}
+		},
+		h.newKeeper,
+		func(m *membership.Monitor) *addressBook { return &addressBook{monitor: m} },
+		func(c *peer.Client, b *addressBook) *releaser { return newReleaser(c, b, h.Log) },
+		h.newGroup,
+		h.newHolder,
+		h.newRegistry,
+		func(p *platform.Client, k *lease.Keeper) *claim.Cleaner {
+			return &claim.Cleaner{Table: p, Permit: &leasePermit{keeper: k, name: cleanupLease}}
+		},
+		func() *retry.Budget { return &retry.Budget{} },
+		func(d *revision.Distributor) *admission.Gate {
+			return &admission.Gate{Configuration: d, Capacity: h.Settings.Limits.HostConcurrency}
+		},
+		func() *routing.Router {
+			return &routing.Router{
+				Domain:      h.Settings.FailureDomain,
+				Region:      h.Settings.Region,
+				StallWeight: h.Settings.Decisions.StallWeight,
+				BatchWeight: h.Settings.Decisions.BatchWeight,
+			}
+		},
+		func(r *routing.Router, m *membership.Monitor, d *revision.Distributor, g *ownership.Group) *routeKeeper {
+			return &routeKeeper{
+				router:      r,
+				monitor:     m,
+				distributor: d,
+				group:       g,
+				domain:      h.Settings.FailureDomain,
+				region:      h.Settings.Region,
+			}
+		},
+		h.newRecorder,
+		h.newDispatcher,
+		h.newPeerServer,
+		h.newServer,
+	}
+}
+
+func (h *Host) newSelf(sockets struct {
+	dig.In
+	Peer net.Listener `name:"peer"`
+}) fleet.Host {
+	return fleet.Host{
+		Name:        h.Settings.HostName,
+		Start:       h.Start,
+		Domain:      h.Settings.FailureDomain,
+		Region:      h.Settings.Region,
+		PeerAddress: sockets.Peer.Addr().String(),
+		State:       fleet.HostLive,
+	}
+}
+
+func (h *Host) newListeners() (listeners, error) {
+	caller, err := listen(h.CallerListener, h.Settings.CallerAddress.String())
+	if err != nil {
+		return listeners{}, trace.Wrap(err, "listen for callers")
+	}
+	peers, err := listen(h.PeerListener, h.Settings.PeerAddress.String())
+	if err != nil {
+		_ = caller.Close()
+		return listeners{}, trace.Wrap(err, "listen for entry hosts")
+	}
+	return listeners{Caller: caller, Peer: peers}, nil
+}
+
+func listen(given net.Listener, address string) (net.Listener, error) {
+	if given != nil {
+		return given, nil
+	}
+	return net.Listen("tcp", address)
+}
+
+func (h *Host) newMonitor(self fleet.Host, c *peer.Client, p *platform.Client, w *revisionWatcher) *membership.Monitor {
+	var seeds []string
+	for _, address := range h.Settings.PeerAddresses {
+		seeds = append(seeds, address.String())
+	}
+	return &membership.Monitor{Self: self, Seeds: seeds, Links: c, HostList: p, Configuration: w}
+}
+
+func (h *Host) newKeeper(self fleet.Host, p *platform.Client) (*lease.Keeper, *ring.Ring[lease.Event]) {
+	events := ring.New[lease.Event](eventRing)
+	return &lease.Keeper{
+		Host:     self.Name,
+		Start:    self.Start,
+		Table:    p,
+		Duration: h.Settings.Timings.LeaseDuration,
+		Renewal:  h.Settings.Timings.LeaseRenewal,
+		Margin:   h.Settings.Timings.LeaseMargin,
+		Events:   events,
+		Logger:   h.Log,
+	}, events
+}
+
+func (h *Host) newGroup(
+	self fleet.Host,
+	k *lease.Keeper,
+	events *ring.Ring[lease.Event],
+	m *membership.Monitor,
+	d *revision.Distributor,
+	c *peer.Client,
+	e *engine.Client,
+) *ownership.Group {
+	share := h.newShare(m, d)
+	group := &ownership.Group{
+		Host:       self,
+		Leases:     k,
+		Events:     events,
+		Domain:     &failureDomain{name: self.Domain, monitor: m, distributor: d},
+		Successors: &successorRoute{client: c},
+		Orders:     e,
+		Budget:     share,
+		Placement: &placement.Policy{
+			StallWeight: h.Settings.Decisions.StallWeight,
+			BatchWeight: h.Settings.Decisions.BatchWeight,
+		},
+		Settings: ownership.Settings{
+			IsolatedServiceLimit: h.Settings.Timings.IsolatedServiceLimit,
+			GrantLimit:           h.Settings.Timings.GrantLimit,
+		},
+		Logger: h.Log,
+	}
+	share.group = group
+	return group
+}
+
+// newHolder also gives the group its way to ask holders, because a group asks
+// the holder of its own host too.
+func (h *Host) newHolder(self fleet.Host, g *ownership.Group, c *peer.Client, m *membership.Monitor, b *addressBook, r *releaser) *ownership.Holder {
+	holder := &ownership.Holder{
+		Owners: &ownerRoute{self: self.Name, group: g, client: c, monitor: m, book: b, releaser: r},
+	}
+	g.Holders = &holderRoute{self: self, holder: holder, client: c, monitor: m}
+	return holder
+}
+
+func (h *Host) newRegistry(self fleet.Host, p *platform.Client, c *peer.Client, b *addressBook) *claim.Registry {
+	return &claim.Registry{Host: self.Name, Start: self.Start, Table: p, Peers: &claimRoute{client: c, book: b}}
+}
+
+func (h *Host) newRecorder(g *admission.Gate) (*metrics.Recorder, error) {
+	recorder := &metrics.Recorder{InFlight: g.InFlight}
+	return recorder, trace.Wrap(recorder.Start())
+}
+
+func (h *Host) newDispatcher(
+	self fleet.Host,
+	g *admission.Gate,
+	c *claim.Registry,
+	r *routing.Router,
+	holder *ownership.Holder,
+	e *engine.Client,
+	s *service.Client,
+	retries *retry.Budget,
+	recorder *metrics.Recorder,
+) *dispatch.Dispatcher {
+	return &dispatch.Dispatcher{
+		Host:       self.Name,
+		Admission:  g,
+		Claims:     c,
+		Router:     r,
+		Grants:     holder,
+		Engines:    e,
+		Services:   s,
+		Retries:    retries,
+		Recorder:   recorders{recorder, retries},
+		GrantLimit: h.Settings.Timings.GrantLimit,
+	}
+}
+
+func (h *Host) newPeerServer(
+	sockets struct {
+		dig.In
+		Peer net.Listener `name:"peer"`
+	},
+	self fleet.Host,
+	m *membership.Monitor,
+	g *ownership.Group,
+	holder *ownership.Holder,
+	d *revision.Distributor,
+	c *claim.Registry,
+) *peer.Server {
+	return &peer.Server{
+		Listener:       sockets.Peer,
+		Heartbeats:     m,
+		Owners:         &ownerServer{group: g},
+		Holders:        &holderServer{holder: holder, start: self.Start},
+		Configurations: d,
+		Claims:         &claimServer{registry: c, start: self.Start},
+		Log:            func(err error) { h.Log.Debug().Err(err).Msg("connection of an entry host ended") },
+	}
+}
+
+func (h *Host) newServer(
+	sockets struct {
+		dig.In
+		Caller net.Listener `name:"caller"`
+	},
+	d *revision.Distributor,
+	dispatcher *dispatch.Dispatcher,
+	recorder *metrics.Recorder,
+) *entry.Server {
+	return &entry.Server{
+		Listener:      sockets.Caller,
+		Dispatcher:    dispatcher,
+		Configuration: d,
+		Metrics:       http.Handler(recorder.Handler()),
+		Log:           h.Log,
+		GraceTime:     h.Settings.Limits.GraceTime,
+		BodyLimit:     h.Settings.Limits.BodySize,
+		HeaderTimeout: 10 * time.Second,
+	}
+}
+
+// newShare returns the host's share of the load rate: the failure domain's
+// share, divided by its engines.
+func (h *Host) newShare(m *membership.Monitor, d *revision.Distributor) *loadShare {
+	share := &loadShare{
+		self:        h.Settings.HostName,
+		domain:      h.Settings.FailureDomain,
+		rate:        h.Settings.Decisions.LoadRateShare,
+		monitor:     m,
+		distributor: d,
+	}
+	share.share = &budget.Share{Host: h.Settings.HostName, Rate: share.own, Permits: noAllocator{}}
+	return share
+}
--- /dev/null
+++ b/internal/entryhost/routes.go
@@ -0,0 +1,165 @@
+package entryhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/coordination/budget"
+	"github.com/persimmonmux/persimmonmux/coordination/duty"
+	"github.com/persimmonmux/persimmonmux/coordination/membership"
+	"github.com/persimmonmux/persimmonmux/coordination/ownership"
+	"github.com/persimmonmux/persimmonmux/coordination/revision"
+	"github.com/persimmonmux/persimmonmux/coordination/routing"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// publishEvery is the time between two snapshots for the router and between
+// two updates of the own engines in heartbeats.
+const publishEvery = 100 * time.Millisecond
+
+// A routeKeeper is the duty that brings what is known of engines to the router
+// and the own engines' summaries to the membership.
+type routeKeeper struct {
+	router      *routing.Router
+	monitor     *membership.Monitor
+	distributor *revision.Distributor
+	group       *ownership.Group
+	domain      fleet.FailureDomainName
+	region      fleet.RegionName
+
+	duty.Lifecycle
+	// own are the summaries of the own engines as published last.
+	own map[fleet.EngineName]fleet.EngineSummary
+}
+
+// Run publishes until ctx ends or Close.
+func (k *routeKeeper) Run(ctx context.Context) error {
+	return k.Lifecycle.Run(ctx, func(ctx context.Context) error {
+		ticker := time.NewTicker(publishEvery)
+		defer ticker.Stop()
+		for {
+			k.publish(time.Now())
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-ticker.C:
+			}
+		}
+	})
+}
+
+func (k *routeKeeper) publish(now time.Time) {
+	own := k.group.Summaries()
+	k.monitor.SetEngines(own)
+	current := k.distributor.Current()
+	if current == nil {
+		return
+	}
+	view := k.monitor.View()
+	summaries := make(map[fleet.EngineName]fleet.EngineSummary, len(view.Engines))
+	for name, summary := range view.Engines {
+		summaries[name] = summary
+	}
+	for _, summary := range k.received(own, now) {
+		if summaries[summary.Engine].Epoch <= summary.Epoch {
+			summaries[summary.Engine] = summary
+		}
+	}
+	var candidates []routing.Candidate
+	for name, engine := range current.Engines {
+		summary, known := summaries[name]
+		if !known || current.Draining[string(name)] || view.ServerLeaving(string(name), summary.Start) || !k.reachable(view, summary.Owner) {
+			continue
+		}
+		candidates = append(candidates, routing.Candidate{
+			Engine:   engine,
+			Summary:  summary,
+			Distance: k.distance(view, engine, summary.Owner),
+		})
+	}
+	k.router.Publish(candidates, now)
+}
+
+// received marks each own summary with the time at which it changed last, so
+// that the router can tell which requests its load figures contain.
+func (k *routeKeeper) received(own []fleet.EngineSummary, now time.Time) []fleet.EngineSummary {
+	last := k.own
+	k.own = make(map[fleet.EngineName]fleet.EngineSummary, len(own))
+	for i := range own {
+		own[i].Received = now
+		before, known := last[own[i].Engine]
+		if known && before.Epoch == own[i].Epoch && before.Version == own[i].Version &&
+			before.Running == own[i].Running && before.Waiting == own[i].Waiting {
+			own[i].Received = before.Received
+		}
+		k.own[own[i].Engine] = own[i]
+	}
+	return own
+}
+
+// reachable says whether the owner of an engine answers demands.
+func (k *routeKeeper) reachable(view *membership.View, owner fleet.HostName) bool {
+	if owner == k.monitor.Self.Name {
+		return true
+	}
+	return view.Hosts[owner].Heard
+}
+
+func (k *routeKeeper) distance(view *membership.View, engine fleet.Engine, owner fleet.HostName) routing.Distance {
+	if engine.Domain == k.domain {
+		return routing.SameDomain
+	}
+	if view.Hosts[owner].Host.Region == k.region {
+		return routing.SameRegion
+	}
+	return routing.OtherRegion
+}
+
+// A loadShare is this host's part of the failure domain's load rate. It
+// implements ownership.Budget.
+type loadShare struct {
+	self        fleet.HostName
+	domain      fleet.FailureDomainName
+	rate        float64
+	monitor     *membership.Monitor
+	distributor *revision.Distributor
+	group       *ownership.Group
+	share       *budget.Share
+}
+
+// Acquire implements ownership.Budget.
+func (l *loadShare) Acquire(ctx context.Context, engine fleet.EngineName, _ fleet.AdapterReference, urgency configuration.Urgency) error {
+	return l.share.Acquire(ctx, budget.Want{Engine: engine, Priority: urgencyPriority[urgency]})
+}
+
+// urgencyPriority orders loads of different engines.
+var urgencyPriority = map[configuration.Urgency]float64{
+	configuration.UrgencyInteractive: 3,
+	configuration.UrgencyPrompt:      2,
+	configuration.UrgencyDeferred:    1,
+}
+
+// own returns the domain's rate in proportion to the engines that this host owns.
+func (l *loadShare) own() float64 {
+	current := l.distributor.Current()
+	if current == nil || l.group == nil {
+		return 0
+	}
+	engines := 0
+	for _, engine := range current.Engines {
+		if engine.Domain == l.domain {
+			engines++
+		}
+	}
+	return l.rate * float64(len(l.group.Summaries())) / float64(max(engines, 1))
+}
+
+// noAllocator stands where no host lends its share.
+type noAllocator struct{}
+
+// Permit implements budget.Permits.
+func (noAllocator) Permit(context.Context, budget.Want) error {
+	return verdict.Refuse(verdict.CodeNotOwner, "load budget: no allocator")
+}
--- /dev/null
+++ b/internal/entryhost/servers.go
@@ -0,0 +1,150 @@
+package entryhost
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/persimmonmux/persimmonmux/coordination/claim"
+	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
+	"github.com/persimmonmux/persimmonmux/coordination/lease"
+	"github.com/persimmonmux/persimmonmux/coordination/ownership"
+	"github.com/persimmonmux/persimmonmux/state/booking"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/request"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/platform"
+)
+
+// An ownerServer answers other hosts for the engines that this host owns.
+type ownerServer struct {
+	group *ownership.Group
+}
+
+// Demand implements peer.Owners.
+func (o *ownerServer) Demand(ctx context.Context, demand dispatch.Demand) (fleet.Grant, error) {
+	return o.group.Demand(ctx, demand)
+}
+
+// Release implements peer.Owners.
+func (o *ownerServer) Release(_ context.Context, engine fleet.EngineName, requests []fleet.RequestID) error {
+	if !o.group.Release(engine, requests) {
+		return verdict.Refuse(verdict.CodeNotOwner, "release on engine %s", engine)
+	}
+	return nil
+}
+
+// HandOver implements peer.Owners.
+func (o *ownerServer) HandOver(ctx context.Context, handOver fleet.HandOver) (bool, error) {
+	if err := o.group.Adopt(ctx, handOver); err != nil {
+		return false, err
+	}
+	return true, nil
+}
+
+// A holderServer answers other hosts for the grants that this host holds.
+type holderServer struct {
+	holder *ownership.Holder
+	start  fleet.StartNumber
+}
+
+// Holdings implements peer.Holders.
+func (h *holderServer) Holdings(ctx context.Context, engine fleet.EngineName, epoch fleet.Epoch, _ fleet.HostName) ([]fleet.Grant, fleet.StartNumber, error) {
+	grants, err := h.holder.Holdings(ctx, engine, epoch)
+	return grants, h.start, err
+}
+
+// A claimServer answers other hosts for the claims that this process made.
+type claimServer struct {
+	registry *claim.Registry
+	start    fleet.StartNumber
+}
+
+// ClaimStatus implements peer.Claims.
+func (c *claimServer) ClaimStatus(_ context.Context, key booking.Key, token booking.Token, start fleet.StartNumber) (booking.Status, error) {
+	if start != c.start {
+		return booking.StatusUnknown, nil
+	}
+	return c.registry.Status(key, token), nil
+}
+
+// A leasePermit permits while the host holds a lease.
+type leasePermit struct {
+	keeper *lease.Keeper
+	name   lease.Name
+}
+
+// Permitted implements claim.Permit.
+func (l *leasePermit) Permitted() bool {
+	_, ok := l.keeper.Valid(l.name)
+	return ok
+}
+
+// recorders passes the end of each request to several recorders.
+type recorders []dispatch.Recorder
+
+// Finished implements dispatch.Recorder.
+func (r recorders) Finished(q *request.Request, answer request.Answer, failure *verdict.Error) {
+	for _, recorder := range r {
+		recorder.Finished(q, answer, failure)
+	}
+}
+
+// snapshotKey is the object that holds the last snapshot of the configuration.
+const snapshotKey = "configuration/snapshot"
+
+// A snapshotStore keeps snapshots of the configuration in the object store. It
+// implements revision.Snapshots.
+type snapshotStore struct {
+	objects *platform.Client
+}
+
+// Latest implements revision.Snapshots.
+func (s *snapshotStore) Latest(ctx context.Context) (*configuration.Configuration, error) {
+	encoded, found, err := s.objects.Get(ctx, snapshotKey)
+	if err != nil || !found {
+		return nil, err
+	}
+	snapshot := new(configuration.Configuration)
+	if err := json.Unmarshal(encoded, snapshot); err != nil {
+		return nil, err
+	}
+	return snapshot, nil
+}
+
+// Store implements revision.Snapshots. An older snapshot that overwrites a newer
+// one does no harm, because the changes after it are read from the table.
+func (s *snapshotStore) Store(ctx context.Context, snapshot *configuration.Configuration) error {
+	encoded, err := json.Marshal(snapshot)
+	if err != nil {
+		return err
+	}
+	return s.objects.Put(ctx, snapshotKey, encoded)
+}
+
+// initialChange returns the change that leads from nothing to a configuration.
+func initialChange(initial *configuration.Configuration) configuration.Change {
+	return configuration.Change{
+		Revision:     1,
+		Operation:    "initial-configuration",
+		Adapters:     initial.Adapters,
+		Applications: initial.Applications,
+		Kinds:        initial.Kinds,
+		Engines:      initial.Engines,
+		Services:     initial.Services,
+		Draining:     initial.Draining,
+	}
+}
+
+// isConflict says that the head is another revision.
+func isConflict(err error) bool {
+	var failure *verdict.Error
+	return errors.As(err, &failure) && failure.Code == verdict.CodeConflict
+}
+
+// ended says that the address of a process refuses connections, which proves
+// that the process has ended.
+func ended(err error) bool {
+	return errors.Is(err, fleet.ErrConnectionRefused)
+}
