ownership: decide loads, evictions and grants of owned engines

An instance with an unanswered unload order is not loaded again under its name, because the late order would hit the new load.

A failed unload is repeated after a pause: without it the test of unanswered unloads ran for ten minutes on one virtual instant.

--- a/coordination/lease/keeper.go
+++ b/coordination/lease/keeper.go
@@ -89,6 +89,7 @@
 	// result is never refused.
 	results chan message
 	ended   chan struct{}
+	end     sync.Once
 	// valid is replaced with each change and never modified.
 	valid atomic.Pointer[map[Name]tenure]
 
@@ -171,6 +172,7 @@
 // tries once to release what it holds.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.setup()
+	defer k.end.Do(func() { close(k.ended) })
 	return k.lifecycle.Run(ctx, k.loop)
 }
 
@@ -250,7 +252,6 @@
 }
 
 func (k *Keeper) loop(ctx context.Context) error {
-	defer close(k.ended)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- /dev/null
+++ b/coordination/ownership/fake_test.go
@@ -0,0 +1,241 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
+	"github.com/persimmonmux/persimmonmux/coordination/lease"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// errLost is the error of an order whose outcome is not known.
+var errLost = errors.New("order reply lost")
+
+// An engineFaults sets the probabilities of faults of a fakeEngine.
+type engineFaults struct {
+	refuse, lose, late float64
+	lateDelay, delay   time.Duration
+}
+
+// A fakeEngine is a small model engine. It records a violation when an instance
+// is unloaded while a request runs on it.
+type fakeEngine struct {
+	mutex      sync.Mutex
+	engine     fleet.Engine
+	start      fleet.StartNumber
+	fence      fleet.Epoch
+	instances  map[string]bool
+	running    map[string]string
+	failing    map[fleet.AdapterName]bool
+	hanging    map[fleet.AdapterName]bool
+	faults     engineFaults
+	random     *rand.Rand
+	violations []string
+	loads      int
+	unloads    int
+	cancels    int
+	orderTimes []time.Time
+}
+
+func newFakeEngine(name fleet.EngineName, mode fleet.FencingMode, slots int) *fakeEngine {
+	return &fakeEngine{
+		engine: fleet.Engine{Name: name, Domain: "d", Slots: slots, BatchSize: 8, Fencing: mode},
+		start:  1, instances: map[string]bool{}, running: map[string]string{},
+		failing: map[fleet.AdapterName]bool{}, hanging: map[fleet.AdapterName]bool{}, random: rand.New(rand.NewPCG(1, 2)),
+	}
+}
+
+// order carries an order out with the engine's faults.
+func (f *fakeEngine) order(ctx context.Context, epoch fleet.Epoch, effect func() error) error {
+	f.mutex.Lock()
+	f.orderTimes = append(f.orderTimes, time.Now())
+	delay, chance, start := f.faults.delay, f.random.Float64(), f.start
+	faults := f.faults
+	f.mutex.Unlock()
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	fencedEffect := func() error {
+		if f.engine.Fencing == fleet.FencingEnforced {
+			if epoch < f.fence {
+				return verdict.Refuse(verdict.CodeBackendRefused, "old fencing number")
+			}
+			f.fence = epoch
+		}
+		return effect()
+	}
+	switch {
+	case chance < faults.refuse:
+		return verdict.Refuse(verdict.CodeBackendRefused, "refused")
+	case chance < faults.refuse+faults.lose:
+		_ = fencedEffect()
+		return errLost
+	case chance < faults.refuse+faults.lose+faults.late:
+		time.AfterFunc(faults.lateDelay, func() {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			if f.start == start {
+				_ = fencedEffect()
+			}
+		})
+		return errLost
+	}
+	return fencedEffect()
+}
+
+func (f *fakeEngine) Load(ctx context.Context, _ fleet.Engine, instance fleet.Instance, epoch fleet.Epoch) error {
+	f.mutex.Lock()
+	hangs := f.hanging[instance.Adapter.Name]
+	f.mutex.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return f.order(ctx, epoch, func() error {
+		f.loads++
+		if f.failing[instance.Adapter.Name] {
+			return &verdict.Error{Verdict: verdict.Ran, Code: verdict.CodeLoadFailed, Message: "load failed"}
+		}
+		if !f.instances[instance.String()] && len(f.instances) >= f.engine.Slots {
+			return verdict.Refuse(verdict.CodeBackendRefused, "no free slot")
+		}
+		f.instances[instance.String()] = true
+		return nil
+	})
+}
+
+func (f *fakeEngine) Unload(ctx context.Context, _ fleet.Engine, instance fleet.Instance, epoch fleet.Epoch) error {
+	return f.order(ctx, epoch, func() error {
+		if !f.instances[instance.String()] {
+			return verdict.Refuse(verdict.CodeUnknownInstance, "unknown instance")
+		}
+		f.unloads++
+		for request, name := range f.running {
+			if name == instance.String() {
+				f.violations = append(f.violations, fmt.Sprintf("%s unloaded by epoch %d while %s runs", name, epoch, request))
+			}
+		}
+		delete(f.instances, instance.String())
+		return nil
+	})
+}
+
+func (f *fakeEngine) Cancel(_ context.Context, _ fleet.Engine, request fleet.RequestID) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.cancels++
+	delete(f.running, string(request))
+	return nil
+}
+
+func (f *fakeEngine) Report(context.Context, fleet.Engine) (fleet.EngineReport, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	r := fleet.EngineReport{Start: f.start}
+	for name := range f.instances {
+		r.Instances = append(r.Instances, name)
+	}
+	return r, nil
+}
+
+// run starts a request and reports whether the engine knew the instance.
+func (f *fakeEngine) run(g fleet.Grant) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if g.EngineStart != f.start || !f.instances[g.Instance.String()] {
+		return false
+	}
+	f.running[string(g.Request)] = g.Instance.String()
+	return true
+}
+
+func (f *fakeEngine) finish(request fleet.RequestID) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	delete(f.running, string(request))
+}
+
+func (f *fakeEngine) restart() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.start++
+	f.fence = 0
+	clear(f.instances)
+	clear(f.running)
+}
+
+func (f *fakeEngine) set(change func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	change()
+}
+
+func (f *fakeEngine) has(instance string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.instances[instance]
+}
+
+// A fakeLease is a lease that a test makes valid or not.
+type fakeLease struct {
+	mutex sync.Mutex
+	epoch fleet.Epoch
+	valid bool
+}
+
+func (f *fakeLease) Valid(lease.Name) (fleet.Epoch, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.epoch, f.valid
+}
+
+func (f *fakeLease) set(valid bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.valid = valid
+}
+
+// A freeBudget allows every load.
+type freeBudget struct{}
+
+func (freeBudget) Acquire(context.Context, fleet.EngineName, fleet.AdapterReference, configuration.Urgency) error {
+	return nil
+}
+
+// A fakeHolders answers with what a test sets.
+type fakeHolders struct {
+	mutex    sync.Mutex
+	holdings Holdings
+	calls    int
+}
+
+func (f *fakeHolders) Holdings(context.Context, fleet.EngineName, fleet.Epoch, Former) (Holdings, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.calls++
+	return f.holdings, nil
+}
+
+func adapter(name fleet.AdapterName) fleet.AdapterReference {
+	return fleet.AdapterReference{Name: name, Version: 1}
+}
+
+func demandFor(name fleet.AdapterName, request fleet.RequestID) dispatch.Demand {
+	return dispatch.Demand{
+		Engine: "e", Adapter: adapter(name), Request: request, Holder: "h",
+		Patience: 5 * time.Second, Duration: 30 * time.Second, Urgency: string(configuration.UrgencyPrompt),
+	}
+}
--- /dev/null
+++ b/coordination/ownership/residency.go
@@ -0,0 +1,419 @@
+package ownership
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// fenceAdapter is never loaded. An order to unload it raises the fencing number
+// of an engine and changes nothing else.
+var fenceAdapter = fleet.AdapterReference{Name: "persimmonmux-fence", Version: 1}
+
+// schedule starts loads for waiting adapters, and evictions that make room.
+func (o *Owner) schedule(ctx context.Context, now time.Time) {
+	waiting := o.loadable(now)
+	// Evictions in flight already make room for as many adapters.
+	coming := o.evicting()
+	for o.loads < o.settings.LoadLimit && len(waiting) > 0 {
+		i := o.Placement.Next(o.Engine, waiting, now)
+		if i < 0 {
+			return
+		}
+		next := waiting[i]
+		waiting = slices.Delete(waiting, i, i+1)
+		switch {
+		case o.Engine.Slots-o.foreign-len(o.entries) > 0:
+			o.load(ctx, next, now)
+		case coming > 0:
+			coming--
+		case !o.evict(ctx, next, now):
+			return
+		}
+	}
+}
+
+// loadable returns the adapters that demands wait for and that may be loaded.
+func (o *Owner) loadable(now time.Time) []Waiting {
+	var waiting []Waiting
+	for adapter, q := range o.queues {
+		if _, taken := o.entries[o.named(adapter)]; taken || adapter == fenceAdapter {
+			continue
+		}
+		if f, ok := o.failures[adapter]; ok && now.Before(f.until) || o.unanswered[o.named(adapter)] {
+			continue
+		}
+		w := Waiting{Adapter: adapter, Requests: len(q.asks)}
+		for i, a := range q.asks {
+			urgency, deadline := configuration.Urgency(a.demand.Urgency), a.arrived.Add(a.demand.Patience)
+			if i == 0 || urgencyRank(urgency) < urgencyRank(w.Urgency) {
+				w.Urgency = urgency
+			}
+			if i == 0 || deadline.Before(w.Deadline) {
+				w.Deadline = deadline
+			}
+			if i == 0 || a.arrived.Before(w.Since) {
+				w.Since = a.arrived
+			}
+		}
+		waiting = append(waiting, w)
+	}
+	slices.SortFunc(waiting, func(a, b Waiting) int {
+		return cmp.Or(a.Since.Compare(b.Since), strings.Compare(a.Adapter.String(), b.Adapter.String()))
+	})
+	return waiting
+}
+
+func (o *Owner) evicting() int {
+	n := 0
+	for _, e := range o.entries {
+		if e.state == stateUnloading {
+			n++
+		}
+	}
+	return n
+}
+
+// load starts the load of an adapter.
+func (o *Owner) load(ctx context.Context, w Waiting, now time.Time) {
+	e := &entry{instance: o.named(w.Adapter), state: stateLoading, used: now}
+	o.entries[e.instance] = e
+	o.order()
+	r := loaded{entry: e, start: o.start}
+	acquire := o.acquire
+	o.lifecycle.Work(func() {
+		r.sent, r.err = o.sendLoad(ctx, acquire, e.instance, w)
+		o.post(ctx, r)
+	})
+}
+
+// order counts an order that is about to be sent.
+func (o *Owner) order() {
+	o.orders++
+	o.loads++
+	o.inFlight++
+}
+
+// sendLoad runs on a worker goroutine. It reports whether the order was sent.
+func (o *Owner) sendLoad(ctx, acquire context.Context, instance fleet.Instance, w Waiting) (bool, error) {
+	if err := o.Budget.Acquire(acquire, o.Engine.Name, w.Adapter, w.Urgency); err != nil {
+		refusal := verdict.Refuse(verdict.CodeStoreUnavailable, "no load of adapter %s on engine %s", w.Adapter, o.Engine.Name)
+		refusal.Cause = err
+		return false, refusal
+	}
+	if !o.mayOrder() {
+		return false, o.refuseIsolated()
+	}
+	bounded, cancel := context.WithTimeout(ctx, o.settings.OrderTimeout)
+	defer cancel()
+	return true, o.Orders.Load(bounded, o.Engine, instance, o.Epoch)
+}
+
+// mayOrder is checked by workers directly before each load and unload order.
+func (o *Owner) mayOrder() bool {
+	epoch, ok := o.Leases.Valid(LeaseName(o.Engine.Name))
+	return ok && epoch == o.Epoch
+}
+
+// answered says whether the order's outcome is known.
+func answered(err error) bool {
+	var known *verdict.Error
+	return err == nil || errors.As(err, &known) && known.Verdict != verdict.MayHaveRun
+}
+
+// loaded is the result of a load.
+type loaded struct {
+	entry *entry
+	start fleet.StartNumber
+	sent  bool
+	err   error
+}
+
+func (r loaded) handle(_ context.Context, o *Owner, now time.Time) {
+	o.loads--
+	o.inFlight--
+	e := r.entry
+	adapter := e.instance.Adapter
+	if r.start != o.start {
+		// The engine restarted; its next report tells what is resident.
+		o.reportAt = now
+		return
+	}
+	if r.err == nil {
+		e.state, e.usable, e.used = stateResident, true, now
+		delete(o.failures, adapter)
+		o.serveQueues(now)
+		return
+	}
+	if !r.sent || answered(r.err) {
+		delete(o.entries, e.instance)
+	} else {
+		e.state = stateUncertain
+		o.reportAt = now
+	}
+	if o.handing != nil && !r.sent {
+		// The demands go on to the next owner.
+		return
+	}
+	if !r.sent && !o.mayOrder() {
+		o.refuseQueue(adapter, o.refuseIsolated())
+		return
+	}
+	o.fail(adapter, r.sent, r.err, now)
+}
+
+// fail refuses all demands for an adapter and delays its next load.
+func (o *Owner) fail(adapter fleet.AdapterReference, sent bool, cause error, now time.Time) {
+	f, ok := o.failures[adapter]
+	if !ok {
+		f = &failure{backoff: backoff.NewExponentialBackOff()}
+		f.backoff.MaxInterval = o.settings.BackoffLimit
+		o.failures[adapter] = f
+	}
+	pause := f.backoff.NextBackOff()
+	f.until = now.Add(pause)
+	o.Logger.Warn().Err(cause).Str("engine", string(o.Engine.Name)).Stringer("adapter", adapter).
+		Dur("pause", pause).Msg("load failed")
+	refusal := verdict.Refuse(verdict.CodeLoadFailed, "adapter %s failed to load on engine %s", adapter, o.Engine.Name)
+	var known *verdict.Error
+	if !sent && errors.As(cause, &known) {
+		refusal.Code = known.Code
+	}
+	refusal.Cause, refusal.RetryAfter = cause, pause
+	o.refuseQueue(adapter, refusal)
+}
+
+// evict starts the unload of an instance without grants, if there is one that
+// may go, and reports whether it did.
+func (o *Owner) evict(ctx context.Context, next Waiting, now time.Time) bool {
+	var residents []Resident
+	for _, e := range o.entries {
+		if o.removable(e, now) {
+			residents = append(residents, Resident{Instance: e.instance, Used: e.used, Usable: e.usable && e.state == stateResident})
+		}
+	}
+	if len(residents) == 0 {
+		return false
+	}
+	slices.SortFunc(residents, func(a, b Resident) int { return strings.Compare(a.Instance.String(), b.Instance.String()) })
+	i := o.Placement.Leave(o.Engine, residents, next, now)
+	if i < 0 {
+		return false
+	}
+	e := o.entries[residents[i].Instance]
+	e.state = stateUnloading
+	o.order()
+	r := unloaded{entry: e, start: o.start}
+	o.lifecycle.Work(func() {
+		r.sent, r.err = o.sendUnload(ctx, e.instance)
+		o.post(ctx, r)
+	})
+	return true
+}
+
+// removable says whether an instance may be unloaded.
+func (o *Owner) removable(e *entry, now time.Time) bool {
+	if e.pins > 0 || e.state == stateLoading || e.state == stateUnloading || now.Before(e.unloadAt) {
+		return false
+	}
+	if e.instance.Epoch == o.Epoch || e.adopted {
+		return true
+	}
+	return o.takeover.over(e.instance.Epoch, o, now)
+}
+
+// sendUnload runs on a worker goroutine. It reports whether the order was sent.
+func (o *Owner) sendUnload(ctx context.Context, instance fleet.Instance) (bool, error) {
+	if !o.mayOrder() {
+		return false, o.refuseIsolated()
+	}
+	bounded, cancel := context.WithTimeout(ctx, o.settings.OrderTimeout)
+	defer cancel()
+	return true, o.Orders.Unload(bounded, o.Engine, instance, o.Epoch)
+}
+
+// unloaded is the result of an unload.
+type unloaded struct {
+	entry *entry
+	start fleet.StartNumber
+	sent  bool
+	err   error
+}
+
+func (r unloaded) handle(_ context.Context, o *Owner, now time.Time) {
+	o.loads--
+	o.inFlight--
+	e := r.entry
+	if r.start != o.start {
+		o.reportAt = now
+		return
+	}
+	// A failed order is not repeated at once, or an engine that refuses it would
+	// receive orders without pause.
+	e.unloadAt = now.Add(o.settings.ReportInterval)
+	var known *verdict.Error
+	unknown := errors.As(r.err, &known) && known.Code == verdict.CodeUnknownInstance
+	switch {
+	case !r.sent:
+		e.state = stateResident
+		o.serveQueues(now)
+	case r.err == nil || unknown && known.Verdict != verdict.MayHaveRun:
+		delete(o.entries, e.instance)
+	case answered(r.err):
+		e.state = stateResident
+		e.used = now
+		o.serveQueues(now)
+	default:
+		e.state, e.usable = stateUncertain, false
+		o.unanswered[e.instance] = true
+		o.reportAt = now
+		o.Logger.Warn().Err(r.err).Str("engine", string(o.Engine.Name)).Stringer("instance", e.instance).
+			Msg("unload order is unanswered; the instance is not used again")
+	}
+}
+
+// fence raises the fencing number of an engine that refuses old numbers.
+func (o *Owner) fence(ctx context.Context) {
+	if o.Engine.Fencing != fleet.FencingEnforced || o.fenced || o.fencing {
+		return
+	}
+	o.fencing = true
+	o.orders++
+	o.inFlight++
+	start := o.start
+	o.lifecycle.Work(func() {
+		sent, err := o.sendUnload(ctx, o.named(fenceAdapter))
+		o.post(ctx, fenced{start: start, sent: sent, err: err})
+	})
+}
+
+// fenced is the result of a fence.
+type fenced struct {
+	start fleet.StartNumber
+	sent  bool
+	err   error
+}
+
+func (r fenced) handle(_ context.Context, o *Owner, now time.Time) {
+	o.inFlight--
+	o.fencing = false
+	var known *verdict.Error
+	unknown := errors.As(r.err, &known) && known.Code == verdict.CodeUnknownInstance
+	if r.start == o.start && r.sent && (r.err == nil || unknown) {
+		o.fenced = true
+		o.reportAt = now
+	}
+}
+
+// startReport asks the engine for its report when it is due.
+func (o *Owner) startReport(ctx context.Context, now time.Time) {
+	if o.reporting || now.Before(o.reportAt) {
+		return
+	}
+	o.reporting = true
+	r := reported{orders: o.orders, idle: o.loads == 0 && !o.fencing, fenced: o.fenced, began: now}
+	o.lifecycle.Work(func() {
+		bounded, cancel := context.WithTimeout(ctx, o.settings.OrderTimeout)
+		defer cancel()
+		r.report, r.err = o.Orders.Report(bounded, o.Engine)
+		o.post(ctx, r)
+	})
+}
+
+// reported is the result of a report.
+type reported struct {
+	report fleet.EngineReport
+	err    error
+	// orders, idle and fenced are the owner's state when the report was asked for.
+	orders uint64
+	idle   bool
+	fenced bool
+	began  time.Time
+}
+
+func (r reported) handle(_ context.Context, o *Owner, now time.Time) {
+	o.reporting = false
+	o.reportAt = now.Add(o.settings.ReportInterval)
+	if r.err != nil {
+		o.Logger.Warn().Err(r.err).Str("engine", string(o.Engine.Name)).Msg("engine report failed")
+		return
+	}
+	if r.report.Start < o.start {
+		// The report is older than what is known.
+		return
+	}
+	if r.report.Start > o.start {
+		o.restart(r.report.Start, now)
+		r.fenced = false
+	}
+	o.report = r.report
+	// A list that was made while an order was in flight may be older than its effect.
+	if r.idle && r.orders == o.orders {
+		o.compare(r, now)
+	}
+	o.serveQueues(now)
+}
+
+// restart voids what is known of an earlier start of the engine.
+func (o *Owner) restart(start fleet.StartNumber, now time.Time) {
+	o.start = start
+	o.fenced = false
+	o.foreign = 0
+	for request := range o.pins {
+		o.void(request, now)
+	}
+	clear(o.entries)
+	// The orders that were unanswered went to the earlier process.
+	clear(o.unanswered)
+}
+
+// compare brings the known instances in line with the engine's list.
+func (o *Owner) compare(r reported, now time.Time) {
+	listed := make(map[fleet.Instance]bool)
+	o.foreign = 0
+	for _, name := range r.report.Instances {
+		instance, err := fleet.ParseInstance(name)
+		if err != nil {
+			o.foreign++
+			continue
+		}
+		listed[instance] = true
+		if instance.Epoch > o.Epoch {
+			o.superseded = true
+		}
+		e, ok := o.entries[instance]
+		if !ok {
+			e = &entry{instance: instance, state: stateResident, used: now}
+			o.entries[instance] = e
+		}
+		own := instance.Epoch == o.Epoch || e.adopted
+		// After the fencing number was raised, no order of an earlier owner is
+		// carried out any more.
+		if own || r.fenced && instance.Epoch < o.Epoch {
+			e.usable = !o.unanswered[instance]
+		}
+		if e.state == stateUncertain && !o.unanswered[instance] {
+			e.state = stateResident
+		}
+	}
+	for instance, e := range o.entries {
+		if listed[instance] {
+			continue
+		}
+		// A request may still run on what the engine does not list, so the entry
+		// stays while it is pinned.
+		e.state = stateUncertain
+		if e.pins == 0 {
+			delete(o.entries, instance)
+		}
+	}
+}
