--- a/coordination/lease/keeper_test.go
+++ b/coordination/lease/keeper_test.go
@@ -264,3 +264,24 @@
 		c.Assert(after-before <= 345, quicktest.IsTrue)
 	})
 }
+
+// TestLeaseCountsFromBeforeTheWrite guards against a holder that counts from a
+// late reply, while others count from when they saw the record.
+func TestLeaseCountsFromBeforeTheWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		a := startHost(platform.NewTable(1), "a", 1)
+		defer a.Close()
+		a.Want("e", 0)
+		advance(time.Second)
+		a.table.stalled.Store(true)
+		// The renewal at 3 s takes effect; its reply comes 8 s later.
+		advance(10500 * time.Millisecond)
+		c.Assert(valid(a, "e"), quicktest.IsFalse)
+		a.table.dead.Store(true)
+		a.table.stalled.Store(false)
+		// Sent 2.7 to 3.3 s after the start, the renewal ends 9 s after that.
+		advance(1300 * time.Millisecond)
+		c.Assert(valid(a, "e"), quicktest.IsFalse)
+	})
+}
--- /dev/null
+++ b/coordination/lease/machine_test.go
@@ -0,0 +1,184 @@
+package lease
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/persimmonmux/persimmonmux/standin/platform"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+// TestMain prints the seed of the state machines; -rapid.seed repeats a run.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set(fmt.Sprint(time.Now().UnixNano()))
+	}
+	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+// A bubble hides the type of the test, because rapid asks a *testing.T for its
+// deadline, which may not be read in virtual time.
+type bubble struct {
+	*testing.T
+}
+
+// A machine is hosts that want the same leases over one faulty table.
+type machine struct {
+	t     *rapid.T
+	table *platform.Table
+	hosts []*testHost
+	names []Name
+	// tenures holds who used each epoch.
+	tenures map[string]string
+	// highest is the highest epoch that was valid, by lease.
+	highest map[Name]fleet.Epoch
+	start   fleet.StartNumber
+}
+
+// check fails if two processes may use a lease, or have used one epoch.
+func (m *machine) check() {
+	for _, name := range m.names {
+		user := ""
+		for _, h := range m.hosts {
+			epoch, ok := h.Valid(name)
+			if !ok {
+				continue
+			}
+			process := fmt.Sprintf("%s/%d", h.Host, h.Start)
+			if user != "" {
+				m.t.Fatalf("lease %s is valid for %s and %s", name, user, process)
+			}
+			user = process
+			key := fmt.Sprintf("%s/%d", name, epoch)
+			if last, used := m.tenures[key]; used && last != process {
+				m.t.Fatalf("epoch %d of lease %s was used by %s and %s", epoch, name, last, process)
+			}
+			m.tenures[key] = process
+			if epoch < m.highest[name] {
+				m.t.Fatalf("epoch %d of lease %s is valid after epoch %d", epoch, name, m.highest[name])
+			}
+			m.highest[name] = epoch
+		}
+	}
+}
+
+func (m *machine) pass(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		advance(min(100*time.Millisecond, time.Until(end)))
+		m.check()
+	}
+}
+
+func (m *machine) step() {
+	t := m.t
+	i := rapid.IntRange(0, len(m.hosts)-1).Draw(t, "host")
+	h := m.hosts[i]
+	name := rapid.SampledFrom(m.names).Draw(t, "name")
+	switch rapid.SampledFrom([]string{"pass", "long", "want", "want", "release", "transfer", "stall", "resume", "resume", "restart", "faults", "repair"}).Draw(t, "action") {
+	case "pass":
+		m.pass(time.Duration(rapid.IntRange(50, 2000).Draw(t, "milliseconds")) * time.Millisecond)
+	case "long":
+		m.pass(time.Duration(rapid.IntRange(5, 20).Draw(t, "seconds")) * time.Second)
+	case "want":
+		h.Want(name, i)
+	case "release":
+		h.Release(name)
+	case "transfer":
+		m.transfer(h, m.hosts[(i+1)%len(m.hosts)], name)
+	case "stall":
+		h.table.stalled.Store(true)
+	case "resume":
+		h.table.stalled.Store(false)
+	case "restart":
+		h.table.dead.Store(true)
+		h.table.stalled.Store(false)
+		h.Close()
+		m.start++
+		m.hosts[i] = startHost(m.table, h.Host, m.start)
+		for _, n := range m.names {
+			m.hosts[i].Want(n, i)
+		}
+	case "faults":
+		m.table.SetFaults(platform.Faults{
+			Unavailable: rapid.IntRange(0, 9).Draw(t, "unavailable") == 0,
+			LostReply:   0.2, LostRequest: 0.1, LateWrite: 0.2,
+			LateDelay: time.Duration(rapid.IntRange(0, 15000).Draw(t, "late")) * time.Millisecond,
+			Delay:     time.Duration(rapid.IntRange(0, 1500).Draw(t, "delay")) * time.Millisecond,
+		})
+	case "repair":
+		m.table.SetFaults(platform.Faults{})
+	}
+	synctest.Wait()
+	m.check()
+}
+
+func (m *machine) transfer(from, to *testHost, name Name) {
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if epoch, err := from.Transfer(ctx, name, to.Host, to.Start); err == nil {
+			_ = to.Adopt(ctx, name, epoch)
+		}
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+			m.pass(100 * time.Millisecond)
+		}
+	}
+}
+
+// TestKeeperMachine guards against two holders, a reused epoch and a lease that
+// nobody gains once the table works, under pauses, restarts and table faults.
+func TestKeeperMachine(t *testing.T) {
+	steps, used := 0, 0
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubble{t}, func(t *rapid.T) {
+			m := &machine{
+				t: t, table: platform.NewTable(rapid.Uint64().Draw(t, "table")), names: []Name{"a", "b", "c"},
+				tenures: map[string]string{}, highest: map[Name]fleet.Epoch{}, start: 3,
+			}
+			for i, host := range []fleet.HostName{"x", "y", "z"} {
+				m.hosts = append(m.hosts, startHost(m.table, host, fleet.StartNumber(i+1)))
+			}
+			defer func() {
+				for _, h := range m.hosts {
+					h.table.stalled.Store(false)
+					h.Close()
+				}
+			}()
+			for range 250 {
+				m.step()
+				steps++
+			}
+			m.table.SetFaults(platform.Faults{})
+			for i, h := range m.hosts {
+				h.table.stalled.Store(false)
+				for _, name := range m.names {
+					h.Want(name, i)
+				}
+			}
+			m.pass(45 * time.Second)
+			for _, name := range m.names {
+				if !valid(m.hosts[0], name) && !valid(m.hosts[1], name) && !valid(m.hosts[2], name) {
+					t.Fatalf("lease %s has no holder 45 s after all faults ended", name)
+				}
+			}
+			used += len(m.tenures)
+		})
+	})
+	t.Logf("%d steps, %d tenures", steps, used)
+}
