--- a/coordination/ownership/grant.go
+++ b/coordination/ownership/grant.go
@@ -100,6 +100,10 @@
 	if o.unanswered[o.named(adapter)] {
 		return verdict.Refuse(verdict.CodeLoadFailed, "adapter %s cannot load on engine %s: an unload order is unanswered", adapter, o.Engine.Name)
 	}
+	if o.waiting >= o.settings.WaitingLimit {
+		// Demands whose callers stopped waiting make room.
+		o.refuseImpatient(now)
+	}
 	if o.waiting >= o.settings.WaitingLimit {
 		return o.refuseFull()
 	}
--- a/coordination/ownership/owner.go
+++ b/coordination/ownership/owner.go
@@ -276,6 +276,8 @@
 	// pins is more than 0.
 	pins int
 	used time.Time
+	// unloadAt is when a failed unload may be tried again.
+	unloadAt time.Time
 }
 
 // A pin is a grant as the owner keeps it.
--- a/coordination/ownership/residency.go
+++ b/coordination/ownership/residency.go
@@ -222,7 +222,7 @@
 
 // removable says whether an instance may be unloaded.
 func (o *Owner) removable(e *entry, now time.Time) bool {
-	if e.pins > 0 || e.state == stateLoading || e.state == stateUnloading {
+	if e.pins > 0 || e.state == stateLoading || e.state == stateUnloading || now.Before(e.unloadAt) {
 		return false
 	}
 	if e.instance.Epoch == o.Epoch || e.adopted {
@@ -257,6 +257,9 @@
 		o.reportAt = now
 		return
 	}
+	// A failed order is not repeated at once, or an engine that refuses it would
+	// receive orders without pause.
+	e.unloadAt = now.Add(o.settings.ReportInterval)
 	var known *verdict.Error
 	unknown := errors.As(r.err, &known) && known.Code == verdict.CodeUnknownInstance
 	switch {
