claim: check the age of the request id again before the ticket

An id that was 24 h old on arrival was refused without an answer after the group wait, because the second check was as strict as the first one. The second check guards against a process that was paused until the claim of an earlier try expired; it now has a margin of 30 min and answers at once.

--- a/coordination/claim/entry.go
+++ b/coordination/claim/entry.go
@@ -273,9 +273,12 @@
 	for len(e.attempts) > 0 {
 		a := e.attempts[0]
 		e.attempts = e.attempts[1:]
-		// A process that was paused may wake after the end of the id's
-		// protection, so the age is checked again.
-		if !now.Before(a.deadline) || checkIdentifier(e.key.Request, now) != nil {
+		if !now.Before(a.deadline) {
+			a.settle(attemptAnswer{failure: a.refusal(verdict.CodeDeadline, 0, nil)})
+			continue
+		}
+		if failure := checkAge(e.key.Request, now, OldestID+grantMargin); failure != nil {
+			a.settle(attemptAnswer{failure: failure})
 			continue
 		}
 		if a.settle(attemptAnswer{ticket: booking.Ticket{Key: e.key, Token: e.token}}) {
--- a/coordination/claim/identifier.go
+++ b/coordination/claim/identifier.go
@@ -9,6 +9,12 @@
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
+// grantMargin is how much older than OldestID an accepted id may become before
+// its claim is granted. A process that was paused for longer could otherwise
+// claim an id whose earlier claim has expired. It is less than the 55 min by
+// which Lifetime exceeds OldestID and NewestID.
+const grantMargin = 30 * time.Minute
+
 // checkIdentifier refuses ids that are not UUIDs of version 7 in lower case, or
 // that are outside the time in which a claim protects them.
 func checkIdentifier(id fleet.RequestID, now time.Time) *verdict.Error {
@@ -16,12 +22,18 @@
 	if !ok {
 		return verdict.Refuse(verdict.CodeRequestID, "request id %q is not a UUID of version 7 in lower case", string(id))
 	}
-	if now.Sub(made) > OldestID {
-		return verdict.Refuse(verdict.CodeRequestID, "request id %s is older than %v", id, OldestID)
-	}
 	if made.Sub(now) > NewestID {
 		return verdict.Refuse(verdict.CodeRequestID, "request id %s is more than %v ahead of the clock", id, NewestID)
 	}
+	return checkAge(id, now, OldestID)
+}
+
+// checkAge refuses ids that are older than limit.
+func checkAge(id fleet.RequestID, now time.Time, limit time.Duration) *verdict.Error {
+	made, _ := identifierTime(id)
+	if now.Sub(made) > limit {
+		return verdict.Refuse(verdict.CodeRequestID, "request id %s is older than %v", id, limit)
+	}
 	return nil
 }
 
