--- a/coordination/membership/monitor.go
+++ b/coordination/membership/monitor.go
@@ -102,7 +102,7 @@
 	DirectLimit int
 
 	lifecycle duty.Lifecycle
-	once, end sync.Once
+	once      sync.Once
 	messages  *ring.Ring[message]
 	done      chan struct{}
 	running   atomic.Bool
@@ -185,7 +185,6 @@
 // Run keeps the view until ctx ends or Close.
 func (m *Monitor) Run(ctx context.Context) error {
 	m.prepare()
-	defer m.end.Do(func() { close(m.done) })
 	return m.lifecycle.Run(ctx, m.loop)
 }
 
@@ -213,6 +212,9 @@
 	m.attempted = make(map[string]time.Time)
 	m.listing = new(atomic.Bool)
 	m.running.Store(true)
+	// Waiting calls must end before the workers are waited for: two hosts that
+	// stop may wait in calls of each other.
+	defer close(m.done)
 	defer m.running.Store(false)
 	m.beat(ctx, false)
 	m.publish(true)
--- a/coordination/revision/distributor.go
+++ b/coordination/revision/distributor.go
@@ -94,7 +94,7 @@
 	PushDirectly int
 
 	lifecycle duty.Lifecycle
-	once, end sync.Once
+	once      sync.Once
 	messages  *ring.Ring[message]
 	done      chan struct{}
 	running   atomic.Bool
@@ -249,7 +249,6 @@
 // Run spreads configurations until ctx ends or Close.
 func (d *Distributor) Run(ctx context.Context) error {
 	d.prepare()
-	defer d.end.Do(func() { close(d.done) })
 	return d.lifecycle.Run(ctx, d.loop)
 }
 
@@ -263,6 +262,9 @@
 	d.pulling = make(map[string]*atomic.Bool)
 	d.readingHead = new(atomic.Bool)
 	d.running.Store(true)
+	// Waiting calls must end before the workers are waited for: two hosts that
+	// stop may wait in calls of each other.
+	defer close(d.done)
 	defer d.running.Store(false)
 	d.readHead(ctx)
 	timer := time.NewTimer(headInterval)
