dispatch: end a run before its grant, keep doubt, and name runs uniquely

Cause: reading the engine client showed four faults. A try that may have run, followed by one that did not, was reported as not-run. A grant was released while the engine still held a stream that could be resumed, so its instance could be evicted under the run. A resumed stream demanded a new grant, which may name another epoch. Engines know runs by the caller's request id, so that two callers with one id could cancel or resume each other's runs. Change: doubt outlasts later refusals; the grant of an open run is kept for the resume and released only after the engine confirmed the cancel; runs have an id of their own (fresh, or derived from the claim's key for requests that may not be repeated). New cases in TestTries and TestRunIsEndedBeforeItsGrant cover the first two.

--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -42,8 +41,6 @@
 	// Choose returns an engine that is not in tried and counts the request on
 	// it, or returns a *verdict.Error.
 	Choose(r *request.Request, tried []fleet.EngineName) (fleet.EngineName, error)
-	// Again counts a request on an engine that it returns to.
-	Again(engine fleet.EngineName)
 	// Done ends the count of a request on an engine.
 	Done(engine fleet.EngineName)
 }
@@ -80,6 +77,8 @@
 	// the caller already has; it is more than zero only after an earlier call
 	// for the same request on the same engine. The error is a *verdict.Error.
 	Complete(ctx context.Context, grant fleet.Grant, r *request.Request, resume int, sink Sink) (request.Answer, error)
+	// Cancel ends a run. With a nil error the request does not run on the engine.
+	Cancel(ctx context.Context, engine fleet.Engine, request fleet.RequestID) error
 }
 
 // A ServiceCaller runs a request on a plain service.
@@ -187,21 +186,36 @@
 	tried   []fleet.EngineName
 	stalled time.Duration
 	chunks  *countingSink
-	// resumable is the engine that holds the stream of the last try.
-	resumable fleet.EngineName
+	// open is the grant under which the request may still run on an engine.
+	// It is not released before the request has ended there.
+	open *openRun
+	// doubt is the last failure after which the request may have run.
+	doubt *verdict.Error
 }
 
+// An openRun is a run that an engine may still hold.
+type openRun struct {
+	grant fleet.Grant
+	// end is when the grant ends on this host's clock.
+	end time.Time
+}
+
+// cancelTimeout bounds the order that ends an abandoned run. A run that is not
+// ended in time keeps its grant, which the owner cancels at its end.
+const cancelTimeout = 2 * time.Second
+
 // tries makes tries until one succeeds, may not be followed by another, or the
 // retry budget is spent.
 func (d *Dispatcher) tries(ctx context.Context, r *request.Request, sink Sink) (request.Answer, error) {
 	p := &progress{chunks: &countingSink{sink: sink}}
+	defer func() { d.abandon(ctx, r, p) }()
 	for retry := 1; ; retry++ {
 		answer, err := d.try(ctx, r, p)
 		if err == nil {
 			answer.Stalled = p.stalled
 			return answer, nil
 		}
-		failure := verdict.From(err)
+		failure := p.note(verdict.From(err))
 		if !d.mayRetry(r, p, failure) {
 			return request.Answer{}, failure
 		}
@@ -218,20 +232,26 @@
 	if failure.Code == verdict.CodeCanceled || failure.Code == verdict.CodeDeadline {
 		return false
 	}
-	if p.chunks.count > 0 && p.resumable == "" {
+	if p.chunks.count > 0 && (p.open == nil || !resumable(failure.Code)) {
 		return false
 	}
-	if failure.Verdict == verdict.NotRun {
-		return true
-	}
-	return failure.Verdict == verdict.MayHaveRun && r.Repeatable()
+	return r.Repeatable() || p.doubt == nil
+}
+
+// resumable says whether the engine may still hold the stream.
+func resumable(code verdict.Code) bool {
+	return code == verdict.CodeBackendLost || code == verdict.CodeIncomplete
 }
 
 func (d *Dispatcher) try(ctx context.Context, r *request.Request, p *progress) (request.Answer, error) {
 	if r.Service != "" {
 		return d.Services.Call(ctx, r)
 	}
-	engine, err := d.engineFor(r, p)
+	if p.open != nil && p.chunks.count > 0 {
+		return d.complete(ctx, r, p, *p.open)
+	}
+	d.abandon(ctx, r, p)
+	engine, err := d.Router.Choose(r, p.tried)
 	if err != nil {
 		return request.Answer{}, err
 	}
@@ -242,27 +262,48 @@
 		p.tried = append(p.tried, engine)
 		return request.Answer{}, err
 	}
-	defer d.Grants.Release(grant)
 	p.stalled += grant.Stalled
-	end := sent.Add(grant.Duration)
-	if !time.Now().Before(end) {
-		return request.Answer{}, verdict.Refuse(verdict.CodeNoGrant, "grant on engine %s ended before dispatch", engine)
+	return d.complete(ctx, r, p, openRun{grant: grant, end: sent.Add(grant.Duration)})
+}
+
+// complete calls the engine under a grant and releases the grant, unless the
+// run may go on there.
+func (d *Dispatcher) complete(ctx context.Context, r *request.Request, p *progress, run openRun) (request.Answer, error) {
+	p.open = nil
+	if !time.Now().Before(run.end) {
+		d.Grants.Release(run.grant)
+		return request.Answer{}, verdict.Refuse(verdict.CodeNoGrant, "grant on engine %s ended before dispatch", run.grant.Engine)
 	}
-	callContext, cancel := context.WithDeadline(ctx, end)
+	callContext, cancel := context.WithDeadline(ctx, run.end)
 	defer cancel()
-	answer, err := d.Engines.Complete(callContext, grant, r, p.chunks.count, p.chunks)
-	if err != nil {
-		p.note(engine, err)
+	answer, err := d.Engines.Complete(callContext, run.grant, r, p.chunks.count, p.chunks)
+	failure := verdict.From(err)
+	if failure == nil || failure.Verdict != verdict.MayHaveRun {
+		d.Grants.Release(run.grant)
+	} else {
+		p.open = &run
 	}
-	return answer, err
+	if failure == nil {
+		return answer, nil
+	}
+	d.exclude(p, run.grant.Engine, failure)
+	return answer, failure
 }
 
-func (d *Dispatcher) engineFor(r *request.Request, p *progress) (fleet.EngineName, error) {
-	if p.resumable != "" && p.chunks.count > 0 {
-		d.Router.Again(p.resumable)
-		return p.resumable, nil
+// abandon ends a run that nobody waits for and then releases its grant. A run
+// that cannot be ended keeps its grant until the grant's end.
+func (d *Dispatcher) abandon(ctx context.Context, r *request.Request, p *progress) {
+	if p.open == nil {
+		return
+	}
+	grant := p.open.grant
+	p.open = nil
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	engine := fleet.Engine{Name: grant.Engine, Address: grant.Address}
+	if d.Engines.Cancel(bounded, engine, r.RunID) == nil {
+		d.Grants.Release(grant)
 	}
-	return d.Router.Choose(r, p.tried)
 }
 
 func (d *Dispatcher) demandFor(r *request.Request, engine fleet.EngineName, now time.Time) Demand {
@@ -270,7 +311,7 @@
 	return Demand{
 		Engine:   engine,
 		Adapter:  r.Adapter,
-		Request:  r.ID,
+		Request:  r.RunID,
 		Holder:   d.Host,
 		Patience: left,
 		Duration: min(left, d.GrantLimit),
@@ -278,18 +319,10 @@
 	}
 }
 
-// note remembers what a failed call means for the next try.
-func (p *progress) note(engine fleet.EngineName, err error) {
-	var failure *verdict.Error
-	if !errors.As(err, &failure) {
-		return
-	}
-	if failure.Code == verdict.CodeUnknownInstance {
-		// The owner learns of the restart; the same engine may serve the next try.
-		return
-	}
-	if failure.Code == verdict.CodeBackendLost || failure.Code == verdict.CodeIncomplete {
-		p.resumable = engine
+// exclude keeps the next try away from an engine that failed. An engine that
+// does not know the instance, or whose connection was lost, may serve it.
+func (d *Dispatcher) exclude(p *progress, engine fleet.EngineName, failure *verdict.Error) {
+	if failure.Code == verdict.CodeUnknownInstance || resumable(failure.Code) {
 		return
 	}
 	if !slices.Contains(p.tried, engine) {
@@ -297,6 +330,21 @@
 	}
 }
 
+// note keeps the doubt of earlier tries: a request that may have run once stays
+// so, even if its last try did not run.
+func (p *progress) note(failure *verdict.Error) *verdict.Error {
+	if failure.Verdict == verdict.MayHaveRun {
+		p.doubt = failure
+		return failure
+	}
+	if p.doubt == nil {
+		return failure
+	}
+	doubtful := *failure
+	doubtful.Verdict = verdict.MayHaveRun
+	return &doubtful
+}
+
 // countingSink counts the chunks that the caller has. A nil inner sink drops them.
 type countingSink struct {
 	sink  Sink
--- a/coordination/dispatch/dispatcher_test.go
+++ b/coordination/dispatch/dispatcher_test.go
@@ -29,11 +29,15 @@
 	// calls are the results of the engine, one for each try.
 	calls    []call
 	made     int
+	granted  int
 	released int
-	inFlight int
-	resumes  []int
-	engines  []fleet.EngineName
-	finished []*verdict.Error
+	canceled int
+	// cancelErr is the result of every cancel order.
+	cancelErr error
+	inFlight  int
+	resumes   []int
+	engines   []fleet.EngineName
+	finished  []*verdict.Error
 }
 
 type call struct {
@@ -57,8 +61,12 @@
 	return fleet.EngineName([]string{"first", "second", "third", "fourth"}[len(tried)]), nil
 }
 
-func (p *parts) Again(fleet.EngineName) { p.inFlight++ }
-func (p *parts) Done(fleet.EngineName)  { p.inFlight-- }
+func (p *parts) Done(fleet.EngineName) { p.inFlight-- }
+
+func (p *parts) Cancel(context.Context, fleet.Engine, fleet.RequestID) error {
+	p.canceled++
+	return p.cancelErr
+}
 
 func (p *parts) Demand(_ context.Context, demand Demand) (fleet.Grant, error) {
 	time.Sleep(p.stall)
@@ -67,6 +75,7 @@
 		p.grantErr = p.grantErr[1:]
 		return fleet.Grant{}, err
 	}
+	p.granted++
 	duration := demand.Duration
 	if p.grantFor > 0 {
 		duration = p.grantFor
@@ -130,6 +139,7 @@
 	refused := verdict.Refuse(verdict.CodeNoGrant, "no grant")
 	unknown := verdict.Refuse(verdict.CodeUnknownInstance, "unknown instance")
 	lost := verdict.Doubt(verdict.CodeBackendLost, nil, "connection lost")
+	gone := verdict.Doubt(verdict.CodeBackendRefused, nil, "no such stream")
 	wrong := verdict.Doubt(verdict.CodeWrongInstance, nil, "wrong instance")
 	cases := map[string]struct {
 		repeat  configuration.RepeatRule
@@ -155,6 +165,10 @@
 			parts{grantErr: []error{refused}, calls: []call{{}}}, "", 1, []int{0}},
 		"not repeatable, an error without verdict may have run": {configuration.RepeatForbidden,
 			parts{calls: []call{{err: errors.New("broken")}}}, verdict.MayHaveRun, 1, []int{0}},
+		"repeatable, doubt outlasts a later refusal": {configuration.RepeatAllowed,
+			parts{calls: []call{{err: wrong}, {err: unknown}, {err: unknown}, {err: unknown}}}, verdict.MayHaveRun, 4, []int{0, 0, 0, 0}},
+		"repeatable, the engine lost the stream": {configuration.RepeatAllowed,
+			parts{calls: []call{{chunks: 2, err: lost}, {err: gone}}}, verdict.MayHaveRun, 2, []int{0, 2}},
 		"claim refused": {configuration.RepeatForbidden,
 			parts{claimErr: verdict.Refuse(verdict.CodeTableUnavailable, "table down")}, verdict.NotRun, 0, nil},
 		"not admitted": {configuration.RepeatAllowed,
@@ -177,7 +191,7 @@
 				}
 				c.Assert(p.made, quicktest.Equals, test.calls)
 				c.Assert(p.resumes, quicktest.DeepEquals, test.resumes)
-				c.Assert(p.released, quicktest.Equals, test.calls)
+				c.Assert(p.released, quicktest.Equals, p.granted)
 				c.Assert(p.inFlight, quicktest.Equals, 0)
 				c.Assert(p.finished, quicktest.HasLen, 1)
 			})
@@ -200,6 +214,30 @@
 	})
 }
 
+// TestRunIsEndedBeforeItsGrant guards against a grant that is released while
+// the engine still runs the request: the owner could evict the instance.
+func TestRunIsEndedBeforeItsGrant(t *testing.T) {
+	lost := verdict.Doubt(verdict.CodeBackendLost, nil, "connection lost")
+	for name, test := range map[string]struct {
+		cancelErr error
+		released  int
+	}{
+		"the engine confirms the cancel": {nil, 1},
+		"the engine does not answer":     {errors.New("no answer"), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				p := &parts{calls: []call{{err: lost}}, cancelErr: test.cancelErr}
+				_, err := dispatcher(p).Dispatch(t.Context(), modelRequest(configuration.RepeatForbidden), p)
+				c.Assert(verdict.From(err).Verdict, quicktest.Equals, verdict.MayHaveRun)
+				c.Assert(p.canceled, quicktest.Equals, 1)
+				c.Assert(p.released, quicktest.Equals, test.released)
+			})
+		})
+	}
+}
+
 // TestResumedStreamReturnsToItsEngine guards against a stream that goes on at
 // an engine which does not know it.
 func TestResumedStreamReturnsToItsEngine(t *testing.T) {
--- a/coordination/routing/router.go
+++ b/coordination/routing/router.go
@@ -114,11 +114,6 @@
 	return candidate.Engine.Name, nil
 }
 
-// Again counts a request on an engine that it returns to.
-func (r *Router) Again(engine fleet.EngineName) {
-	r.counter(engine).Add(1)
-}
-
 // Done ends the count of a request on an engine.
 func (r *Router) Done(engine fleet.EngineName) {
 	r.counter(engine).Add(-1)
--- a/protocol/engineorder/completion.go
+++ b/protocol/engineorder/completion.go
@@ -1,9 +1,11 @@
 package engineorder
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 )
 
 // A CompletionRequest has the fields of a completion request that stand-ins read.
@@ -47,11 +49,23 @@
 var errNotAnObject = errors.New("JSON is not an object")
 
 // ReplaceModel returns the JSON object with its model set and all other fields
-// unchanged. The order of the fields is not kept.
-func ReplaceModel(object []byte, model string) ([]byte, error) {
+// unchanged. from is the model that it had. The order of the fields is kept only
+// on the fast path.
+func ReplaceModel(object []byte, from, model string) ([]byte, error) {
+	// Within a JSON string the quotes would be escaped, so a single match is the
+	// field itself. Splicing it costs a fraction of decoding each chunk.
+	old := modelField(from)
+	if bytes.Count(object, old) == 1 {
+		return bytes.Replace(object, old, modelField(model), 1), nil
+	}
 	return replace(object, map[string]any{"model": model})
 }
 
+// modelField returns the encoded field of a model name.
+func modelField(model string) []byte {
+	return append([]byte(`"model":`), strconv.Quote(model)...)
+}
+
 // PrepareRequest returns the body of a completion request with the given model
 // and stream flag and all other fields unchanged.
 func PrepareRequest(body []byte, model string, stream bool) ([]byte, error) {
--- a/protocol/refusal/refusal.go
+++ b/protocol/refusal/refusal.go
@@ -46,8 +46,8 @@
 	verdict.CodeStopping:          {http.StatusServiceUnavailable, typeServer},
 	verdict.CodeOverloaded:        {http.StatusServiceUnavailable, typeServer},
 	verdict.CodeDeadline:          {http.StatusGatewayTimeout, typeServer},
-	verdict.CodeClaimRefused:      {http.StatusConflict, typeRequest},
 	verdict.CodeClaimUnresolved:   {http.StatusConflict, typeServer},
+	verdict.CodeAnswerNotKept:     {http.StatusConflict, typeServer},
 	verdict.CodeTableUnavailable:  {http.StatusServiceUnavailable, typeServer},
 	verdict.CodeConflict:          {http.StatusConflict, typeRequest},
 	verdict.CodeNotOwner:          {http.StatusServiceUnavailable, typeServer},
@@ -62,7 +62,6 @@
 	verdict.CodeInternal:          {http.StatusInternalServerError, typeServer},
 	verdict.CodeStoreUnavailable:  {http.StatusServiceUnavailable, typeServer},
 	verdict.CodeIsolated:          {http.StatusServiceUnavailable, typeServer},
-	verdict.CodeRetryBudgetSpent:  {http.StatusServiceUnavailable, typeServer},
 	verdict.CodeApplicationLimits: {http.StatusTooManyRequests, typeRateLimit},
 }
 
--- a/state/booking/booking.go
+++ b/state/booking/booking.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/request"
@@ -29,6 +31,12 @@
 	return escape.Replace(string(k.Application)) + "/" + escape.Replace(k.Caller) + "/" + escape.Replace(string(k.Request))
 }
 
+// RunID returns the id of the request's run towards engines. It is the same
+// for every try, so that an engine's records show a second run.
+func (k Key) RunID() fleet.RequestID {
+	return fleet.RequestID(uuid.NewSHA1(uuid.NameSpaceURL, []byte(k.String())).String())
+}
+
 // A Token is fresh for each claim, so that a host can tell its own claim from
 // another's.
 type Token string
--- a/state/request/request.go
+++ b/state/request/request.go
@@ -13,6 +13,10 @@
 	// ID is unique for the caller; for a kind that may not be repeated the
 	// caller chose it and it is a UUID version 7.
 	ID fleet.RequestID
+	// RunID identifies the run towards engines and owners. It is unique over
+	// all applications and callers, which may choose the same ID: engines
+	// cancel and resume runs by it.
+	RunID fleet.RequestID
 	// Caller is the customer on whose behalf the application calls.
 	Caller string
 	// Application is the application that was authenticated.
--- a/state/verdict/error.go
+++ b/state/verdict/error.go
@@ -22,7 +22,6 @@
 	CodeStopping          Code = "stopping"
 	CodeOverloaded        Code = "overloaded"
 	CodeDeadline          Code = "deadline"
-	CodeClaimRefused      Code = "claim-refused"
 	CodeClaimUnresolved   Code = "claim-unresolved"
 	CodeAnswerNotKept     Code = "answer-not-kept"
 	CodeTableUnavailable  Code = "table-unavailable"
@@ -39,7 +38,6 @@
 	CodeInternal          Code = "internal"
 	CodeStoreUnavailable  Code = "store-unavailable"
 	CodeIsolated          Code = "isolated"
-	CodeRetryBudgetSpent  Code = "retry-budget-spent"
 	CodeApplicationLimits Code = "application-limits"
 )
 
--- a/transport/engine/client_test.go
+++ b/transport/engine/client_test.go
@@ -84,6 +84,7 @@
 func (f *fixture) request(id string, stream bool) *request.Request {
 	return &request.Request{
 		ID:      fleet.RequestID(id),
+		RunID:   fleet.RequestID(id),
 		Adapter: adapter,
 		Kind:    configuration.Kind{Repeat: configuration.RepeatAllowed},
 		Body:    []byte(`{"model":"kurs@3","temperature":0.5,"messages":[{"role":"user","content":"` + id + `?"}]}`),
--- a/transport/engine/complete.go
+++ b/transport/engine/complete.go
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	engine := fleet.Engine{Name: t.grant.Engine, Address: t.grant.Address}
-	_ = t.client.cancel(ctx, engine, t.request.ID)
+	_ = t.client.cancel(ctx, engine, t.request.RunID)
 }
 
 func (t *completion) run(parent context.Context) (request.Answer, *verdict.Error) {
@@ -124,9 +124,9 @@
 		return request.Answer{}, t.lost(parent, wrote, err)
 	}
 	defer answer.Body.Close() //nolint:errcheck // The body is read or given up.
-	if id := answer.Header.Get(engineorder.HeaderRequestID); id != string(t.request.ID) {
+	if id := answer.Header.Get(engineorder.HeaderRequestID); id != string(t.request.RunID) {
 		return request.Answer{}, verdict.Doubt(verdict.CodeWrongInstance, nil,
-			"engine %s: answer names request %q, not %q", t.grant.Engine, id, t.request.ID)
+			"engine %s: answer names request %q, not %q", t.grant.Engine, id, t.request.RunID)
 	}
 	if answer.StatusCode != http.StatusOK {
 		body, err := t.readAll(answer.Body)
@@ -155,7 +155,7 @@
 		return nil, verdict.Refuse(verdict.CodeInternal, "engine %s: address %q: %v", t.grant.Engine, t.grant.Address, err)
 	}
 	r.Header.Set("Content-Type", "application/json")
-	r.Header.Set(engineorder.HeaderRequestID, string(t.request.ID))
+	r.Header.Set(engineorder.HeaderRequestID, string(t.request.RunID))
 	if end, ok := ctx.Deadline(); ok {
 		left := max(time.Until(end).Milliseconds(), 1)
 		r.Header.Set(engineorder.HeaderTimeout, strconv.FormatInt(left, 10))
@@ -215,7 +215,7 @@
 	if !t.whole() {
 		return request.Answer{}, t.incomplete("answer without a finish reason")
 	}
-	body, err = engineorder.ReplaceModel(body, t.request.Adapter.String())
+	body, err = engineorder.ReplaceModel(body, t.grant.Instance.String(), t.request.Adapter.String())
 	if err != nil {
 		return request.Answer{}, t.incomplete(err.Error())
 	}
@@ -259,7 +259,7 @@
 	if event.Position < t.chunks {
 		return nil
 	}
-	data, err := engineorder.ReplaceModel(event.Data, t.request.Adapter.String())
+	data, err := engineorder.ReplaceModel(event.Data, t.grant.Instance.String(), t.request.Adapter.String())
 	if err != nil {
 		return t.incomplete(err.Error())
 	}
--- a/transport/entry/arrival.go
+++ b/transport/entry/arrival.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/persimmonmux/persimmonmux/state/booking"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/request"
@@ -65,6 +66,9 @@
 	if len(built.Caller) > maxCallerLength {
 		return built, nil, verdict.Refuse(verdict.CodeMalformed, "%s: longer than %d bytes", HeaderCaller, maxCallerLength)
 	}
+	if built.RunID, failure = runID(built); failure != nil {
+		return built, nil, failure
+	}
 	patience, failure := patienceOf(r, kind)
 	if failure != nil {
 		return built, nil, failure
@@ -134,6 +138,19 @@
 	return fleet.RequestID(id.String()), nil
 }
 
+// runID returns the id towards engines. A request that may be repeated gets a
+// new one, because its caller may use one id for several requests at once.
+func runID(r *request.Request) (fleet.RequestID, *verdict.Error) {
+	if !r.Repeatable() {
+		return booking.Key{Application: r.Application, Caller: r.Caller, Request: r.ID}.RunID(), nil
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		return "", &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeInternal, Message: "run id: no random numbers", Cause: err}
+	}
+	return fleet.RequestID(id.String()), nil
+}
+
 // patienceOf returns how long the caller waits.
 func patienceOf(r *http.Request, kind configuration.Kind) (time.Duration, *verdict.Error) {
 	text := r.Header.Get(HeaderTimeout)
--- a/transport/entry/server_test.go
+++ b/transport/entry/server_test.go
@@ -23,6 +23,7 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
 	"github.com/persimmonmux/persimmonmux/protocol/refusal"
+	"github.com/persimmonmux/persimmonmux/state/booking"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/request"
@@ -275,7 +276,9 @@
 		c.Check(got.Repeatable(), qt.IsFalse)
 		got.Arrived, got.Deadline = time.Time{}, time.Time{}
 		c.Check(got, qt.DeepEquals, &request.Request{
-			ID: fleet.RequestID(id), Caller: "student-7", Application: "chat",
+			ID:     fleet.RequestID(id),
+			RunID:  booking.Key{Application: "chat", Caller: "student-7", Request: fleet.RequestID(id)}.RunID(),
+			Caller: "student-7", Application: "chat",
 			Kind: testConfiguration().Kinds["enrolment"], Service: "belegung", Method: "PUT",
 			Path: "/seats/a%2Fb?term=2", ContentType: "text/csv", Body: []byte("x,y"),
 		})
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -2,6 +2,7 @@
 package service
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -138,7 +139,7 @@
 		return request.Answer{}, verdict.Refuse(verdict.CodeMalformed, "service %s: %v", t.service.Name, err)
 	}
 	if len(t.request.Body) > 0 {
-		r.Header.Set("Content-Type", "application/json")
+		r.Header.Set("Content-Type", cmp.Or(t.request.ContentType, "application/json"))
 	}
 	r.Header.Set(headerRequestID, string(t.request.ID))
 	if end, ok := ctx.Deadline(); ok {
