claim: fail TestRefusals with a message where a refusal is missing

Without the check of the id's age the test ended in a nil pointer panic; it now fails in the case 'older'.

--- a/coordination/claim/registry_test.go
+++ b/coordination/claim/registry_test.go
@@ -450,6 +450,7 @@
 					c.Assert(a.Resolve(t.Context(), ticket, ran), quicktest.IsNil)
 					return
 				}
+				c.Assert(err, quicktest.IsNotNil)
 				c.Assert(verdict.From(err).Verdict, quicktest.Equals, verdict.NotRun)
 				c.Assert(verdict.From(err).Code, quicktest.Equals, test.code)
 				writes, reads := table.Counts()
