Add the demo: both deployments in small, with load, faults and a judgement

The invariants are judged by the stand-ins' own records: run counts, loads, arrivals, and answers whose text depends on request, instance and prompt.

--- a/coordination/routing/router.go
+++ b/coordination/routing/router.go
@@ -205,3 +205,12 @@
 		return linkPenalty
 	}
 }
+
+// Candidates returns the number of engines in the newest snapshot.
+func (r *Router) Candidates() int {
+	s := r.snapshot.Load()
+	if s == nil {
+		return 0
+	}
+	return len(s.Candidates)
+}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -42,6 +42,7 @@
 func commands(stdout, stderr io.Writer) []command {
 	return []command{
 		&checkSettingsCommand{stdout: stdout},
+		&demoCommand{stdout: stdout, stderr: stderr},
 		&loadCommand{stdout: stdout},
 		&serveCommand{stderr: stderr},
 		&versionCommand{stdout: stdout},
--- /dev/null
+++ b/internal/demo/summary.go
@@ -0,0 +1,82 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// histogramLimit is the longest latency that a histogram tells apart.
+const histogramLimit = int64(time.Minute / time.Microsecond)
+
+// writeSummary prints what callers saw, by kind, and the faults.
+func writeSummary(w io.Writer, d *Demo, s *system, c *callers, course *course) {
+	_, _ = fmt.Fprintf(w, "%s, %s of load, seed %d: %d entry hosts, %d engines, %d plain servers\n",
+		d.Deployment.Name, d.Length, d.Seed, len(s.hosts), len(s.engines), len(s.services))
+	for _, event := range course.events {
+		_, _ = fmt.Fprintf(w, "  fault: %s\n", event)
+	}
+	for _, kind := range []configuration.KindName{d.Deployment.Chat, d.Deployment.Booking} {
+		writeKind(w, s, c, kind)
+	}
+	doubtful := 0
+	for _, b := range c.bookings {
+		if b.tries[len(b.tries)-1].verdict == verdict.MayHaveRun {
+			doubtful++
+			_, _ = fmt.Fprintf(w, "  booking to look up, it may have run: %s\n", b.id)
+		}
+	}
+	loads, highest := s.platform.Weights.Loads()
+	total := 0
+	for _, number := range loads {
+		total += number
+	}
+	_, _ = fmt.Fprintf(w, "  loads: %d of %d adapters, at most %d in flight\n", total, len(loads), highest)
+}
+
+// writeKind prints one line: answers in time, latencies and outcomes.
+func writeKind(w io.Writer, s *system, c *callers, kind configuration.KindName) {
+	first := hdrhistogram.New(1, histogramLimit, 3)
+	total := hdrhistogram.New(1, histogramLimit, 3)
+	outcomes := make(map[string]int)
+	count, inTime := 0, 0
+	deadline := s.initial.Kinds[kind].Deadline
+	for _, r := range c.all() {
+		if r.kind != kind {
+			continue
+		}
+		count++
+		outcome := string(r.verdict)
+		switch {
+		case r.cut:
+			outcome = "cut-off"
+		case r.code != "":
+			outcome += "/" + string(r.code)
+		}
+		outcomes[outcome]++
+		if r.verdict != verdict.Ran {
+			continue
+		}
+		if r.total <= deadline {
+			inTime++
+		}
+		_ = first.RecordValue(min(r.first.Microseconds(), histogramLimit))
+		_ = total.RecordValue(min(r.total.Microseconds(), histogramLimit))
+	}
+	_, _ = fmt.Fprintf(w, "  %-12s %d tries, %d answered in time; first byte p50 %s p95 %s, whole answer p50 %s p95 %s\n",
+		kind, count, inTime, at(first, 50), at(first, 95), at(total, 50), at(total, 95))
+	for _, outcome := range slices.Sorted(maps.Keys(outcomes)) {
+		_, _ = fmt.Fprintf(w, "    %-32s %d\n", outcome, outcomes[outcome])
+	}
+}
+
+func at(h *hdrhistogram.Histogram, percentile float64) time.Duration {
+	return (time.Duration(h.ValueAtPercentile(percentile)) * time.Microsecond).Round(100 * time.Microsecond)
+}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -171,3 +171,23 @@
 
 // errNoAddress says that a host is not known to the membership.
 var errNoAddress = errors.New("the host's address is not known")
+
+// Revision returns the configuration revision in force at this host, or 0.
+func (h *Host) Revision() configuration.Revision {
+	return h.parts.Distributor.Revision()
+}
+
+// RoutableEngines returns the number of engines that requests may be sent to.
+func (h *Host) RoutableEngines() int {
+	return h.parts.Router.Candidates()
+}
+
+// Accept makes a change to the expected revision; see revision.Distributor.
+func (h *Host) Accept(ctx context.Context, expected configuration.Revision, change configuration.Change) (configuration.Revision, error) {
+	return h.parts.Distributor.Accept(ctx, expected, change)
+}
+
+// Current returns the configuration in force, or nil.
+func (h *Host) Current() *configuration.Configuration {
+	return h.parts.Distributor.Current()
+}
