service: send nothing to servers that the host list names as leaving

Cause: the client looked at the configuration's draining marks only; the host list reached the membership and the routing of engines, but not plain services. The demo's check could not see it, because its load ended before the 3 s were over; the server now leaves at 30% of the run.

--- a/internal/cmd/democmd.go
+++ b/internal/cmd/democmd.go
@@ -24,7 +24,7 @@
 }
 
 // leastDemo is the shortest demo in which every fault has its time.
-const leastDemo = 5.0 // seconds
+const leastDemo = 8.0 // seconds
 
 func (*demoCommand) name() string  { return "demo" }
 func (*demoCommand) short() string { return "Run a small deployment with faults on loopback" }
@@ -35,7 +35,7 @@
 // Execute runs the demo.
 func (d *demoCommand) Execute([]string) error {
 	if d.Seconds < leastDemo {
-		return errors.New("demo: --seconds must be at least 5, so that every fault has its time")
+		return errors.New("demo: --seconds must be at least 8, so that every fault has its time")
 	}
 	deployment, err := demo.FindDeployment(d.Deployment)
 	if err != nil {
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -56,6 +56,8 @@
 	// run is the id under which an engine counts it; empty for plain services.
 	run   fleet.RequestID
 	tries []result
+	// started is when the first try began.
+	started time.Time
 }
 
 // callers sends requests and keeps their results.
@@ -166,7 +168,7 @@
 // book sends one request that may not be repeated until its outcome is known.
 func (c *callers) book(ctx context.Context, number int, adapter *fleet.AdapterReference) {
 	id := fleet.RequestID(uuid.Must(uuid.NewV7()).String())
-	record := bookingRecord{id: id}
+	record := bookingRecord{id: id, started: time.Now()}
 	path, body := "/services/"+string(c.system.deployment.Service)+"/bookings", []byte(fmt.Sprintf(`{"seat":%d}`, number))
 	prompt := fmt.Sprintf("booking %d", number)
 	if adapter != nil {
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -20,7 +20,7 @@
 	lossAt     = 0.45
 	lossFor    = 0.1
 	stopHostAt = 0.55
-	leaveAt    = 0.65
+	leaveAt    = 0.3
 )
 
 const (
@@ -76,6 +76,10 @@
 	}
 	s.platform.Table.SetFaults(platform.Faults{Unavailable: true})
 	c.say("the table was away for %s", time.Duration(outageFor*float64(length)))
+	if !until(leaveAt) {
+		return c
+	}
+	s.leave(c, s.services[random.IntN(len(s.services))])
 	if !until(outageAt + outageFor) {
 		return c
 	}
@@ -93,10 +97,6 @@
 		return c
 	}
 	s.replaceHost(c, callers, s.hosts[random.IntN(len(s.hosts))])
-	if !until(leaveAt) {
-		return c
-	}
-	s.leave(c, s.services[random.IntN(len(s.services))])
 	return c
 }
 
--- a/internal/demo/judgement.go
+++ b/internal/demo/judgement.go
@@ -29,7 +29,7 @@
 		judgeAnswers(c),
 		judgeNotRun(s, c),
 		judgeOnce(s, c),
-		judgeLeaving(s, course),
+		judgeLeaving(s, c, course),
 		judgeStop(c, course),
 		judgeConfiguration(course),
 	}
@@ -73,11 +73,14 @@
 }
 
 func judgeEvictions(s *system, c *callers) invariant {
-	i := invariant{name: "no adapter was evicted while it served a request", unit: "loads with evictions"}
+	i := invariant{name: "no adapter was evicted while it served a request", unit: "loads beyond the slots of the engines"}
 	loads, _ := s.platform.Weights.Loads()
 	for _, number := range loads {
 		i.count += number
 	}
+	for _, engine := range s.initial.Engines {
+		i.count -= engine.Slots
+	}
 	for _, violation := range s.violations() {
 		if strings.Contains(violation, "unloaded") {
 			i.broken = append(i.broken, violation)
@@ -130,13 +133,17 @@
 	return i
 }
 
-func judgeLeaving(s *system, course *course) invariant {
-	i := invariant{name: "a leaving backend server got no new work after 3 s", unit: "server left"}
+func judgeLeaving(s *system, c *callers, course *course) invariant {
+	i := invariant{name: "a leaving backend server got no new work after 3 s", unit: "bookings started after that"}
 	for _, v := range s.services {
 		if v.name != course.leaving {
 			continue
 		}
-		i.count++
+		for _, b := range c.bookings {
+			if b.started.Sub(course.listed) > leaveLimit {
+				i.count++
+			}
+		}
 		if late := v.lastArrival().Sub(course.listed); late > leaveLimit {
 			i.broken = append(i.broken, fmt.Sprintf("server %s got work %s after the host list showed it", v.name, late))
 		}
--- a/internal/entryhost/parts.go
+++ b/internal/entryhost/parts.go
@@ -137,8 +137,12 @@
 		},
 		func() *peer.Client { return &peer.Client{Domain: h.Settings.FailureDomain} },
 		func() *engine.Client { return &engine.Client{} },
-		func(d *revision.Distributor) *service.Client {
-			return &service.Client{Configuration: d.Current, Domain: h.Settings.FailureDomain}
+		func(d *revision.Distributor, m *membership.Monitor) *service.Client {
+			return &service.Client{
+				Configuration: d.Current,
+				Leaving:       func(server string) bool { return m.View().ServerLeaving(server, 0) },
+				Domain:        h.Settings.FailureDomain,
+			}
 		},
 		func() *revisionWatcher { return &revisionWatcher{} },
 		h.newMonitor,
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -38,6 +38,9 @@
 type Client struct {
 	// Configuration returns the configuration in force, or nil.
 	Configuration func() *configuration.Configuration
+	// Leaving says whether a server leaves according to the host list; nil means
+	// that none does.
+	Leaving func(server string) bool
 	// Domain is the failure domain of this host. Its servers are tried first.
 	Domain fleet.FailureDomainName
 	// DialLimit bounds a connection attempt.
@@ -96,7 +99,7 @@
 	var near, far []configuration.Server
 	for _, server := range service.Servers {
 		switch {
-		case draining[server.Name]:
+		case draining[server.Name] || c.Leaving != nil && c.Leaving(server.Name):
 		case server.Domain == c.Domain:
 			near = append(near, server)
 		default:
