--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -77,8 +77,10 @@
 	summary fleet.EngineSummary
 	// instances and load are the sequences of the last change of each.
 	instances, load uint64
-	// loadTold is when load was renewed last.
-	loadTold time.Time
+	// loadTold is when load was renewed last, and reportTold the report that
+	// was current then.
+	loadTold   time.Time
+	reportTold uint64
 }
 
 // A leavingRecord names a process that leaves.
@@ -200,6 +202,7 @@
 	if record == nil {
 		return
 	}
+	defer r.judge(record, now)
 	if record.host.Domain == r.self.Domain || (from.Domain != record.host.Domain && from.Domain != r.self.Domain) {
 		return
 	}
@@ -208,7 +211,6 @@
 		live:     sighting.Host.State == fleet.HostLive || sighting.Host.State == fleet.HostLeaving,
 		revision: sighting.Revision,
 	}
-	r.judge(record, now)
 }
 
 // learnEngine merges a summary: the higher epoch is right, then the higher
@@ -236,16 +238,24 @@
 	record.summary = summary
 	r.enginesDirty = true
 	if !known {
-		record.instances, record.load, record.loadTold = r.next(), r.sequence, now
+		record.instances = r.next()
 		r.urgent = true
-	} else if summary.Owner == r.self.Name || now.Sub(record.loadTold) >= relayedLoadInterval {
-		record.load, record.loadTold = r.next(), now
 	}
+	r.renewLoad(record, !known, now)
 	if previous.Epoch != summary.Epoch || previous.Owner != summary.Owner || previous.Start != summary.Start {
 		r.events = append(r.events, Event{Kind: EventEngine, Engine: summary})
 	}
 }
 
+// renewLoad tells peers of a change of load, of engines of others only each
+// relayedLoadInterval. What waits is told by a later tick.
+func (r *roster) renewLoad(record *engineRecord, always bool, now time.Time) {
+	due := record.summary.Owner == r.self.Name || now.Sub(record.loadTold) >= relayedLoadInterval
+	if always || (due && record.reportTold != record.summary.Report) {
+		record.load, record.loadTold, record.reportTold = r.next(), now, record.summary.Report
+	}
+}
+
 func newer(a, b fleet.EngineSummary) bool {
 	return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Report, b.Report)) > 0
 }
@@ -417,6 +427,9 @@
 	for _, record := range r.hosts {
 		r.judge(record, now)
 	}
+	for _, record := range r.engines {
+		r.renewLoad(record, false, now)
+	}
 	for name, record := range r.leaving {
 		if now.Sub(record.learned) >= forgetLimit && r.hosts[fleet.HostName(name)] == nil && r.servers[name] == 0 {
 			delete(r.leaving, name)
@@ -536,15 +549,7 @@
 	if r.direct {
 		return targets
 	}
-	own := []fleet.Host{}
-	if r.self.State == fleet.HostLive {
-		own = append(own, r.self)
-	}
-	for _, record := range targets {
-		if record.status.Host.State == fleet.HostLive {
-			own = append(own, record.host)
-		}
-	}
+	own := preferLive(append(r.relayCandidates(targets), r.self))
 	for domain, records := range domains {
 		for _, relay := range Relays(r.self.Domain, domain, own) {
 			if relay.Name == r.self.Name {
@@ -555,23 +560,42 @@
 	return targets
 }
 
-// farRelays returns the relays of another failure domain. When none of its
-// hosts is heard, it returns two that change with time, so that a failure
-// domain whose hosts were all replaced is found again.
-func (r *roster) farRelays(domain fleet.FailureDomainName, records []*hostRecord, now time.Time) []*hostRecord {
-	var live, all []fleet.Host
+// relayCandidates returns the hosts of records that are heard, the live ones
+// only if there are any: leaving hosts are relays when no others are left.
+func (r *roster) relayCandidates(records []*hostRecord) []fleet.Host {
+	var heard []fleet.Host
 	for _, record := range records {
-		all = append(all, record.host)
-		if record.status.Heard && record.status.Host.State == fleet.HostLive {
-			live = append(live, record.host)
+		if record.status.Heard {
+			heard = append(heard, record.status.Host)
+		}
+	}
+	return preferLive(heard)
+}
+
+// preferLive returns the live hosts, or all of them if none is live.
+func preferLive(hosts []fleet.Host) []fleet.Host {
+	var live []fleet.Host
+	for _, host := range hosts {
+		if host.State == fleet.HostLive {
+			live = append(live, host)
 		}
 	}
-	chosen := Relays(r.self.Domain, domain, live)
 	if len(live) == 0 {
-		slices.SortFunc(all, func(a, b fleet.Host) int { return cmp.Compare(a.Name, b.Name) })
-		first := int(now.Unix()) * relaysPerPair % len(all)
-		for i := range min(relaysPerPair, len(all)) {
-			chosen = append(chosen, all[(first+i)%len(all)])
+		return hosts
+	}
+	return live
+}
+
+// farRelays returns the relays of another failure domain. When none of its
+// hosts is heard, it returns two that change with time, so that a failure
+// domain whose hosts were all replaced is found again.
+func (r *roster) farRelays(domain fleet.FailureDomainName, records []*hostRecord, now time.Time) []*hostRecord {
+	chosen := Relays(r.self.Domain, domain, r.relayCandidates(records))
+	if len(chosen) == 0 {
+		slices.SortFunc(records, func(a, b *hostRecord) int { return cmp.Compare(a.host.Name, b.host.Name) })
+		first := int(now.Unix()) * relaysPerPair % len(records)
+		for i := range min(relaysPerPair, len(records)) {
+			chosen = append(chosen, records[(first+i)%len(records)].host)
 		}
 	}
 	var targets []*hostRecord
