--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -22,10 +22,14 @@
 	direct      bool
 
 	sequence uint64
-	hosts    map[fleet.HostName]*hostRecord
-	engines  map[fleet.EngineName]*engineRecord
-	leaving  map[string]*leavingRecord
-	servers  map[string]fleet.StartNumber
+	// changed has an entry for each sequence in rising order, so that a
+	// heartbeat looks only at what changed since the last one. Entries of
+	// things that changed again are skipped, and dropped by compact.
+	changed []changeEntry
+	hosts   map[fleet.HostName]*hostRecord
+	engines map[fleet.EngineName]*engineRecord
+	leaving map[string]*leavingRecord
+	servers map[string]fleet.StartNumber
 
 	events       []Event
 	hostsDirty   bool
@@ -34,6 +38,14 @@
 	urgent bool
 }
 
+// A changeEntry names what got a sequence. One of the names is set.
+type changeEntry struct {
+	sequence uint64
+	host     fleet.HostName
+	engine   fleet.EngineName
+	leaving  string
+}
+
 // A hostRecord is what is known of one other host.
 type hostRecord struct {
 	host fleet.Host
@@ -77,8 +89,15 @@
 	summary fleet.EngineSummary
 	// instances and load are the sequences of the last change of each.
 	instances, load uint64
-	// loadTold is when load was renewed last.
-	loadTold time.Time
+	// loadTold is when load was renewed last, and reportTold the report that
+	// was current then.
+	loadTold   time.Time
+	reportTold uint64
+}
+
+// sequence is the sequence of the last change.
+func (e *engineRecord) sequence() uint64 {
+	return max(e.instances, e.load)
 }
 
 // A leavingRecord names a process that leaves.
@@ -101,11 +120,27 @@
 	}
 }
 
-func (r *roster) next() uint64 {
+// next returns the next sequence for what the entry names.
+func (r *roster) next(entry changeEntry) uint64 {
 	r.sequence++
+	entry.sequence = r.sequence
+	r.changed = append(r.changed, entry)
 	return r.sequence
 }
 
+// compact drops the entries of things that changed again.
+func (r *roster) compact() {
+	if len(r.changed) <= 2*(2*len(r.hosts)+len(r.engines)+len(r.leaving))+itemLimit {
+		return
+	}
+	r.changed = slices.DeleteFunc(r.changed, func(entry changeEntry) bool {
+		host, engine, leaving := r.hosts[entry.host], r.engines[entry.engine], r.leaving[entry.leaving]
+		return !(host != nil && (host.near.sequence == entry.sequence || host.far.sequence == entry.sequence)) &&
+			!(engine != nil && engine.sequence() == entry.sequence) &&
+			!(leaving != nil && leaving.sequence == entry.sequence)
+	})
+}
+
 // receive takes a heartbeat that came from its sender directly. It reports
 // whether the sender is the newest process under its name.
 func (r *roster) receive(h fleet.Heartbeat, now time.Time) bool {
@@ -173,7 +208,7 @@
 	if record != nil && record.start >= start {
 		return
 	}
-	r.leaving[name] = &leavingRecord{start: start, sequence: r.next(), learned: now}
+	r.leaving[name] = &leavingRecord{start: start, sequence: r.next(changeEntry{leaving: name}), learned: now}
 	r.hostsDirty, r.urgent = true, true
 	if host := r.hosts[fleet.HostName(name)]; host != nil {
 		r.judge(host, now)
@@ -200,6 +235,7 @@
 	if record == nil {
 		return
 	}
+	defer r.judge(record, now)
 	if record.host.Domain == r.self.Domain || (from.Domain != record.host.Domain && from.Domain != r.self.Domain) {
 		return
 	}
@@ -208,7 +244,6 @@
 		live:     sighting.Host.State == fleet.HostLive || sighting.Host.State == fleet.HostLeaving,
 		revision: sighting.Revision,
 	}
-	r.judge(record, now)
 }
 
 // learnEngine merges a summary: the higher epoch is right, then the higher
@@ -236,16 +271,24 @@
 	record.summary = summary
 	r.enginesDirty = true
 	if !known {
-		record.instances, record.load, record.loadTold = r.next(), r.sequence, now
+		record.instances = r.next(changeEntry{engine: summary.Engine})
 		r.urgent = true
-	} else if summary.Owner == r.self.Name || now.Sub(record.loadTold) >= relayedLoadInterval {
-		record.load, record.loadTold = r.next(), now
 	}
+	r.renewLoad(record, !known, now)
 	if previous.Epoch != summary.Epoch || previous.Owner != summary.Owner || previous.Start != summary.Start {
 		r.events = append(r.events, Event{Kind: EventEngine, Engine: summary})
 	}
 }
 
+// renewLoad tells peers of a change of load, of engines of others only each
+// relayedLoadInterval. What waits is told by a later tick.
+func (r *roster) renewLoad(record *engineRecord, always bool, now time.Time) {
+	due := record.summary.Owner == r.self.Name || now.Sub(record.loadTold) >= relayedLoadInterval
+	if always || (due && record.reportTold != record.summary.Report) {
+		record.load, record.loadTold, record.reportTold = r.next(changeEntry{engine: record.summary.Engine}), now, record.summary.Report
+	}
+}
+
 func newer(a, b fleet.EngineSummary) bool {
 	return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Report, b.Report)) > 0
 }
@@ -383,7 +426,7 @@
 	}
 	for _, engine := range r.engines {
 		if engine.summary.Owner == record.host.Name {
-			engine.instances = r.next()
+			engine.instances = r.next(changeEntry{engine: engine.summary.Engine})
 		}
 	}
 }
@@ -394,7 +437,7 @@
 		return false
 	}
 	begins := sighting.Host.State == fleet.HostLive && t.sighting.Host.State != fleet.HostLive
-	*t = told{sighting: sighting, sequence: r.next()}
+	*t = told{sighting: sighting, sequence: r.next(changeEntry{host: sighting.Host.Name})}
 	return begins
 }
 
@@ -417,6 +460,10 @@
 	for _, record := range r.hosts {
 		r.judge(record, now)
 	}
+	for _, record := range r.engines {
+		r.renewLoad(record, false, now)
+	}
+	r.compact()
 	for name, record := range r.leaving {
 		if now.Sub(record.learned) >= forgetLimit && r.hosts[fleet.HostName(name)] == nil && r.servers[name] == 0 {
 			delete(r.leaving, name)
@@ -470,38 +517,66 @@
 	return h
 }
 
+// itemsFor returns what changed after a sequence, newest first.
 func (r *roster) itemsFor(peer *hostRecord, since uint64) []item {
 	var items []item
-	for name, record := range r.leaving {
-		if record.sequence > since {
-			leaving := fleet.Leaving{Name: name, Start: record.start}
-			items = append(items, item{record.sequence, func(h *fleet.Heartbeat) { h.Leaving = append(h.Leaving, leaving) }})
-		}
-	}
 	near := peer.host.Domain == r.self.Domain
-	for _, record := range r.hosts {
-		t := record.far
-		if near {
-			t = record.near
+	for i := len(r.changed) - 1; i >= 0 && r.changed[i].sequence > since; i-- {
+		entry := r.changed[i]
+		var add func(*fleet.Heartbeat)
+		switch {
+		case entry.leaving != "":
+			add = r.leavingItem(entry)
+		case entry.host != "":
+			add = r.hostItem(entry, peer, near)
+		default:
+			add = r.engineItem(entry, since, near)
 		}
-		if record != peer && t.sequence > since && !record.gone {
-			items = append(items, item{t.sequence, func(h *fleet.Heartbeat) { h.Known = append(h.Known, t.sighting) }})
+		if add != nil {
+			items = append(items, item{entry.sequence, add})
 		}
 	}
-	for _, record := range r.engines {
-		sequence := max(record.instances, record.load)
-		if sequence <= since || !r.tellsEngine(record, near) {
-			continue
-		}
-		summary := record.summary
-		if record.instances <= since {
-			summary.Partial, summary.Instances = true, nil
-		}
-		items = append(items, item{sequence, func(h *fleet.Heartbeat) { h.Engines = append(h.Engines, summary) }})
-	}
 	return items
 }
 
+// leavingItem, hostItem and engineItem return nil when the entry is of an
+// earlier change or not for the peer.
+func (r *roster) leavingItem(entry changeEntry) func(*fleet.Heartbeat) {
+	record := r.leaving[entry.leaving]
+	if record == nil || record.sequence != entry.sequence {
+		return nil
+	}
+	leaving := fleet.Leaving{Name: entry.leaving, Start: record.start}
+	return func(h *fleet.Heartbeat) { h.Leaving = append(h.Leaving, leaving) }
+}
+
+func (r *roster) hostItem(entry changeEntry, peer *hostRecord, near bool) func(*fleet.Heartbeat) {
+	record := r.hosts[entry.host]
+	if record == nil || record == peer || record.gone {
+		return nil
+	}
+	t := record.far
+	if near {
+		t = record.near
+	}
+	if t.sequence != entry.sequence {
+		return nil
+	}
+	return func(h *fleet.Heartbeat) { h.Known = append(h.Known, t.sighting) }
+}
+
+func (r *roster) engineItem(entry changeEntry, since uint64, near bool) func(*fleet.Heartbeat) {
+	record := r.engines[entry.engine]
+	if record == nil || record.sequence() != entry.sequence || !r.tellsEngine(record, near) {
+		return nil
+	}
+	summary := record.summary
+	if record.instances <= since {
+		summary.Partial, summary.Instances = true, nil
+	}
+	return func(h *fleet.Heartbeat) { h.Engines = append(h.Engines, summary) }
+}
+
 // tellsEngine reports whether peers learn of an engine from this host: from its
 // owner, or from a host that vouches for the owner.
 func (r *roster) tellsEngine(record *engineRecord, near bool) bool {
@@ -536,15 +611,7 @@
 	if r.direct {
 		return targets
 	}
-	own := []fleet.Host{}
-	if r.self.State == fleet.HostLive {
-		own = append(own, r.self)
-	}
-	for _, record := range targets {
-		if record.status.Host.State == fleet.HostLive {
-			own = append(own, record.host)
-		}
-	}
+	own := preferLive(append(r.relayCandidates(targets), r.self))
 	for domain, records := range domains {
 		for _, relay := range Relays(r.self.Domain, domain, own) {
 			if relay.Name == r.self.Name {
@@ -555,23 +622,42 @@
 	return targets
 }
 
-// farRelays returns the relays of another failure domain. When none of its
-// hosts is heard, it returns two that change with time, so that a failure
-// domain whose hosts were all replaced is found again.
-func (r *roster) farRelays(domain fleet.FailureDomainName, records []*hostRecord, now time.Time) []*hostRecord {
-	var live, all []fleet.Host
+// relayCandidates returns the hosts of records that are heard, the live ones
+// only if there are any: leaving hosts are relays when no others are left.
+func (r *roster) relayCandidates(records []*hostRecord) []fleet.Host {
+	var heard []fleet.Host
 	for _, record := range records {
-		all = append(all, record.host)
-		if record.status.Heard && record.status.Host.State == fleet.HostLive {
-			live = append(live, record.host)
+		if record.status.Heard {
+			heard = append(heard, record.status.Host)
+		}
+	}
+	return preferLive(heard)
+}
+
+// preferLive returns the live hosts, or all of them if none is live.
+func preferLive(hosts []fleet.Host) []fleet.Host {
+	var live []fleet.Host
+	for _, host := range hosts {
+		if host.State == fleet.HostLive {
+			live = append(live, host)
 		}
 	}
-	chosen := Relays(r.self.Domain, domain, live)
 	if len(live) == 0 {
-		slices.SortFunc(all, func(a, b fleet.Host) int { return cmp.Compare(a.Name, b.Name) })
-		first := int(now.Unix()) * relaysPerPair % len(all)
-		for i := range min(relaysPerPair, len(all)) {
-			chosen = append(chosen, all[(first+i)%len(all)])
+		return hosts
+	}
+	return live
+}
+
+// farRelays returns the relays of another failure domain. When none of its
+// hosts is heard, it returns two that change with time, so that a failure
+// domain whose hosts were all replaced is found again.
+func (r *roster) farRelays(domain fleet.FailureDomainName, records []*hostRecord, now time.Time) []*hostRecord {
+	chosen := Relays(r.self.Domain, domain, r.relayCandidates(records))
+	if len(chosen) == 0 {
+		slices.SortFunc(records, func(a, b *hostRecord) int { return cmp.Compare(a.host.Name, b.host.Name) })
+		first := int(now.Unix()) * relaysPerPair % len(records)
+		for i := range min(relaysPerPair, len(records)) {
+			chosen = append(chosen, records[(first+i)%len(records)].host)
 		}
 	}
 	var targets []*hostRecord
