--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -135,9 +135,10 @@
 	}
 	r.changed = slices.DeleteFunc(r.changed, func(entry changeEntry) bool {
 		host, engine, leaving := r.hosts[entry.host], r.engines[entry.engine], r.leaving[entry.leaving]
-		return !(host != nil && (host.near.sequence == entry.sequence || host.far.sequence == entry.sequence)) &&
-			!(engine != nil && engine.sequence() == entry.sequence) &&
-			!(leaving != nil && leaving.sequence == entry.sequence)
+		newest := host != nil && (host.near.sequence == entry.sequence || host.far.sequence == entry.sequence) ||
+			engine != nil && engine.sequence() == entry.sequence ||
+			leaving != nil && leaving.sequence == entry.sequence
+		return !newest
 	})
 }
 
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -38,7 +38,6 @@
 	once  sync.Once
 	ready chan struct{}
 	parts *parts
-	err   error
 }
 
 // A runner is a duty as the host runs it.
--- a/internal/entryhost/parts.go
+++ b/internal/entryhost/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -355,7 +354,7 @@
 		Listener:      sockets.Caller,
 		Dispatcher:    dispatcher,
 		Configuration: d,
-		Metrics:       http.Handler(recorder.Handler()),
+		Metrics:       recorder.Handler(),
 		Log:           h.Log,
 		GraceTime:     h.Settings.Limits.GraceTime,
 		BodyLimit:     h.Settings.Limits.BodySize,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,7 +28,7 @@
 	OperatorTokenHash string                  `json:"operator-token-hash" help:"SHA-256 of the operators' token in hexadecimal. Without it the host takes no calls of operators."`
 	LogLevel          string                  `json:"log-level" default:"info" help:"Least level that is logged: trace, debug, info, warn or error."`
 	Limits            Limits                  `json:"limits" help:"Limits of this host."`
-	Timings           Timings                 `json:"timings" help:"Times of leases, grants and heartbeats; equal on all hosts of a deployment."`
+	Timings           Timings                 `json:"timings" help:"Times of leases and grants; equal on all hosts of a deployment."`
 	Decisions         Decisions               `json:"decisions" required:"true" help:"What loads and placement weigh; equal on all hosts of a failure domain."`
 }
 
@@ -39,15 +39,13 @@
 	BodySize        int64         `json:"body-size" default:"1048576" help:"Most bytes of a request's body."`
 }
 
-// Timings are the times of leases, grants and heartbeats.
+// Timings are the times of leases and grants.
 type Timings struct {
 	LeaseDuration        time.Duration `json:"lease-duration" default:"10s" help:"How long a lease lasts after the write that took or renewed it."`
 	LeaseRenewal         time.Duration `json:"lease-renewal" default:"3s" help:"Time between renewals. A lease lasts at least two renewals and the margin, so that one lost write does not end it."`
 	LeaseMargin          time.Duration `json:"lease-margin" default:"1s" help:"How long before its end the holder stops using a lease."`
 	GrantLimit           time.Duration `json:"grant-limit" default:"2m" help:"Longest time of a grant."`
 	IsolatedServiceLimit time.Duration `json:"isolated-service-limit" default:"15m" help:"How long an owner that is cut off from the platform goes on granting resident instances."`
-	Heartbeat            time.Duration `json:"heartbeat" default:"1s" help:"Time between heartbeats to a peer."`
-	SilentAfter          time.Duration `json:"silent-after" default:"3s" help:"Time without a heartbeat after which a host counts as silent; at least two heartbeats."`
 }
 
 // Decisions are what loads and placement weigh.
@@ -167,9 +165,6 @@
 	if t.LeaseDuration < 2*t.LeaseRenewal+t.LeaseMargin {
 		d.fail("timings.lease-duration", "is %s, expected at least two renewals and the margin, %s", t.LeaseDuration, 2*t.LeaseRenewal+t.LeaseMargin)
 	}
-	if t.SilentAfter < 2*t.Heartbeat {
-		d.fail("timings.silent-after", "is %s, expected at least two heartbeats, %s", t.SilentAfter, 2*t.Heartbeat)
-	}
 }
 
 // isHash says whether text is a SHA-256 in hexadecimal.
