--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -144,7 +144,7 @@
 
 // bootstrap accepts the initial configuration if the deployment has none.
 func (h *Host) bootstrap(ctx context.Context) {
-	change := initialChange(h.Initial)
+	change := *h.Initial.InitialChange()
 	for ctx.Err() == nil {
 		_, err := h.parts.Distributor.Accept(ctx, 0, change)
 		if err == nil || isConflict(err) {
--- a/internal/entryhost/servers.go
+++ b/internal/entryhost/servers.go
@@ -123,20 +123,6 @@
 	return s.objects.Put(ctx, snapshotKey, encoded)
 }
 
-// initialChange returns the change that leads from nothing to a configuration.
-func initialChange(initial *configuration.Configuration) configuration.Change {
-	return configuration.Change{
-		Revision:     1,
-		Operation:    "initial-configuration",
-		Adapters:     initial.Adapters,
-		Applications: initial.Applications,
-		Kinds:        initial.Kinds,
-		Engines:      initial.Engines,
-		Services:     initial.Services,
-		Draining:     initial.Draining,
-	}
-}
-
 // isConflict says that the head is another revision.
 func isConflict(err error) bool {
 	var failure *verdict.Error
--- a/internal/settings/configuration.go
+++ b/internal/settings/configuration.go
@@ -1,10 +1,9 @@
 package settings
 
 import (
-	"maps"
-	"net/netip"
-	"slices"
+	"errors"
 	"strconv"
+	"strings"
 
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
@@ -22,115 +21,40 @@
 	if c.Revision == 0 {
 		c.Revision = 1
 	}
-	checkEach(d, "adapters", c.Adapters, func(a *configuration.Adapter) *fleet.AdapterName { return &a.Name }, d.checkAdapter)
-	checkEach(d, "kinds", c.Kinds, func(k *configuration.Kind) *configuration.KindName { return &k.Name }, d.checkKind)
-	checkEach(d, "applications", c.Applications, func(a *configuration.Application) *configuration.ApplicationName { return &a.Name },
-		func(key string, a configuration.Application) { d.checkApplication(key, a, &c) })
-	checkEach(d, "engines", c.Engines, func(e *fleet.Engine) *fleet.EngineName { return &e.Name }, d.checkEngine)
-	checkEach(d, "services", c.Services, func(s *configuration.Service) *configuration.ServiceName { return &s.Name }, d.checkService)
+	fillNames(c.Adapters, func(a *configuration.Adapter) *fleet.AdapterName { return &a.Name })
+	fillNames(c.Kinds, func(k *configuration.Kind) *configuration.KindName { return &k.Name })
+	fillNames(c.Applications, func(a *configuration.Application) *configuration.ApplicationName { return &a.Name })
+	fillNames(c.Engines, func(e *fleet.Engine) *fleet.EngineName { return &e.Name })
+	fillNames(c.Services, func(s *configuration.Service) *configuration.ServiceName { return &s.Name })
+	// The rules are those for a change of an operator, so that a file that
+	// passes here is also accepted by the host.
+	var wrong *configuration.FieldError
+	if errors.As((&configuration.Configuration{}).Check(c.InitialChange()), &wrong) {
+		d.fail(place(wrong.Path), "%s", wrong.Problem)
+	}
 	return c, d.result()
 }
 
-// checkEach fills in the names of elements from their keys and checks them in
-// the order of their names.
-func checkEach[K ~string, V any](d *decoder, path string, elements map[K]V, name func(*V) *K, check func(string, V)) {
-	for _, key := range slices.Sorted(maps.Keys(elements)) {
-		element := elements[key]
-		place := join(path, string(key))
-		switch given := name(&element); *given {
-		case "":
+// fillNames sets the names that were left out to their keys.
+func fillNames[K ~string, V any](elements map[K]V, name func(*V) *K) {
+	for key, element := range elements {
+		if given := name(&element); *given == "" {
 			*given = key
 			elements[key] = element
-		case key:
-		default:
-			d.fail(join(place, "name"), "is %q, expected the key %q or nothing", *given, key)
-		}
-		check(place, element)
-	}
-}
-
-func (d *decoder) checkAdapter(key string, a configuration.Adapter) {
-	if _, err := fleet.ParseAdapterReference(string(a.Name) + "@1"); err != nil {
-		d.fail(key, "%v, expected a name without '@' and '#'", err)
-	}
-	if len(a.Versions) == 0 || a.Versions[0] < 1 || !slices.IsSorted(a.Versions) || len(slices.Compact(slices.Clone(a.Versions))) != len(a.Versions) {
-		d.fail(join(key, "versions"), "expected versions from 1 in rising order")
-	}
-	if !slices.Contains(a.Versions, a.Current) {
-		d.fail(join(key, "current"), "is %d, expected one of the versions", a.Current)
-	}
-}
-
-func (d *decoder) checkKind(key string, k configuration.Kind) {
-	if !slices.Contains([]configuration.Urgency{configuration.UrgencyInteractive, configuration.UrgencyPrompt, configuration.UrgencyDeferred}, k.Urgency) {
-		d.fail(join(key, "urgency"), "is %q, expected interactive, prompt or deferred", k.Urgency)
-	}
-	if k.Repeat != configuration.RepeatAllowed && k.Repeat != configuration.RepeatForbidden {
-		d.fail(join(key, "repeat"), "is %q, expected allowed or forbidden", k.Repeat)
-	}
-	if k.Deadline <= 0 {
-		d.fail(join(key, "deadline"), "is %s, expected more", k.Deadline)
-	}
-	if !(k.Objective >= 0 && k.Objective <= 1) {
-		d.fail(join(key, "objective"), "is %v, expected a share from 0 to 1", k.Objective)
-	}
-}
-
-func (d *decoder) checkApplication(key string, a configuration.Application, c *configuration.Configuration) {
-	if !isHash(a.TokenHash) {
-		d.fail(join(key, "token-hash"), "is no hash, expected 64 hexadecimal digits")
-	}
-	for name, other := range c.Applications {
-		if name < a.Name && other.TokenHash == a.TokenHash {
-			d.fail(join(key, "token-hash"), "is that of application %s, expected another token", name)
-		}
-	}
-	if len(a.Kinds) == 0 {
-		d.fail(join(key, "kinds"), "expected at least one kind")
-	}
-	for i, name := range a.Kinds {
-		if _, ok := c.Kinds[name]; !ok {
-			d.fail(join(key, "kinds")+"["+strconv.Itoa(i)+"]", "%q is no kind, expected one of %v", name, slices.Sorted(maps.Keys(c.Kinds)))
 		}
 	}
-	if a.Concurrency < 0 {
-		d.fail(join(key, "concurrency"), "is %d, expected at least 0", a.Concurrency)
-	}
-}
-
-func (d *decoder) checkEngine(key string, e fleet.Engine) {
-	d.checkBackend(key, e.Domain, e.Address)
-	if e.Slots < 1 {
-		d.fail(join(key, "slots"), "is %d, expected at least 1", e.Slots)
-	}
-	if e.BatchSize < 1 {
-		d.fail(join(key, "batch-size"), "is %d, expected at least 1", e.BatchSize)
-	}
-	if e.Fencing != fleet.FencingEnforced && e.Fencing != fleet.FencingIgnored {
-		d.fail(join(key, "fencing"), "is %q, expected enforced or ignored", e.Fencing)
-	}
 }
 
-func (d *decoder) checkService(key string, s configuration.Service) {
-	for i, server := range s.Servers {
-		place := join(key, "servers") + "[" + strconv.Itoa(i) + "]"
-		if server.Name == "" {
-			d.fail(join(place, "name"), "missing, expected a name")
-		}
-		d.checkBackend(place, server.Domain, server.Address)
-	}
-	for i, status := range s.RefusalProves {
-		if status < 400 || status > 599 {
-			d.fail(join(key, "refusal-proves")+"["+strconv.Itoa(i)+"]", "is %d, expected an HTTP status from 400 to 599", status)
+// place turns the path of a field into the form of the decoder, which writes
+// the positions of lists in brackets.
+func place(path string) string {
+	var joined string
+	for _, part := range strings.Split(path, ".") {
+		if position, err := strconv.Atoi(part); err == nil {
+			joined += "[" + strconv.Itoa(position) + "]"
+			continue
 		}
+		joined = join(joined, part)
 	}
-}
-
-func (d *decoder) checkBackend(key string, domain fleet.FailureDomainName, address string) {
-	if domain == "" {
-		d.fail(join(key, "failure-domain"), "missing, expected the name of a failure domain")
-	}
-	if parsed, err := netip.ParseAddrPort(address); err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified() {
-		d.fail(join(key, "address"), "%q is no address, expected %s", address, expected(addressType))
-	}
+	return joined
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -104,16 +104,16 @@
 	data, err := os.ReadFile("../../examples/kurswerk/configuration.jsonc")
 	qt.Assert(t, err, qt.IsNil)
 	for _, test := range []struct{ name, old, replacement, want string }{
-		{"kind", `["adviser"]`, `["advisor"]`, `.*applications.adviser-desk.kinds\[0\]: "advisor" is no kind, .*`},
-		{"current version", `"current": 2`, `"current": 3`, `.*adapters.latin-grammar.current: is 3, .*`},
-		{"versions in falling order", `[1, 2]`, `[2, 1]`, `.*adapters.latin-grammar.versions: .*`},
-		{"version twice", `[1, 2]`, `[1, 2, 2]`, `.*adapters.latin-grammar.versions: .*`},
+		{"kind", `["adviser"]`, `["advisor"]`, `.*applications.adviser-desk.kinds\[0\]: application "adviser-desk" uses kind "advisor", which does not exist`},
+		{"current version", `"current": 2`, `"current": 3`, `.*adapters.latin-grammar.current: is not one of the versions`},
+		{"versions in falling order", `[1, 2]`, `[2, 1]`, `.*adapters.latin-grammar.versions\[1\]: must be higher than the version before`},
+		{"version twice", `[1, 2]`, `[1, 2, 2]`, `.*adapters.latin-grammar.versions\[2\]: must be higher than the version before`},
 		{"reserved sign", `"latin-grammar"`, `"latin@grammar"`, `.*adapters.latin@grammar: .*`},
-		{"repeat rule", `"repeat": "forbidden"`, `"repeat": "never"`, `.*kinds.enrolment.repeat: is "never", expected allowed or forbidden`},
+		{"repeat rule", `"repeat": "forbidden"`, `"repeat": "never"`, `.*kinds.enrolment.repeat: must be allowed or forbidden`},
 		{"deadline as number", `"deadline": "5s"`, `"deadline": 5000000000`, `.*kinds.catalogue.deadline: .* is no duration, .*`},
 		{"engine address", `10.20.1.100:8000`, `engine-1:8000`, `.*engines.sprachmodelle-1.address: .*`},
-		{"name that is not the key", `"latin-grammar": {`, `"latin-grammar": {"name": "x", `, `.*adapters.latin-grammar.name: is "x", .*`},
-		{"status that proves nothing", `[429]`, `[200]`, `.*services.belegung.refusal-proves\[0\]: is 200, .*`},
+		{"name that is not the key", `"latin-grammar": {`, `"latin-grammar": {"name": "x", `, `.*adapters.latin-grammar.name: must equal the key "latin-grammar"`},
+		{"status that proves nothing", `[429]`, `[200]`, `.*services.belegung.refusal-proves\[0\]: must be an HTTP status from 400 to 599`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			_, err := settings.DecodeConfiguration("c", []byte(strings.Replace(string(data), test.old, test.replacement, 1)))
--- a/state/configuration/change.go
+++ b/state/configuration/change.go
@@ -29,6 +29,21 @@
 	RetireServices     []ServiceName       `json:"retire-services,omitempty"`
 }
 
+// InitialChange returns the change that leads from nothing to the configuration.
+// All hosts that propose the same configuration propose the same operation.
+func (c *Configuration) InitialChange() *Change {
+	return &Change{
+		Revision:     1,
+		Operation:    "initial-configuration",
+		Adapters:     c.Adapters,
+		Applications: c.Applications,
+		Kinds:        c.Kinds,
+		Engines:      c.Engines,
+		Services:     c.Services,
+		Draining:     c.Draining,
+	}
+}
+
 // Apply returns the configuration after the change. The receiver is not
 // modified. The caller checks that c.Revision+1 equals change.Revision.
 func (c *Configuration) Apply(change *Change) *Configuration {
