budget: lend load shares between hosts over the peer protocol

Cause: each host used the fixed share of the engines that it owned, so that an engine waited for its own 1 load/s while others had nothing to load. Change: the holder of the lease load-budget borrows the shares of all hosts that it hears and gives permits by priority; a host that does not hear it uses its own share after the loan ends.

--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
+	"github.com/persimmonmux/persimmonmux/coordination/lease"
 	"github.com/persimmonmux/persimmonmux/internal/settings"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
@@ -81,6 +82,9 @@
 	for _, d := range p.duties() {
 		start(d.name, d.runner)
 	}
+	for _, name := range []lease.Name{cleanupLease, allocatorLease} {
+		p.Keeper.Want(name, 0)
+	}
 	h.Log.Info().Str("caller-address", p.CallerListener.Addr().String()).
 		Str("peer-address", p.PeerListener.Addr().String()).Msg("entry host started")
 	if h.Initial != nil {
--- /dev/null
+++ b/internal/entryhost/loads.go
@@ -0,0 +1,152 @@
+package entryhost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/coordination/budget"
+	"github.com/persimmonmux/persimmonmux/coordination/lease"
+	"github.com/persimmonmux/persimmonmux/coordination/membership"
+	"github.com/persimmonmux/persimmonmux/coordination/ownership"
+	"github.com/persimmonmux/persimmonmux/coordination/revision"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/peer"
+)
+
+// allocatorLease is the lease of the host that gives out the lent load rate.
+const allocatorLease = lease.Name("load-budget")
+
+// A loadShare is this host's part of the failure domain's load rate, which it
+// lends to the allocator. It implements ownership.Budget and peer.Loans.
+type loadShare struct {
+	self        fleet.HostName
+	domain      fleet.FailureDomainName
+	rate        float64
+	book        *addressBook
+	client      *peer.Client
+	distributor *revision.Distributor
+	group       *ownership.Group
+	allocator   *budget.Allocator
+	share       *budget.Share
+
+	mutex sync.Mutex
+	// lentTo is the allocator that asked last.
+	lentTo fleet.HostName
+}
+
+// Acquire implements ownership.Budget.
+func (l *loadShare) Acquire(ctx context.Context, engine fleet.EngineName, _ fleet.AdapterReference, urgency configuration.Urgency) error {
+	return l.share.Acquire(ctx, budget.Want{Engine: engine, Priority: urgencyPriority[urgency]})
+}
+
+// urgencyPriority orders loads of different engines.
+var urgencyPriority = map[configuration.Urgency]float64{
+	configuration.UrgencyInteractive: 3,
+	configuration.UrgencyPrompt:      2,
+	configuration.UrgencyDeferred:    1,
+}
+
+// own returns the domain's rate in proportion to the engines that this host owns.
+func (l *loadShare) own() float64 {
+	current := l.distributor.Current()
+	if current == nil || l.group == nil {
+		return 0
+	}
+	engines := 0
+	for _, engine := range current.Engines {
+		if engine.Domain == l.domain {
+			engines++
+		}
+	}
+	return l.rate * float64(len(l.group.Summaries())) / float64(max(engines, 1))
+}
+
+// Permit asks the allocator that borrowed last. It implements budget.Permits.
+func (l *loadShare) Permit(ctx context.Context, want budget.Want) error {
+	l.mutex.Lock()
+	allocator := l.lentTo
+	l.mutex.Unlock()
+	if allocator == l.self {
+		return l.allocator.Permit(ctx, want)
+	}
+	address, err := l.book.address(allocator)
+	if err != nil {
+		refusal := verdict.Refuse(verdict.CodeNotOwner, "load budget: the allocator is not known")
+		refusal.Cause = err
+		return refusal
+	}
+	return l.client.Permit(ctx, address, want)
+}
+
+// lend promises the share to an allocator.
+func (l *loadShare) lend(allocator fleet.HostName, epoch fleet.Epoch) (budget.Loan, error) {
+	loan, err := l.share.Lend(epoch, time.Now())
+	if err != nil {
+		return loan, err
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.lentTo = allocator
+	return loan, nil
+}
+
+// A loanServer answers other hosts for the share and the allocator of this host.
+type loanServer struct {
+	share *loadShare
+}
+
+// Lend implements peer.Loans.
+func (s *loanServer) Lend(_ context.Context, allocator fleet.HostName, epoch fleet.Epoch) (budget.Loan, error) {
+	return s.share.lend(allocator, epoch)
+}
+
+// Permit implements peer.Loans.
+func (s *loanServer) Permit(ctx context.Context, want budget.Want) error {
+	return s.share.allocator.Permit(ctx, want)
+}
+
+// A lenderRoute borrows the shares of all hosts that are heard. It implements
+// budget.Lenders and budget.Authority.
+type lenderRoute struct {
+	self    fleet.HostName
+	keeper  *lease.Keeper
+	monitor *membership.Monitor
+	client  *peer.Client
+	book    *addressBook
+	share   *loadShare
+}
+
+// Allocating implements budget.Authority.
+func (r *lenderRoute) Allocating() (fleet.Epoch, bool) {
+	return r.keeper.Valid(allocatorLease)
+}
+
+// Hosts implements budget.Lenders.
+func (r *lenderRoute) Hosts() []fleet.HostName {
+	var hosts []fleet.HostName
+	for name, status := range r.monitor.View().Hosts {
+		if status.Heard || name == r.self {
+			hosts = append(hosts, name)
+		}
+	}
+	return hosts
+}
+
+// Borrow implements budget.Lenders.
+func (r *lenderRoute) Borrow(ctx context.Context, host fleet.HostName, epoch fleet.Epoch) (budget.Loan, error) {
+	if host == r.self {
+		loan, err := r.share.lend(r.self, epoch)
+		loan.Host = host
+		return loan, err
+	}
+	address, err := r.book.address(host)
+	if err != nil {
+		return budget.Loan{}, err
+	}
+	loan, err := r.client.Lend(ctx, address, r.self, epoch)
+	loan.Host = host
+	return loan, err
+}
--- a/internal/entryhost/parts.go
+++ b/internal/entryhost/parts.go
@@ -60,6 +60,7 @@
 	Group           *ownership.Group
 	Holder          *ownership.Holder
 	Releaser        *releaser
+	Allocator       *budget.Allocator
 	Registry        *claim.Registry
 	Cleaner         *claim.Cleaner
 	Retries         *retry.Budget
@@ -87,6 +88,7 @@
 		{"revision", p.Distributor},
 		{"leases", p.Keeper},
 		{"releaser", p.Releaser},
+		{"load-budget", p.Allocator},
 		{"grants", p.Holder},
 		{"engines", p.Group},
 		{"retries", p.Retries},
@@ -151,6 +153,7 @@
 		h.newKeeper,
 		func(m *membership.Monitor) *addressBook { return &addressBook{monitor: m} },
 		func(c *peer.Client, b *addressBook) *releaser { return newReleaser(c, b, h.Log) },
+		h.newShare,
 		h.newGroup,
 		h.newHolder,
 		h.newRegistry,
@@ -250,8 +253,8 @@
 	d *revision.Distributor,
 	c *peer.Client,
 	e *engine.Client,
+	share *loadShare,
 ) *ownership.Group {
-	share := h.newShare(m, d)
 	group := &ownership.Group{
 		Host:       self,
 		Leases:     k,
@@ -329,6 +332,7 @@
 	holder *ownership.Holder,
 	d *revision.Distributor,
 	c *claim.Registry,
+	share *loadShare,
 ) *peer.Server {
 	return &peer.Server{
 		Listener:       sockets.Peer,
@@ -337,6 +341,7 @@
 		Holders:        &holderServer{holder: holder, start: self.Start},
 		Configurations: d,
 		Claims:         &claimServer{registry: c, start: self.Start},
+		Loans:          &loanServer{share: share},
 		Log:            func(err error) { h.Log.Debug().Err(err).Msg("connection of an entry host ended") },
 	}
 }
@@ -362,16 +367,26 @@
 	}
 }
 
-// newShare returns the host's share of the load rate: the failure domain's
-// share, divided by its engines.
-func (h *Host) newShare(m *membership.Monitor, d *revision.Distributor) *loadShare {
+// newShare returns the host's share of the load rate, which is the failure
+// domain's share divided by its engines, and the allocator that works while
+// this host holds its lease.
+func (h *Host) newShare(
+	d *revision.Distributor,
+	k *lease.Keeper,
+	m *membership.Monitor,
+	c *peer.Client,
+	b *addressBook,
+) (*loadShare, *budget.Allocator) {
 	share := &loadShare{
 		self:        h.Settings.HostName,
 		domain:      h.Settings.FailureDomain,
 		rate:        h.Settings.Decisions.LoadRateShare,
-		monitor:     m,
+		book:        b,
+		client:      c,
 		distributor: d,
 	}
-	share.share = &budget.Share{Host: h.Settings.HostName, Rate: share.own, Permits: noAllocator{}}
-	return share
+	share.share = &budget.Share{Host: h.Settings.HostName, Rate: share.own, Permits: share}
+	lenders := &lenderRoute{self: h.Settings.HostName, keeper: k, monitor: m, client: c, book: b, share: share}
+	share.allocator = budget.NewAllocator(lenders, lenders)
+	return share, share.allocator
 }
--- a/internal/entryhost/routes.go
+++ b/internal/entryhost/routes.go
@@ -4,15 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/persimmonmux/persimmonmux/coordination/budget"
 	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/coordination/membership"
 	"github.com/persimmonmux/persimmonmux/coordination/ownership"
 	"github.com/persimmonmux/persimmonmux/coordination/revision"
 	"github.com/persimmonmux/persimmonmux/coordination/routing"
-	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
-	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
 // publishEvery is the time between two snapshots for the router and between
@@ -116,50 +113,3 @@
 	}
 	return routing.OtherRegion
 }
-
-// A loadShare is this host's part of the failure domain's load rate. It
-// implements ownership.Budget.
-type loadShare struct {
-	self        fleet.HostName
-	domain      fleet.FailureDomainName
-	rate        float64
-	monitor     *membership.Monitor
-	distributor *revision.Distributor
-	group       *ownership.Group
-	share       *budget.Share
-}
-
-// Acquire implements ownership.Budget.
-func (l *loadShare) Acquire(ctx context.Context, engine fleet.EngineName, _ fleet.AdapterReference, urgency configuration.Urgency) error {
-	return l.share.Acquire(ctx, budget.Want{Engine: engine, Priority: urgencyPriority[urgency]})
-}
-
-// urgencyPriority orders loads of different engines.
-var urgencyPriority = map[configuration.Urgency]float64{
-	configuration.UrgencyInteractive: 3,
-	configuration.UrgencyPrompt:      2,
-	configuration.UrgencyDeferred:    1,
-}
-
-// own returns the domain's rate in proportion to the engines that this host owns.
-func (l *loadShare) own() float64 {
-	current := l.distributor.Current()
-	if current == nil || l.group == nil {
-		return 0
-	}
-	engines := 0
-	for _, engine := range current.Engines {
-		if engine.Domain == l.domain {
-			engines++
-		}
-	}
-	return l.rate * float64(len(l.group.Summaries())) / float64(max(engines, 1))
-}
-
-// noAllocator stands where no host lends its share.
-type noAllocator struct{}
-
-// Permit implements budget.Permits.
-func (noAllocator) Permit(context.Context, budget.Want) error {
-	return verdict.Refuse(verdict.CodeNotOwner, "load budget: no allocator")
-}
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/persimmonmux/persimmonmux/coordination/budget"
 	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
 	"github.com/persimmonmux/persimmonmux/protocol/peer"
 	"github.com/persimmonmux/persimmonmux/state/booking"
@@ -251,6 +252,36 @@
 	}
 }
 
+// Lend asks a host to lend its share of the load rate to the allocator.
+func (c *Client) Lend(ctx context.Context, address string, allocator fleet.HostName, epoch fleet.Epoch) (budget.Loan, error) {
+	request := &peer.LendRequest{Allocator: string(allocator), Epoch: uint64(epoch)}
+	reply, err := invoke(ctx, c, options{name: "lend", address: address, limit: callLimit, idempotent: true},
+		func(ctx context.Context, p peer.DRPCPeerClient) (*peer.LendReply, error) {
+			return p.Lend(ctx, request)
+		})
+	if err != nil {
+		return budget.Loan{}, err
+	}
+	return budget.Loan{Rate: reply.GetLoadsPerSecond(), Duration: time.Duration(reply.GetDurationNanoseconds())}, nil
+}
+
+// Permit waits until the allocator permits one load. A permit whose reply is
+// lost is not used by anybody.
+func (c *Client) Permit(ctx context.Context, address string, want budget.Want) error {
+	request := &peer.PermitRequest{Engine: string(want.Engine), Priority: want.Priority}
+	reply, err := invoke(ctx, c, options{name: "permit", address: address, limit: permitLimit},
+		func(ctx context.Context, p peer.DRPCPeerClient) (*peer.PermitReply, error) {
+			return p.Permit(ctx, request)
+		})
+	if err != nil {
+		return err
+	}
+	if refusal := reply.GetRefusal(); refusal != nil {
+		return peer.ToRefusal(refusal)
+	}
+	return nil
+}
+
 // Close ends the calls in flight and returns after they and all connections
 // have ended.
 func (c *Client) Close() error {
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/persimmonmux/persimmonmux/coordination/budget"
 	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
 	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/protocol/peer"
@@ -33,6 +34,9 @@
 	// writeLimit bounds one write, so that a peer that stopped reading does
 	// not hold a goroutine.
 	writeLimit = 10 * time.Second
+	// permitLimit is how long a want waits at the allocator before its host asks
+	// again, which lets the host notice that the allocator is another one.
+	permitLimit = 5 * time.Second
 	// handlerLimit bounds every call but Demand at the server.
 	handlerLimit = 15 * time.Second
 	// demandMargin is added to the patience of a demand, so that the owner's
@@ -75,6 +79,15 @@
 	PullChanges(ctx context.Context, after configuration.Revision) ([]configuration.Change, *configuration.Configuration, configuration.Revision, error)
 }
 
+// Loans lends this host's share of the load rate, and permits loads if this
+// host is the allocator.
+type Loans interface {
+	// Lend promises not to use the own share for the duration of the loan.
+	Lend(ctx context.Context, allocator fleet.HostName, epoch fleet.Epoch) (budget.Loan, error)
+	// Permit waits until one load may start.
+	Permit(ctx context.Context, want budget.Want) error
+}
+
 // Claims tells of the claims that this host made.
 type Claims interface {
 	// ClaimStatus returns what became of the claim with the token, if the
@@ -92,6 +105,7 @@
 	Holders        Holders
 	Configurations Configurations
 	Claims         Claims
+	Loans          Loans
 	// Log is called with errors of single connections; it may be nil.
 	Log func(error)
 
@@ -288,3 +302,31 @@
 	}
 	return &peer.ClaimStatusReply{Status: string(status)}, nil
 }
+
+// Lend answers with a loan.
+func (e *endpoint) Lend(ctx context.Context, message *peer.LendRequest) (*peer.LendReply, error) {
+	if e.server.Loans == nil {
+		return nil, errNotServed
+	}
+	ctx, cancel := context.WithTimeout(ctx, handlerLimit)
+	defer cancel()
+	loan, err := e.server.Loans.Lend(ctx, fleet.HostName(message.GetAllocator()), fleet.Epoch(message.GetEpoch()))
+	if err != nil {
+		return nil, err
+	}
+	return &peer.LendReply{LoadsPerSecond: loan.Rate, DurationNanoseconds: int64(loan.Duration)}, nil
+}
+
+// Permit answers when one load may start.
+func (e *endpoint) Permit(ctx context.Context, message *peer.PermitRequest) (*peer.PermitReply, error) {
+	if e.server.Loans == nil {
+		return nil, errNotServed
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitLimit)
+	defer cancel()
+	want := budget.Want{Engine: fleet.EngineName(message.GetEngine()), Priority: message.GetPriority()}
+	if err := e.server.Loans.Permit(ctx, want); err != nil {
+		return &peer.PermitReply{Refusal: peer.FromRefusal(err)}, nil
+	}
+	return &peer.PermitReply{}, nil
+}
