budget: end waiting wants when the allocator stops

Ruled out: claims, leases and hand-over, which had ended before. TestStopEndsWaitingWants fails without the change.

--- a/coordination/budget/allocator.go
+++ b/coordination/budget/allocator.go
@@ -70,6 +70,7 @@
 
 	duty.Lifecycle
 	messages *ring.Ring[any]
+	ended    chan struct{}
 	loans    map[fleet.HostName]activeLoan
 	waiting  wantHeap
 	tokens   float64
@@ -100,6 +101,7 @@
 		Lenders:   lenders,
 		Authority: authority,
 		messages:  ring.New[any](allocatorRing),
+		ended:     make(chan struct{}),
 		loans:     make(map[fleet.HostName]activeLoan),
 	}
 }
@@ -115,6 +117,8 @@
 		return err
 	case <-ctx.Done():
 		return verdict.Refuse(verdict.CodeDeadline, "load budget: no permit in time")
+	case <-a.ended:
+		return verdict.Refuse(verdict.CodeNotOwner, "load budget: the allocator has stopped")
 	}
 }
 
@@ -124,6 +128,8 @@
 }
 
 func (a *Allocator) loop(ctx context.Context) error {
+	// Wants must not hold up the stop of this host until their own limits.
+	defer close(a.ended)
 	borrow := time.NewTicker(borrowEvery)
 	defer borrow.Stop()
 	next := time.NewTimer(time.Hour)
--- a/coordination/budget/budget_test.go
+++ b/coordination/budget/budget_test.go
@@ -121,6 +121,27 @@
 	})
 }
 
+// TestStopEndsWaitingWants guards against wants of other hosts that hold up the
+// stop of the allocator's host.
+func TestStopEndsWaitingWants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		d := &deployment{shares: map[fleet.HostName]*Share{}, cut: map[fleet.HostName]bool{}, valid: true}
+		for _, host := range d.Hosts() {
+			d.shares[host] = &Share{Host: host, Rate: func() float64 { return 0.001 }}
+		}
+		allocator := NewAllocator(d, d)
+		go allocator.Run(t.Context())
+		refused := make(chan error, 1)
+		go func() { refused <- allocator.Permit(t.Context(), Want{}) }()
+		time.Sleep(time.Second)
+		began := time.Now()
+		c.Assert(allocator.Close(), quicktest.IsNil)
+		c.Assert(verdict.From(<-refused).Code, quicktest.Equals, verdict.CodeNotOwner)
+		c.Assert(time.Since(began), quicktest.Equals, time.Duration(0))
+	})
+}
+
 // TestPriorityGoesFirst guards against wants that are served in order of arrival.
 func TestPriorityGoesFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
