--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -134,10 +134,14 @@
 		return
 	}
 	r.changed = slices.DeleteFunc(r.changed, func(entry changeEntry) bool {
-		host, engine, leaving := r.hosts[entry.host], r.engines[entry.engine], r.leaving[entry.leaving]
-		return !(host != nil && (host.near.sequence == entry.sequence || host.far.sequence == entry.sequence)) &&
-			!(engine != nil && engine.sequence() == entry.sequence) &&
-			!(leaving != nil && leaving.sequence == entry.sequence)
+		if host := r.hosts[entry.host]; host != nil {
+			return host.near.sequence != entry.sequence && host.far.sequence != entry.sequence
+		}
+		if engine := r.engines[entry.engine]; engine != nil {
+			return engine.sequence() != entry.sequence
+		}
+		leaving := r.leaving[entry.leaving]
+		return leaving == nil || leaving.sequence != entry.sequence
 	})
 }
 
