ownership: keep unload orders in mind across a restart of the engine

An unload order in flight at a restart could reach the next process after the instance had been loaded there again. TestOwnershipMachine found it with -rapid. (a@1#4 unloaded by epoch 4 while a request ran). The owner now bars the name until the order is answered, or until the engine restarts after a report that was made after the order.

Also: the owner unloads what it can never grant as soon as the take-over rules allow it.

--- a/coordination/ownership/grant.go
+++ b/coordination/ownership/grant.go
@@ -97,7 +97,7 @@
 		refusal.RetryAfter = f.until.Sub(now)
 		return refusal
 	}
-	if o.unanswered[o.named(adapter)] {
+	if o.unanswered[o.named(adapter)] != nil {
 		return verdict.Refuse(verdict.CodeLoadFailed, "adapter %s cannot load on engine %s: an unload order is unanswered", adapter, o.Engine.Name)
 	}
 	if o.waiting >= o.settings.WaitingLimit {
--- /dev/null
+++ b/coordination/ownership/group_test.go
@@ -0,0 +1,180 @@
+package ownership
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/standin/platform"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+// ownerOf returns the host whose Owner of the engine has a valid lease, or nil.
+func (d *deployment) ownerOf(engine fleet.EngineName) *host {
+	for _, h := range d.hosts {
+		if o, ok := h.group.Owner(engine); ok && !h.ended.Load() {
+			if epoch, valid := h.keeper.Valid(LeaseName(engine)); valid && epoch == o.Epoch {
+				return h
+			}
+		}
+	}
+	return nil
+}
+
+// withDeployment runs a test in virtual time once every engine has an owner.
+func withDeployment(t *testing.T, hosts int, modes []fleet.FencingMode, test func(c *quicktest.C, d *deployment)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		d := newDeployment(1, Settings{}, modes...)
+		for i := range hosts {
+			d.add(d.run(fleet.HostName(fmt.Sprintf("h%d", i))))
+		}
+		defer func() {
+			for _, h := range d.hosts {
+				h.kill()
+			}
+		}()
+		pass(10 * time.Second)
+		for _, e := range d.catalog {
+			c.Assert(d.ownerOf(e.Name), quicktest.IsNotNil)
+		}
+		test(c, d)
+		for _, e := range d.engines {
+			e.set(func() { c.Check(e.violations, quicktest.HasLen, 0) })
+		}
+	})
+}
+
+// served reports whether a demand is granted at once.
+func served(d *deployment, name fleet.AdapterName, request fleet.RequestID) (fleet.Grant, bool) {
+	demand := demandFor(name, request)
+	demand.Engine, demand.Patience = "e0", 100*time.Millisecond
+	for _, h := range d.hosts {
+		if h.ended.Load() {
+			continue
+		}
+		if g, err := h.group.Demand(context.Background(), demand); err == nil {
+			h.group.Release("e0", []fleet.RequestID{request})
+			return g, true
+		}
+	}
+	return fleet.Grant{}, false
+}
+
+// TestServiceAfterOwnerStops guards against an engine that stays without
+// service for longer than its page says. It prints the gaps.
+func TestServiceAfterOwnerStops(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		mode    fleet.FencingMode
+		planned bool
+		limit   time.Duration
+	}{
+		{"planned, fencing ignored", fleet.FencingIgnored, true, time.Second},
+		{"planned, fencing enforced", fleet.FencingEnforced, true, time.Second},
+		{"died, fencing ignored", fleet.FencingIgnored, false, 20 * time.Second},
+		{"died, fencing enforced", fleet.FencingEnforced, false, 20 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withDeployment(t, 3, []fleet.FencingMode{test.mode}, func(c *quicktest.C, d *deployment) {
+				d.table.SetFaults(platform.Faults{Delay: 10 * time.Millisecond})
+				var most, sum time.Duration
+				const rounds = 40
+				for round := range rounds {
+					h := d.ownerOf("e0")
+					first, ok := served(d, "a", "1")
+					c.Assert(ok, quicktest.IsTrue)
+					pass(time.Duration(round) * 77 * time.Millisecond)
+					stopped := time.Now()
+					if test.planned {
+						h.leaving.Store(true)
+						c.Assert(h.group.HandOverAll(context.Background()), quicktest.IsNil)
+					}
+					h.kill()
+					for {
+						if g, ok := served(d, "a", fleet.RequestID(fmt.Sprint(round))); ok {
+							if test.planned {
+								c.Assert(g.Instance, quicktest.Equals, first.Instance)
+							}
+							break
+						}
+						pass(10 * time.Millisecond)
+						c.Assert(time.Since(stopped) < test.limit, quicktest.IsTrue)
+					}
+					gap := time.Since(stopped)
+					most, sum = max(most, gap), sum+gap
+					for i, other := range d.hosts {
+						if other == h {
+							d.put(i, d.run(h.Name))
+						}
+					}
+					pass(20 * time.Second)
+				}
+				t.Logf("%s: mean %v, longest %v of %d", test.name, sum/rounds, most, rounds)
+			})
+		})
+	}
+}
+
+// TestRequestSurvivesItsOwner guards against the eviction of an instance whose
+// request outlives the owner that granted it.
+func TestRequestSurvivesItsOwner(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		t.Run(fmt.Sprintf("planned %v", planned), func(t *testing.T) {
+			withDeployment(t, 3, []fleet.FencingMode{fleet.FencingIgnored}, func(c *quicktest.C, d *deployment) {
+				owner := d.ownerOf("e0")
+				var holder *host
+				for _, h := range d.hosts {
+					if h != owner {
+						holder = h
+					}
+				}
+				demand := demandFor("a", "long")
+				demand.Engine, demand.Duration, demand.Holder = "e0", 100*time.Second, holder.Name
+				sent := time.Now()
+				g, err := holder.holder.Demand(context.Background(), demand)
+				c.Assert(err, quicktest.IsNil)
+				c.Assert(d.engines["e0"].run(g, sent), quicktest.IsTrue)
+				if planned {
+					owner.leaving.Store(true)
+					c.Assert(owner.group.HandOverAll(context.Background()), quicktest.IsNil)
+				}
+				owner.kill()
+				for i := range 60 {
+					for _, name := range []fleet.AdapterName{"b", "c", "d", "f"} {
+						served(d, name, fleet.RequestID(fmt.Sprint(name, i)))
+					}
+					pass(time.Second)
+				}
+				c.Assert(d.engines["e0"].has(g.Instance.String()), quicktest.IsTrue)
+				c.Assert(d.engines["e0"].unloads > 0, quicktest.IsTrue)
+			})
+		})
+	}
+}
+
+// TestCandidates guards against an order that moves engines of hosts that stay.
+func TestCandidates(t *testing.T) {
+	c := quicktest.New(t)
+	var hosts []fleet.Host
+	for i := range 8 {
+		hosts = append(hosts, fleet.Host{Name: fleet.HostName(fmt.Sprintf("h%d", i))})
+	}
+	first := map[fleet.HostName]int{}
+	for i := range 8000 {
+		engine := fleet.EngineName(fmt.Sprintf("e%d", i))
+		all := Candidates(engine, hosts)
+		first[all[0].Name]++
+		fewer := Candidates(engine, hosts[1:])
+		if all[0].Name != "h0" {
+			c.Assert(fewer[0], quicktest.Equals, all[0])
+		}
+	}
+	for _, n := range first {
+		c.Assert(n > 850 && n < 1150, quicktest.IsTrue, quicktest.Commentf("%v", first))
+	}
+}
--- a/coordination/ownership/machine_test.go
+++ b/coordination/ownership/machine_test.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -41,10 +43,12 @@
 
 // A deployment is hosts with Keeper, Group and Holder, and their engines.
 type deployment struct {
-	table    *platform.Table
-	engines  map[fleet.EngineName]*fakeEngine
-	catalog  []fleet.Engine
-	hosts    []*host
+	table   *platform.Table
+	engines map[fleet.EngineName]*fakeEngine
+	catalog []fleet.Engine
+	hosts   []*host
+	// mutex guards hosts against the goroutines of the hosts themselves.
+	mutex    sync.Mutex
 	settings Settings
 	start    fleet.StartNumber
 }
@@ -121,7 +125,7 @@
 
 func (h *host) Hosts() []fleet.Host {
 	var hosts []fleet.Host
-	for _, other := range h.deployment.hosts {
+	for _, other := range h.deployment.all() {
 		if !other.ended.Load() && !other.leaving.Load() {
 			hosts = append(hosts, other.Host)
 		}
@@ -140,7 +144,7 @@
 // Holdings asks all hosts; a paused host does not answer.
 func (h *host) Holdings(ctx context.Context, engine fleet.EngineName, epoch fleet.Epoch, former Former) (Holdings, error) {
 	answer := Holdings{Complete: true, FormerEnded: h.deployment.process(former.Host, former.Start) == nil}
-	for _, other := range h.deployment.hosts {
+	for _, other := range h.deployment.all() {
 		if other.paused.Load() {
 			answer.Complete = false
 			continue
@@ -155,8 +159,9 @@
 // Demand is how the host's Holder reaches the owners: it asks the hosts in
 // order and follows no redirects.
 func (h *host) Demand(ctx context.Context, demand dispatch.Demand) (fleet.Grant, error) {
-	for i := range h.deployment.hosts {
-		other := h.deployment.hosts[(i+len(demand.Request))%len(h.deployment.hosts)]
+	hosts := h.deployment.all()
+	for i := range hosts {
+		other := hosts[(i+len(demand.Request))%len(hosts)]
 		if other.ended.Load() || other.paused.Load() {
 			continue
 		}
@@ -169,7 +174,7 @@
 }
 
 func (h *host) Release(grant fleet.Grant) {
-	for _, other := range h.deployment.hosts {
+	for _, other := range h.deployment.all() {
 		if o, ok := other.group.Owner(grant.Engine); ok && o.Epoch >= grant.Epoch && !other.ended.Load() {
 			o.Release([]fleet.RequestID{grant.Request})
 			return
@@ -177,9 +182,30 @@
 	}
 }
 
+// all returns the hosts for use by any goroutine.
+func (d *deployment) all() []*host {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.Clone(d.hosts)
+}
+
+// put sets one host.
+func (d *deployment) put(i int, h *host) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.hosts[i] = h
+}
+
+// add appends a host.
+func (d *deployment) add(h *host) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.hosts = append(d.hosts, h)
+}
+
 // process returns the running process of a host and start, or nil.
 func (d *deployment) process(name fleet.HostName, start fleet.StartNumber) *host {
-	for _, h := range d.hosts {
+	for _, h := range d.all() {
 		if h.Name == name && h.Start == start && !h.ended.Load() {
 			return h
 		}
@@ -283,8 +309,10 @@
 	}
 	m.inFlight = kept
 	for _, e := range m.engines {
-		if len(e.violations) > 0 {
-			m.t.Fatalf("violation: %s", e.violations[0])
+		var violations []string
+		e.set(func() { violations = slices.Clone(e.violations) })
+		if len(violations) > 0 {
+			m.t.Fatalf("violation: %s", violations[0])
 		}
 	}
 }
@@ -328,7 +356,7 @@
 	}
 	h.kill()
 	m.settle(-1)
-	m.hosts[i] = m.run(h.Name)
+	m.put(i, m.run(h.Name))
 }
 
 var machineActions = []string{
@@ -412,7 +440,7 @@
 				IsolatedServiceLimit: time.Minute, GrantLimit: 20 * time.Second, OrderTimeout: 3 * time.Second,
 			}, fleet.FencingIgnored, fleet.FencingEnforced)}
 			for _, name := range []fleet.HostName{"x", "y", "z"} {
-				m.hosts = append(m.hosts, m.run(name))
+				m.add(m.run(name))
 			}
 			defer func() {
 				m.repair()
@@ -440,7 +468,7 @@
 			}
 			grants, unknown = grants+m.grants, unknown+m.unknown
 			for _, e := range m.engines {
-				loads, unloads, overran = loads+e.loads, unloads+e.unloads, overran+e.overran
+				e.set(func() { loads, unloads, overran = loads+e.loads, unloads+e.unloads, overran+e.overran })
 			}
 		})
 	})
--- a/coordination/ownership/owner.go
+++ b/coordination/ownership/owner.go
@@ -217,7 +217,7 @@
 	foreign int
 	// unanswered holds the instances with an unload order that was not answered.
 	// Such an order may arrive late, so the names are not loaded again.
-	unanswered map[fleet.Instance]bool
+	unanswered map[fleet.Instance]*unanswered
 	pins       map[fleet.RequestID][]*pin
 	canceling  map[fleet.RequestID]bool
 	cancelAt   map[fleet.RequestID]time.Time
@@ -307,7 +307,7 @@
 		o.results = make(chan message)
 		o.ended = make(chan struct{})
 		o.entries = make(map[fleet.Instance]*entry)
-		o.unanswered = make(map[fleet.Instance]bool)
+		o.unanswered = make(map[fleet.Instance]*unanswered)
 		o.pins = make(map[fleet.RequestID][]*pin)
 		o.canceling = make(map[fleet.RequestID]bool)
 		o.cancelAt = make(map[fleet.RequestID]time.Time)
@@ -428,6 +428,7 @@
 	if held && !o.superseded && o.handing == nil && o.start != 0 {
 		o.fence(ctx)
 		o.schedule(ctx, now)
+		o.clean(ctx, now)
 	}
 	if !held {
 		o.refuseLoads()
--- a/coordination/ownership/owner_test.go
+++ b/coordination/ownership/owner_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
 
+	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
@@ -31,7 +33,7 @@
 			lease: &fakeLease{epoch: epoch, valid: true}, holders: &fakeHolders{},
 		}
 		f.owner = &Owner{
-			Host: "o", Epoch: epoch, Orders: f.engine, Leases: f.lease, Budget: freeBudget{},
+			Host: "o", Epoch: epoch, Orders: &switchedOrders{Orders: f.engine, unloads: f.engine}, Leases: f.lease, Budget: freeBudget{},
 			Placement: SimplePlacement{}, Holders: f.holders,
 		}
 		if epoch > 1 {
@@ -260,6 +262,79 @@
 	})
 }
 
+// TestUnloadInFlightAcrossRestart guards against an unload order that reaches
+// the next process of the engine after the instance was loaded there again.
+func TestUnloadInFlightAcrossRestart(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// answer is when the order reaches the engine and is answered; the owner
+		// stops waiting after 10 s.
+		answer time.Duration
+	}{
+		{"answered", 8 * time.Second},
+		{"unanswered", time.Minute},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withOwner(t, 1, func(f *fixture) { f.engine.engine.Slots = 1 }, func(f *fixture) {
+				f.granted("a", "1")
+				f.release("1")
+				held := &heldUnload{fakeEngine: f.engine, wait: test.answer}
+				f.owner.Orders.(*switchedOrders).set(held)
+				f.refused("b", "2")
+				f.engine.restart()
+				pass(2 * time.Second)
+				f.Assert(f.refused("a", "3"), quicktest.Equals, verdict.CodeLoadFailed)
+				pass(20 * time.Second)
+				if test.answer < DefaultOrderTimeout {
+					f.granted("a", "4")
+				} else {
+					f.Assert(f.refused("a", "4"), quicktest.Equals, verdict.CodeLoadFailed)
+					// The engine was seen after the order, so it dies with this start.
+					f.engine.restart()
+					pass(2 * time.Second)
+					f.granted("a", "5")
+				}
+				f.owner.Orders.(*switchedOrders).set(f.engine)
+			})
+		})
+	}
+}
+
+// A switchedOrders lets a test replace the unloads of a running Owner.
+type switchedOrders struct {
+	Orders
+	mutex   sync.Mutex
+	unloads Orders
+}
+
+func (s *switchedOrders) set(orders Orders) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.unloads = orders
+}
+
+func (s *switchedOrders) Unload(ctx context.Context, engine fleet.Engine, instance fleet.Instance, epoch fleet.Epoch) error {
+	s.mutex.Lock()
+	orders := s.unloads
+	s.mutex.Unlock()
+	return orders.Unload(ctx, engine, instance, epoch)
+}
+
+// A heldUnload keeps unload orders back before they reach the engine.
+type heldUnload struct {
+	*fakeEngine
+	wait time.Duration
+}
+
+func (h *heldUnload) Unload(ctx context.Context, engine fleet.Engine, instance fleet.Instance, epoch fleet.Epoch) error {
+	select {
+	case <-time.After(h.wait):
+		return h.fakeEngine.Unload(ctx, engine, instance, epoch)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // TestTakeOver guards against the use or eviction of instances that an earlier
 // owner may still order away or grant.
 func TestTakeOver(t *testing.T) {
@@ -421,3 +496,46 @@
 	c.Assert(SimplePlacement{}.Leave(fleet.Engine{}, residents, Waiting{}, now), quicktest.Equals, 2)
 	c.Assert(SimplePlacement{}.Leave(fleet.Engine{}, residents[:2], Waiting{}, now), quicktest.Equals, 1)
 }
+
+// A slowBudget makes a load wait.
+type slowBudget struct {
+	wait time.Duration
+}
+
+func (b slowBudget) Acquire(context.Context, fleet.EngineName, fleet.AdapterReference, configuration.Urgency) error {
+	time.Sleep(b.wait)
+	return nil
+}
+
+// TestNoOrderAfterTheLeaseExpired guards against a load order that waited for
+// the budget past the end of the lease.
+func TestNoOrderAfterTheLeaseExpired(t *testing.T) {
+	withOwner(t, 1, func(f *fixture) { f.owner.Budget = slowBudget{wait: 2 * time.Second} }, func(f *fixture) {
+		go f.demand("a", "1")
+		pass(time.Second)
+		f.lease.set(false)
+		pass(10 * time.Second)
+		f.engine.set(func() { f.Assert(f.engine.orderTimes, quicktest.HasLen, 0) })
+	})
+}
+
+// TestHoldersAskedBeforeTheFormerEndedDoNotCount guards against an eviction
+// under a grant that the former owner gave after the holders had answered.
+func TestHoldersAskedBeforeTheFormerEndedDoNotCount(t *testing.T) {
+	withOwner(t, 2, func(f *fixture) {
+		f.engine.engine.Slots = 1
+		f.engine.instances = map[string]bool{"a@1#1": true}
+		f.holders.holdings = Holdings{Complete: true}
+	}, func(f *fixture) {
+		pass(time.Minute)
+		f.holders.mutex.Lock()
+		f.holders.holdings = Holdings{FormerEnded: true}
+		f.holders.mutex.Unlock()
+		known := time.Now()
+		for f.refused("b", "1") == verdict.CodeNoGrant && time.Since(known) < DefaultGrantLimit {
+			f.Assert(f.engine.has("a@1#1"), quicktest.IsTrue)
+		}
+		pass(10 * time.Second)
+		f.granted("b", "2")
+	})
+}
--- a/coordination/ownership/residency.go
+++ b/coordination/ownership/residency.go
@@ -49,7 +49,7 @@
 		if _, taken := o.entries[o.named(adapter)]; taken || adapter == fenceAdapter {
 			continue
 		}
-		if f, ok := o.failures[adapter]; ok && now.Before(f.until) || o.unanswered[o.named(adapter)] {
+		if f, ok := o.failures[adapter]; ok && now.Before(f.until) || o.unanswered[o.named(adapter)] != nil {
 			continue
 		}
 		w := Waiting{Adapter: adapter, Requests: len(q.asks)}
@@ -209,7 +209,28 @@
 	if i < 0 {
 		return false
 	}
-	e := o.entries[residents[i].Instance]
+	o.unload(ctx, o.entries[residents[i].Instance])
+	return true
+}
+
+// clean unloads instances that may go and that this owner cannot grant. Without
+// it, owners that die one after the other would fill an engine that ignores
+// fencing numbers with instances of epochs that nobody can vouch for.
+func (o *Owner) clean(ctx context.Context, now time.Time) {
+	if o.Engine.Fencing == fleet.FencingEnforced && !o.fenced {
+		return
+	}
+	for _, e := range o.entries {
+		if o.loads >= o.settings.LoadLimit {
+			return
+		}
+		if !e.usable && o.removable(e, now) {
+			o.unload(ctx, e)
+		}
+	}
+}
+
+func (o *Owner) unload(ctx context.Context, e *entry) {
 	e.state = stateUnloading
 	o.order()
 	r := unloaded{entry: e, start: o.start}
@@ -217,7 +238,6 @@
 		r.sent, r.err = o.sendUnload(ctx, e.instance)
 		o.post(ctx, r)
 	})
-	return true
 }
 
 // removable says whether an instance may be unloaded.
@@ -241,6 +261,17 @@
 	return true, o.Orders.Unload(bounded, o.Engine, instance, o.Epoch)
 }
 
+// An unanswered is an unload order whose outcome is not known.
+type unanswered struct {
+	// inFlight says that a worker still waits for the answer.
+	inFlight bool
+	// since is when the worker stopped waiting.
+	since time.Time
+	// start is a start of the engine that was seen after since; 0 until then. The
+	// order went to this start or an earlier one and dies with it.
+	start fleet.StartNumber
+}
+
 // unloaded is the result of an unload.
 type unloaded struct {
 	entry *entry
@@ -255,6 +286,11 @@
 	e := r.entry
 	if r.start != o.start {
 		o.reportAt = now
+		if !r.sent || answered(r.err) {
+			delete(o.unanswered, e.instance)
+		} else {
+			o.unanswered[e.instance] = &unanswered{since: now}
+		}
 		return
 	}
 	// A failed order is not repeated at once, or an engine that refuses it would
@@ -274,7 +310,7 @@
 		o.serveQueues(now)
 	default:
 		e.state, e.usable = stateUncertain, false
-		o.unanswered[e.instance] = true
+		o.unanswered[e.instance] = &unanswered{since: now}
 		o.reportAt = now
 		o.Logger.Warn().Err(r.err).Str("engine", string(o.Engine.Name)).Stringer("instance", e.instance).
 			Msg("unload order is unanswered; the instance is not used again")
@@ -356,6 +392,11 @@
 		r.fenced = false
 	}
 	o.report = r.report
+	for _, u := range o.unanswered {
+		if !u.inFlight && u.start == 0 && r.began.After(u.since) {
+			u.start = r.report.Start
+		}
+	}
 	// A list that was made while an order was in flight may be older than its effect.
 	if r.idle && r.orders == o.orders {
 		o.compare(r, now)
@@ -371,9 +412,18 @@
 	for request := range o.pins {
 		o.void(request, now)
 	}
+	for instance, u := range o.unanswered {
+		if u.start != 0 {
+			delete(o.unanswered, instance)
+		}
+	}
+	for instance, e := range o.entries {
+		if e.state == stateUnloading {
+			// The order may reach the new process.
+			o.unanswered[instance] = &unanswered{inFlight: true}
+		}
+	}
 	clear(o.entries)
-	// The orders that were unanswered went to the earlier process.
-	clear(o.unanswered)
 }
 
 // compare brings the known instances in line with the engine's list.
@@ -399,9 +449,9 @@
 		// After the fencing number was raised, no order of an earlier owner is
 		// carried out any more.
 		if own || r.fenced && instance.Epoch < o.Epoch {
-			e.usable = !o.unanswered[instance]
+			e.usable = o.unanswered[instance] == nil
 		}
-		if e.state == stateUncertain && !o.unanswered[instance] {
+		if e.state == stateUncertain && o.unanswered[instance] == nil {
 			e.state = stateResident
 		}
 	}
