processes: test planned stops and killed owners on separate processes

The harness builds the product and the stand-ins once and starts six entry hosts in three failure domains, a platform, and an engine and a plain service in each failure domain. A caller sends streams and bookings and checks every answer.

--- /dev/null
+++ b/internal/processes/caller_test.go
@@ -0,0 +1,355 @@
+//go:build processes && linux
+
+package processes_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"github.com/persimmonmux/persimmonmux/protocol/refusal"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/entry"
+)
+
+const (
+	// streamInterval and bookingInterval are the times between two arrivals.
+	streamInterval  = 50 * time.Millisecond
+	bookingInterval = 70 * time.Millisecond
+	// chatDeadline and bookingDeadline are the deadlines of the kinds. A stream
+	// has time for one silent connection, whose limit is 5 s.
+	chatDeadline    = 10 * time.Second
+	bookingDeadline = 8 * time.Second
+	// answerMargin is the time in which an answer or refusal arrives after the
+	// deadline; generous for a busy machine.
+	answerMargin = 8 * time.Second
+	// persistence is how long a caller retries; longer than every fault.
+	persistence = 60 * time.Second
+	// unresolvedAnswers is the number of answers in a row that say "may have
+	// run" after which a caller takes this for the recorded outcome.
+	unresolvedAnswers = 3
+)
+
+// A try is one attempt of a request at one host.
+type try struct {
+	host    *entryHost
+	verdict verdict.Verdict
+	code    verdict.Code
+	detail  string
+}
+
+// A request is one request of a caller with all its tries.
+type request struct {
+	name       string
+	id         string
+	repeatable bool
+	started    time.Time
+	tries      []try
+}
+
+// ran says that the last try brought the whole answer.
+func (r *request) ran() bool {
+	return len(r.tries) > 0 && r.tries[len(r.tries)-1].verdict == verdict.Ran
+}
+
+// certain says that no try left its caller in doubt.
+func (r *request) certain() bool {
+	return !slices.ContainsFunc(r.tries, func(t try) bool { return t.verdict == verdict.MayHaveRun })
+}
+
+// A caller sends a steady load of streams, bookings on engines and bookings on
+// plain services, and checks every answer.
+type caller struct {
+	t *testing.T
+	// hosts are the entry hosts that the caller uses.
+	hosts  []*entryHost
+	client *http.Client
+	// live holds the hosts that /readyz calls ready, as a load balancer sees it.
+	live  map[*entryHost]*atomic.Bool
+	turn  atomic.Uint64
+	stop  context.CancelFunc
+	ended sync.WaitGroup
+
+	mutex    sync.Mutex
+	requests []*request
+	// wrong are the answers that break a promise, whatever the fault.
+	wrong []string
+}
+
+// startCaller sends load to the hosts until finish.
+func startCaller(t *testing.T, hosts []*entryHost) *caller {
+	t.Helper()
+	c := &caller{
+		t: t, hosts: hosts, live: make(map[*entryHost]*atomic.Bool),
+		// A fresh connection for each try: a refused dial then proves that the
+		// request did not run, and no idle connection dies under a request.
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.stop = cancel
+	for _, h := range hosts {
+		c.live[h] = new(atomic.Bool)
+		c.live[h].Store(ready(h.callerAddress))
+		c.ended.Go(func() {
+			every(ctx, 100*time.Millisecond, func(int) { c.live[h].Store(ready(h.callerAddress)) })
+		})
+	}
+	c.ended.Go(func() { every(ctx, streamInterval, c.startStream) })
+	c.ended.Go(func() { every(ctx, bookingInterval, c.startBooking) })
+	t.Cleanup(cancel)
+	return c
+}
+
+// every calls use with growing numbers until ctx ends.
+func every(ctx context.Context, interval time.Duration, use func(n int)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			use(n)
+		}
+	}
+}
+
+func (c *caller) startStream(n int) {
+	r := &request{name: fmt.Sprintf("stream %d", n), repeatable: true, started: time.Now()}
+	model := modelOf(n)
+	c.begin(r, func(ctx context.Context, h *entryHost) try { return c.stream(ctx, h, r, model) })
+}
+
+func (c *caller) startBooking(n int) {
+	r := &request{name: fmt.Sprintf("booking %d", n), id: uuid.Must(uuid.NewV7()).String(), started: time.Now()}
+	if n%2 == 0 {
+		c.begin(r, func(ctx context.Context, h *entryHost) try { return c.bookService(ctx, h, r) })
+		return
+	}
+	model := modelOf(n / 2)
+	c.begin(r, func(ctx context.Context, h *entryHost) try { return c.bookEngine(ctx, h, r, model) })
+}
+
+// modelOf returns an adapter version for the request with number n.
+func modelOf(n int) fleet.AdapterReference {
+	return fleet.AdapterReference{
+		Name: fleet.AdapterName(fmt.Sprintf("adapter-%d", n%adapters)), Version: fleet.AdapterVersion(1 + n/adapters%2),
+	}
+}
+
+// begin runs a request on its own goroutine.
+func (c *caller) begin(r *request, once func(context.Context, *entryHost) try) {
+	c.mutex.Lock()
+	c.requests = append(c.requests, r)
+	c.mutex.Unlock()
+	c.ended.Go(func() { c.persist(r, once) })
+}
+
+// persist tries a request until it ran, each time at another host. A booking
+// that is told "may have run" several times in a row has this as its outcome.
+func (c *caller) persist(r *request, once func(context.Context, *entryHost) try) {
+	limit := chatDeadline
+	if !r.repeatable {
+		limit = bookingDeadline
+	}
+	unresolved := 0
+	for n := 0; time.Since(r.started) < persistence; n++ {
+		h := c.next()
+		ctx, cancel := context.WithTimeout(context.Background(), limit+answerMargin)
+		outcome := once(ctx, h)
+		cancel()
+		outcome.host = h
+		c.mutex.Lock()
+		r.tries = append(r.tries, outcome)
+		c.mutex.Unlock()
+		if outcome.verdict == verdict.Ran {
+			return
+		}
+		if outcome.verdict != verdict.MayHaveRun {
+			unresolved = 0
+		} else if unresolved++; unresolved >= unresolvedAnswers && !r.repeatable {
+			return
+		}
+		time.Sleep(min(time.Duration(n+1)*100*time.Millisecond, time.Second))
+	}
+}
+
+// next returns the next host that is ready, or the next one.
+func (c *caller) next() *entryHost {
+	for range c.hosts {
+		if h := c.hosts[c.turn.Add(1)%uint64(len(c.hosts))]; c.live[h].Load() {
+			return h
+		}
+	}
+	return c.hosts[c.turn.Add(1)%uint64(len(c.hosts))]
+}
+
+// post sends one try.
+func (c *caller) post(ctx context.Context, h *entryHost, path, kind, id string, body any) (*http.Response, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.callerAddress+path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, err
+	}
+	r.GetBody = nil
+	r.Header.Set("Authorization", "Bearer "+token)
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(entry.HeaderKind, kind)
+	r.Header.Set(entry.HeaderRequestID, id)
+	return c.client.Do(r)
+}
+
+// whole sends one try and reads its whole answer. The try has no verdict when
+// the answer has still to be checked.
+func (c *caller) whole(ctx context.Context, h *entryHost, path, kind, id string, body any) ([]byte, try) {
+	response, err := c.post(ctx, h, path, kind, id, body)
+	if err != nil {
+		return nil, lost(err)
+	}
+	defer response.Body.Close() //nolint:errcheck // The body is read.
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, lost(err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return content, try{}
+	}
+	return nil, refused(response.StatusCode, content)
+}
+
+// lost is a try without an answer. Only a refused dial proves that it did not run.
+func lost(err error) try {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return try{verdict: verdict.NotRun, code: verdict.CodeBackendLost, detail: err.Error()}
+	}
+	code := verdict.CodeIncomplete
+	if errors.Is(err, context.DeadlineExceeded) {
+		code = verdict.CodeDeadline
+	}
+	return try{verdict: verdict.MayHaveRun, code: code, detail: "no answer: " + err.Error()}
+}
+
+// refused is a try that the host answered with a failure.
+func refused(status int, body []byte) try {
+	detail, ok := refusal.Decode(body)
+	if !ok {
+		return try{verdict: verdict.MayHaveRun, detail: "status " + strconv.Itoa(status) + " without a refusal: " + string(body)}
+	}
+	return try{verdict: detail.Verdict, code: detail.Code, detail: detail.Message}
+}
+
+// fail notes an answer that breaks a promise.
+func (c *caller) fail(r *request, format string, arguments ...any) try {
+	message := fmt.Sprintf(format, arguments...)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.wrong = append(c.wrong, r.name+" "+r.id+": "+message)
+	return try{verdict: verdict.Ran, detail: message}
+}
+
+// finish ends the load, waits for all requests and checks what holds under every
+// fault: the answers, the number of runs and that each request ended.
+func (c *caller) finish(d *deployment) {
+	c.t.Helper()
+	c.stop()
+	c.ended.Wait()
+	qt.Check(c.t, c.wrong, qt.HasLen, 0)
+	runs := d.runs()
+	tried := 0
+	for _, r := range c.requests {
+		tried += len(r.tries)
+		count := runs[r.id]
+		switch {
+		case r.repeatable && !r.ran():
+			c.t.Errorf("%s was not answered: %v", r.name, shown(r))
+		case r.repeatable:
+		case count > 1:
+			c.t.Errorf("%s %s ran %d times: %v", r.name, r.id, count, shown(r))
+		case r.ran() && count != 1:
+			c.t.Errorf("%s %s was answered and ran %d times: %v", r.name, r.id, count, shown(r))
+		case !r.ran() && r.certain() && count > 0:
+			c.t.Errorf("%s %s was told that it did not run and ran: %v", r.name, r.id, shown(r))
+		case !r.ran() && r.certain():
+			c.t.Errorf("%s %s did not run, although it was retried: %v", r.name, r.id, shown(r))
+		}
+	}
+	c.t.Logf("%d requests, %d tries", len(c.requests), tried)
+}
+
+// shown returns the tries for messages of tests.
+func shown(r *request) []string {
+	var texts []string
+	for _, t := range r.tries[max(0, len(r.tries)-8):] {
+		texts = append(texts, fmt.Sprintf("%s: %s %s (%s)", t.host.name, t.verdict, t.code, t.detail))
+	}
+	return texts
+}
+
+// uncertain returns the requests whose callers were left in doubt by another
+// host than the excepted ones. Streams that were cut off are among them. Later
+// tries of a request repeat the doubt of the first one.
+func (c *caller) uncertain(except ...*entryHost) []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var texts []string
+	for _, r := range c.requests {
+		i := slices.IndexFunc(r.tries, func(t try) bool { return t.verdict == verdict.MayHaveRun })
+		if i >= 0 && !slices.Contains(except, r.tries[i].host) {
+			texts = append(texts, fmt.Sprintf("%s %s: %v", r.name, r.id, shown(r)))
+		}
+	}
+	return texts
+}
+
+// answered returns how many requests that satisfy the condition were answered
+// after having been started after the given time.
+func (c *caller) answered(after time.Time, of func(*request) bool) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	count := 0
+	for _, r := range c.requests {
+		if r.started.After(after) && r.ran() && of(r) {
+			count++
+		}
+	}
+	return count
+}
+
+// awaitProgress waits until requests that start from now on are answered:
+// streams and bookings, enough for every host and adapter version.
+func (c *caller) awaitProgress() {
+	c.t.Helper()
+	c.awaitStreams()
+	after := time.Now()
+	await(c.t, "bookings are answered", func() bool {
+		return c.answered(after, func(r *request) bool { return !r.repeatable }) >= 2*adapters
+	})
+}
+
+// awaitStreams waits until streams that start from now on are answered.
+func (c *caller) awaitStreams() {
+	c.t.Helper()
+	after := time.Now()
+	await(c.t, "streams are answered", func() bool {
+		return c.answered(after, func(r *request) bool { return r.repeatable }) >= 4*adapters
+	})
+}
--- /dev/null
+++ b/internal/processes/deployment_test.go
@@ -0,0 +1,329 @@
+//go:build processes && linux
+
+package processes_test
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/coordination/lease"
+	"github.com/persimmonmux/persimmonmux/coordination/ownership"
+	"github.com/persimmonmux/persimmonmux/protocol/engineorder"
+	"github.com/persimmonmux/persimmonmux/protocol/platformstore"
+	"github.com/persimmonmux/persimmonmux/standin/engine"
+	"github.com/persimmonmux/persimmonmux/standin/platform"
+	"github.com/persimmonmux/persimmonmux/standin/service"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/table"
+)
+
+const (
+	token    = "token-of-the-tests"
+	adapters = 4
+	// tokenInterval and tokens make an answer last about half a second, so that
+	// requests are in flight at every fault.
+	tokenInterval = 10 * time.Millisecond
+	tokens        = 50
+	// leaseDuration is the shortest that the tests' renewal and margin allow
+	// with some room for a busy machine.
+	leaseDuration = 2 * time.Second
+	// graceTime is several intervals of the callers' look at /readyz.
+	graceTime = 2 * time.Second
+)
+
+// domains are the failure domains with their regions.
+var domains = []struct{ name, region string }{{"east-a", "east"}, {"east-b", "east"}, {"west-a", "west"}}
+
+// A deployment is all processes of a test.
+type deployment struct {
+	t         *testing.T
+	directory string
+	platform  *process
+	hosts     []*entryHost
+	engines   []*backend
+	services  []*backend
+
+	platformAddress string
+	// platformRelays stand between each failure domain and the platform.
+	platformRelays map[string]*relay
+}
+
+// An entryHost is an entry host with its addresses.
+type entryHost struct {
+	*process
+	domain              string
+	callerAddress, peer string
+}
+
+// A backend is an engine or a plain service.
+type backend struct {
+	*process
+	domain    string
+	address   string
+	arguments []string
+	// relay stands between the entry hosts and the backend server.
+	relay *relay
+	// earlier are the runs of earlier processes of the backend server.
+	earlier map[string]int
+}
+
+// newDeployment starts a deployment and waits until every engine has an owner
+// and every host serves.
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, directory: t.TempDir(), platformAddress: freeAddress(t), platformRelays: make(map[string]*relay)}
+	d.platform = start(t, d.directory, "platform", "standin", "platform",
+		"--listen", d.platformAddress, "--loads-per-second", "50", "--host-lag", "1s")
+	for i, domain := range domains {
+		d.platformRelays[domain.name] = newRelay(t, d.platformAddress)
+		fencing := fleet.FencingEnforced
+		if i == 0 {
+			fencing = fleet.FencingIgnored
+		}
+		d.engines = append(d.engines, d.startBackend(fmt.Sprintf("engine-%s", domain.name), domain.name, "engine",
+			"--platform", "http://"+d.platformAddress, "--slots", "8", "--batch-size", "32",
+			"--token-interval", tokenInterval.String(), "--fencing", string(fencing)))
+		d.services = append(d.services, d.startBackend(fmt.Sprintf("service-%s", domain.name), domain.name, "service"))
+	}
+	d.startHosts()
+	for _, h := range d.hosts {
+		await(t, h.name+" is ready", func() bool { return ready(h.callerAddress) })
+	}
+	for _, e := range d.engines {
+		await(t, e.name+" has an owner", func() bool { return d.owner(e) != nil })
+	}
+	return d
+}
+
+func (d *deployment) startBackend(name, domain, kind string, arguments ...string) *backend {
+	b := &backend{domain: domain, address: freeAddress(d.t), earlier: make(map[string]int)}
+	b.arguments = append([]string{kind, "--listen", b.address}, arguments...)
+	b.process = start(d.t, d.directory, name, "standin", b.arguments...)
+	b.relay = newRelay(d.t, b.address)
+	await(d.t, name+" answers", func() bool { return call(http.MethodGet, b.address, engine.PathRecord, nil, nil) == nil })
+	return b
+}
+
+// startHosts starts two entry hosts in each failure domain.
+func (d *deployment) startHosts() {
+	var peers []string
+	for _, domain := range domains {
+		for i := range 2 {
+			h := &entryHost{domain: domain.name, callerAddress: freeAddress(d.t), peer: freeAddress(d.t)}
+			h.process = &process{name: fmt.Sprintf("host-%s-%d", domain.name, i+1)}
+			d.hosts = append(d.hosts, h)
+			peers = append(peers, h.peer)
+		}
+	}
+	configuration := d.write("configuration.json", d.configuration())
+	for i, h := range d.hosts {
+		others := append(append([]string{}, peers[:i]...), peers[i+1:]...)
+		settings := d.write(h.name+".json", d.settings(h, domains[i/2].region, others))
+		h.process = start(d.t, d.directory, h.name, "persimmonmux", "serve", "--settings", settings, "--initial-configuration", configuration)
+	}
+}
+
+func (d *deployment) settings(h *entryHost, region string, others []string) any {
+	return map[string]any{
+		"host-name": h.name, "failure-domain": h.domain, "region": region,
+		"caller-address": h.callerAddress, "peer-address": h.peer, "peer-addresses": others,
+		"platform-address": d.platformRelays[h.domain].address,
+		"limits":           map[string]any{"grace-time": graceTime.String()},
+		"timings": map[string]any{
+			"lease-duration": leaseDuration.String(), "lease-renewal": "500ms", "lease-margin": "200ms",
+			"grant-limit": "30s", "isolated-service-limit": "2m",
+		},
+		"decisions": map[string]any{"load-rate-share": 15},
+	}
+}
+
+func (d *deployment) configuration() any {
+	hash := sha256.Sum256([]byte(token))
+	versions := map[string]any{}
+	for i := range adapters {
+		versions[fmt.Sprintf("adapter-%d", i)] = map[string]any{"versions": []int{1, 2}, "current": 2}
+	}
+	engines := map[string]any{}
+	var servers []any
+	for i, e := range d.engines {
+		fencing := fleet.FencingEnforced
+		if i == 0 {
+			fencing = fleet.FencingIgnored
+		}
+		engines[e.name] = map[string]any{
+			"pool": "models", "failure-domain": e.domain, "address": e.relay.address,
+			"slots": 8, "batch-size": 32, "fencing": fencing,
+		}
+		s := d.services[i]
+		servers = append(servers, map[string]any{"name": s.name, "failure-domain": s.domain, "address": s.relay.address})
+	}
+	return map[string]any{
+		"adapters": versions,
+		"kinds": map[string]any{
+			"chat":    map[string]any{"urgency": "interactive", "repeat": "allowed", "deadline": chatDeadline.String()},
+			"booking": map[string]any{"urgency": "interactive", "repeat": "forbidden", "deadline": bookingDeadline.String()},
+		},
+		"applications": map[string]any{"tests": map[string]any{
+			"token-hash": hex.EncodeToString(hash[:]), "kinds": []string{"chat", "booking"},
+		}},
+		"engines":  engines,
+		"services": map[string]any{"ledger": map[string]any{"servers": servers}},
+	}
+}
+
+// write writes a file as JSON and returns its path.
+func (d *deployment) write(name string, content any) string {
+	d.t.Helper()
+	encoded, err := json.MarshalIndent(content, "", "  ")
+	qt.Assert(d.t, err, qt.IsNil)
+	path := filepath.Join(d.directory, name)
+	qt.Assert(d.t, os.WriteFile(path, encoded, 0o600), qt.IsNil)
+	return path
+}
+
+// owner returns the host that holds the lease of an engine by the platform's
+// table, or nil.
+func (d *deployment) owner(e *backend) *entryHost {
+	d.t.Helper()
+	record := d.lease(e)
+	for _, h := range d.hosts {
+		if h.name == string(record.Holder) {
+			return h
+		}
+	}
+	return nil
+}
+
+// lease returns the lease record of an engine.
+func (d *deployment) lease(e *backend) lease.Record {
+	d.t.Helper()
+	var answer platformstore.RecordsAnswer
+	key := ownership.LeaseName(fleet.EngineName(e.name)).Key()
+	err := call(http.MethodPost, d.platformAddress, platformstore.PathRead, platformstore.ReadRequest{Keys: []table.Key{key}}, &answer)
+	var record lease.Record
+	if err == nil && len(answer.Records) == 1 && answer.Records[0].Version > 0 {
+		qt.Assert(d.t, json.Unmarshal(answer.Records[0].Value, &record), qt.IsNil)
+	}
+	return record
+}
+
+// awaitOwner waits until another host than the given one owns an engine and has
+// raised its epoch.
+func (d *deployment) awaitOwner(e *backend, former *entryHost, epoch fleet.Epoch) {
+	d.t.Helper()
+	await(d.t, e.name+" has another owner than "+former.name, func() bool {
+		owner := d.owner(e)
+		return owner != nil && owner != former && d.lease(e).Epoch > epoch
+	})
+}
+
+// setPlatformFaults replaces the platform's faults.
+func (d *deployment) setPlatformFaults(faults platform.AllFaults) {
+	d.t.Helper()
+	qt.Assert(d.t, call(http.MethodPut, d.platformAddress, platform.PathFaults, faults, nil), qt.IsNil)
+}
+
+// instances returns the instances that an engine holds.
+func (d *deployment) instances(e *backend) []string {
+	var list engineorder.ModelList
+	if call(http.MethodGet, e.address, engineorder.PathModels, nil, &list) != nil {
+		return nil
+	}
+	var names []string
+	for _, model := range list.Data {
+		names = append(names, model.ID)
+	}
+	return names
+}
+
+// restart kills the backend server and starts it again at the same address.
+func (d *deployment) restart(b *backend) {
+	d.t.Helper()
+	var record engine.Record
+	qt.Assert(d.t, call(http.MethodGet, b.address, engine.PathRecord, nil, &record), qt.IsNil)
+	qt.Check(d.t, record.Violations, qt.HasLen, 0)
+	b.kill()
+	for id, count := range record.Runs {
+		b.earlier[id] += count
+	}
+	b.process = start(d.t, d.directory, b.name, "standin", b.arguments...)
+	await(d.t, b.name+" answers", func() bool { return call(http.MethodGet, b.address, engine.PathRecord, nil, nil) == nil })
+}
+
+// runs checks the backend servers' records for broken promises and returns how
+// often each request ran.
+func (d *deployment) runs() map[string]int {
+	d.t.Helper()
+	runs := make(map[string]int)
+	for _, b := range append(append([]*backend{}, d.engines...), d.services...) {
+		var record engine.Record
+		path := engine.PathRecord
+		if strings.HasPrefix(b.name, "service") {
+			path = service.PathRecord
+		}
+		qt.Assert(d.t, call(http.MethodGet, b.address, path, nil, &record), qt.IsNil)
+		qt.Check(d.t, record.Violations, qt.HasLen, 0, qt.Commentf("record of %s", b.name))
+		for _, counts := range []map[string]int{record.Runs, b.earlier} {
+			for id, count := range counts {
+				runs[id] += count
+			}
+		}
+	}
+	return runs
+}
+
+// control is the client of the stand-ins' own interfaces.
+var control = &http.Client{Timeout: 5 * time.Second}
+
+// call makes one JSON call.
+func call(method, address, path string, body, answer any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return err
+	}
+	response, err := control.Do(r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close() //nolint:errcheck // The body is read.
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s %s: status %d: %s", method, path, response.StatusCode, content)
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.Unmarshal(content, answer)
+}
+
+// probe is the client of the load balancer that the callers stand behind.
+var probe = &http.Client{Timeout: time.Second}
+
+// ready says what a load balancer finds at a host.
+func ready(address string) bool {
+	response, err := probe.Get("http://" + address + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/processes/main_test.go
@@ -0,0 +1,37 @@
+//go:build processes && linux
+
+package processes_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// binaries is the directory of the programs that TestMain builds.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "processes")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(directory) //nolint:errcheck // Temporary files.
+	binaries = directory
+	const module = "github.com/persimmonmux/persimmonmux"
+	for name, path := range map[string]string{"persimmonmux": module, "standin": module + "/standin"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(directory, name), path)
+		if output, err := build.CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", path, err, output)
+			return 1
+		}
+	}
+	return m.Run()
+}
