--- a/internal/processes/answer_test.go
+++ b/internal/processes/answer_test.go
@@ -25,9 +25,9 @@
 const longestLine = 1 << 20 // bytes
 
 // completion returns the body of a request to an engine.
-func completion(r *request, model fleet.AdapterReference, stream bool) engineorder.CompletionRequest {
+func completion(r *request, stream bool) engineorder.CompletionRequest {
 	return engineorder.CompletionRequest{
-		Model: model.String(), Stream: stream, MaxTokens: tokens,
+		Model: r.adapter.String(), Stream: stream, MaxTokens: tokens,
 		Messages: []engineorder.Message{{Role: "user", Content: r.name}},
 	}
 }
@@ -37,9 +37,9 @@
 
 // answers says whether an engine gives the text for a request on some instance
 // of the adapter version. Callers are not told the epoch of the instance.
-func answers(text string, r *request, id string, model fleet.AdapterReference) bool {
+func answers(text string, r *request, id string) bool {
 	for epoch := range fleet.Epoch(highestEpoch) {
-		instance := fleet.Instance{Adapter: model, Epoch: epoch + 1}
+		instance := fleet.Instance{Adapter: r.adapter, Epoch: epoch + 1}
 		whole := engine.Text{Request: id, Instance: instance.String(), Prompt: "user: " + r.name + "\n", Length: tokens}
 		if strings.HasPrefix(text, whole.Word(0)) {
 			return text == whole.String()
@@ -50,9 +50,9 @@
 
 // stream makes one try of a stream. Each try has its own id, because engines
 // keep the streams of a request by its id.
-func (c *caller) stream(ctx context.Context, h *entryHost, r *request, model fleet.AdapterReference) try {
+func (c *caller) stream(ctx context.Context, h *entryHost, r *request) try {
 	id := uuid.Must(uuid.NewV7()).String()
-	response, err := c.post(ctx, h, "/v1/chat/completions", "chat", id, completion(r, model, true))
+	response, err := c.post(ctx, h, "/v1/chat/completions", "chat", id, completion(r, true))
 	if err != nil {
 		return lost(err)
 	}
@@ -64,10 +64,10 @@
 		}
 		return refused(response.StatusCode, body)
 	}
-	return c.readStream(response.Body, r, id, model)
+	return c.readStream(response.Body, r, id)
 }
 
-func (c *caller) readStream(body io.Reader, r *request, id string, model fleet.AdapterReference) try {
+func (c *caller) readStream(body io.Reader, r *request, id string) try {
 	reader := chat.NewEventReader(body, longestLine)
 	var text strings.Builder
 	named, finished := "", false
@@ -102,12 +102,12 @@
 	if !finished {
 		return c.fail(r, "stream is closed without a finish reason")
 	}
-	return c.checkText(r, id, model, named, text.String())
+	return c.checkText(r, id, named, text.String())
 }
 
 // bookEngine makes one try of a booking on an engine.
-func (c *caller) bookEngine(ctx context.Context, h *entryHost, r *request, model fleet.AdapterReference) try {
-	body, outcome := c.whole(ctx, h, "/v1/chat/completions", "booking", r.id, completion(r, model, false))
+func (c *caller) bookEngine(ctx context.Context, h *entryHost, r *request) try {
+	body, outcome := c.whole(ctx, h, "/v1/chat/completions", "booking", r.id, completion(r, false))
 	if outcome.verdict != "" {
 		return outcome
 	}
@@ -118,17 +118,17 @@
 	if answer.ID != r.id {
 		return c.fail(r, "answer of request %s", answer.ID)
 	}
-	return c.checkText(r, r.id, model, answer.Model, answer.Choices[0].Message.Content)
+	return c.checkText(r, r.id, answer.Model, answer.Choices[0].Message.Content)
 }
 
 // checkText checks that an answer is whole and comes from the adapter version
 // that was asked for.
-func (c *caller) checkText(r *request, id string, model fleet.AdapterReference, named, text string) try {
-	if named != model.String() {
-		return c.fail(r, "asked for %s and was answered by %s", model, named)
+func (c *caller) checkText(r *request, id string, named, text string) try {
+	if named != r.adapter.String() {
+		return c.fail(r, "asked for %s and was answered by %s", r.adapter, named)
 	}
-	if !answers(text, r, id, model) {
-		return c.fail(r, "text of %d bytes is not the whole answer of %s", len(text), model)
+	if !answers(text, r, id) {
+		return c.fail(r, "text of %d bytes is not the whole answer of %s", len(text), r.adapter)
 	}
 	return try{verdict: verdict.Ran}
 }
--- a/internal/processes/caller_test.go
+++ b/internal/processes/caller_test.go
@@ -45,12 +45,17 @@
 	unresolvedAnswers = 3
 )
 
+// codeNoAnswer is the code of a try that was not answered in time. Hosts answer
+// at the deadline at the latest.
+const codeNoAnswer verdict.Code = "no-answer"
+
 // A try is one attempt of a request at one host.
 type try struct {
-	host    *entryHost
-	verdict verdict.Verdict
-	code    verdict.Code
-	detail  string
+	host         *entryHost
+	began, ended time.Time
+	verdict      verdict.Verdict
+	code         verdict.Code
+	detail       string
 }
 
 // A request is one request of a caller with all its tries.
@@ -58,8 +63,10 @@
 	name       string
 	id         string
 	repeatable bool
-	started    time.Time
-	tries      []try
+	// adapter is the zero value for a plain service.
+	adapter fleet.AdapterReference
+	started time.Time
+	tries   []try
 }
 
 // ran says that the last try brought the whole answer.
@@ -80,22 +87,31 @@
 	hosts  []*entryHost
 	client *http.Client
 	// live holds the hosts that /readyz calls ready, as a load balancer sees it.
-	live  map[*entryHost]*atomic.Bool
+	live map[*entryHost]*atomic.Bool
+	// given holds for each host the context of the tries there.
+	given map[*entryHost]*lifetime
 	turn  atomic.Uint64
 	stop  context.CancelFunc
 	ended sync.WaitGroup
 
-	mutex    sync.Mutex
+	mutex sync.Mutex
+	// requests are in the order of their starts.
 	requests []*request
 	// wrong are the answers that break a promise, whatever the fault.
 	wrong []string
 }
 
+// A lifetime ends the tries at a host that the callers give up.
+type lifetime struct {
+	context.Context
+	cancel context.CancelFunc
+}
+
 // startCaller sends load to the hosts until finish.
 func startCaller(t *testing.T, hosts []*entryHost) *caller {
 	t.Helper()
 	c := &caller{
-		t: t, hosts: hosts, live: make(map[*entryHost]*atomic.Bool),
+		t: t, hosts: hosts, live: make(map[*entryHost]*atomic.Bool), given: make(map[*entryHost]*lifetime),
 		// A fresh connection for each try: a refused dial then proves that the
 		// request did not run, and no idle connection dies under a request.
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
@@ -104,6 +120,8 @@
 	c.stop = cancel
 	for _, h := range hosts {
 		c.live[h] = new(atomic.Bool)
+		c.given[h] = new(lifetime)
+		c.given[h].Context, c.given[h].cancel = context.WithCancel(context.Background())
 		c.live[h].Store(ready(h.callerAddress))
 		c.ended.Go(func() {
 			every(ctx, 100*time.Millisecond, func(int) { c.live[h].Store(ready(h.callerAddress)) })
@@ -130,9 +148,8 @@
 }
 
 func (c *caller) startStream(n int) {
-	r := &request{name: fmt.Sprintf("stream %d", n), repeatable: true, started: time.Now()}
-	model := modelOf(n)
-	c.begin(r, func(ctx context.Context, h *entryHost) try { return c.stream(ctx, h, r, model) })
+	r := &request{name: fmt.Sprintf("stream %d", n), repeatable: true, adapter: adapterOf(n), started: time.Now()}
+	c.begin(r, func(ctx context.Context, h *entryHost) try { return c.stream(ctx, h, r) })
 }
 
 func (c *caller) startBooking(n int) {
@@ -141,12 +158,12 @@
 		c.begin(r, func(ctx context.Context, h *entryHost) try { return c.bookService(ctx, h, r) })
 		return
 	}
-	model := modelOf(n / 2)
-	c.begin(r, func(ctx context.Context, h *entryHost) try { return c.bookEngine(ctx, h, r, model) })
+	r.adapter = adapterOf(n / 2)
+	c.begin(r, func(ctx context.Context, h *entryHost) try { return c.bookEngine(ctx, h, r) })
 }
 
-// modelOf returns an adapter version for the request with number n.
-func modelOf(n int) fleet.AdapterReference {
+// adapterOf returns an adapter version for the request with number n.
+func adapterOf(n int) fleet.AdapterReference {
 	return fleet.AdapterReference{
 		Name: fleet.AdapterName(fmt.Sprintf("adapter-%d", n%adapters)), Version: fleet.AdapterVersion(1 + n/adapters%2),
 	}
@@ -170,10 +187,11 @@
 	unresolved := 0
 	for n := 0; time.Since(r.started) < persistence; n++ {
 		h := c.next()
-		ctx, cancel := context.WithTimeout(context.Background(), limit+answerMargin)
+		ctx, cancel := context.WithTimeout(c.given[h], limit+answerMargin)
+		began := time.Now()
 		outcome := once(ctx, h)
 		cancel()
-		outcome.host = h
+		outcome.host, outcome.began, outcome.ended = h, began, time.Now()
 		c.mutex.Lock()
 		r.tries = append(r.tries, outcome)
 		c.mutex.Unlock()
@@ -189,10 +207,16 @@
 	}
 }
 
+// abandon ends the tries at a host, whose callers are left in doubt, and sends
+// it no more.
+func (c *caller) abandon(h *entryHost) {
+	c.given[h].cancel()
+}
+
 // next returns the next host that is ready, or the next one.
 func (c *caller) next() *entryHost {
 	for range c.hosts {
-		if h := c.hosts[c.turn.Add(1)%uint64(len(c.hosts))]; c.live[h].Load() {
+		if h := c.hosts[c.turn.Add(1)%uint64(len(c.hosts))]; c.live[h].Load() && c.given[h].Err() == nil {
 			return h
 		}
 	}
@@ -243,7 +267,7 @@
 	}
 	code := verdict.CodeIncomplete
 	if errors.Is(err, context.DeadlineExceeded) {
-		code = verdict.CodeDeadline
+		code = codeNoAnswer
 	}
 	return try{verdict: verdict.MayHaveRun, code: code, detail: "no answer: " + err.Error()}
 }
@@ -277,6 +301,9 @@
 	tried := 0
 	for _, r := range c.requests {
 		tried += len(r.tries)
+		if slices.ContainsFunc(r.tries, func(t try) bool { return t.code == codeNoAnswer }) {
+			c.t.Errorf("%s was not answered in time: %v", r.name, shown(r))
+		}
 		count := runs[r.id]
 		switch {
 		case r.repeatable && !r.ran():
@@ -334,6 +361,24 @@
 	return count
 }
 
+// triesWithin returns the tries that began and ended between two times.
+func (c *caller) triesWithin(from, to time.Time, of func(*request) bool) []try {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var tries []try
+	for _, r := range c.requests {
+		for _, t := range r.tries {
+			if of(r) && t.began.After(from) && t.ended.Before(to) {
+				tries = append(tries, t)
+			}
+		}
+	}
+	return tries
+}
+
+func isStream(r *request) bool  { return r.repeatable }
+func isBooking(r *request) bool { return !r.repeatable }
+
 // awaitProgress waits until requests that start from now on are answered:
 // streams and bookings, enough for every host and adapter version.
 func (c *caller) awaitProgress() {
@@ -341,7 +386,7 @@
 	c.awaitStreams()
 	after := time.Now()
 	await(c.t, "bookings are answered", func() bool {
-		return c.answered(after, func(r *request) bool { return !r.repeatable }) >= 2*adapters
+		return c.answered(after, isBooking) >= 2*adapters
 	})
 }
 
@@ -350,6 +395,6 @@
 	c.t.Helper()
 	after := time.Now()
 	await(c.t, "streams are answered", func() bool {
-		return c.answered(after, func(r *request) bool { return r.repeatable }) >= 4*adapters
+		return c.answered(after, isStream) >= 4*adapters
 	})
 }
--- a/internal/processes/deployment_test.go
+++ b/internal/processes/deployment_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -30,8 +31,11 @@
 )
 
 const (
-	token    = "token-of-the-tests"
+	token = "token-of-the-tests"
+	// adapters have two versions each. An engine has fewer slots than there are
+	// versions, so that owners evict instances all the time.
 	adapters = 4
+	slots    = 6
 	// tokenInterval and tokens make an answer last about half a second, so that
 	// requests are in flight at every fault.
 	tokenInterval = 10 * time.Millisecond
@@ -93,11 +97,12 @@
 			fencing = fleet.FencingIgnored
 		}
 		d.engines = append(d.engines, d.startBackend(fmt.Sprintf("engine-%s", domain.name), domain.name, "engine",
-			"--platform", "http://"+d.platformAddress, "--slots", "8", "--batch-size", "32",
+			"--platform", "http://"+d.platformAddress, "--slots", fmt.Sprint(slots), "--batch-size", "32",
 			"--token-interval", tokenInterval.String(), "--fencing", string(fencing)))
 		d.services = append(d.services, d.startBackend(fmt.Sprintf("service-%s", domain.name), domain.name, "service"))
 	}
 	d.startHosts()
+	d.list()
 	for _, h := range d.hosts {
 		await(t, h.name+" is ready", func() bool { return ready(h.callerAddress) })
 	}
@@ -164,7 +169,7 @@
 		}
 		engines[e.name] = map[string]any{
 			"pool": "models", "failure-domain": e.domain, "address": e.relay.address,
-			"slots": 8, "batch-size": 32, "fencing": fencing,
+			"slots": slots, "batch-size": 32, "fencing": fencing,
 		}
 		s := d.services[i]
 		servers = append(servers, map[string]any{"name": s.name, "failure-domain": s.domain, "address": s.relay.address})
@@ -179,10 +184,38 @@
 			"token-hash": hex.EncodeToString(hash[:]), "kinds": []string{"chat", "booking"},
 		}},
 		"engines":  engines,
-		"services": map[string]any{"ledger": map[string]any{"servers": servers}},
+		"services": map[string]any{"ledger": map[string]any{"servers": servers, "refusal-proves": []int{http.StatusTooManyRequests}}},
 	}
 }
 
+// list puts all hosts into the platform's host list, the leaving ones as leaving.
+func (d *deployment) list(leaving ...*backend) {
+	d.t.Helper()
+	var listed []fleet.ListedHost
+	for _, h := range d.hosts {
+		listed = append(listed, fleet.ListedHost{
+			Name: h.name, Role: fleet.RoleEntry, Domain: fleet.FailureDomainName(h.domain), Address: h.peer, State: fleet.HostLive,
+		})
+	}
+	for _, b := range d.backends() {
+		state := fleet.HostLive
+		if slices.Contains(leaving, b) {
+			state = fleet.HostLeaving
+		}
+		listed = append(listed, fleet.ListedHost{
+			Name: b.name, Role: fleet.RoleBackend, Domain: fleet.FailureDomainName(b.domain), Address: b.address, State: state,
+		})
+	}
+	for _, host := range listed {
+		qt.Assert(d.t, call(http.MethodPut, d.platformAddress, platformstore.PathHosts, host, nil), qt.IsNil)
+	}
+}
+
+// backends returns the engines and plain services.
+func (d *deployment) backends() []*backend {
+	return slices.Concat(d.engines, d.services)
+}
+
 // write writes a file as JSON and returns its path.
 func (d *deployment) write(name string, content any) string {
 	d.t.Helper()
@@ -248,11 +281,23 @@
 	return names
 }
 
+// record returns a backend server's own record. That of a plain service has no
+// violations.
+func (d *deployment) record(b *backend) engine.Record {
+	d.t.Helper()
+	var record engine.Record
+	path := engine.PathRecord
+	if strings.HasPrefix(b.name, "service") {
+		path = service.PathRecord
+	}
+	qt.Assert(d.t, call(http.MethodGet, b.address, path, nil, &record), qt.IsNil)
+	return record
+}
+
 // restart kills the backend server and starts it again at the same address.
 func (d *deployment) restart(b *backend) {
 	d.t.Helper()
-	var record engine.Record
-	qt.Assert(d.t, call(http.MethodGet, b.address, engine.PathRecord, nil, &record), qt.IsNil)
+	record := d.record(b)
 	qt.Check(d.t, record.Violations, qt.HasLen, 0)
 	b.kill()
 	for id, count := range record.Runs {
@@ -267,13 +312,8 @@
 func (d *deployment) runs() map[string]int {
 	d.t.Helper()
 	runs := make(map[string]int)
-	for _, b := range append(append([]*backend{}, d.engines...), d.services...) {
-		var record engine.Record
-		path := engine.PathRecord
-		if strings.HasPrefix(b.name, "service") {
-			path = service.PathRecord
-		}
-		qt.Assert(d.t, call(http.MethodGet, b.address, path, nil, &record), qt.IsNil)
+	for _, b := range d.backends() {
+		record := d.record(b)
 		qt.Check(d.t, record.Violations, qt.HasLen, 0, qt.Commentf("record of %s", b.name))
 		for _, counts := range []map[string]int{record.Runs, b.earlier} {
 			for id, count := range counts {
--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -3,9 +3,16 @@
 package processes_test
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/standin/platform"
+	"github.com/persimmonmux/persimmonmux/standin/service"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
 // begin starts a deployment and load, and waits until the load is answered.
@@ -47,3 +54,84 @@
 	c.finish(d)
 	qt.Check(t, c.uncertain(killed...), qt.HasLen, 0)
 }
+
+// Guards against an owner that wakes after its lease expired and unloads an
+// instance under a request, and against a host that wakes and runs what its
+// callers have tried again elsewhere.
+func TestFrozenOwnerDoesNoHarmWhenItWakes(t *testing.T) {
+	d, c := begin(t)
+	former := []*entryHost{d.owner(d.engines[0]), d.owner(d.engines[1])}
+	epochs := []fleet.Epoch{d.lease(d.engines[0]).Epoch, d.lease(d.engines[1]).Epoch}
+	for _, h := range former {
+		h.freeze(t)
+		c.abandon(h)
+	}
+	for i, h := range former {
+		d.awaitOwner(d.engines[i], h, epochs[i])
+	}
+	c.awaitProgress()
+	for _, h := range former {
+		h.wake()
+	}
+	c.awaitProgress()
+	for _, h := range former {
+		await(t, h.name+" serves again", func() bool { return ready(h.callerAddress) })
+	}
+	c.finish(d)
+	qt.Check(t, c.uncertain(former...), qt.HasLen, 0)
+}
+
+// platformOutage is how long the platform is away; ten leases.
+const platformOutage = 20 * time.Second
+
+// Guards against an outage of the platform that stops requests on resident
+// adapters, and against bookings that run although their claim is not known.
+func TestPlatformOutage(t *testing.T) {
+	d, c := begin(t)
+	d.platform.freeze(t)
+	away := time.Now()
+	time.Sleep(leaseDuration)
+	expired := time.Now()
+	time.Sleep(platformOutage - time.Since(away))
+	for _, e := range d.engines {
+		for _, instance := range d.instances(e) {
+			parsed, err := fleet.ParseInstance(instance)
+			qt.Assert(t, err, qt.IsNil)
+			served := func(r *request) bool { return r.repeatable && r.adapter == parsed.Adapter }
+			qt.Check(t, c.answered(expired, served) > 0, qt.IsTrue, qt.Commentf("resident adapter %s", parsed.Adapter))
+		}
+	}
+	back := time.Now()
+	d.platform.wake()
+	bookings := c.triesWithin(away, back, isBooking)
+	qt.Check(t, len(bookings) > 0, qt.IsTrue)
+	for _, b := range bookings {
+		qt.Check(t, b.verdict, qt.Equals, verdict.NotRun, qt.Commentf("%s: %s", b.code, b.detail))
+	}
+	c.awaitProgress()
+	c.finish(d)
+}
+
+// Guards against a booking that runs twice or is refused for good because the
+// platform lost the reply to a write that took effect.
+func TestLostRepliesOfThePlatform(t *testing.T) {
+	d, c := begin(t)
+	d.setPlatformFaults(platform.AllFaults{Table: platform.Faults{LostReply: 0.5}})
+	for _, s := range d.services {
+		// Refused bookings are tried again after their claims were removed; those
+		// that lose their answer must not be.
+		faults := service.Faults{Refuse: 0.8, RefusalStatus: http.StatusTooManyRequests, DieAfterRun: 0.2}
+		qt.Assert(t, call(http.MethodPut, s.address, service.PathFaults, faults, nil), qt.IsNil)
+	}
+	from := time.Now()
+	await(t, "enough tries during the fault", func() bool {
+		return len(c.triesWithin(from, time.Now(), isBooking)) >= 100
+	})
+	for _, s := range d.services {
+		qt.Assert(t, call(http.MethodPut, s.address, service.PathFaults, service.Faults{}, nil), qt.IsNil)
+	}
+	c.awaitProgress()
+	d.setPlatformFaults(platform.AllFaults{})
+	c.awaitProgress()
+	c.finish(d)
+}
