service: send no new work to leaving servers

Cause: the client of plain services knew the configuration's draining servers but not the leaving servers of the membership, so a plain service that the host list names as leaving went on receiving calls.

Ruled out: the host list as the cause; its view holds the server as leaving within one second.

Change: the client asks whether a server leaves before it chooses it; the entry host answers from the membership's view.

--- a/internal/entryhost/parts.go
+++ b/internal/entryhost/parts.go
@@ -135,8 +135,13 @@
 		func() *platform.Client { return &platform.Client{Address: "http://" + h.Settings.PlatformAddress.String()} },
 		func() *peer.Client { return &peer.Client{Domain: h.Settings.FailureDomain} },
 		func() *engine.Client { return &engine.Client{} },
-		func(d *revision.Distributor) *service.Client {
-			return &service.Client{Configuration: d.Current, Domain: h.Settings.FailureDomain}
+		func(d *revision.Distributor, m *membership.Monitor) *service.Client {
+			return &service.Client{
+				Configuration: d.Current,
+				Domain:        h.Settings.FailureDomain,
+				// Plain services tell no start number.
+				Leaving: func(server string) bool { return m.View().ServerLeaving(server, 0) },
+			}
 		},
 		func() *revisionWatcher { return &revisionWatcher{} },
 		h.newMonitor,
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -39,6 +39,9 @@
 	Configuration func() *configuration.Configuration
 	// Domain is the failure domain of this host. Its servers are tried first.
 	Domain fleet.FailureDomainName
+	// Leaving says whether a server is about to stop and gets no new work. It may
+	// be nil.
+	Leaving func(server string) bool
 	// DialLimit bounds a connection attempt.
 	DialLimit time.Duration
 	// AnswerLimit bounds the time without a byte of an answer.
@@ -95,7 +98,7 @@
 	var near, far []configuration.Server
 	for _, server := range service.Servers {
 		switch {
-		case draining[server.Name]:
+		case draining[server.Name], c.Leaving != nil && c.Leaving(server.Name):
 		case server.Domain == c.Domain:
 			near = append(near, server)
 		default:
--- a/transport/service/client_test.go
+++ b/transport/service/client_test.go
@@ -74,7 +74,7 @@
 }
 
 // TestOrder guards against calls that leave the failure domain without need, and
-// against calls to a draining or a dead server.
+// against calls to a draining, a leaving or a dead server.
 func TestOrder(t *testing.T) {
 	f := newFixture(t)
 	for _, id := range []string{"a", "b", "c"} {
@@ -86,6 +86,9 @@
 	_, err := f.call("e")
 	f.Assert(verdict.From(err).Verdict, quicktest.Equals, verdict.NotRun)
 	f.configuration.Draining = map[string]bool{}
+	f.client.Leaving = func(server string) bool { return server == "belegung-1" }
+	f.assertServer("leaving", "far")
+	f.client.Leaving = nil
 	f.nearServer.Close()
 	// A kept connection to the dead server could take the bytes of the request;
 	// the case here is the refused dial.
