membership: treat a server listed without its start as leaving

Cause: the platform may list a leaving server with start 0 because it does not know the start. Routing compares the start of the listing with the start that the engine's owner reports, so 0 counted as an earlier process and the engine went on receiving work.

Change: a leaving server without a known start leaves whatever its start is.

--- a/coordination/membership/monitor_test.go
+++ b/coordination/membership/monitor_test.go
@@ -289,6 +289,24 @@
 	}
 }
 
+// TestLeavingServerWithoutStart guards against work for an engine that the list
+// names as leaving without knowing its start, while its owner knows it.
+func TestLeavingServerWithoutStart(t *testing.T) {
+	for _, layout := range layouts {
+		t.Run(layout.name, func(t *testing.T) {
+			inDeployment(t, layout.domains, layout.hosts, layout.limit, func(c *quicktest.C, d *deployment) {
+				listing := d.list.listing
+				listing.Servers = []fleet.ListedServer{{Name: "engine-1", State: fleet.HostLeaving}}
+				d.list.set(listing)
+				time.Sleep(3 * time.Second)
+				for _, m := range d.members {
+					c.Assert(m.View().ServerLeaving("engine-1", 7), quicktest.IsTrue, quicktest.Commentf("%s", m.Self.Name))
+				}
+			})
+		})
+	}
+}
+
 // TestLeavingServer guards against work for a backend server more than 3 s
 // after the host list names it, and against a list that goes back.
 func TestLeavingServer(t *testing.T) {
--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -30,7 +30,7 @@
 	// Engines has the newest summary of each engine. The owner may be silent.
 	Engines map[fleet.EngineName]fleet.EngineSummary
 	// LeavingServers are the backend servers that leave, with the highest
-	// start that leaves.
+	// start that leaves; 0 where the list does not know it.
 	LeavingServers map[string]fleet.StartNumber
 	// Direct says that all hosts exchange heartbeats with each other;
 	// otherwise relays connect the failure domains.
@@ -38,10 +38,12 @@
 }
 
 // ServerLeaving reports whether the process of a backend server leaves. Start
-// 0 stands for a process whose start is not known.
+// 0 stands for a process whose start is not known. A server that is listed as
+// leaving without its start leaves whatever its start is, because work for a
+// server that stops does more harm than a new process that waits.
 func (v *View) ServerLeaving(name string, start fleet.StartNumber) bool {
 	leaving, ok := v.LeavingServers[name]
-	return ok && leaving >= start
+	return ok && (leaving == 0 || leaving >= start)
 }
 
 // Live returns the live hosts of a failure domain by name, or of all failure
