--- a/internal/processes/deployment_test.go
+++ b/internal/processes/deployment_test.go
@@ -34,12 +34,12 @@
 	token = "token-of-the-tests"
 	// adapters have two versions each. An engine has fewer slots than there are
 	// versions, so that owners evict instances all the time.
-	adapters = 4
-	slots    = 6
+	adapters = 6
+	slots    = 5
 	// tokenInterval and tokens make an answer last about half a second, so that
 	// requests are in flight at every fault.
 	tokenInterval = 10 * time.Millisecond
-	tokens        = 50
+	tokens        = 40
 	// leaseDuration is the shortest that the tests' renewal and margin allow
 	// with some room for a busy machine.
 	leaseDuration = 2 * time.Second
@@ -262,6 +262,28 @@
 	})
 }
 
+// awaitUse waits until the present process of an engine has run requests.
+func (d *deployment) awaitUse(e *backend) {
+	d.t.Helper()
+	before := len(d.record(e).Runs)
+	await(d.t, e.name+" is used", func() bool { return len(d.record(e).Runs) > before })
+}
+
+// leaving returns the number of leaving hosts that the host list shows.
+func (d *deployment) leaving() int {
+	var answer platformstore.HostsAnswer
+	if call(http.MethodGet, d.platformAddress, platformstore.PathHosts, nil, &answer) != nil {
+		return 0
+	}
+	count := 0
+	for _, host := range answer.Hosts {
+		if host.State == fleet.HostLeaving {
+			count++
+		}
+	}
+	return count
+}
+
 // setPlatformFaults replaces the platform's faults.
 func (d *deployment) setPlatformFaults(faults platform.AllFaults) {
 	d.t.Helper()
--- a/internal/processes/process_test.go
+++ b/internal/processes/process_test.go
@@ -72,6 +72,13 @@
 func (p *process) stop(t *testing.T) {
 	t.Helper()
 	p.signal(syscall.SIGTERM)
+	p.awaitEnd(t)
+}
+
+// awaitEnd waits until the process, which was asked to end, has ended without an
+// error.
+func (p *process) awaitEnd(t *testing.T) {
+	t.Helper()
 	select {
 	case <-p.ended:
 		qt.Check(t, p.failure, qt.IsNil, qt.Commentf("end of %s", p.name))
--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -31,6 +32,9 @@
 	for _, e := range d.engines[:2] {
 		former, epoch := d.owner(e), d.lease(e).Epoch
 		former.stop(t)
+		// The lease has moved when the process ends; nobody waits for its end.
+		qt.Check(t, d.lease(e).Epoch > epoch, qt.IsTrue)
+		qt.Check(t, d.owner(e) != former, qt.IsTrue)
 		d.awaitOwner(e, former, epoch)
 		c.awaitProgress()
 	}
@@ -49,6 +53,7 @@
 		killed = append(killed, former)
 		former.kill()
 		d.awaitOwner(e, former, epoch)
+		d.awaitUse(e)
 		c.awaitProgress()
 	}
 	c.finish(d)
@@ -135,3 +140,93 @@
 	c.awaitProgress()
 	c.finish(d)
 }
+
+// Guards against requests that hang on a connection which went silent, and
+// against other requests that suffer with them.
+func TestSilentConnectionsToAnEngine(t *testing.T) {
+	d, c := begin(t)
+	for _, e := range d.engines[:2] {
+		e.relay.silenceOpen()
+		c.awaitProgress()
+	}
+	c.finish(d)
+	for _, r := range c.requests {
+		if r.repeatable {
+			qt.Check(t, r.certain(), qt.IsTrue, qt.Commentf("%s: %v", r.name, shown(r)))
+		}
+	}
+}
+
+// Guards against grants and residency that outlive the engine's process, and
+// against bookings that run again on its next one.
+func TestColdRestartOfAnEngine(t *testing.T) {
+	d, c := begin(t)
+	for _, e := range d.engines[:2] {
+		d.restart(e)
+		d.awaitUse(e)
+		c.awaitProgress()
+	}
+	c.finish(d)
+}
+
+// leavingLimit is the time after which a leaving backend server gets no new
+// work, counted from when the host list names it.
+const leavingLimit = 3 * time.Second
+
+// transit is the time in which a request that was sent before leavingLimit has
+// reached its backend server.
+const transit = 500 * time.Millisecond
+
+// Guards against new work for a backend server that is about to stop.
+func TestLeavingBackendServersGetNoNewWork(t *testing.T) {
+	d, c := begin(t)
+	leaving := []*backend{d.engines[0], d.services[1]}
+	d.list(leaving...)
+	await(t, "the host list shows the leaving servers", func() bool { return d.leaving() == len(leaving) })
+	time.Sleep(leavingLimit + transit)
+	var before []map[string]int
+	for _, b := range leaving {
+		before = append(before, d.record(b).Runs)
+	}
+	c.awaitProgress()
+	c.awaitProgress()
+	for i, b := range leaving {
+		qt.Check(t, d.record(b).Runs, qt.DeepEquals, before[i], qt.Commentf("runs on %s", b.name))
+	}
+	c.finish(d)
+	qt.Check(t, c.uncertain(), qt.HasLen, 0)
+}
+
+// Guards against an engine that stays without an owner when its owner dies while
+// the platform is away.
+func TestOwnerDiesWhileThePlatformIsAway(t *testing.T) {
+	d, c := begin(t)
+	former, epoch := d.owner(d.engines[0]), d.lease(d.engines[0]).Epoch
+	d.platform.freeze(t)
+	former.kill()
+	// The other hosts know the lease to be over before the platform is back.
+	time.Sleep(2 * leaseDuration)
+	c.awaitStreams()
+	d.platform.wake()
+	d.awaitOwner(d.engines[0], former, epoch)
+	c.awaitProgress()
+	d.awaitUse(d.engines[0])
+	c.finish(d)
+	qt.Check(t, c.uncertain(former), qt.HasLen, 0)
+}
+
+// Guards against a hand-over that passes on grants and instances of an engine
+// which restarts meanwhile, and against a stop that waits for it for good.
+func TestEngineRestartsColdDuringAHandOver(t *testing.T) {
+	d, c := begin(t)
+	for _, e := range d.engines[:2] {
+		former, epoch := d.owner(e), d.lease(e).Epoch
+		former.signal(syscall.SIGTERM)
+		d.restart(e)
+		former.awaitEnd(t)
+		d.awaitOwner(e, former, epoch)
+		d.awaitUse(e)
+		c.awaitProgress()
+	}
+	c.finish(d)
+}
