--- a/internal/entryhost/parts.go
+++ b/internal/entryhost/parts.go
@@ -132,7 +132,9 @@
 	return []any{
 		h.newSelf,
 		h.newListeners,
-		func() *platform.Client { return &platform.Client{Address: "http://" + h.Settings.PlatformAddress.String()} },
+		func() *platform.Client {
+			return &platform.Client{Address: "http://" + h.Settings.PlatformAddress.String()}
+		},
 		func() *peer.Client { return &peer.Client{Domain: h.Settings.FailureDomain} },
 		func() *engine.Client { return &engine.Client{} },
 		func(d *revision.Distributor, m *membership.Monitor) *service.Client {
