ownership: refuse demands that wait for a former owner's slots

Cause: after an owner was frozen past its lease, its instances keep their slots on an engine that ignores fencing numbers until the former process is known to have ended, which may take isolated-service-limit. Demands for a load waited at the new owner for their whole deadline, and the router chose that engine again because it had the least load, so an adapter that was resident nowhere was not served for as long as the caller tried (60 s).

Ruled out: lost demands, because the new owner answered each at its deadline; the load budget, because no load order was started.

Change: once the holders have been asked and an answer is missing, and earlier instances take all slots, the owner refuses at once, so that dispatch goes to another engine.

--- a/coordination/ownership/residency.go
+++ b/coordination/ownership/residency.go
@@ -21,6 +21,13 @@
 
 // schedule starts loads for waiting adapters, and evictions that make room.
 func (o *Owner) schedule(ctx context.Context, now time.Time) {
+	if o.blocked(now) {
+		for adapter := range o.queues {
+			o.refuseQueue(adapter, verdict.Refuse(verdict.CodeNoGrant,
+				"adapter %s has no slot on engine %s: a former owner may have granted all instances", adapter, o.Engine.Name))
+		}
+		return
+	}
 	waiting := o.loadable(now)
 	// Evictions in flight already make room for as many adapters.
 	coming := o.evicting()
@@ -42,6 +49,22 @@
 	}
 }
 
+// blocked says that a load cannot begin before it is known what a former owner
+// granted, because its instances take all slots. That may last for minutes, in
+// which other engines can serve the demands. Holders are asked first, because
+// most former owners are known to have ended at once.
+func (o *Owner) blocked(now time.Time) bool {
+	if o.takeover.complete || o.takeover.asking || o.takeover.askAt.IsZero() || o.Engine.Slots-o.foreign > len(o.entries) {
+		return false
+	}
+	for _, e := range o.entries {
+		if e.instance.Epoch >= o.Epoch || e.adopted || e.state == stateUnloading || o.takeover.over(e.instance.Epoch, o, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // loadable returns the adapters that demands wait for and that may be loaded.
 func (o *Owner) loadable(now time.Time) []Waiting {
 	var waiting []Waiting
