--- a/internal/processes/caller_test.go
+++ b/internal/processes/caller_test.go
@@ -73,6 +73,8 @@
 	length  int
 	started time.Time
 	tries   []try
+	// done says that the caller has its outcome or has given up.
+	done bool
 	// first is the host of the first try; nil leaves it to the load balancer.
 	first *entryHost
 	// flowing is closed when the first chunk has come; it may be nil.
@@ -205,7 +207,12 @@
 	c.mutex.Lock()
 	c.requests = append(c.requests, r)
 	c.mutex.Unlock()
-	c.ended.Go(func() { c.persist(r, once) })
+	c.ended.Go(func() {
+		c.persist(r, once)
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		r.done = true
+	})
 }
 
 // persist tries a request until it ran, each time at another host. A booking
@@ -395,6 +402,19 @@
 	return count
 }
 
+// awaitEnds waits until all requests that have started have ended.
+func (c *caller) awaitEnds() {
+	c.t.Helper()
+	c.mutex.Lock()
+	started := slices.Clone(c.requests)
+	c.mutex.Unlock()
+	await(c.t, "earlier requests have ended", func() bool {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return !slices.ContainsFunc(started, func(r *request) bool { return !r.done })
+	})
+}
+
 // triesWithin returns the tries that began and ended between two times.
 func (c *caller) triesWithin(from, to time.Time, of func(*request) bool) []try {
 	c.mutex.Lock()
--- a/internal/processes/deployment_test.go
+++ b/internal/processes/deployment_test.go
@@ -99,10 +99,17 @@
 	earlier map[string]int
 }
 
+// places bounds the deployments that run at the same time. Each has 13 processes,
+// and the cases spend most of their time waiting.
+var places = make(chan struct{}, 2)
+
 // newDeployment starts a deployment and waits until every engine has an owner
 // and every host serves.
 func newDeployment(t *testing.T, o options) *deployment {
 	t.Helper()
+	t.Parallel()
+	places <- struct{}{}
+	t.Cleanup(func() { <-places })
 	d := &deployment{
 		t: t, directory: t.TempDir(), platformAddress: freeAddress(t),
 		platformRelays: make(map[string]*relay), options: o,
@@ -394,6 +401,27 @@
 	return record
 }
 
+// unloadLate sends an engine the orders of a former owner to unload all
+// instances of its epoch. Engines that refuse old fencing numbers refuse them.
+func (d *deployment) unloadLate(e *backend, epoch fleet.Epoch) {
+	d.t.Helper()
+	for _, name := range d.instances(e) {
+		instance, err := fleet.ParseInstance(name)
+		qt.Assert(d.t, err, qt.IsNil)
+		if instance.Epoch > epoch {
+			continue
+		}
+		body, err := json.Marshal(engineorder.UnloadOrder{LoraName: name})
+		qt.Assert(d.t, err, qt.IsNil)
+		r, err := http.NewRequest(http.MethodPost, "http://"+e.address+engineorder.PathUnload, bytes.NewReader(body))
+		qt.Assert(d.t, err, qt.IsNil)
+		r.Header.Set(engineorder.HeaderFencingNumber, fmt.Sprint(epoch))
+		response, err := control.Do(r)
+		qt.Assert(d.t, err, qt.IsNil)
+		_ = response.Body.Close()
+	}
+}
+
 // restart kills the backend server and starts it again at the same address.
 func (d *deployment) restart(b *backend) {
 	d.t.Helper()
--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -84,6 +84,12 @@
 		d.awaitOwner(d.engines[i], h, epochs[i])
 	}
 	c.awaitProgress()
+	// What ran under the former owners' grants has ended. A former owner may have
+	// sent an order to unload anything else, which arrives only now.
+	c.awaitEnds()
+	for i, e := range d.engines[:2] {
+		d.unloadLate(e, epochs[i])
+	}
 	for _, h := range former {
 		h.wake()
 	}
