--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_LINT_VERSION = v2.15.0
 GO_TOOLS = $(shell go env GOPATH)/bin
 
-.PHONY: test test-processes lint format bench check-model generate build
+.PHONY: test test-processes lint format bench bench-quick check-model generate build
 
 # test runs all tests, with the race detector where duties run.
 test:
@@ -18,8 +18,17 @@
 format:
 	$(GO_TOOLS)/golangci-lint fmt ./...
 
+# bench measures the load decisions in full; the tables, JSON lines and plot go
+# to bench/results. It takes several minutes.
 bench:
-	go run ./bench
+	go test ./bench/policy -count=1 -cpu 3 -timeout 30m -run TestPolicies -scale full -output $(CURDIR)/bench/results
+	cat bench/results/policy.txt
+	go test ./bench/policy -cpu 3 -run '^$$' -bench .
+
+# bench-quick measures the main scenarios in less than a minute.
+bench-quick:
+	go test ./bench/policy -count=1 -cpu 3 -run TestPolicies -scale quick -output $(CURDIR)/bench/results
+	cat bench/results/policy.txt
 
 # check-model checks every model in spec with Spin, broken variants included.
 check-model:
--- a/bench/bound/clairvoyant.go
+++ b/bench/bound/clairvoyant.go
@@ -209,15 +209,23 @@
 }
 
 // Capacity returns the highest rate, to one percent, at which the clairvoyant
-// run serves the share of requests by their deadline.
+// run serves the share of requests by their deadline. It doubles the rate until
+// the run fails, so that no run is much larger than needed.
 func (c Clairvoyant) Capacity(w workload.Workload, share float64) float64 {
-	low, high := 0.0, 4096.0
+	serves := func(rate float64) bool {
+		w.Rate = rate
+		return c.Run(&w, w.Arrivals()).InTime() >= share
+	}
+	low, high := 0.0, 1.0
+	for high < 4096 && serves(high) {
+		low, high = high, 2*high
+	}
 	for high-low > 0.01*high {
-		w.Rate = (low + high) / 2
-		if c.Run(&w, w.Arrivals()).InTime() >= share {
-			low = w.Rate
+		middle := (low + high) / 2
+		if serves(middle) {
+			low = middle
 		} else {
-			high = w.Rate
+			high = middle
 		}
 	}
 	return low
--- a/coordination/ownership/residency.go
+++ b/coordination/ownership/residency.go
@@ -21,6 +21,9 @@
 
 // schedule starts loads for waiting adapters, and evictions that make room.
 func (o *Owner) schedule(ctx context.Context, now time.Time) {
+	if o.loads >= o.settings.LoadLimit || len(o.queues) == 0 {
+		return
+	}
 	waiting := o.loadable(now)
 	// Evictions in flight already make room for as many adapters.
 	coming := o.evicting()
@@ -68,7 +71,11 @@
 		waiting = append(waiting, w)
 	}
 	slices.SortFunc(waiting, func(a, b Waiting) int {
-		return cmp.Or(a.Since.Compare(b.Since), strings.Compare(a.Adapter.String(), b.Adapter.String()))
+		return cmp.Or(
+			a.Since.Compare(b.Since),
+			cmp.Compare(a.Adapter.Name, b.Adapter.Name),
+			cmp.Compare(a.Adapter.Version, b.Adapter.Version),
+		)
 	})
 	return waiting
 }
