ownership: tell the placement of every demand

Cause: Nobody called Policy.Demanded, so every adapter had rate 0 and evictions were arbitrary.

Change: The owner calls Placement.Demanded for each demand that it takes.

A fifth of the loads is still wasted, and a load waits long for its permit.

--- a/coordination/ownership/grant.go
+++ b/coordination/ownership/grant.go
@@ -52,6 +52,7 @@
 		a.refuse(refusal)
 		return
 	}
+	o.Placement.Demanded(a.demand.Adapter, now)
 	if o.grantResident(a, now) {
 		return
 	}
--- a/coordination/ownership/placement.go
+++ b/coordination/ownership/placement.go
@@ -36,6 +36,8 @@
 // A Placement chooses what to load and what to evict. It is used by many Owners
 // at the same time.
 type Placement interface {
+	// Demanded notes one demand for the adapter, whether it is resident or not.
+	Demanded(adapter fleet.AdapterReference, now time.Time)
 	// Next returns the index of the adapter that is loaded next, or -1 to load
 	// none now.
 	Next(engine fleet.Engine, waiting []Waiting, now time.Time) int
@@ -49,6 +51,9 @@
 // that cannot be granted first, and then the least recently used one.
 type SimplePlacement struct{}
 
+// Demanded does nothing.
+func (SimplePlacement) Demanded(fleet.AdapterReference, time.Time) {}
+
 // Next returns the index of the most urgent adapter.
 func (SimplePlacement) Next(_ fleet.Engine, waiting []Waiting, _ time.Time) int {
 	return lowest(waiting, func(a, b Waiting) int {
