bench/policy: lend the shares of all hosts to the allocator

Cause: With fixed shares each host may start a load every 3 s, so a burst on one engine waits while other shares are idle.

Ruled out: A larger burst of each share: it would exceed the store's rate when all hosts use it.

Change: All hosts lend their shares to one Allocator.

--- a/bench/policy/policies.go
+++ b/bench/policy/policies.go
@@ -25,7 +25,7 @@
 }
 
 // ourBudgeting is how entry hosts share the load rate.
-const ourBudgeting = BudgetFixed
+const ourBudgeting = BudgetLent
 
 func newRouter(s *Scenario, domain int, _ uint64) Router {
 	stall, batch := s.Weights()
