ownership: take the permit before the eviction

Cause: A load took its slot and its adapter before it had a permit, so up to two of eight slots stood empty for as long as the permit took, and the adapter was chosen too early.

Ruled out: A load limit of 1 halves the empty slots but leaves the early choice.

Change: The owner asks for a permit when a slot can be had, and evicts and chooses the adapter when the permit has come. An unused permit ends after 1 s.

--- a/coordination/ownership/owner.go
+++ b/coordination/ownership/owner.go
@@ -91,7 +91,8 @@
 	OrderTimeout time.Duration
 	// ReportInterval is the time between two reports of the engine.
 	ReportInterval time.Duration
-	// LoadLimit is the number of loads and unloads in flight on the engine.
+	// LoadLimit is the number of loads and unloads in flight on the engine, and
+	// of permits that it waits for.
 	LoadLimit int
 	// WaitingLimit is the number of demands that wait for their adapters.
 	WaitingLimit int
@@ -227,9 +228,14 @@
 	failures   map[fleet.AdapterReference]*failure
 
 	// orders counts the orders sent, and inFlight those without an answer.
-	orders    uint64
-	inFlight  int
-	loads     int
+	orders   uint64
+	inFlight int
+	loads    int
+	// wanting is the number of permits asked for, and permits those that are
+	// held until permitEnd.
+	wanting   int
+	permits   int
+	permitEnd time.Time
 	fencing   bool
 	fenced    bool
 	reporting bool
--- a/coordination/ownership/residency.go
+++ b/coordination/ownership/residency.go
@@ -19,15 +19,26 @@
 // of an engine and changes nothing else.
 var fenceAdapter = fleet.AdapterReference{Name: "persimmonmux-fence", Version: 1}
 
-// schedule starts loads for waiting adapters, and evictions that make room.
+// permitTime is how long an unused permit is kept. A permit that was kept longer
+// would come on top of those that the budget gives meanwhile.
+const permitTime = time.Second
+
+// schedule asks for permits to load waiting adapters, and with a permit starts
+// evictions that make room, and loads. The permit comes first, so that no slot
+// stands empty while a load waits for the budget, and what is loaded is chosen
+// when the load may begin.
 func (o *Owner) schedule(ctx context.Context, now time.Time) {
-	if o.loads >= o.settings.LoadLimit || len(o.queues) == 0 {
+	if now.After(o.permitEnd) {
+		o.permits = 0
+	}
+	usable := o.permits > 0 && o.loads < o.settings.LoadLimit
+	if len(o.queues) == 0 || !usable && o.wanting+o.permits >= o.settings.LoadLimit {
 		return
 	}
 	waiting := o.loadable(now)
 	// Evictions in flight already make room for as many adapters.
 	coming := o.evicting()
-	for o.loads < o.settings.LoadLimit && len(waiting) > 0 {
+	for o.permits > 0 && o.loads < o.settings.LoadLimit && len(waiting) > 0 {
 		i := o.Placement.Next(o.Engine, waiting, now)
 		if i < 0 {
 			return
@@ -35,7 +46,8 @@
 		next := waiting[i]
 		waiting = slices.Delete(waiting, i, i+1)
 		switch {
-		case o.Engine.Slots-o.foreign-len(o.entries) > 0:
+		case o.free() > 0:
+			o.permits--
 			o.load(ctx, next, now)
 		case coming > 0:
 			coming--
@@ -43,6 +55,53 @@
 			return
 		}
 	}
+	o.want(ctx, waiting, now)
+}
+
+// free returns the number of empty slots.
+func (o *Owner) free() int {
+	return o.Engine.Slots - o.foreign - len(o.entries)
+}
+
+// want asks the budget for the next load, unless no slot could be had for it.
+func (o *Owner) want(ctx context.Context, waiting []Waiting, now time.Time) {
+	for o.wanting+o.permits < o.settings.LoadLimit && len(waiting) > o.wanting+o.permits {
+		i := o.Placement.Next(o.Engine, waiting, now)
+		if i < 0 || o.free() <= 0 && o.evicting() == 0 && o.victim(waiting[i], now) == nil {
+			return
+		}
+		next := waiting[i]
+		o.wanting++
+		acquire := o.acquire
+		o.lifecycle.Work(func() {
+			err := o.Budget.Acquire(acquire, o.Engine.Name, next.Adapter, next.Urgency)
+			o.post(ctx, permitted{adapter: next.Adapter, err: err})
+		})
+	}
+}
+
+// permitted is the answer of the budget.
+type permitted struct {
+	// adapter is the one that the permit was asked for. Another may be loaded.
+	adapter fleet.AdapterReference
+	err     error
+}
+
+func (r permitted) handle(_ context.Context, o *Owner, now time.Time) {
+	o.wanting--
+	switch {
+	case r.err == nil:
+		o.permits++
+		o.permitEnd = now.Add(permitTime)
+	case o.handing != nil || errors.Is(r.err, context.Canceled):
+		// The demands go on to the next owner.
+	case !o.mayOrder():
+		o.refuseQueue(r.adapter, o.refuseIsolated())
+	default:
+		refusal := verdict.Refuse(verdict.CodeStoreUnavailable, "no load of adapter %s on engine %s", r.adapter, o.Engine.Name)
+		refusal.Cause = r.err
+		o.fail(r.adapter, false, refusal, now)
+	}
 }
 
 // loadable returns the adapters that demands wait for and that may be loaded.
@@ -96,9 +155,8 @@
 	o.entries[e.instance] = e
 	o.order()
 	r := loaded{entry: e, start: o.start}
-	acquire := o.acquire
 	o.lifecycle.Work(func() {
-		r.sent, r.err = o.sendLoad(ctx, acquire, e.instance, w)
+		r.sent, r.err = o.sendLoad(ctx, e.instance)
 		o.post(ctx, r)
 	})
 }
@@ -111,12 +169,7 @@
 }
 
 // sendLoad runs on a worker goroutine. It reports whether the order was sent.
-func (o *Owner) sendLoad(ctx, acquire context.Context, instance fleet.Instance, w Waiting) (bool, error) {
-	if err := o.Budget.Acquire(acquire, o.Engine.Name, w.Adapter, w.Urgency); err != nil {
-		refusal := verdict.Refuse(verdict.CodeStoreUnavailable, "no load of adapter %s on engine %s", w.Adapter, o.Engine.Name)
-		refusal.Cause = err
-		return false, refusal
-	}
+func (o *Owner) sendLoad(ctx context.Context, instance fleet.Instance) (bool, error) {
 	if !o.mayOrder() {
 		return false, o.refuseIsolated()
 	}
@@ -199,9 +252,8 @@
 	o.refuseQueue(adapter, refusal)
 }
 
-// evict starts the unload of an instance without grants, if there is one that
-// may go, and reports whether it did.
-func (o *Owner) evict(ctx context.Context, next Waiting, now time.Time) bool {
+// victim returns the instance that makes room for an adapter, or nil.
+func (o *Owner) victim(next Waiting, now time.Time) *entry {
 	var residents []Resident
 	for _, e := range o.entries {
 		if o.removable(e, now) {
@@ -209,14 +261,23 @@
 		}
 	}
 	if len(residents) == 0 {
-		return false
+		return nil
 	}
 	slices.SortFunc(residents, func(a, b Resident) int { return strings.Compare(a.Instance.String(), b.Instance.String()) })
 	i := o.Placement.Leave(o.Engine, residents, next, now)
 	if i < 0 {
+		return nil
+	}
+	return o.entries[residents[i].Instance]
+}
+
+// evict starts the unload of an instance without grants, if there is one that
+// may go, and reports whether it did.
+func (o *Owner) evict(ctx context.Context, next Waiting, now time.Time) bool {
+	e := o.victim(next, now)
+	if e == nil {
 		return false
 	}
-	e := o.entries[residents[i].Instance]
 	e.state = stateUnloading
 	o.order()
 	r := unloaded{entry: e, start: o.start}
