ownership: order loads of different engines by their priority

Cause: Loads of different engines were ordered by the urgency of one waiting request at the time of asking; ten waiting requests counted as one, and a want kept its place while more arrived.

Ruled out: A third and fourth want for each engine: they fill the allocator without a better order.

Change: Placement.Priority also orders wants in the allocator (optional PriorityBudget), and a want is asked anew when the priority grew by half.

--- a/bench/policy/rig.go
+++ b/bench/policy/rig.go
@@ -347,8 +347,13 @@
 }
 
 // Acquire implements ownership.Budget.
-func (l *hostLink) Acquire(ctx context.Context, engine fleet.EngineName, _ fleet.AdapterReference, urgency configuration.Urgency) error {
-	return l.acquire(ctx, budget.Want{Engine: engine, Priority: urgencyPriority[urgency]})
+func (l *hostLink) Acquire(ctx context.Context, engine fleet.EngineName, _ fleet.AdapterReference, _ configuration.Urgency) error {
+	return l.acquire(ctx, budget.Want{Engine: engine})
+}
+
+// AcquirePriority implements ownership.PriorityBudget.
+func (l *hostLink) AcquirePriority(ctx context.Context, engine fleet.EngineName, priority float64) error {
+	return l.acquire(ctx, budget.Want{Engine: engine, Priority: priority})
 }
 
 func (l *hostLink) acquire(ctx context.Context, want budget.Want) error {
@@ -358,13 +363,6 @@
 	return l.host.share.Acquire(ctx, want)
 }
 
-// urgencyPriority orders loads of different engines as entry hosts do.
-var urgencyPriority = map[configuration.Urgency]float64{
-	configuration.UrgencyInteractive: 3,
-	configuration.UrgencyPrompt:      2,
-	configuration.UrgencyDeferred:    1,
-}
-
 // Permit implements budget.Permits. The first host runs the allocator.
 func (l *hostLink) Permit(ctx context.Context, want budget.Want) error {
 	if l.rig.separated(l.host.domain, 0) {
--- a/coordination/ownership/owner.go
+++ b/coordination/ownership/owner.go
@@ -50,6 +50,16 @@
 	Acquire(ctx context.Context, engine fleet.EngineName, adapter fleet.AdapterReference, urgency configuration.Urgency) error
 }
 
+// A PriorityBudget is a Budget that orders the loads of all engines by the
+// priority that the Placement gives them. An Owner uses AcquirePriority in place
+// of Acquire where its Budget has it.
+type PriorityBudget interface {
+	Budget
+	// AcquirePriority waits until a load may begin. The Owner ends ctx and asks
+	// again when the priority has grown.
+	AcquirePriority(ctx context.Context, engine fleet.EngineName, priority float64) error
+}
+
 // Holders asks entry hosts for the grants that they hold.
 type Holders interface {
 	// Holdings asks all known hosts for their grants on the engine from owners
@@ -231,11 +241,13 @@
 	orders   uint64
 	inFlight int
 	loads    int
-	// wanting is the number of permits asked for, and permits those that are
-	// held until permitEnd.
-	wanting   int
+	// wants are the permits asked for, and permits is the number of those that
+	// are held until permitEnd.
+	wants     []*want
 	permits   int
 	permitEnd time.Time
+	// reviseAt is when the wants are compared again with what waits.
+	reviseAt  time.Time
 	fencing   bool
 	fenced    bool
 	reporting bool
--- a/coordination/ownership/placement.go
+++ b/coordination/ownership/placement.go
@@ -41,6 +41,9 @@
 	// Next returns the index of the adapter that is loaded next, or -1 to load
 	// none now.
 	Next(engine fleet.Engine, waiting []Waiting, now time.Time) int
+	// Priority orders the load of an adapter against loads of other engines; it
+	// is more than zero, and the highest goes first.
+	Priority(waiting Waiting, now time.Time) float64
 	// Leave returns the index of the instance that makes room for the adapter,
 	// or -1 to evict none now. resident is not empty.
 	Leave(engine fleet.Engine, resident []Resident, next Waiting, now time.Time) int
@@ -65,6 +68,11 @@
 	})
 }
 
+// Priority is higher for more urgent adapters.
+func (SimplePlacement) Priority(waiting Waiting, _ time.Time) float64 {
+	return float64(len(urgencies) + 1 - urgencyRank(waiting.Urgency))
+}
+
 // Leave returns the index of the least recently used instance.
 func (SimplePlacement) Leave(_ fleet.Engine, resident []Resident, _ Waiting, _ time.Time) int {
 	return lowest(resident, func(a, b Resident) int {
--- a/coordination/ownership/residency.go
+++ b/coordination/ownership/residency.go
@@ -32,7 +32,7 @@
 		o.permits = 0
 	}
 	usable := o.permits > 0 && o.loads < o.settings.LoadLimit
-	if len(o.queues) == 0 || !usable && o.wanting+o.permits >= o.settings.LoadLimit {
+	if len(o.queues) == 0 || !usable && now.Before(o.reviseAt) && len(o.wants)+o.permits >= o.settings.LoadLimit {
 		return
 	}
 	waiting := o.loadable(now)
@@ -63,44 +63,84 @@
 	return o.Engine.Slots - o.foreign - len(o.entries)
 }
 
-// want asks the budget for the next load, unless no slot could be had for it.
+// A want is a permit that was asked for.
+type want struct {
+	// adapter is the one that the permit was asked for. Another may be loaded.
+	adapter  fleet.AdapterReference
+	priority float64
+	cancel   context.CancelFunc
+}
+
+const (
+	// reviseTime is the time between two comparisons of the wants with what waits.
+	reviseTime = 250 * time.Millisecond
+	// reviseFactor is how much the priority must have grown before a want is
+	// asked for anew; it keeps calls to the allocator few.
+	reviseFactor = 1.5
+)
+
+// want asks the budget for the next loads, unless no slot could be had for them.
 func (o *Owner) want(ctx context.Context, waiting []Waiting, now time.Time) {
-	for o.wanting+o.permits < o.settings.LoadLimit && len(waiting) > o.wanting+o.permits {
+	o.reviseAt = now.Add(reviseTime)
+	for asked := 0; asked < o.settings.LoadLimit-o.permits && len(waiting) > o.permits; asked++ {
 		i := o.Placement.Next(o.Engine, waiting, now)
 		if i < 0 || o.free() <= 0 && o.evicting() == 0 && o.victim(waiting[i], now) == nil {
 			return
 		}
 		next := waiting[i]
-		o.wanting++
-		acquire := o.acquire
-		o.lifecycle.Work(func() {
-			err := o.Budget.Acquire(acquire, o.Engine.Name, next.Adapter, next.Urgency)
-			o.post(ctx, permitted{adapter: next.Adapter, err: err})
-		})
+		waiting = slices.Delete(waiting, i, i+1)
+		priority := o.Placement.Priority(next, now)
+		if asked < len(o.wants) {
+			if _, ordered := o.Budget.(PriorityBudget); ordered && priority > o.wants[asked].priority*reviseFactor {
+				o.wants[asked].cancel()
+				o.wants[asked] = o.acquirePermit(ctx, next, priority)
+			}
+			continue
+		}
+		o.wants = append(o.wants, o.acquirePermit(ctx, next, priority))
 	}
 }
 
+// acquirePermit asks the budget on a worker goroutine.
+func (o *Owner) acquirePermit(ctx context.Context, next Waiting, priority float64) *want {
+	acquire, cancel := context.WithCancel(o.acquire)
+	w := &want{adapter: next.Adapter, priority: priority, cancel: cancel}
+	o.lifecycle.Work(func() {
+		defer cancel()
+		var err error
+		if b, ordered := o.Budget.(PriorityBudget); ordered {
+			err = b.AcquirePriority(acquire, o.Engine.Name, priority)
+		} else {
+			err = o.Budget.Acquire(acquire, o.Engine.Name, next.Adapter, next.Urgency)
+		}
+		o.post(ctx, permitted{want: w, err: err})
+	})
+	return w
+}
+
 // permitted is the answer of the budget.
 type permitted struct {
-	// adapter is the one that the permit was asked for. Another may be loaded.
-	adapter fleet.AdapterReference
-	err     error
+	want *want
+	err  error
 }
 
 func (r permitted) handle(_ context.Context, o *Owner, now time.Time) {
-	o.wanting--
+	i := slices.Index(o.wants, r.want)
+	if i >= 0 {
+		o.wants = slices.Delete(o.wants, i, i+1)
+	}
 	switch {
 	case r.err == nil:
 		o.permits++
 		o.permitEnd = now.Add(permitTime)
-	case o.handing != nil || errors.Is(r.err, context.Canceled):
-		// The demands go on to the next owner.
+	case o.handing != nil || i < 0:
+		// The demands go on to the next owner, or were asked for anew.
 	case !o.mayOrder():
-		o.refuseQueue(r.adapter, o.refuseIsolated())
+		o.refuseQueue(r.want.adapter, o.refuseIsolated())
 	default:
-		refusal := verdict.Refuse(verdict.CodeStoreUnavailable, "no load of adapter %s on engine %s", r.adapter, o.Engine.Name)
+		refusal := verdict.Refuse(verdict.CodeStoreUnavailable, "no load of adapter %s on engine %s", r.want.adapter, o.Engine.Name)
 		refusal.Cause = r.err
-		o.fail(r.adapter, false, refusal, now)
+		o.fail(r.want.adapter, false, refusal, now)
 	}
 }
 
