placement: put loads that come too late for their answers last

Cause: A load within 3 s of its deadline was preferred fourfold, though the answer alone takes that long.

Ruled out: A longer pressing time only moves the same loads.

--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -32,10 +32,15 @@
 const (
 	// ageingTime is the wait after which a load counts twice, so that nothing starves.
 	ageingTime = 10 * time.Second
-	// pressingTime is the time to a deadline within which a load is pressing.
+	// pressingTime is the wait, or the time to a deadline, from which a load is
+	// not held back.
 	pressingTime = 3 * time.Second
-	// pressingFactor raises a pressing load over one with fewer waiting requests.
-	pressingFactor = 4
+	// answerTime is the time of a usual answer with its load. A load whose
+	// deadline is nearer comes too late for the answer.
+	answerTime = 3 * time.Second
+	// hopelessDivisor lowers such a load below others; it is not put off for
+	// good, because answers may be short.
+	hopelessDivisor = 8
 	// keepTime is how long an instance's popularity is taken to last when its
 	// eviction is weighed against a load.
 	keepTime = 20 * time.Second
@@ -69,13 +74,13 @@
 }
 
 // Priority returns how much a load helps now: its waiting requests by urgency,
-// raised with their age and near their deadline. It is more than zero.
+// raised with their age and lowered when the answer would come too late. It is more than zero.
 func (p *Policy) Priority(w ownership.Waiting, now time.Time) float64 {
 	weight := 1 + (urgencyWeights[w.Urgency]-1)*p.ratio()
 	age := 1 + now.Sub(w.Since).Seconds()/ageingTime.Seconds()
 	priority := float64(max(w.Requests, 1)) * max(weight, 1) * age
-	if w.Deadline.Sub(now) < pressingTime {
-		priority *= pressingFactor
+	if w.Deadline.Sub(now) < answerTime {
+		priority /= hopelessDivisor
 	}
 	return priority
 }
