placement: order loads by the time left to the deadline

Change: By the share of the batch-weight, priority is the inverse of the time left; by the share of the stall-weight, urgency and age. Both are multiplied by the waiting requests.

The two weights trade the longest stalls against answers in time.

--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -73,13 +73,18 @@
 	return best
 }
 
-// Priority returns how much a load helps now: its waiting requests by urgency,
-// raised with their age and lowered when the answer would come too late. It is more than zero.
+// Priority returns how much a load helps now. By the share of the stall-weight
+// it counts urgency and age, which bounds the longest stalls; by the share of
+// the batch-weight it counts the time left, so that work that may wait does wait
+// and shares its load with what arrives meanwhile. It is more than zero.
 func (p *Policy) Priority(w ownership.Waiting, now time.Time) float64 {
-	weight := 1 + (urgencyWeights[w.Urgency]-1)*p.ratio()
-	age := 1 + now.Sub(w.Since).Seconds()/ageingTime.Seconds()
-	priority := float64(max(w.Requests, 1)) * max(weight, 1) * age
-	if w.Deadline.Sub(now) < answerTime {
+	left := w.Deadline.Sub(now) - answerTime
+	age := 1 + max(now.Sub(w.Since), 0).Seconds()/ageingTime.Seconds()
+	stall := max(urgencyWeights[w.Urgency], 1) / urgencyWeights[configuration.UrgencyInteractive] * age
+	deadline := ageingTime.Seconds() / max(left, time.Second).Seconds()
+	share := p.stallShare()
+	priority := float64(max(w.Requests, 1)) * (share*stall + (1-share)*deadline)
+	if left < 0 {
 		priority /= hopelessDivisor
 	}
 	return priority
@@ -116,12 +121,13 @@
 	return rate*keepTime.Seconds() > gain
 }
 
-func (p *Policy) ratio() float64 {
+// stallShare returns the part of the stall-weight in both weights.
+func (p *Policy) stallShare() float64 {
 	total := p.StallWeight + p.BatchWeight
 	if total == 0 {
-		return 1
+		return 0.5
 	}
-	return 2 * p.StallWeight / total
+	return p.StallWeight / total
 }
 
 func (p *Policy) popularity() *Sketch {
