placement: count the requests that a load will serve soon

Cause: A popular adapter that is not resident counted as one waiting request, like an adapter that nobody asks for again.

Change: Priority counts the waiting requests and those expected in 5 minutes.

--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -32,6 +32,8 @@
 const (
 	// ageingTime is the wait after which a load counts twice, so that nothing starves.
 	ageingTime = 10 * time.Second
+	// futureTime is how long a loaded adapter is expected to stay.
+	futureTime = 5 * time.Minute
 	// pressingTime is the wait, or the time to a deadline, from which a load is
 	// not held back.
 	pressingTime = 3 * time.Second
@@ -83,13 +85,21 @@
 	stall := max(urgencyWeights[w.Urgency], 1) / urgencyWeights[configuration.UrgencyInteractive] * age
 	deadline := ageingTime.Seconds() / max(left, time.Second).Seconds()
 	share := p.stallShare()
-	priority := float64(max(w.Requests, 1)) * (share*stall + (1-share)*deadline)
+	priority := p.worth(w, now) * (share*stall + (1-share)*deadline)
 	if left < 0 {
 		priority /= hopelessDivisor
 	}
 	return priority
 }
 
+// worth returns the number of requests that a load serves: those that wait and
+// those that are expected soon.
+func (p *Policy) worth(w ownership.Waiting, now time.Time) float64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return float64(max(w.Requests, 1)) + p.popularity().Rate(w.Adapter, now)*futureTime.Seconds()
+}
+
 // Leave returns the index of the least popular instance, or -1 when every
 // instance is worth more than the load.
 func (p *Policy) Leave(_ fleet.Engine, resident []ownership.Resident, next ownership.Waiting, now time.Time) int {
