routing: refuse work that may wait where an engine is overfull

Ruled out: Reserving slots or loads: at this load M loads 0.22/s, so loads are not what is short.

Change: Router.Choose refuses deferred requests from 2 batches on an engine, prompt ones from 3, with not-run and a retry-after of 5 s.

--- a/coordination/routing/router.go
+++ b/coordination/routing/router.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/request"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
@@ -43,6 +44,13 @@
 	linkPenalty = 6
 	// boundedLoad is the load over the mean at which the ring passes an engine over.
 	boundedLoad = 1.25
+	// deferredBatches and promptBatches are the requests on an engine, in
+	// batches, from which requests of the urgency are refused.
+	deferredBatches = 2
+	promptBatches   = 3
+	// overloadPause is the retry-after of such a refusal, about the time in
+	// which an engine answers one batch.
+	overloadPause = 5 * time.Second
 	// answerBytes is the expected size of an answer that crosses the link.
 	answerBytes = 8 << 10
 )
@@ -103,6 +111,11 @@
 		return "", verdict.Refuse(verdict.CodeOverloaded, "every engine was tried or is unreachable")
 	}
 	candidate := &s.Candidates[index]
+	if full(candidate, q.Kind.Urgency) {
+		refusal := verdict.Refuse(verdict.CodeOverloaded, "engine %s has too many requests for urgency %s", candidate.Engine.Name, q.Kind.Urgency)
+		refusal.RetryAfter = overloadPause
+		return "", refusal
+	}
 	if candidate.Distance == OtherRegion && r.LinkBudget != nil && !r.LinkBudget.Spend(len(q.Body)+answerBytes) {
 		index = r.near(s, q.Adapter, tried)
 		if index < 0 {
@@ -114,6 +127,20 @@
 	return candidate.Engine.Name, nil
 }
 
+// full says whether the engine has so many requests that one more of the urgency
+// would delay more urgent ones. Engines queue in order of arrival, so that a
+// queue of work that may wait makes interactive answers late.
+func full(candidate *Candidate, urgency configuration.Urgency) bool {
+	batch := max(candidate.Engine.BatchSize, 1)
+	switch urgency {
+	case configuration.UrgencyDeferred:
+		return candidate.load() >= deferredBatches*batch
+	case configuration.UrgencyPrompt:
+		return candidate.load() >= promptBatches*batch
+	}
+	return false
+}
+
 // Again counts a request on an engine that it returns to.
 func (r *Router) Again(engine fleet.EngineName) {
 	r.counter(engine).Add(1)
