--- a/bench/policy/outcome.go
+++ b/bench/policy/outcome.go
@@ -116,7 +116,7 @@
 	middle := s.Middle()
 	steady := mean(s.Warmup, middle)
 	from := middle
-	if s.Disturbance == Outage || s.Disturbance == Cut {
+	if s.Disturbance == Outage || s.Disturbance == Slow || s.Disturbance == Cut {
 		from += disturbanceLength
 	}
 	for end := from + recoveryWindow; end <= s.Warmup+s.Length; end += recoveryStep {
--- a/bench/policy/rig.go
+++ b/bench/policy/rig.go
@@ -292,6 +292,10 @@
 		r.store.SetDown(true)
 		_ = pause(ctx, disturbanceLength)
 		r.store.SetDown(false)
+	case Slow:
+		r.store.SetSlow(8)
+		_ = pause(ctx, disturbanceLength)
+		r.store.SetSlow(1)
 	case Cut:
 		r.cutAt.Store(time.Now().UnixNano())
 		r.cut.Store(true)
--- a/bench/policy/scenario.go
+++ b/bench/policy/scenario.go
@@ -23,6 +23,8 @@
 	Cold Disturbance = "cold-engine"
 	// Outage makes the weight store fail for a minute.
 	Outage Disturbance = "store-outage"
+	// Slow makes each load take 8 times as long for a minute.
+	Slow Disturbance = "store-slow"
 	// Cut separates a failure domain from the others and the platform for a minute.
 	Cut Disturbance = "domain-cut"
 )
