--- /dev/null
+++ b/coordination/ownership/permit_test.go
@@ -0,0 +1,55 @@
+package ownership
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+// A slowBudget gives each permit after a wait.
+type slowBudget struct {
+	wait time.Duration
+}
+
+func (b slowBudget) Acquire(ctx context.Context, _ fleet.EngineName, _ fleet.AdapterReference, _ configuration.Urgency) error {
+	select {
+	case <-time.After(b.wait):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// TestPermitComesBeforeEviction guards against a slot that stands empty while a
+// load waits for the budget.
+func TestPermitComesBeforeEviction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		engine := newFakeEngine("e", fleet.FencingIgnored, 1)
+		o := &Owner{
+			Engine: engine.engine, Host: "o", Epoch: 1, Orders: engine, Leases: &fakeLease{epoch: 1, valid: true},
+			Budget: slowBudget{wait: 3 * time.Second}, Placement: SimplePlacement{}, Holders: &fakeHolders{}, Logger: zerolog.Nop(),
+		}
+		go func() { _ = o.Run(t.Context()) }()
+		first, err := o.Demand(t.Context(), demandFor("a", "1"))
+		c.Assert(err, quicktest.IsNil)
+		o.Release([]fleet.RequestID{"1"})
+		done := make(chan error, 1)
+		go func() {
+			_, err := o.Demand(t.Context(), demandFor("b", "2"))
+			done <- err
+		}()
+		time.Sleep(2 * time.Second)
+		c.Assert(engine.has(first.Instance.String()), quicktest.IsTrue)
+		c.Assert(<-done, quicktest.IsNil)
+		c.Assert(engine.has(first.Instance.String()), quicktest.IsFalse)
+		c.Assert(o.Close(), quicktest.IsNil)
+	})
+}
--- a/coordination/routing/router_test.go
+++ b/coordination/routing/router_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/request"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
@@ -125,3 +126,21 @@
 		})
 	}
 }
+
+// TestDeferredWorkLeavesRoom guards against queues of work that may wait before
+// interactive requests: an overfull engine takes interactive requests only.
+func TestDeferredWorkLeavesRoom(t *testing.T) {
+	c := quicktest.New(t)
+	candidates := engines(1, deferredBatches*8, SameDomain)
+	r := &Router{}
+	r.Publish(candidates, time.Now())
+	q := ask("draft")
+	q.Kind.Urgency = configuration.UrgencyDeferred
+	_, err := r.Choose(q, nil)
+	failure := verdict.From(err)
+	c.Assert(failure.Verdict, quicktest.Equals, verdict.NotRun)
+	c.Assert(failure.RetryAfter, quicktest.Equals, overloadPause)
+	q.Kind.Urgency = configuration.UrgencyInteractive
+	_, err = r.Choose(q, nil)
+	c.Assert(err, quicktest.IsNil)
+}
