--- a/coordination/ownership/owner.go
+++ b/coordination/ownership/owner.go
@@ -50,6 +50,16 @@
 	Acquire(ctx context.Context, engine fleet.EngineName, adapter fleet.AdapterReference, urgency configuration.Urgency) error
 }
 
+// A PriorityBudget is a Budget that orders the loads of all engines by the
+// priority that the Placement gives them. An Owner uses AcquirePriority in place
+// of Acquire where its Budget has it.
+type PriorityBudget interface {
+	Budget
+	// AcquirePriority waits until a load may begin. The Owner ends ctx and asks
+	// again when the priority has grown.
+	AcquirePriority(ctx context.Context, engine fleet.EngineName, priority float64) error
+}
+
 // Holders asks entry hosts for the grants that they hold.
 type Holders interface {
 	// Holdings asks all known hosts for their grants on the engine from owners
@@ -91,7 +101,8 @@
 	OrderTimeout time.Duration
 	// ReportInterval is the time between two reports of the engine.
 	ReportInterval time.Duration
-	// LoadLimit is the number of loads and unloads in flight on the engine.
+	// LoadLimit is the number of loads and unloads in flight on the engine, and
+	// of permits that it waits for.
 	LoadLimit int
 	// WaitingLimit is the number of demands that wait for their adapters.
 	WaitingLimit int
@@ -227,9 +238,16 @@
 	failures   map[fleet.AdapterReference]*failure
 
 	// orders counts the orders sent, and inFlight those without an answer.
-	orders    uint64
-	inFlight  int
-	loads     int
+	orders   uint64
+	inFlight int
+	loads    int
+	// wants are the permits asked for, and permits is the number of those that
+	// are held until permitEnd.
+	wants     []*want
+	permits   int
+	permitEnd time.Time
+	// reviseAt is when the wants are compared again with what waits.
+	reviseAt  time.Time
 	fencing   bool
 	fenced    bool
 	reporting bool
--- a/coordination/ownership/owner_test.go
+++ b/coordination/ownership/owner_test.go
@@ -534,6 +534,8 @@
 		known := time.Now()
 		for f.refused("b", "1") == verdict.CodeNoGrant && time.Since(known) < DefaultGrantLimit {
 			f.Assert(f.engine.has("a@1#1"), quicktest.IsTrue)
+			// The refusal may come at once, so the time passes here.
+			pass(time.Second)
 		}
 		pass(10 * time.Second)
 		f.granted("b", "2")
--- a/coordination/ownership/placement.go
+++ b/coordination/ownership/placement.go
@@ -36,9 +36,14 @@
 // A Placement chooses what to load and what to evict. It is used by many Owners
 // at the same time.
 type Placement interface {
+	// Demanded notes one demand for the adapter, whether it is resident or not.
+	Demanded(adapter fleet.AdapterReference, now time.Time)
 	// Next returns the index of the adapter that is loaded next, or -1 to load
 	// none now.
 	Next(engine fleet.Engine, waiting []Waiting, now time.Time) int
+	// Priority orders the load of an adapter against loads of other engines; it
+	// is more than zero, and the highest goes first.
+	Priority(waiting Waiting, now time.Time) float64
 	// Leave returns the index of the instance that makes room for the adapter,
 	// or -1 to evict none now. resident is not empty.
 	Leave(engine fleet.Engine, resident []Resident, next Waiting, now time.Time) int
@@ -49,6 +54,9 @@
 // that cannot be granted first, and then the least recently used one.
 type SimplePlacement struct{}
 
+// Demanded does nothing.
+func (SimplePlacement) Demanded(fleet.AdapterReference, time.Time) {}
+
 // Next returns the index of the most urgent adapter.
 func (SimplePlacement) Next(_ fleet.Engine, waiting []Waiting, _ time.Time) int {
 	return lowest(waiting, func(a, b Waiting) int {
@@ -60,6 +68,11 @@
 	})
 }
 
+// Priority is higher for more urgent adapters.
+func (SimplePlacement) Priority(waiting Waiting, _ time.Time) float64 {
+	return float64(len(urgencies) + 1 - urgencyRank(waiting.Urgency))
+}
+
 // Leave returns the index of the least recently used instance.
 func (SimplePlacement) Leave(_ fleet.Engine, resident []Resident, _ Waiting, _ time.Time) int {
 	return lowest(resident, func(a, b Resident) int {
--- a/coordination/ownership/residency.go
+++ b/coordination/ownership/residency.go
@@ -19,7 +19,14 @@
 // of an engine and changes nothing else.
 var fenceAdapter = fleet.AdapterReference{Name: "persimmonmux-fence", Version: 1}
 
-// schedule starts loads for waiting adapters, and evictions that make room.
+// permitTime is how long an unused permit is kept. A permit that was kept longer
+// would come on top of those that the budget gives meanwhile.
+const permitTime = time.Second
+
+// schedule asks for permits to load waiting adapters, and with a permit starts
+// evictions that make room, and loads. The permit comes first, so that no slot
+// stands empty while a load waits for the budget, and what is loaded is chosen
+// when the load may begin.
 func (o *Owner) schedule(ctx context.Context, now time.Time) {
 	if o.blocked(now) {
 		for adapter := range o.queues {
@@ -28,10 +35,17 @@
 		}
 		return
 	}
+	if now.After(o.permitEnd) {
+		o.permits = 0
+	}
+	usable := o.permits > 0 && o.loads < o.settings.LoadLimit
+	if len(o.queues) == 0 || !usable && now.Before(o.reviseAt) && len(o.wants)+o.permits >= o.settings.LoadLimit {
+		return
+	}
 	waiting := o.loadable(now)
 	// Evictions in flight already make room for as many adapters.
 	coming := o.evicting()
-	for o.loads < o.settings.LoadLimit && len(waiting) > 0 {
+	for o.permits > 0 && o.loads < o.settings.LoadLimit && len(waiting) > 0 {
 		i := o.Placement.Next(o.Engine, waiting, now)
 		if i < 0 {
 			return
@@ -39,13 +53,104 @@
 		next := waiting[i]
 		waiting = slices.Delete(waiting, i, i+1)
 		switch {
-		case o.Engine.Slots-o.foreign-len(o.entries) > 0:
+		case o.free() > 0:
+			o.permits--
 			o.load(ctx, next, now)
-		case coming > 0:
-			coming--
+		case coming >= o.permits:
+			// What comes free is for the permits that are held.
+			return
 		case !o.evict(ctx, next, now):
 			return
+		default:
+			coming++
+		}
+	}
+	o.want(ctx, waiting, now)
+}
+
+// free returns the number of empty slots.
+func (o *Owner) free() int {
+	return o.Engine.Slots - o.foreign - len(o.entries)
+}
+
+// A want is a permit that was asked for.
+type want struct {
+	// adapter is the one that the permit was asked for. Another may be loaded.
+	adapter  fleet.AdapterReference
+	priority float64
+	cancel   context.CancelFunc
+}
+
+const (
+	// reviseTime is the time between two comparisons of the wants with what waits.
+	reviseTime = 250 * time.Millisecond
+	// reviseFactor is how much the priority must have grown before a want is
+	// asked for anew; it keeps calls to the allocator few.
+	reviseFactor = 1.5
+)
+
+// want asks the budget for the next loads, unless no slot could be had for them.
+func (o *Owner) want(ctx context.Context, waiting []Waiting, now time.Time) {
+	o.reviseAt = now.Add(reviseTime)
+	for asked := 0; asked < o.settings.LoadLimit-o.permits && len(waiting) > o.permits; asked++ {
+		i := o.Placement.Next(o.Engine, waiting, now)
+		if i < 0 || o.free() <= 0 && o.evicting() == 0 && o.victim(waiting[i], now) == nil {
+			return
+		}
+		next := waiting[i]
+		waiting = slices.Delete(waiting, i, i+1)
+		priority := o.Placement.Priority(next, now)
+		if asked < len(o.wants) {
+			if _, ordered := o.Budget.(PriorityBudget); ordered && priority > o.wants[asked].priority*reviseFactor {
+				o.wants[asked].cancel()
+				o.wants[asked] = o.acquirePermit(ctx, next, priority)
+			}
+			continue
 		}
+		o.wants = append(o.wants, o.acquirePermit(ctx, next, priority))
+	}
+}
+
+// acquirePermit asks the budget on a worker goroutine.
+func (o *Owner) acquirePermit(ctx context.Context, next Waiting, priority float64) *want {
+	acquire, cancel := context.WithCancel(o.acquire)
+	w := &want{adapter: next.Adapter, priority: priority, cancel: cancel}
+	o.lifecycle.Work(func() {
+		defer cancel()
+		var err error
+		if b, ordered := o.Budget.(PriorityBudget); ordered {
+			err = b.AcquirePriority(acquire, o.Engine.Name, priority)
+		} else {
+			err = o.Budget.Acquire(acquire, o.Engine.Name, next.Adapter, next.Urgency)
+		}
+		o.post(ctx, permitted{want: w, err: err})
+	})
+	return w
+}
+
+// permitted is the answer of the budget.
+type permitted struct {
+	want *want
+	err  error
+}
+
+func (r permitted) handle(_ context.Context, o *Owner, now time.Time) {
+	i := slices.Index(o.wants, r.want)
+	if i >= 0 {
+		o.wants = slices.Delete(o.wants, i, i+1)
+	}
+	switch {
+	case r.err == nil:
+		o.permits++
+		o.permitEnd = now.Add(permitTime)
+	case o.handing != nil || i < 0:
+		// The demands go on to the next owner, or were asked for anew.
+	case !o.mayOrder():
+		o.refuseQueue(r.want.adapter, o.refuseIsolated())
+	default:
+		refusal := verdict.Refuse(verdict.CodeStoreUnavailable, "no load of adapter %s on engine %s", r.want.adapter, o.Engine.Name)
+		refusal.Cause = r.err
+		o.fail(r.want.adapter, false, refusal, now)
 	}
 }
 
@@ -91,7 +196,11 @@
 		waiting = append(waiting, w)
 	}
 	slices.SortFunc(waiting, func(a, b Waiting) int {
-		return cmp.Or(a.Since.Compare(b.Since), strings.Compare(a.Adapter.String(), b.Adapter.String()))
+		return cmp.Or(
+			a.Since.Compare(b.Since),
+			cmp.Compare(a.Adapter.Name, b.Adapter.Name),
+			cmp.Compare(a.Adapter.Version, b.Adapter.Version),
+		)
 	})
 	return waiting
 }
@@ -112,9 +221,8 @@
 	o.entries[e.instance] = e
 	o.order()
 	r := loaded{entry: e, start: o.start}
-	acquire := o.acquire
 	o.lifecycle.Work(func() {
-		r.sent, r.err = o.sendLoad(ctx, acquire, e.instance, w)
+		r.sent, r.err = o.sendLoad(ctx, e.instance)
 		o.post(ctx, r)
 	})
 }
@@ -127,12 +235,7 @@
 }
 
 // sendLoad runs on a worker goroutine. It reports whether the order was sent.
-func (o *Owner) sendLoad(ctx, acquire context.Context, instance fleet.Instance, w Waiting) (bool, error) {
-	if err := o.Budget.Acquire(acquire, o.Engine.Name, w.Adapter, w.Urgency); err != nil {
-		refusal := verdict.Refuse(verdict.CodeStoreUnavailable, "no load of adapter %s on engine %s", w.Adapter, o.Engine.Name)
-		refusal.Cause = err
-		return false, refusal
-	}
+func (o *Owner) sendLoad(ctx context.Context, instance fleet.Instance) (bool, error) {
 	if !o.mayOrder() {
 		return false, o.refuseIsolated()
 	}
@@ -215,9 +318,8 @@
 	o.refuseQueue(adapter, refusal)
 }
 
-// evict starts the unload of an instance without grants, if there is one that
-// may go, and reports whether it did.
-func (o *Owner) evict(ctx context.Context, next Waiting, now time.Time) bool {
+// victim returns the instance that makes room for an adapter, or nil.
+func (o *Owner) victim(next Waiting, now time.Time) *entry {
 	var residents []Resident
 	for _, e := range o.entries {
 		if o.removable(e, now) {
@@ -225,14 +327,24 @@
 		}
 	}
 	if len(residents) == 0 {
-		return false
+		return nil
 	}
 	slices.SortFunc(residents, func(a, b Resident) int { return strings.Compare(a.Instance.String(), b.Instance.String()) })
 	i := o.Placement.Leave(o.Engine, residents, next, now)
 	if i < 0 {
+		return nil
+	}
+	return o.entries[residents[i].Instance]
+}
+
+// evict starts the unload of an instance without grants, if there is one that
+// may go, and reports whether it did.
+func (o *Owner) evict(ctx context.Context, next Waiting, now time.Time) bool {
+	e := o.victim(next, now)
+	if e == nil {
 		return false
 	}
-	o.unload(ctx, o.entries[residents[i].Instance])
+	o.unload(ctx, e)
 	return true
 }
 
--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -32,10 +32,17 @@
 const (
 	// ageingTime is the wait after which a load counts twice, so that nothing starves.
 	ageingTime = 10 * time.Second
-	// pressingTime is the time to a deadline within which a load is pressing.
+	// futureTime is how long a loaded adapter is expected to stay.
+	futureTime = 5 * time.Minute
+	// pressingTime is the wait, or the time to a deadline, from which a load is
+	// not held back.
 	pressingTime = 3 * time.Second
-	// pressingFactor raises a pressing load over one with fewer waiting requests.
-	pressingFactor = 4
+	// answerTime is the time of a usual answer with its load. A load whose
+	// deadline is nearer comes too late for the answer.
+	answerTime = 3 * time.Second
+	// hopelessDivisor lowers such a load below others; it is not put off for
+	// good, because answers may be short.
+	hopelessDivisor = 8
 	// keepTime is how long an instance's popularity is taken to last when its
 	// eviction is weighed against a load.
 	keepTime = 20 * time.Second
@@ -68,18 +75,31 @@
 	return best
 }
 
-// Priority returns how much a load helps now: its waiting requests by urgency,
-// raised with their age and near their deadline. It is more than zero.
+// Priority returns how much a load helps now. By the share of the stall-weight
+// it counts urgency and age, which bounds the longest stalls; by the share of
+// the batch-weight it counts the time left, so that work that may wait does wait
+// and shares its load with what arrives meanwhile. It is more than zero.
 func (p *Policy) Priority(w ownership.Waiting, now time.Time) float64 {
-	weight := 1 + (urgencyWeights[w.Urgency]-1)*p.ratio()
-	age := 1 + now.Sub(w.Since).Seconds()/ageingTime.Seconds()
-	priority := float64(max(w.Requests, 1)) * max(weight, 1) * age
-	if w.Deadline.Sub(now) < pressingTime {
-		priority *= pressingFactor
+	left := w.Deadline.Sub(now) - answerTime
+	age := 1 + max(now.Sub(w.Since), 0).Seconds()/ageingTime.Seconds()
+	stall := max(urgencyWeights[w.Urgency], 1) / urgencyWeights[configuration.UrgencyInteractive] * age
+	deadline := ageingTime.Seconds() / max(left, time.Second).Seconds()
+	share := p.stallShare()
+	priority := p.worth(w, now) * (share*stall + (1-share)*deadline)
+	if left < 0 {
+		priority /= hopelessDivisor
 	}
 	return priority
 }
 
+// worth returns the number of requests that a load serves: those that wait and
+// those that are expected soon.
+func (p *Policy) worth(w ownership.Waiting, now time.Time) float64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return float64(max(w.Requests, 1)) + p.popularity().Rate(w.Adapter, now)*futureTime.Seconds()
+}
+
 // Leave returns the index of the least popular instance, or -1 when every
 // instance is worth more than the load.
 func (p *Policy) Leave(_ fleet.Engine, resident []ownership.Resident, next ownership.Waiting, now time.Time) int {
@@ -111,12 +131,13 @@
 	return rate*keepTime.Seconds() > gain
 }
 
-func (p *Policy) ratio() float64 {
+// stallShare returns the part of the stall-weight in both weights.
+func (p *Policy) stallShare() float64 {
 	total := p.StallWeight + p.BatchWeight
 	if total == 0 {
-		return 1
+		return 0.5
 	}
-	return 2 * p.StallWeight / total
+	return p.StallWeight / total
 }
 
 func (p *Policy) popularity() *Sketch {
