--- /dev/null
+++ b/coordination/operation/editor.go
@@ -0,0 +1,94 @@
+// Package operation has what operators do: edits of the configuration, and
+// reports of hosts, engines and revisions.
+package operation
+
+import (
+	"context"
+
+	"github.com/persimmonmux/persimmonmux/coordination/revision"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// Revisions accepts changes of the configuration.
+type Revisions interface {
+	// Lookup finds out without lag what became of an operation.
+	Lookup(ctx context.Context, operation configuration.OperationID) (revision.Lookup, error)
+	// CatchUp brings this host up to a revision.
+	CatchUp(ctx context.Context, revision configuration.Revision) error
+	// Current returns the configuration in force, or nil.
+	Current() *configuration.Configuration
+	// Accept makes a change to the expected revision.
+	Accept(ctx context.Context, expected configuration.Revision, change configuration.Change) (configuration.Revision, error)
+}
+
+// A Request asks for one edit.
+type Request struct {
+	// Expected is the revision that the edit is made to.
+	Expected configuration.Revision
+	// Operation is never empty; a repeated request has the same one.
+	Operation configuration.OperationID
+	// Edit is what is asked for.
+	Edit Edit
+}
+
+// A Result is the outcome of an accepted edit.
+type Result struct {
+	// Revision is the revision that the edit led to.
+	Revision configuration.Revision `json:"revision"`
+	// Repeated says that an earlier request with the same operation made it.
+	Repeated bool `json:"repeated"`
+}
+
+// An Editor makes edits. Its fields are set before use.
+type Editor struct {
+	Revisions Revisions
+}
+
+// Apply makes an edit to the expected revision. A repeated request with the
+// same operation and edit returns the revision of the first one, also when
+// other changes came between. The error is a *verdict.Error as that of
+// revision.Distributor.Accept.
+func (e *Editor) Apply(ctx context.Context, request Request) (Result, error) {
+	if request.Operation == "" {
+		return Result{}, wrong("operation", "is missing")
+	}
+	found, err := e.Revisions.Lookup(ctx, request.Operation)
+	if err != nil {
+		return Result{}, err
+	}
+	description := request.Edit.Describe()
+	if found.Accepted != nil {
+		if found.Accepted.Description != description {
+			return Result{}, wrong("operation", "was used for the different change to revision %d", found.Accepted.Revision)
+		}
+		return Result{Revision: found.Accepted.Revision, Repeated: true}, nil
+	}
+	if found.Head != request.Expected {
+		return Result{}, conflict(request.Expected, found.Head)
+	}
+	if err := e.Revisions.CatchUp(ctx, request.Expected); err != nil {
+		return Result{}, err
+	}
+	base := e.Revisions.Current()
+	if base == nil {
+		base = &configuration.Configuration{}
+	}
+	if base.Revision != request.Expected {
+		return Result{}, conflict(request.Expected, base.Revision)
+	}
+	change, err := request.Edit.Change(base)
+	if err != nil {
+		return Result{}, err
+	}
+	change.Operation, change.Description = request.Operation, description
+	accepted, err := e.Revisions.Accept(ctx, request.Expected, change)
+	return Result{Revision: accepted}, err
+}
+
+func conflict(expected, actual configuration.Revision) *verdict.Error {
+	return &verdict.Error{
+		Verdict: verdict.NotRun, Code: verdict.CodeConflict, Message: "change was not accepted",
+		Cause: &revision.Conflict{Expected: expected, Actual: actual},
+	}
+}
--- a/protocol/refusal/refusal.go
+++ b/protocol/refusal/refusal.go
@@ -63,6 +63,8 @@
 	verdict.CodeStoreUnavailable:  {http.StatusServiceUnavailable, typeServer},
 	verdict.CodeIsolated:          {http.StatusServiceUnavailable, typeServer},
 	verdict.CodeApplicationLimits: {http.StatusTooManyRequests, typeRateLimit},
+	verdict.CodeUnknownName:       {http.StatusNotFound, typeRequest},
+	verdict.CodeHostUnreachable:   {http.StatusServiceUnavailable, typeServer},
 }
 
 // A Body is the JSON body of a refusal.
--- a/state/configuration/change.go
+++ b/state/configuration/change.go
@@ -14,6 +14,9 @@
 	Revision Revision `json:"revision"`
 	// Operation is the operation that made the change.
 	Operation OperationID `json:"operation"`
+	// Description says what the operator asked for, in full, so that a repeated
+	// call is recognized although other changes came between. It may be empty.
+	Description string `json:"description,omitempty"`
 
 	Adapters     map[fleet.AdapterName]Adapter     `json:"adapters,omitempty"`
 	Applications map[ApplicationName]Application   `json:"applications,omitempty"`
--- a/state/verdict/error.go
+++ b/state/verdict/error.go
@@ -39,6 +39,8 @@
 	CodeStoreUnavailable  Code = "store-unavailable"
 	CodeIsolated          Code = "isolated"
 	CodeApplicationLimits Code = "application-limits"
+	CodeUnknownName       Code = "unknown-name"
+	CodeHostUnreachable   Code = "host-unreachable"
 )
 
 // An Error is a failure with its verdict.
