operator: serve operators at an address of their own

Cause: entry hosts had operator-token-hash but no way to call them. Change: transport/operator has the drpc server, a duty, and the client. The optional setting operator-address starts it in the entry host. A host without operator-token-hash serves loopback only; an address that would then refuse every call is an error of the settings.

--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -26,9 +26,9 @@
 	Settings settings.Settings
 	// Start identifies this process; a later process of the host has a higher one.
 	Start fleet.StartNumber
-	// CallerListener and PeerListener are used in place of the addresses of the
-	// settings when they are set. Run closes them.
-	CallerListener, PeerListener net.Listener
+	// CallerListener, PeerListener and OperatorListener are used in place of the
+	// addresses of the settings when they are set. Run closes them.
+	CallerListener, PeerListener, OperatorListener net.Listener
 	// Initial is accepted as the first revision when the table has none. It may
 	// be nil.
 	Initial *configuration.Configuration
--- /dev/null
+++ b/internal/entryhost/operators.go
@@ -0,0 +1,33 @@
+package entryhost
+
+import (
+	"net"
+
+	"github.com/gravitational/trace"
+
+	"github.com/persimmonmux/persimmonmux/coordination/membership"
+	"github.com/persimmonmux/persimmonmux/coordination/operation"
+	"github.com/persimmonmux/persimmonmux/coordination/ownership"
+	"github.com/persimmonmux/persimmonmux/coordination/revision"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/transport/operator"
+)
+
+// newOperatorServer returns the server of operators. Without an address it
+// serves nobody.
+func (h *Host) newOperatorServer(self fleet.Host, d *revision.Distributor, m *membership.Monitor, g *ownership.Group) (*operator.Server, error) {
+	listener := h.OperatorListener
+	if listener == nil && h.Settings.OperatorAddress.IsValid() {
+		var err error
+		if listener, err = net.Listen("tcp", h.Settings.OperatorAddress.String()); err != nil {
+			return nil, trace.Wrap(err, "listen for operators")
+		}
+	}
+	return &operator.Server{
+		Listener:  listener,
+		TokenHash: h.Settings.OperatorTokenHash,
+		Changes:   &operation.Editor{Revisions: d},
+		State:     &operation.Observer{Host: self.Name, History: d, Members: m, Engines: g},
+		Log:       func(err error) { h.Log.Debug().Err(err).Msg("connection of an operator ended") },
+	}, nil
+}
--- a/internal/entryhost/parts.go
+++ b/internal/entryhost/parts.go
@@ -25,6 +25,7 @@
 	"github.com/persimmonmux/persimmonmux/transport/engine"
 	"github.com/persimmonmux/persimmonmux/transport/entry"
 	"github.com/persimmonmux/persimmonmux/transport/metrics"
+	"github.com/persimmonmux/persimmonmux/transport/operator"
 	"github.com/persimmonmux/persimmonmux/transport/peer"
 	"github.com/persimmonmux/persimmonmux/transport/platform"
 	"github.com/persimmonmux/persimmonmux/transport/service"
@@ -71,6 +72,7 @@
 	PeerServer      *peer.Server
 	Server          *entry.Server
 	RevisionWatcher *revisionWatcher
+	OperatorServer  *operator.Server
 }
 
 // A namedRunner is a duty with the name that logs use.
@@ -95,6 +97,7 @@
 		{"claim-cleanup", p.Cleaner},
 		{"routes", p.Routes},
 		{"callers", p.Server},
+		{"operators", p.OperatorServer},
 	}
 }
 
@@ -184,6 +187,7 @@
 		h.newDispatcher,
 		h.newPeerServer,
 		h.newServer,
+		h.newOperatorServer,
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,7 +25,8 @@
 	PeerAddress       netip.AddrPort          `json:"peer-address" required:"true" help:"Address to listen on for other entry hosts. They are told this address, so it cannot be 0.0.0.0."`
 	PeerAddresses     []netip.AddrPort        `json:"peer-addresses" help:"Peer addresses of other entry hosts to start from. The host learns of further ones from them."`
 	PlatformAddress   netip.AddrPort          `json:"platform-address" required:"true" help:"Address of the platform's services."`
-	OperatorTokenHash string                  `json:"operator-token-hash" help:"SHA-256 of the operators' token in hexadecimal. Without it the host takes no calls of operators."`
+	OperatorAddress   netip.AddrPort          `json:"operator-address" help:"Address to listen on for operators; 0.0.0.0 means all. Without it the host serves no operators."`
+	OperatorTokenHash string                  `json:"operator-token-hash" help:"SHA-256 of the operators' token in hexadecimal. Without it the host serves operators from loopback only."`
 	LogLevel          string                  `json:"log-level" default:"info" help:"Least level that is logged: trace, debug, info, warn or error."`
 	Limits            Limits                  `json:"limits" help:"Limits of this host."`
 	Timings           Timings                 `json:"timings" help:"Times of leases, grants and heartbeats; equal on all hosts of a deployment."`
@@ -134,6 +135,10 @@
 	check("caller-address", s.CallerAddress, true)
 	check("peer-address", s.PeerAddress, false)
 	check("platform-address", s.PlatformAddress, false)
+	if s.OperatorAddress.IsValid() {
+		check("operator-address", s.OperatorAddress, true)
+		d.checkOperatorAddress(s)
+	}
 	for i, address := range s.PeerAddresses {
 		check("peer-addresses["+strconv.Itoa(i)+"]", address, false)
 	}
@@ -142,6 +147,22 @@
 	}
 }
 
+// checkOperatorAddress refuses ports in use on all addresses, and an address at
+// which every call would be refused for want of a token.
+func (d *decoder) checkOperatorAddress(s *Settings) {
+	const key = "operator-address"
+	every := s.OperatorAddress.Addr().IsUnspecified()
+	if s.OperatorAddress.Port() == s.CallerAddress.Port() && (every || s.CallerAddress.Addr().IsUnspecified()) {
+		d.fail(key, "port %d is out of place, expected another port than caller-address", s.OperatorAddress.Port())
+	}
+	if s.OperatorAddress.Port() == s.PeerAddress.Port() && every {
+		d.fail(key, "port %d is out of place, expected another port than peer-address", s.OperatorAddress.Port())
+	}
+	if s.OperatorTokenHash == "" && !every && !s.OperatorAddress.Addr().IsLoopback() {
+		d.fail(key, "%s is out of place, expected operator-token-hash or a loopback address", s.OperatorAddress.Addr())
+	}
+}
+
 func (d *decoder) checkLimits(s *Settings) {
 	if s.Limits.HostConcurrency < 1 {
 		d.fail("limits.host-concurrency", "is %d, expected at least 1", s.Limits.HostConcurrency)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,6 +49,10 @@
 		{"share zero", `"load-rate-share": 1`, `"load-rate-share": 0`, `host:5:36: decisions.load-rate-share: is 0, expected more than 0`},
 		{"level", `"decisions"`, `"log-level": "loud", "decisions"`, `.*log-level: "loud" is no level, .*`},
 		{"token in place of its hash", `"decisions"`, `"operator-token-hash": "secret", "decisions"`, `.*operator-token-hash: is no hash, .*`},
+		{"operators on the port of callers", `"decisions"`, `"operator-address": "127.0.0.1:80", "decisions"`, `host:5:23: operator-address: port 80 is out of place, .*caller-address`},
+		{"operators on the address of peers", `"decisions"`, `"operator-address": "0.0.0.0:81", "decisions"`, `host:5:23: operator-address: port 81 is out of place, .*peer-address`},
+		{"operators without token", `"decisions"`, `"operator-address": "10.0.0.1:82", "decisions"`, `host:5:23: operator-address: 10.0.0.1 is out of place, expected operator-token-hash .*`},
+		{"operators on loopback without token", `"decisions"`, `"operator-address": "127.0.0.1:82", "decisions"`, ""},
 		{"not an object", minimal, `[]`, `host:1:1: is no object, expected {...}(?s).*`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- /dev/null
+++ b/transport/operator/client.go
@@ -0,0 +1,142 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmetadata"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/persimmonmux/persimmonmux/coordination/operation"
+	"github.com/persimmonmux/persimmonmux/protocol/operator"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+const (
+	// dialLimit bounds a connection attempt.
+	dialLimit = 3 * time.Second
+	// callLimit is longer than handlerLimit, so that the host's own answer
+	// arrives first.
+	callLimit = handlerLimit + 2*time.Second
+)
+
+// A Client calls an entry host on behalf of an operator. Its fields are set
+// before use. Each call has its own connection, so that a silent one holds back
+// nothing. The errors of all calls are *verdict.Error.
+type Client struct {
+	// Address is the operator address of an entry host.
+	Address string
+	// Token is the operators' token; it may be empty towards loopback.
+	Token string
+}
+
+// A failed reply carries a failure.
+type failed interface {
+	GetFailure() *operator.Failure
+}
+
+// call makes one call. doubt is the verdict of a call whose reply was lost.
+func call[Reply failed](ctx context.Context, c *Client, doubt verdict.Verdict, invoke func(context.Context, operator.DRPCOperatorClient) (Reply, error)) (Reply, error) {
+	var none Reply
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	dialer := net.Dialer{Timeout: dialLimit}
+	raw, err := dialer.DialContext(ctx, "tcp", c.Address)
+	if err != nil {
+		return none, &verdict.Error{
+			Verdict: verdict.NotRun, Code: verdict.CodeHostUnreachable, Message: "entry host at " + c.Address, Cause: err,
+		}
+	}
+	connection := drpcconn.NewWithOptions(&boundedConnection{Conn: raw}, drpcconn.Options{
+		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maximumMessageBytes}},
+	})
+	defer func() { _ = connection.Close() }()
+	if c.Token != "" {
+		ctx = drpcmetadata.Add(ctx, tokenKey, c.Token)
+	}
+	reply, err := invoke(ctx, operator.NewDRPCOperatorClient(connection))
+	if err != nil {
+		return none, &verdict.Error{
+			Verdict: doubt, Code: verdict.CodeHostUnreachable, Message: "answer of the entry host at " + c.Address + " was lost",
+			Cause: errors.Join(err, context.Cause(ctx)),
+		}
+	}
+	if failure := reply.GetFailure(); failure != nil {
+		return none, operator.ToFailure(failure)
+	}
+	return reply, nil
+}
+
+// Change makes an edit. After an error with verdict MayHaveRun the same request
+// is repeated to learn its outcome.
+func (c *Client) Change(ctx context.Context, request operation.Request) (operation.Result, error) {
+	message, err := operator.FromRequest(request)
+	if err != nil {
+		return operation.Result{}, &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeInternal, Message: "change", Cause: err}
+	}
+	reply, err := call(ctx, c, verdict.MayHaveRun, func(ctx context.Context, o operator.DRPCOperatorClient) (*operator.ChangeReply, error) {
+		return o.Change(ctx, message)
+	})
+	return operation.Result{Revision: configuration.Revision(reply.GetRevision()), Repeated: reply.GetRepeated()}, err
+}
+
+// ListAdapters returns the adapters whose names begin with prefix.
+func (c *Client) ListAdapters(ctx context.Context, prefix string) ([]configuration.Adapter, operation.Freshness, error) {
+	reply, err := call(ctx, c, verdict.NotRun, func(ctx context.Context, o operator.DRPCOperatorClient) (*operator.ListAdaptersReply, error) {
+		return o.ListAdapters(ctx, &operator.ListRequest{Prefix: prefix})
+	})
+	return operator.Each(reply.GetAdapters(), operator.ToAdapter), operator.ToFreshness(reply.GetFreshness()), err
+}
+
+// ListApplications returns the applications whose names begin with prefix.
+func (c *Client) ListApplications(ctx context.Context, prefix string) ([]configuration.Application, operation.Freshness, error) {
+	reply, err := call(ctx, c, verdict.NotRun, func(ctx context.Context, o operator.DRPCOperatorClient) (*operator.ListApplicationsReply, error) {
+		return o.ListApplications(ctx, &operator.ListRequest{Prefix: prefix})
+	})
+	return operator.Each(reply.GetApplications(), operator.ToApplication), operator.ToFreshness(reply.GetFreshness()), err
+}
+
+// ListKinds returns the kinds whose names begin with prefix.
+func (c *Client) ListKinds(ctx context.Context, prefix string) ([]configuration.Kind, operation.Freshness, error) {
+	reply, err := call(ctx, c, verdict.NotRun, func(ctx context.Context, o operator.DRPCOperatorClient) (*operator.ListKindsReply, error) {
+		return o.ListKinds(ctx, &operator.ListRequest{Prefix: prefix})
+	})
+	return operator.Each(reply.GetKinds(), operator.ToKind), operator.ToFreshness(reply.GetFreshness()), err
+}
+
+// ListServers returns the backend servers whose names begin with prefix.
+func (c *Client) ListServers(ctx context.Context, prefix string) ([]operation.Server, operation.Freshness, error) {
+	reply, err := call(ctx, c, verdict.NotRun, func(ctx context.Context, o operator.DRPCOperatorClient) (*operator.ListServersReply, error) {
+		return o.ListServers(ctx, &operator.ListRequest{Prefix: prefix})
+	})
+	return operator.Each(reply.GetServers(), operator.ToServer), operator.ToFreshness(reply.GetFreshness()), err
+}
+
+// ListHosts returns the entry hosts whose names begin with prefix.
+func (c *Client) ListHosts(ctx context.Context, prefix string) ([]operation.Host, operation.Freshness, error) {
+	reply, err := call(ctx, c, verdict.NotRun, func(ctx context.Context, o operator.DRPCOperatorClient) (*operator.ListHostsReply, error) {
+		return o.ListHosts(ctx, &operator.ListRequest{Prefix: prefix})
+	})
+	return operator.Each(reply.GetHosts(), operator.ToHost), operator.ToFreshness(reply.GetFreshness()), err
+}
+
+// ListEngines returns the engines whose names begin with prefix.
+func (c *Client) ListEngines(ctx context.Context, prefix string) ([]operation.Engine, operation.Freshness, error) {
+	reply, err := call(ctx, c, verdict.NotRun, func(ctx context.Context, o operator.DRPCOperatorClient) (*operator.ListEnginesReply, error) {
+		return o.ListEngines(ctx, &operator.ListRequest{Prefix: prefix})
+	})
+	return operator.Each(reply.GetEngines(), operator.ToEngine), operator.ToFreshness(reply.GetFreshness()), err
+}
+
+// ShowRevision says where a revision is in force; 0 means the head.
+func (c *Client) ShowRevision(ctx context.Context, revision configuration.Revision) (operation.Revision, operation.Freshness, error) {
+	reply, err := call(ctx, c, verdict.NotRun, func(ctx context.Context, o operator.DRPCOperatorClient) (*operator.ShowRevisionReply, error) {
+		return o.ShowRevision(ctx, &operator.ShowRevisionRequest{Revision: uint64(revision)})
+	})
+	return operator.ToRevision(reply), operator.ToFreshness(reply.GetFreshness()), err
+}
