cmd: add adapter and revision commands for operators

Cause: operators need commands that name the expected revision and an operation id and say what to do after an error. Scripts run them against an entry host in the test process with a stand-in platform.

--- /dev/null
+++ b/internal/cmd/adaptercmd.go
@@ -0,0 +1,185 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/persimmonmux/persimmonmux/coordination/operation"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/operator"
+)
+
+// An adapterCommand has the commands for adapters and their versions.
+type adapterCommand struct {
+	Operator operatorOptions `group:"operator options"`
+
+	List       adapterListCommand       `command:"list" description:"List adapters"`
+	Show       adapterShowCommand       `command:"show" description:"Show one adapter"`
+	Create     adapterCreateCommand     `command:"create" description:"Create an adapter"`
+	Version    adapterVersionCommand    `command:"version" description:"Add or retire a version"`
+	SetCurrent adapterSetCurrentCommand `command:"set-current" description:"Choose the version for requests that name none"`
+	Retire     adapterRetireCommand     `command:"retire" description:"Retire an adapter with all versions"`
+}
+
+func newAdapterCommand(stdout, stderr io.Writer) *adapterCommand {
+	a := &adapterCommand{Operator: operatorOptions{stdout: stdout, stderr: stderr}}
+	o := &a.Operator
+	a.List.operator, a.Show.operator, a.Create.operator = o, o, o
+	a.Version.Add.operator, a.Version.Retire.operator = o, o
+	a.SetCurrent.operator, a.Retire.operator = o, o
+	return a
+}
+
+func (*adapterCommand) name() string  { return "adapter" }
+func (*adapterCommand) short() string { return "List and change adapters and their versions" }
+func (*adapterCommand) long() string {
+	return "Lists, creates, changes and retires LoRA adapters and their versions.\n\nExample: persimmonmux adapter version add latin-grammar 3 --current"
+}
+
+// An adapterArgument names an adapter.
+type adapterArgument struct {
+	Name string `positional-arg-name:"ADAPTER" description:"name of the adapter"`
+}
+
+// A versionArgument names an adapter and a version.
+type versionArgument struct {
+	Name    string      `positional-arg-name:"ADAPTER" description:"name of the adapter"`
+	Version wholeNumber `positional-arg-name:"VERSION" description:"number of the version, from 1"`
+}
+
+// A prefixArgument selects names.
+type prefixArgument struct {
+	Prefix string `positional-arg-name:"PREFIX" description:"what the names begin with"`
+}
+
+// An adapterListCommand lists adapters.
+type adapterListCommand struct {
+	operator  *operatorOptions
+	Arguments prefixArgument `positional-args:"yes"`
+}
+
+// Execute lists adapters.
+func (a *adapterListCommand) Execute([]string) error {
+	return a.operator.call(func(ctx context.Context, client *operator.Client) error {
+		adapters, freshness, err := client.ListAdapters(ctx, a.Arguments.Prefix)
+		if err != nil {
+			return err
+		}
+		return a.operator.show(freshness, adapterListing(adapters))
+	})
+}
+
+func adapterListing(adapters []configuration.Adapter) listing {
+	l := listing{name: "adapters", value: adapters, header: []string{"ADAPTER", "CURRENT", "VERSIONS"}}
+	for _, adapter := range adapters {
+		l.rows = append(l.rows, []string{string(adapter.Name), fmt.Sprint(adapter.Current), joined(adapter.Versions)})
+	}
+	return l
+}
+
+// An adapterShowCommand shows one adapter.
+type adapterShowCommand struct {
+	operator  *operatorOptions
+	Arguments adapterArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute shows one adapter.
+func (a *adapterShowCommand) Execute([]string) error {
+	return a.operator.call(func(ctx context.Context, client *operator.Client) error {
+		adapters, freshness, err := client.ListAdapters(ctx, a.Arguments.Name)
+		if err != nil {
+			return err
+		}
+		found, exists := element(adapters, func(a configuration.Adapter) string { return string(a.Name) }, a.Arguments.Name)
+		if !exists {
+			return verdict.Refuse(verdict.CodeUnknownAdapter, "adapter %q does not exist", a.Arguments.Name)
+		}
+		return a.operator.show(freshness, adapterListing([]configuration.Adapter{found}))
+	})
+}
+
+// An adapterCreateCommand creates an adapter.
+type adapterCreateCommand struct {
+	operator  *operatorOptions
+	Change    changeOptions   `group:"change options"`
+	Versions  []int           `long:"version" value-name:"N" default:"1" description:"version of the adapter; may be given more than once"`
+	Current   int             `long:"current" value-name:"N" description:"version for requests that name none (default: the highest)"`
+	Arguments adapterArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute creates an adapter.
+func (a *adapterCreateCommand) Execute([]string) error {
+	adapter := configuration.Adapter{Name: fleet.AdapterName(a.Arguments.Name), Current: fleet.AdapterVersion(a.Current)}
+	for _, version := range slices.Sorted(slices.Values(a.Versions)) {
+		adapter.Versions = append(adapter.Versions, fleet.AdapterVersion(version))
+	}
+	if adapter.Current == 0 {
+		adapter.Current = slices.Max(adapter.Versions)
+	}
+	return a.operator.change(&a.Change, operation.CreateAdapter{Adapter: adapter})
+}
+
+// An adapterVersionCommand has the commands for versions.
+type adapterVersionCommand struct {
+	Add    adapterVersionAddCommand    `command:"add" description:"Add a version to an adapter"`
+	Retire adapterVersionRetireCommand `command:"retire" description:"Retire a version that is not the current one"`
+}
+
+// An adapterVersionAddCommand adds a version.
+type adapterVersionAddCommand struct {
+	operator  *operatorOptions
+	Change    changeOptions   `group:"change options"`
+	Current   bool            `long:"current" description:"also make it the current version"`
+	Arguments versionArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute adds a version.
+func (a *adapterVersionAddCommand) Execute([]string) error {
+	return a.operator.change(&a.Change, operation.AddVersion{
+		Adapter: fleet.AdapterName(a.Arguments.Name), Version: fleet.AdapterVersion(a.Arguments.Version), Current: a.Current,
+	})
+}
+
+// An adapterVersionRetireCommand retires a version.
+type adapterVersionRetireCommand struct {
+	operator  *operatorOptions
+	Change    changeOptions   `group:"change options"`
+	Arguments versionArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute retires a version.
+func (a *adapterVersionRetireCommand) Execute([]string) error {
+	return a.operator.change(&a.Change, operation.RetireVersion{
+		Adapter: fleet.AdapterName(a.Arguments.Name), Version: fleet.AdapterVersion(a.Arguments.Version),
+	})
+}
+
+// An adapterSetCurrentCommand chooses the current version.
+type adapterSetCurrentCommand struct {
+	operator  *operatorOptions
+	Change    changeOptions   `group:"change options"`
+	Arguments versionArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute chooses the current version.
+func (a *adapterSetCurrentCommand) Execute([]string) error {
+	return a.operator.change(&a.Change, operation.SetCurrent{
+		Adapter: fleet.AdapterName(a.Arguments.Name), Version: fleet.AdapterVersion(a.Arguments.Version),
+	})
+}
+
+// An adapterRetireCommand retires an adapter.
+type adapterRetireCommand struct {
+	operator  *operatorOptions
+	Change    changeOptions   `group:"change options"`
+	Arguments adapterArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute retires an adapter.
+func (a *adapterRetireCommand) Execute([]string) error {
+	return a.operator.change(&a.Change, operation.RetireAdapter{Name: fleet.AdapterName(a.Arguments.Name)})
+}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -16,9 +16,8 @@
 	exitUsage   = 2
 )
 
-// A command is one subcommand.
+// A command is one subcommand. It is a flags.Commander or has subcommands that are.
 type command interface {
-	flags.Commander
 	name() string
 	short() string
 	long() string
@@ -41,9 +40,11 @@
 // commands returns all subcommands.
 func commands(stdout, stderr io.Writer) []command {
 	return []command{
+		newAdapterCommand(stdout, stderr),
 		&checkSettingsCommand{stdout: stdout},
 		&demoCommand{stdout: stdout, stderr: stderr},
 		&loadCommand{stdout: stdout},
+		newRevisionCommand(stdout, stderr),
 		&serveCommand{stderr: stderr},
 		&versionCommand{stdout: stdout},
 	}
@@ -62,6 +63,11 @@
 		fmt.Fprintf(stderr, "persimmonmux: %v\n", err)
 		return exitUsage
 	}
+	var failure *operatorError
+	if errors.As(err, &failure) && failure.encoded {
+		fmt.Fprintln(stderr, failure)
+		return exitFailure
+	}
 	fmt.Fprintf(stderr, "persimmonmux: %v\n", err)
 	return exitFailure
 }
--- /dev/null
+++ b/internal/cmd/entryhost_test.go
@@ -0,0 +1,149 @@
+package cmd_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/internal/entryhost"
+	"github.com/persimmonmux/persimmonmux/internal/settings"
+	"github.com/persimmonmux/persimmonmux/standin/platform"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+// operatorToken is the operators' token of the hosts in scripts.
+const operatorToken = "operator-secret"
+
+// A deployment is an entry host with a stand-in platform.
+type deployment struct {
+	platform *platform.Server
+	host     *entryhost.Host
+}
+
+// startEntryHost is the script command "entry-host". It starts an entry host
+// and sets PERSIMMONMUX_ADDRESS, PERSIMMONMUX_TOKEN and LOSSY_ADDRESS, an
+// address behind which every answer is lost.
+func startEntryHost(ts *testscript.TestScript, _ bool, _ []string) {
+	d := &deployment{platform: &platform.Server{
+		Table: platform.NewTable(1), Objects: platform.NewObjectStore(1),
+		Hosts: platform.NewHostList(0), Weights: platform.NewWeightStore(100, 1),
+	}}
+	stand := httptest.NewServer(d.platform)
+	hash := sha256.Sum256([]byte(operatorToken))
+	listener := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		return l
+	}
+	operators := listener()
+	d.host = &entryhost.Host{
+		Settings: settings.Settings{
+			HostName: "muc-a-1", FailureDomain: "muc-a", Region: "bayern-sued",
+			PlatformAddress:   netip.MustParseAddrPort(strings.TrimPrefix(stand.URL, "http://")),
+			OperatorTokenHash: hex.EncodeToString(hash[:]),
+			Limits:            settings.Limits{HostConcurrency: 10, GraceTime: time.Millisecond, BodySize: 1 << 20},
+			Timings: settings.Timings{
+				LeaseDuration: 3 * time.Second, LeaseRenewal: 800 * time.Millisecond, LeaseMargin: 300 * time.Millisecond,
+				GrantLimit: 30 * time.Second, IsolatedServiceLimit: time.Minute,
+			},
+			Decisions: settings.Decisions{LoadRateShare: 1, StallWeight: 1, BatchWeight: 1},
+		},
+		Start:          fleet.StartNumber(time.Now().UnixNano()),
+		CallerListener: listener(), PeerListener: listener(), OperatorListener: operators,
+		Initial: initialConfiguration(),
+		Log:     zerolog.New(io.Discard),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.host.Run(ctx) }()
+	lossy := listener()
+	go loseAnswers(lossy, operators.Addr().String())
+	ts.Defer(func() {
+		cancel()
+		ts.Check(<-ended)
+		_ = lossy.Close()
+		stand.CloseClientConnections()
+		stand.Close()
+	})
+	<-d.host.Ready()
+	for deadline := time.Now().Add(10 * time.Second); d.host.Revision() == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			ts.Fatalf("entry host has no configuration after 10 s")
+		}
+	}
+	ts.Setenv("PERSIMMONMUX_ADDRESS", operators.Addr().String())
+	ts.Setenv("PERSIMMONMUX_TOKEN", operatorToken)
+	ts.Setenv("LOSSY_ADDRESS", lossy.Addr().String())
+	deployments.Store(ts.Getenv("WORK"), d)
+}
+
+// deployments has the deployment of each script by its directory.
+var deployments sync.Map
+
+// setPlatform is the script command "platform away" or "platform back".
+func setPlatform(ts *testscript.TestScript, _ bool, arguments []string) {
+	found, ok := deployments.Load(ts.Getenv("WORK"))
+	if !ok || len(arguments) != 1 {
+		ts.Fatalf("usage: entry-host, then platform away|back")
+	}
+	away := arguments[0] == "away"
+	found.(*deployment).platform.SetFaults(platform.AllFaults{
+		Table: platform.Faults{Unavailable: away}, HostsUnavailable: away,
+	})
+}
+
+// loseAnswers forwards connections and ends each when the host has answered,
+// without passing the answer on.
+func loseAnswers(listener net.Listener, target string) {
+	for {
+		client, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer client.Close()
+			host, err := net.Dial("tcp", target)
+			if err != nil {
+				return
+			}
+			defer host.Close()
+			go func() { _, _ = io.Copy(host, client) }()
+			// The first byte of the answer proves that the change was made.
+			_, _ = host.Read(make([]byte, 1))
+		}()
+	}
+}
+
+func initialConfiguration() *configuration.Configuration {
+	engine := fleet.Engine{
+		Name: "sprachmodelle-1", Pool: "sprachmodelle", Domain: "muc-a", Address: "127.0.0.1:1",
+		Slots: 8, BatchSize: 16, Fencing: fleet.FencingEnforced,
+	}
+	return &configuration.Configuration{
+		Revision: 1,
+		Adapters: map[fleet.AdapterName]configuration.Adapter{
+			"latin-grammar": {Name: "latin-grammar", Versions: []fleet.AdapterVersion{1, 2}, Current: 2},
+		},
+		Kinds: map[configuration.KindName]configuration.Kind{
+			"chat": {Name: "chat", Urgency: configuration.UrgencyInteractive, Repeat: configuration.RepeatAllowed, Deadline: 20 * time.Second, Objective: 0.95},
+		},
+		Applications: map[configuration.ApplicationName]configuration.Application{
+			"portal": {Name: "portal", TokenHash: strings.Repeat("0a", 32), Kinds: []configuration.KindName{"chat"}, Concurrency: 4},
+		},
+		Engines: map[fleet.EngineName]fleet.Engine{engine.Name: engine},
+		Services: map[configuration.ServiceName]configuration.Service{
+			"belegung": {Name: "belegung", Servers: []configuration.Server{{Name: "belegung-1", Domain: "muc-a", Address: "127.0.0.1:2"}}},
+		},
+	}
+}
--- /dev/null
+++ b/internal/cmd/revisioncmd.go
@@ -0,0 +1,128 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/coordination/operation"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/operator"
+)
+
+// waitInterval is the time between two looks at a revision. Each costs one read
+// of the platform's table.
+const waitInterval = 500 * time.Millisecond
+
+// A revisionCommand has the commands for revisions of the configuration.
+type revisionCommand struct {
+	Operator operatorOptions `group:"operator options"`
+
+	Show revisionShowCommand `command:"show" description:"Show where a revision is in force"`
+}
+
+func newRevisionCommand(stdout, stderr io.Writer) *revisionCommand {
+	r := &revisionCommand{Operator: operatorOptions{stdout: stdout, stderr: stderr}}
+	r.Show.operator = &r.Operator
+	return r
+}
+
+func (*revisionCommand) name() string { return "revision" }
+func (*revisionCommand) short() string {
+	return "Show where a revision of the configuration is in force"
+}
+func (*revisionCommand) long() string {
+	return "Shows which entry hosts have a revision in force, which have not, and which cannot be heard. A host that cannot be heard may have it.\n\nExample: persimmonmux revision show 17 --wait --timeout 11s"
+}
+
+// A revisionShowCommand shows one revision.
+type revisionShowCommand struct {
+	operator  *operatorOptions
+	Wait      bool          `long:"wait" description:"wait until the revision is in force on every host"`
+	Timeout   time.Duration `long:"timeout" default:"30s" description:"longest time to wait"`
+	Arguments struct {
+		Revision wholeNumber `positional-arg-name:"N" description:"revision (default: the highest accepted one)"`
+	} `positional-args:"yes"`
+}
+
+// Execute shows a revision. With Wait it fails when the revision is not in
+// force everywhere within the timeout.
+func (r *revisionShowCommand) Execute([]string) error {
+	if r.Timeout <= 0 {
+		return usage("timeout %s: expected more than 0", r.Timeout)
+	}
+	return r.operator.call(func(ctx context.Context, client *operator.Client) error {
+		number := configuration.Revision(r.Arguments.Revision)
+		shown, freshness, err := client.ShowRevision(ctx, number)
+		if r.Wait {
+			if number == 0 {
+				number = shown.Revision
+			}
+			shown, freshness, err = r.wait(ctx, client, number, shown, freshness, err)
+		}
+		if err != nil {
+			return err
+		}
+		if err := r.operator.show(freshness, revisionListing(shown)); err != nil {
+			return err
+		}
+		if r.Wait && !everywhere(shown) {
+			return verdict.Refuse(verdict.CodeDeadline, "revision %d is not in force everywhere after %s: %d hosts have it not, %d are silent",
+				shown.Revision, r.Timeout, len(shown.HasNot), len(shown.Silent))
+		}
+		return nil
+	})
+}
+
+// wait looks again until the revision is in force everywhere or the time is up.
+func (r *revisionShowCommand) wait(
+	ctx context.Context, client *operator.Client, number configuration.Revision,
+	shown operation.Revision, freshness operation.Freshness, err error,
+) (operation.Revision, operation.Freshness, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	defer cancel()
+	ticker := time.NewTicker(waitInterval)
+	defer ticker.Stop()
+	for (err == nil && !everywhere(shown)) || notAccepted(err) {
+		select {
+		case <-ctx.Done():
+			return shown, freshness, err
+		case <-ticker.C:
+		}
+		again, fresh, failure := client.ShowRevision(ctx, number)
+		if ctx.Err() != nil {
+			return shown, freshness, err
+		}
+		shown, freshness, err = again, fresh, failure
+	}
+	return shown, freshness, err
+}
+
+// everywhere says whether all hosts have a revision. One that cannot be heard
+// may not.
+func everywhere(r operation.Revision) bool {
+	return r.Revision > 0 && len(r.HasNot) == 0 && len(r.Silent) == 0
+}
+
+// notAccepted says that the host does not know the revision yet.
+func notAccepted(err error) bool {
+	var failure *verdict.Error
+	return errors.As(err, &failure) && failure.Code == verdict.CodeUnknownName
+}
+
+func revisionListing(r operation.Revision) listing {
+	l := listing{name: "revision", value: r, header: []string{"REVISION", "HOST", "IN FORCE"}}
+	for _, name := range r.Has {
+		l.rows = append(l.rows, []string{fmt.Sprint(r.Revision), string(name), "yes"})
+	}
+	for _, name := range r.HasNot {
+		l.rows = append(l.rows, []string{fmt.Sprint(r.Revision), string(name), "no"})
+	}
+	for _, name := range r.Silent {
+		l.rows = append(l.rows, []string{fmt.Sprint(r.Revision), string(name), "cannot be heard"})
+	}
+	return l
+}
--- a/internal/cmd/script_test.go
+++ b/internal/cmd/script_test.go
@@ -17,5 +17,11 @@
 
 // Guards against commands that accept wrong input or fail without saying why.
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "testdata/scripts"})
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/scripts",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"entry-host": startEntryHost,
+			"platform":   setPlatform,
+		},
+	})
 }
