entryhost: copy the own summaries before they are marked

Cause: the duty that publishes routes gave its list of summaries to the membership duty and then wrote the times of receipt into the same list. Found by the operator scripts under the race detector, which run a whole entry host. Change: the times are written into a copy. Measured: go test -race ./internal/cmd reported two races per host before and none after.

--- a/internal/entryhost/routes.go
+++ b/internal/entryhost/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/coordination/budget"
@@ -83,8 +84,10 @@
 }
 
 // received marks each own summary with the time at which it changed last, so
-// that the router can tell which requests its load figures contain.
-func (k *routeKeeper) received(own []fleet.EngineSummary, now time.Time) []fleet.EngineSummary {
+// that the router can tell which requests its load figures contain. It returns
+// a copy, because the membership duty reads the list that it was given.
+func (k *routeKeeper) received(given []fleet.EngineSummary, now time.Time) []fleet.EngineSummary {
+	own := slices.Clone(given)
 	last := k.own
 	k.own = make(map[fleet.EngineName]fleet.EngineSummary, len(own))
 	for i := range own {
