cmd: add application, kind, backend, host and engine commands

Cause: operators need to change applications, kinds and draining, and to see hosts and engines, with the same options as for adapters. Change: one file for each command; what a set command is not given stays.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -41,8 +41,13 @@
 func commands(stdout, stderr io.Writer) []command {
 	return []command{
 		newAdapterCommand(stdout, stderr),
+		newApplicationCommand(stdout, stderr),
+		newBackendCommand(stdout, stderr),
 		&checkSettingsCommand{stdout: stdout},
 		&demoCommand{stdout: stdout, stderr: stderr},
+		newEngineCommand(stdout, stderr),
+		newHostCommand(stdout, stderr),
+		newKindCommand(stdout, stderr),
 		&loadCommand{stdout: stdout},
 		newRevisionCommand(stdout, stderr),
 		&serveCommand{stderr: stderr},
--- /dev/null
+++ b/internal/cmd/enginecmd.go
@@ -0,0 +1,56 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/persimmonmux/persimmonmux/transport/operator"
+)
+
+// An engineCommand has the commands for engines.
+type engineCommand struct {
+	Operator operatorOptions `group:"operator options"`
+
+	List engineListCommand `command:"list" description:"List engines"`
+}
+
+func newEngineCommand(stdout, stderr io.Writer) *engineCommand {
+	e := &engineCommand{Operator: operatorOptions{stdout: stdout, stderr: stderr}}
+	e.List.operator = &e.Operator
+	return e
+}
+
+func (*engineCommand) name() string  { return "engine" }
+func (*engineCommand) short() string { return "List engines with owner, instances and load" }
+func (*engineCommand) long() string {
+	return "Lists engines with their owner, its epoch, the instances that may be granted and the load. Load figures lag.\n\nExample: persimmonmux engine list sprachmodelle-"
+}
+
+// An engineListCommand lists engines.
+type engineListCommand struct {
+	operator  *operatorOptions
+	Arguments prefixArgument `positional-args:"yes"`
+}
+
+// Execute lists engines.
+func (e *engineListCommand) Execute([]string) error {
+	return e.operator.call(func(ctx context.Context, client *operator.Client) error {
+		engines, freshness, err := client.ListEngines(ctx, e.Arguments.Prefix)
+		if err != nil {
+			return err
+		}
+		l := listing{
+			name: "engines", value: engines,
+			header: []string{"ENGINE", "FAILURE DOMAIN", "OWNER", "OWNER HEARD", "EPOCH", "INSTANCES", "SLOTS", "RUNNING", "WAITING", "DRAINING"},
+		}
+		for _, engine := range engines {
+			l.rows = append(l.rows, []string{
+				string(engine.Name), string(engine.Domain), mark(engine.Owner != "", string(engine.Owner)), mark(engine.OwnerHeard, "heard"),
+				fmt.Sprint(engine.Epoch), fmt.Sprint(len(engine.Instances)), fmt.Sprint(engine.Slots),
+				fmt.Sprint(engine.Running), fmt.Sprint(engine.Waiting), mark(engine.Draining, "draining"),
+			})
+		}
+		return e.operator.show(freshness, l)
+	})
+}
