--- a/transport/operator/endpoint.go
+++ b/transport/operator/endpoint.go
@@ -25,23 +25,21 @@
 // An endpoint checks who calls, converts messages and calls the handlers.
 type endpoint struct {
 	server *Server
-	slots  chan struct{}
+	// refusal is set at the endpoint of calls that are not served.
+	refusal *verdict.Error
+	// running ends when Close has let calls in flight end for stopLimit.
+	running context.Context
 }
 
-// admit reserves a slot for a call or returns the *verdict.Error of its refusal.
+// admit returns nil for a call that is to be served.
 func (e *endpoint) admit(ctx context.Context) error {
 	if err := e.authorize(ctx); err != nil {
 		return err
 	}
-	if e.server.stopping.Load() {
-		return verdict.Refuse(verdict.CodeStopping, "entry host is stopping")
-	}
-	select {
-	case e.slots <- struct{}{}:
-		return nil
-	default:
-		return verdict.Refuse(verdict.CodeOverloaded, "%d calls of operators are in flight", callsAtOnce)
+	if e.refusal != nil {
+		return e.refusal
 	}
+	return nil
 }
 
 // authorize checks the token, or the address where the host has no token.
@@ -80,7 +78,6 @@
 	if err := e.admit(ctx); err != nil {
 		return refuse(operator.FromFailure(err)), nil
 	}
-	defer func() { <-e.slots }()
 	ctx, cancel := context.WithTimeout(ctx, handlerLimit)
 	defer cancel()
 	freshness := e.server.State.Freshness(ctx)
@@ -92,11 +89,11 @@
 	if err := e.admit(ctx); err != nil {
 		return &operator.ChangeReply{Failure: operator.FromFailure(err)}, nil
 	}
-	defer func() { <-e.slots }()
 	// A change goes on when its operator disconnects, so that its outcome is
 	// recorded and a repeated call learns it.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handlerLimit)
 	defer cancel()
+	defer context.AfterFunc(e.running, cancel)()
 	request, err := operator.ToRequest(message)
 	if err != nil {
 		return &operator.ChangeReply{Failure: operator.FromFailure(err)}, nil
--- a/transport/operator/server.go
+++ b/transport/operator/server.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync/atomic"
 	"time"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -17,6 +19,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/operation"
 	"github.com/persimmonmux/persimmonmux/protocol/operator"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
 const (
@@ -86,11 +89,11 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}
-		mux := drpcmux.New()
-		if err := operator.DRPCRegisterOperator(mux, &endpoint{server: s, slots: s.slots()}); err != nil {
+		handler, err := s.handler(ctx)
+		if err != nil {
 			return fmt.Errorf("operator server: %w", err)
 		}
-		server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+		server := drpcserver.NewWithOptions(handler, drpcserver.Options{
 			Log: s.Log,
 			Manager: drpcmanager.Options{
 				Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maximumMessageBytes},
@@ -104,6 +107,42 @@
 	})
 }
 
+// handler returns the handler of all calls.
+func (s *Server) handler(ctx context.Context) (*boundedHandler, error) {
+	h := &boundedHandler{server: s, slots: s.slots(), served: drpcmux.New(), overloaded: drpcmux.New(), stopping: drpcmux.New()}
+	return h, errors.Join(
+		operator.DRPCRegisterOperator(h.served, &endpoint{server: s, running: ctx}),
+		operator.DRPCRegisterOperator(h.overloaded, &endpoint{
+			server: s, refusal: verdict.Refuse(verdict.CodeOverloaded, "%d calls of operators are in flight", callsAtOnce),
+		}),
+		operator.DRPCRegisterOperator(h.stopping, &endpoint{
+			server: s, refusal: verdict.Refuse(verdict.CodeStopping, "entry host is stopping"),
+		}),
+	)
+}
+
+// A boundedHandler holds a slot for each call until its answer is written, so
+// that Close cuts off no answer.
+type boundedHandler struct {
+	server                       *Server
+	slots                        chan struct{}
+	served, overloaded, stopping *drpcmux.Mux
+}
+
+// HandleRPC serves or refuses a call.
+func (h *boundedHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	if h.server.stopping.Load() {
+		return h.stopping.HandleRPC(stream, rpc)
+	}
+	select {
+	case h.slots <- struct{}{}:
+		defer func() { <-h.slots }()
+		return h.served.HandleRPC(stream, rpc)
+	default:
+		return h.overloaded.HandleRPC(stream, rpc)
+	}
+}
+
 // slots returns the channel that counts the calls in flight.
 func (s *Server) slots() chan struct{} {
 	if slots := s.calls.Load(); slots != nil {
--- /dev/null
+++ b/transport/operator/server_test.go
@@ -0,0 +1,279 @@
+package operator_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/coordination/operation"
+	"github.com/persimmonmux/persimmonmux/coordination/revision"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/operator"
+)
+
+// A fake answers changes with a function and has a fixed state.
+type fake struct {
+	apply     func(context.Context, operation.Request) (operation.Result, error)
+	freshness operation.Freshness
+}
+
+func (f *fake) Apply(ctx context.Context, r operation.Request) (operation.Result, error) {
+	return f.apply(ctx, r)
+}
+func (f *fake) Freshness(context.Context) operation.Freshness { return f.freshness }
+func (f *fake) Configuration() *configuration.Configuration {
+	return &configuration.Configuration{Adapters: map[fleet.AdapterName]configuration.Adapter{
+		"b": {Name: "b", Versions: []fleet.AdapterVersion{1, 3}, Current: 3}, "a": {Name: "a", Versions: []fleet.AdapterVersion{1}, Current: 1},
+	}}
+}
+func (f *fake) ListHosts() []operation.Host     { return []operation.Host{{Name: "h", Revision: 7}} }
+func (f *fake) ListEngines() []operation.Engine { return []operation.Engine{{Name: "e", Epoch: 3}} }
+func (f *fake) ListServers() []operation.Server {
+	return []operation.Server{{Name: "s", Draining: true}}
+}
+func (f *fake) ShowRevision(n configuration.Revision) operation.Revision {
+	return operation.Revision{Revision: n, Silent: []fleet.HostName{"quiet"}}
+}
+
+// start serves a fake and returns a client with the right token.
+func start(t *testing.T, f *fake, token string, wrap func(net.Listener) net.Listener) (*operator.Server, *operator.Client) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := listener.Addr().String()
+	if wrap != nil {
+		listener = wrap(listener)
+	}
+	server := &operator.Server{Listener: listener, Changes: f, State: f}
+	if token != "" {
+		hash := sha256.Sum256([]byte(token))
+		server.TokenHash = hex.EncodeToString(hash[:])
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(context.Background()) }()
+	t.Cleanup(func() {
+		qt.Check(t, server.Close(), qt.IsNil)
+		qt.Check(t, <-ended, qt.IsNil)
+	})
+	return server, &operator.Client{Address: address, Token: token}
+}
+
+// A distantListener shows connections as if they came from another host.
+type distantListener struct{ net.Listener }
+
+func (l distantListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	return distantConnection{connection}, err
+}
+
+type distantConnection struct{ net.Conn }
+
+func (distantConnection) RemoteAddr() net.Addr {
+	return &net.TCPAddr{IP: net.IPv4(10, 0, 0, 9), Port: 5000}
+}
+
+// Guards against calls that are served for somebody who is no operator, or
+// refused for an operator.
+func TestServerChecksWhoCalls(t *testing.T) {
+	distant := func(l net.Listener) net.Listener { return distantListener{l} }
+	for _, test := range []struct {
+		name, token, given string
+		wrap               func(net.Listener) net.Listener
+		allowed            bool
+	}{
+		{"right token", "secret", "secret", nil, true},
+		{"right token from another host", "secret", "secret", distant, true},
+		{"wrong token on loopback", "secret", "other", nil, false},
+		{"no token on loopback", "secret", "", nil, false},
+		{"host without token on loopback", "", "", nil, true},
+		{"host without token from another host", "", "", distant, false},
+		{"host without token ignores a token", "", "secret", distant, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			applied := false
+			f := &fake{apply: func(context.Context, operation.Request) (operation.Result, error) {
+				applied = true
+				return operation.Result{Revision: 2}, nil
+			}}
+			_, client := start(t, f, test.token, test.wrap)
+			client.Token = test.given
+			_, _, readError := client.ListAdapters(context.Background(), "")
+			_, changeError := client.Change(context.Background(), operation.Request{Operation: "o", Edit: operation.RetireKind{Name: "k"}})
+			qt.Check(t, applied, qt.Equals, test.allowed)
+			for _, err := range []error{readError, changeError} {
+				if test.allowed {
+					qt.Check(t, err, qt.IsNil)
+					continue
+				}
+				var failure *verdict.Error
+				qt.Assert(t, errors.As(err, &failure), qt.IsTrue)
+				qt.Check(t, failure.Code, qt.Equals, verdict.CodeUnauthorized)
+				qt.Check(t, failure.Verdict, qt.Equals, verdict.NotRun)
+			}
+		})
+	}
+}
+
+// Guards against edits that lose a field on the way.
+func TestEveryEditArrivesWhole(t *testing.T) {
+	var got operation.Request
+	f := &fake{apply: func(_ context.Context, r operation.Request) (operation.Result, error) {
+		got = r
+		return operation.Result{Revision: 8, Repeated: true}, nil
+	}}
+	_, client := start(t, f, "", nil)
+	zero, share := 0, 0.0
+	for _, edit := range []operation.Edit{
+		operation.CreateAdapter{Adapter: configuration.Adapter{Name: "a", Versions: []fleet.AdapterVersion{1, 4}, Current: 4}},
+		operation.RetireAdapter{Name: "a"},
+		operation.AddVersion{Adapter: "a", Version: 5, Current: true},
+		operation.RetireVersion{Adapter: "a", Version: 5},
+		operation.SetCurrent{Adapter: "a", Version: 4},
+		operation.SetApplication{Name: "p", TokenHash: "h", Kinds: []configuration.KindName{"k", "l"}, Concurrency: &zero},
+		operation.SetApplication{Name: "p"},
+		operation.RetireApplication{Name: "p"},
+		operation.SetKind{Name: "k", Urgency: "prompt", Repeat: "allowed", Deadline: time.Second, Objective: &share},
+		operation.SetKind{Name: "k"},
+		operation.RetireKind{Name: "k"},
+		operation.SetDraining{Server: "s", Draining: true},
+		operation.SetDraining{Server: "s"},
+	} {
+		t.Run(edit.Describe(), func(t *testing.T) {
+			sent := operation.Request{Expected: 7, Operation: "o", Edit: edit}
+			result, err := client.Change(context.Background(), sent)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, result, qt.Equals, operation.Result{Revision: 8, Repeated: true})
+			qt.Check(t, got, qt.DeepEquals, sent)
+		})
+	}
+}
+
+// Guards against failures that lose verdict, code, path or revisions.
+func TestFailuresArriveWhole(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		sent error
+		want verdict.Error
+	}{
+		{"conflict", &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeConflict, Message: "m", Cause: &revision.Conflict{Expected: 3, Actual: 9}},
+			verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeConflict, Message: "m", Cause: &revision.Conflict{Expected: 3, Actual: 9}}},
+		{"path", &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeMalformed, Message: "m", Cause: &configuration.FieldError{Path: "kinds.a", Problem: "p"}},
+			verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeMalformed, Message: "m", Cause: &configuration.FieldError{Path: "kinds.a", Problem: "p"}}},
+		{"doubt", verdict.Doubt(verdict.CodeTableUnavailable, nil, "m"),
+			verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeTableUnavailable, Message: "m"}},
+		{"retry later", &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeOverloaded, Message: "m", RetryAfter: time.Second},
+			verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeOverloaded, Message: "m", RetryAfter: time.Second}},
+		{"error without verdict", errors.New("broken"),
+			verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeInternal, Message: "request failed: broken"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := &fake{apply: func(context.Context, operation.Request) (operation.Result, error) {
+				return operation.Result{}, test.sent
+			}}
+			_, client := start(t, f, "", nil)
+			_, err := client.Change(context.Background(), operation.Request{Operation: "o", Edit: operation.RetireKind{Name: "k"}})
+			var failure *verdict.Error
+			qt.Assert(t, errors.As(err, &failure), qt.IsTrue)
+			qt.Check(t, *failure, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// Guards against reads that hide how old they are, and lists out of order.
+func TestReadsAreMarked(t *testing.T) {
+	age := 3 * time.Second
+	f := &fake{freshness: operation.Freshness{Host: "h", Revision: 7, Head: 8, PlatformUnreachable: true, Age: &age}}
+	_, client := start(t, f, "", nil)
+	ctx := context.Background()
+	adapters, freshness, err := client.ListAdapters(ctx, "")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, freshness, qt.DeepEquals, f.freshness)
+	qt.Assert(t, adapters, qt.HasLen, 2)
+	qt.Check(t, adapters[1], qt.DeepEquals, f.Configuration().Adapters["b"])
+	adapters, _, err = client.ListAdapters(ctx, "c")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, adapters, qt.HasLen, 0)
+	shown, _, err := client.ShowRevision(ctx, 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, shown.Revision, qt.Equals, configuration.Revision(8))
+	qt.Check(t, shown.Silent, qt.DeepEquals, []fleet.HostName{"quiet"})
+	_, _, err = client.ShowRevision(ctx, 9)
+	qt.Check(t, err, qt.ErrorMatches, "revision 9 is not accepted; the head is 8")
+}
+
+// Guards against a verdict that proves too much when an answer is lost.
+func TestClientVerdictsWithoutAnswer(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer silent.Close()
+	go func() {
+		for {
+			connection, err := silent.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(connection, make([]byte, 1))
+			_ = connection.Close()
+		}
+	}()
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	_ = gone.Close()
+	for _, test := range []struct {
+		name, address string
+		want          verdict.Verdict
+	}{
+		{"nobody listens", gone.Addr().String(), verdict.NotRun},
+		{"answer lost", silent.Addr().String(), verdict.MayHaveRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			client := &operator.Client{Address: test.address}
+			_, err := client.Change(context.Background(), operation.Request{Operation: "o", Edit: operation.RetireKind{Name: "k"}})
+			failure := verdict.From(err)
+			qt.Check(t, failure.Verdict, qt.Equals, test.want)
+			qt.Check(t, failure.Code, qt.Equals, verdict.CodeHostUnreachable)
+		})
+	}
+}
+
+// Guards against a stop that cuts off a change, or goes on taking changes.
+func TestCloseWaitsForChange(t *testing.T) {
+	began, finish := make(chan struct{}), make(chan struct{})
+	f := &fake{apply: func(context.Context, operation.Request) (operation.Result, error) {
+		close(began)
+		<-finish
+		return operation.Result{Revision: 2}, nil
+	}}
+	server, client := start(t, f, "", nil)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := client.Change(context.Background(), operation.Request{Operation: "o", Edit: operation.RetireKind{Name: "k"}})
+		answered <- err
+	}()
+	<-began
+	closed := make(chan error, 1)
+	go func() { closed <- server.Close() }()
+	for {
+		_, _, err := client.ListKinds(context.Background(), "")
+		if err != nil {
+			qt.Assert(t, verdict.From(err).Code, qt.Equals, verdict.CodeStopping)
+			break
+		}
+	}
+	select {
+	case <-closed:
+		t.Fatal("closed with a change in flight")
+	default:
+	}
+	close(finish)
+	qt.Check(t, <-answered, qt.IsNil)
+	qt.Check(t, <-closed, qt.IsNil)
+}
