--- a/coordination/operation/observer.go
+++ b/coordination/operation/observer.go
@@ -48,8 +48,8 @@
 	Members Members
 	Engines Engines
 
-	// confirmed is when the platform last confirmed the head, and head is the
-	// highest revision that it told.
+	// confirmed is when the platform was last asked and confirmed the head, and
+	// head is the highest revision that it told.
 	confirmed atomic.Pointer[time.Time]
 	head      atomic.Uint64
 }
@@ -57,10 +57,10 @@
 // Freshness asks the platform for the head and says how current this host is.
 func (o *Observer) Freshness(ctx context.Context) Freshness {
 	f := Freshness{Host: o.Host, Revision: o.History.Revision()}
+	asked := time.Now()
 	head, err := o.History.Head(ctx)
-	now := time.Now()
 	if err == nil {
-		o.confirmed.Store(&now)
+		o.confirmed.Store(&asked)
 		for known := o.head.Load(); uint64(head) > known && !o.head.CompareAndSwap(known, uint64(head)); {
 			known = o.head.Load()
 		}
@@ -68,7 +68,7 @@
 	f.PlatformUnreachable = err != nil
 	f.Head = max(configuration.Revision(o.head.Load()), f.Revision)
 	if confirmed := o.confirmed.Load(); confirmed != nil {
-		age := now.Sub(*confirmed)
+		age := time.Since(*confirmed)
 		f.Age = &age
 	}
 	return f
--- a/internal/cmd/operatorerror.go
+++ b/internal/cmd/operatorerror.go
@@ -49,7 +49,7 @@
 
 // hint says what to do.
 func (e *operatorError) hint() string {
-	if e.Verdict == verdict.MayHaveRun {
+	if e.Verdict == verdict.MayHaveRun && e.Operation != "" {
 		return fmt.Sprintf("repeat the same command with --operation-id %s to learn whether the change was accepted", e.Operation)
 	}
 	switch e.Code {
