cmd: end waits at their timeout and name what was lost

Change: the wait keeps the last answer at its end, the message says that the connection ended, lists are never null. A script has a listed host that does not run.

--- a/internal/cmd/entryhost_test.go
+++ b/internal/cmd/entryhost_test.go
@@ -31,14 +31,20 @@
 	host     *entryhost.Host
 }
 
-// startEntryHost is the script command "entry-host". It starts an entry host
+// startEntryHost is the script command "entry-host [SILENT]". It starts an entry
+// host, with another one in the host list that does not run if SILENT names it,
 // and sets PERSIMMONMUX_ADDRESS, PERSIMMONMUX_TOKEN and LOSSY_ADDRESS, an
 // address behind which every answer is lost.
-func startEntryHost(ts *testscript.TestScript, _ bool, _ []string) {
+func startEntryHost(ts *testscript.TestScript, _ bool, silent []string) {
 	d := &deployment{platform: &platform.Server{
 		Table: platform.NewTable(1), Objects: platform.NewObjectStore(1),
 		Hosts: platform.NewHostList(0), Weights: platform.NewWeightStore(100, 1),
 	}}
+	for _, name := range silent {
+		d.platform.Hosts.Set(fleet.ListedHost{
+			Name: name, Role: fleet.RoleEntry, Start: 1, Domain: "muc-a", Address: "127.0.0.1:1", State: fleet.HostLive,
+		})
+	}
 	stand := httptest.NewServer(d.platform)
 	hash := sha256.Sum256([]byte(operatorToken))
 	listener := func() net.Listener {
--- a/internal/cmd/operatorerror.go
+++ b/internal/cmd/operatorerror.go
@@ -74,6 +74,8 @@
 		return "the platform is unreachable and nothing was changed by this call; repeat it later"
 	case verdict.CodeHostUnreachable:
 		return "check --address, or call another entry host"
+	case verdict.CodeDeadline:
+		return "see persimmonmux host list for the state of the hosts, then wait again"
 	case verdict.CodeStopping, verdict.CodeOverloaded:
 		return "call another entry host, or repeat later"
 	}
--- a/internal/cmd/revisioncmd.go
+++ b/internal/cmd/revisioncmd.go
@@ -82,7 +82,8 @@
 	ctx context.Context, client *operator.Client, number configuration.Revision,
 	shown operation.Revision, freshness operation.Freshness, err error,
 ) (operation.Revision, operation.Freshness, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	end := time.Now().Add(r.Timeout)
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	ticker := time.NewTicker(waitInterval)
 	defer ticker.Stop()
@@ -93,7 +94,8 @@
 		case <-ticker.C:
 		}
 		again, fresh, failure := client.ShowRevision(ctx, number)
-		if ctx.Err() != nil {
+		// A dial can end at the deadline before the context does.
+		if ctx.Err() != nil || !time.Now().Before(end) {
 			return shown, freshness, err
 		}
 		shown, freshness, err = again, fresh, failure
--- a/protocol/operator/convertreport.go
+++ b/protocol/operator/convertreport.go
@@ -8,9 +8,10 @@
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 )
 
-// Each returns the conversions of a list's elements.
+// Each returns the conversions of a list's elements; it is never nil, so that
+// programs see an empty list as a list.
 func Each[From, To any](list []From, convert func(From) To) []To {
-	var converted []To
+	converted := make([]To, 0, len(list))
 	for _, element := range list {
 		converted = append(converted, convert(element))
 	}
@@ -112,7 +113,7 @@
 	return operation.Engine{
 		Name: fleet.EngineName(message.GetName()), Pool: message.GetPool(), Domain: fleet.FailureDomainName(message.GetFailureDomain()),
 		Owner: fleet.HostName(message.GetOwner()), OwnerHeard: message.GetOwnerHeard(), Epoch: fleet.Epoch(message.GetEpoch()),
-		Instances: message.GetInstances(), Slots: int(message.GetSlots()), Running: int(message.GetRunning()),
+		Instances: Each(message.GetInstances(), func(name string) string { return name }), Slots: int(message.GetSlots()), Running: int(message.GetRunning()),
 		Waiting: int(message.GetWaiting()), Draining: message.GetDraining(),
 	}
 }
@@ -129,7 +130,11 @@
 func ToRevision(message *ShowRevisionReply) operation.Revision {
 	return operation.Revision{
 		Revision: configuration.Revision(message.GetRevision()), Operation: configuration.OperationID(message.GetOperationId()),
-		Description: message.GetDescription(), Has: names[fleet.HostName](message.GetHas()),
-		HasNot: names[fleet.HostName](message.GetHasNot()), Silent: names[fleet.HostName](message.GetSilent()),
+		Description: message.GetDescription(), Has: Each(message.GetHas(), toHostName),
+		HasNot: Each(message.GetHasNot(), toHostName), Silent: Each(message.GetSilent(), toHostName),
 	}
 }
+
+func toHostName(name string) fleet.HostName {
+	return fleet.HostName(name)
+}
--- a/transport/operator/client.go
+++ b/transport/operator/client.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return none, &verdict.Error{
 			Verdict: doubt, Code: verdict.CodeHostUnreachable, Message: "answer of the entry host at " + c.Address + " was lost",
-			Cause: errors.Join(err, context.Cause(ctx)),
+			Cause: lossCause(ctx, err),
 		}
 	}
 	if failure := reply.GetFailure(); failure != nil {
@@ -72,6 +72,18 @@
 	return reply, nil
 }
 
+// errConnectionEnded stands for the cancellation with which drpc reports a
+// connection that ended.
+var errConnectionEnded = errors.New("the connection ended")
+
+// lossCause returns why a reply was lost.
+func lossCause(ctx context.Context, err error) error {
+	if ctx.Err() == nil && errors.Is(err, context.Canceled) {
+		return errConnectionEnded
+	}
+	return err
+}
+
 // Change makes an edit. After an error with verdict MayHaveRun the same request
 // is repeated to learn its outcome.
 func (c *Client) Change(ctx context.Context, request operation.Request) (operation.Result, error) {
