operation: look an operation up again when the head moved on meanwhile

Cause: when the first call of an operation was accepted at another host between the lookup and the catch-up of its repeat, the repeat was told a conflict and the operator took the change for refused. Change: the editor looks the operation up again before it names a conflict.

--- a/coordination/operation/editor.go
+++ b/coordination/operation/editor.go
@@ -53,29 +53,10 @@
 	if request.Operation == "" {
 		return Result{}, wrong("operation", "is missing")
 	}
-	found, err := e.Revisions.Lookup(ctx, request.Operation)
-	if err != nil {
-		return Result{}, err
-	}
 	description := request.Edit.Describe()
-	if found.Accepted != nil {
-		if found.Accepted.Description != description {
-			return Result{}, wrong("operation", "was used for the different change to revision %d", found.Accepted.Revision)
-		}
-		return Result{Revision: found.Accepted.Revision, Repeated: true}, nil
-	}
-	if found.Head != request.Expected {
-		return Result{}, conflict(request.Expected, found.Head)
-	}
-	if err := e.Revisions.CatchUp(ctx, request.Expected); err != nil {
-		return Result{}, err
-	}
-	base := e.Revisions.Current()
-	if base == nil {
-		base = &configuration.Configuration{}
-	}
-	if base.Revision != request.Expected {
-		return Result{}, conflict(request.Expected, base.Revision)
+	base, earlier, err := e.base(ctx, request, description)
+	if err != nil || earlier != 0 {
+		return Result{Revision: earlier, Repeated: earlier != 0}, err
 	}
 	change, err := request.Edit.Change(base)
 	if err != nil {
@@ -86,6 +67,38 @@
 	return Result{Revision: accepted}, err
 }
 
+// base returns the configuration at the expected revision, or the revision that
+// an earlier request with the same operation led to.
+func (e *Editor) base(ctx context.Context, request Request, description string) (*configuration.Configuration, configuration.Revision, error) {
+	for {
+		found, err := e.Revisions.Lookup(ctx, request.Operation)
+		if err != nil {
+			return nil, 0, err
+		}
+		if found.Accepted != nil {
+			if found.Accepted.Description != description {
+				return nil, 0, wrong("operation", "was used for the different change to revision %d", found.Accepted.Revision)
+			}
+			return nil, found.Accepted.Revision, nil
+		}
+		if found.Head != request.Expected {
+			return nil, 0, conflict(request.Expected, found.Head)
+		}
+		if err := e.Revisions.CatchUp(ctx, request.Expected); err != nil {
+			return nil, 0, err
+		}
+		base := e.Revisions.Current()
+		if base == nil {
+			base = &configuration.Configuration{}
+		}
+		if base.Revision == request.Expected {
+			return base, 0, nil
+		}
+		// The head has moved on since the lookup, perhaps by this operation at
+		// another host. The next lookup tells.
+	}
+}
+
 func conflict(expected, actual configuration.Revision) *verdict.Error {
 	return &verdict.Error{
 		Verdict: verdict.NotRun, Code: verdict.CodeConflict, Message: "change was not accepted",
--- a/coordination/operation/editor_test.go
+++ b/coordination/operation/editor_test.go
@@ -108,6 +108,48 @@
 	qt.Check(t, d.Members[1].Distributor.Current().Adapters["a"].Versions, qt.DeepEquals, []fleet.AdapterVersion{1, 5, 6})
 }
 
+// overtaken makes a request at another host between lookup and catch-up, and
+// waits until this host has its change.
+type overtaken struct {
+	*revision.Distributor
+	overtake func()
+}
+
+func (o overtaken) CatchUp(context.Context, configuration.Revision) error {
+	o.overtake()
+	return nil
+}
+
+// Guards against an operation that is told to be refused for a conflict while
+// its first call, at another host, is accepted.
+func TestFirstCallOvertakesRepeat(t *testing.T) {
+	for _, test := range []struct {
+		name, operation string
+		want            string
+	}{
+		{"by the same operation", "op", ""},
+		{"by another operation", "other", "change was not accepted: expected revision 1, but the head is revision 2"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := startDeployment(t, 2)
+			repeat := &operation.Editor{Revisions: overtaken{d.Members[1].Distributor, func() {
+				_, err := editor(d, 0).Apply(context.Background(), addVersion(1, test.operation, 5))
+				qt.Assert(t, err, qt.IsNil)
+				for d.Members[1].Distributor.CatchUp(context.Background(), 2) != nil {
+					time.Sleep(time.Millisecond)
+				}
+			}}}
+			result, err := repeat.Apply(context.Background(), addVersion(1, "op", 5))
+			if test.want != "" {
+				qt.Assert(t, err, qt.ErrorMatches, test.want)
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, result, qt.Equals, operation.Result{Revision: 2, Repeated: true})
+		})
+	}
+}
+
 // Guards against a change without platform that is not clearly refused.
 func TestPlatformAway(t *testing.T) {
 	d := startDeployment(t, 1)
