--- a/coordination/daybook/keeper.go
+++ b/coordination/daybook/keeper.go
@@ -65,6 +65,7 @@
 	written   *ring.Ring[written]
 
 	// The rest is owned by the loop.
+	began   time.Time
 	open    *tally
 	backlog []entry
 	// writing says that a worker writes; there is at most one, so that writes
@@ -116,7 +117,7 @@
 
 func (k *Keeper) loop(ctx context.Context) error {
 	now := time.Now().UTC()
-	k.open = newTally(now)
+	k.began, k.open = now, newTally(now)
 	k.save(now, false)
 	k.write(ctx)
 	timer := time.NewTimer(untilNextWrite(now))
@@ -150,9 +151,14 @@
 	k.drain()
 	k.open.see(k.Host, k.Members)
 	k.save(now, false)
-	if !now.Before(k.open.interval.Add(daybook.Interval)) {
+	if limit := k.open.interval.Add(daybook.Interval); !now.Before(limit) {
 		k.refused = k.saved
 		k.open = newTally(now)
+		// What ended since the limit is in the record before, so that nothing
+		// between them is missing. After a pause of the process, minutes are.
+		if k.open.interval.Equal(limit) {
+			k.open.from = limit
+		}
 		k.save(now, false)
 	}
 }
@@ -170,6 +176,7 @@
 	limit := k.open.interval.Add(daybook.Interval)
 	record := k.open.record()
 	record.Host, record.Start = k.Host.Name, k.Host.Start
+	record.Began = k.began
 	record.Until = earlier(now, limit)
 	record.Final = final
 	k.saved = k.ends.Refused()
--- a/coordination/daybook/keeper_test.go
+++ b/coordination/daybook/keeper_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,6 +77,19 @@
 	s.away = away
 }
 
+// severedStore takes nothing once its host is lost.
+type severedStore struct {
+	*memoryStore
+	severed atomic.Bool
+}
+
+func (s *severedStore) Put(ctx context.Context, key string, value []byte) error {
+	if s.severed.Load() {
+		return errors.New("host is lost")
+	}
+	return s.memoryStore.Put(ctx, key, value)
+}
+
 func (s *memoryStore) records(c *quicktest.C) []daybook.Record {
 	var records []daybook.Record
 	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
--- /dev/null
+++ b/coordination/daybook/page.go
@@ -0,0 +1,291 @@
+package daybook
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/daybook"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// A Judgment says whether a day went well.
+type Judgment string
+
+// The judgments.
+const (
+	Yes        Judgment = "yes"
+	No         Judgment = "no"
+	CannotTell Judgment = "cannot tell"
+)
+
+// tolerance absorbs the rounding of objectives in comparisons of numbers of
+// requests.
+const tolerance = 1e-6
+
+// A Page is the evaluation of a day.
+type Page struct {
+	// Date is the day in UTC.
+	Date string `json:"date"`
+	// From and Until bound what was evaluated.
+	From  time.Time `json:"from"`
+	Until time.Time `json:"until"`
+	// Judgment says whether the day went well, Reason why, in one line.
+	Judgment Judgment `json:"judgment"`
+	Reason   string   `json:"reason"`
+	// Hosts is the number of hosts known to have lived.
+	Hosts int `json:"hosts"`
+	// Lines are in the order of application and kind.
+	Lines []Line `json:"lines"`
+	// Gaps are in the order of time.
+	Gaps []Gap `json:"gaps"`
+	// Uncounted is the number of requests that hosts could not count,
+	// Unreadable the number of records that could not be decoded.
+	Uncounted  uint64 `json:"uncounted"`
+	Unreadable int    `json:"unreadable"`
+}
+
+// A Line is the evaluation of one application and kind.
+type Line struct {
+	Application configuration.ApplicationName `json:"application"`
+	Kind        configuration.KindName        `json:"kind"`
+	Repeat      configuration.RepeatRule      `json:"repeat"`
+	// Objective is the share in force over the day, weighted by requests.
+	Objective float64 `json:"objective"`
+	// Deadline is the last one in force.
+	Deadline time.Duration `json:"deadline"`
+	// Judgment says whether the objective was met.
+	Judgment Judgment `json:"judgment"`
+	// Counted is the number of requests that the objective covers. Requests
+	// that failed by the caller's own doing are only in CallerFaults.
+	Counted      uint64 `json:"counted"`
+	InTime       uint64 `json:"in-time"`
+	Late         uint64 `json:"late"`
+	CallerFaults uint64 `json:"caller-faults"`
+	// Refused and MayHaveRun are all such requests, by code.
+	Refused    map[verdict.Code]uint64 `json:"refused"`
+	MayHaveRun map[verdict.Code]uint64 `json:"may-have-run"`
+	// Hidden is the most requests that gaps can hide, if none of the missing
+	// minutes was busier than the busiest recorded minute of a host.
+	Hidden uint64 `json:"hidden"`
+	// Landed and Declined are the outcomes of requests that may not be
+	// repeated, without repeated answers.
+	Landed   uint64 `json:"landed"`
+	Declined uint64 `json:"declined"`
+	// Doubts may have run; each is named once. DoubtsLeftOut have no name.
+	Doubts        []daybook.Doubt `json:"doubts"`
+	DoubtsLeftOut uint64          `json:"doubts-left-out"`
+	// Stalls are the load stalls of whole answers of engines, Durations the
+	// times of whole answers.
+	Stalls    Percentiles `json:"stalls"`
+	Durations Percentiles `json:"durations"`
+}
+
+// Percentiles are of Count values.
+type Percentiles struct {
+	Count int64         `json:"count"`
+	P50   time.Duration `json:"p50"`
+	P95   time.Duration `json:"p95"`
+	P99   time.Duration `json:"p99"`
+}
+
+// Attained returns the share in time, and false when nothing was counted.
+func (l *Line) Attained() (float64, bool) {
+	return float64(l.InTime) / float64(max(l.Counted, 1)), l.Counted > 0
+}
+
+// Forbidden says whether the line's requests may not be repeated.
+func (l *Line) Forbidden() bool {
+	return l.Repeat == configuration.RepeatForbidden
+}
+
+// callerFaults are the codes of requests that no serving layer could answer.
+// They do not count against objectives.
+var callerFaults = map[verdict.Code]bool{
+	verdict.CodeMalformed: true, verdict.CodeTooLarge: true, verdict.CodeUnauthorized: true,
+	verdict.CodeUnknownAdapter: true, verdict.CodeUnknownKind: true, verdict.CodeUnknownService: true,
+	verdict.CodeRequestID: true, verdict.CodeCanceled: true,
+}
+
+// A sum adds up the counts of one application and kind.
+type sum struct {
+	line Line
+	// last is the interval of the rules in line.
+	last time.Time
+	// allowed is the number of failures that the objectives allow, highest the
+	// highest objective.
+	allowed, highest float64
+	// busiest is the most requests in a recorded minute of a host.
+	busiest           uint64
+	doubts            map[daybook.Doubt]bool
+	stalls, durations *hdrhistogram.Histogram
+}
+
+// Evaluate returns the page of a day.
+func Evaluate(day *Day) *Page {
+	p := &Page{
+		Date: day.From.Format(time.DateOnly), From: day.From, Until: day.Until,
+		Gaps: gapsOf(day), Unreadable: day.Unreadable, Hosts: len(byHost(lives(day))),
+	}
+	sums := make(map[line]*sum)
+	for i := range day.Records {
+		p.Uncounted += day.Records[i].Uncounted
+		for j := range day.Records[i].Counts {
+			addCount(sums, &day.Records[i], &day.Records[i].Counts[j])
+		}
+	}
+	var missing time.Duration
+	for i := range p.Gaps {
+		missing += p.Gaps[i].Missing
+	}
+	for _, s := range sums {
+		p.Lines = append(p.Lines, s.judge(missing, p.Uncounted))
+	}
+	slices.SortFunc(p.Lines, func(a, b Line) int {
+		return cmp.Or(cmp.Compare(a.Application, b.Application), cmp.Compare(a.Kind, b.Kind))
+	})
+	p.Judgment, p.Reason = p.judge(len(day.Records))
+	return p
+}
+
+func addCount(sums map[line]*sum, r *daybook.Record, c *daybook.Count) {
+	key := line{c.Application, c.Kind}
+	s := sums[key]
+	if s == nil {
+		s = &sum{
+			line: Line{
+				Application: c.Application, Kind: c.Kind,
+				Refused: make(map[verdict.Code]uint64), MayHaveRun: make(map[verdict.Code]uint64),
+			},
+			doubts: make(map[daybook.Doubt]bool), stalls: newHistogram(), durations: newHistogram(),
+		}
+		sums[key] = s
+	}
+	s.add(r, c)
+}
+
+func (s *sum) add(r *daybook.Record, c *daybook.Count) {
+	l := &s.line
+	if !r.Interval.Before(s.last) {
+		s.last, l.Repeat, l.Deadline = r.Interval, c.Repeat, c.Deadline
+	}
+	counted := c.Answers()
+	for _, codes := range []struct{ from, to map[verdict.Code]uint64 }{{c.Refused, l.Refused}, {c.MayHaveRun, l.MayHaveRun}} {
+		for code, number := range codes.from {
+			codes.to[code] += number
+			if callerFaults[code] {
+				l.CallerFaults += number
+			} else {
+				counted += number
+			}
+		}
+	}
+	l.Counted += counted
+	l.InTime += c.InTime
+	l.Late += c.Late
+	s.allowed += float64(counted) * (1 - c.Objective)
+	s.highest = max(s.highest, c.Objective)
+	s.busiest = max(s.busiest, counted)
+	if c.Repeat == configuration.RepeatForbidden {
+		l.Landed += c.Answers() - min(c.Replayed+c.Declined, c.Answers())
+		l.Declined += c.Declined
+		l.DoubtsLeftOut += c.DoubtsLeftOut
+		for _, doubt := range c.Doubts {
+			s.doubts[doubt] = true
+		}
+	}
+	merge(s.stalls, c.Stalls)
+	merge(s.durations, c.Durations)
+}
+
+// judge compares the failures with those allowed, once with every hidden
+// request in time and once with none.
+func (s *sum) judge(missing time.Duration, uncounted uint64) Line {
+	l := s.line
+	for doubt := range s.doubts {
+		l.Doubts = append(l.Doubts, doubt)
+	}
+	slices.SortFunc(l.Doubts, compareDoubts)
+	l.Stalls, l.Durations = percentiles(s.stalls), percentiles(s.durations)
+	l.Objective = s.highest
+	if l.Counted > 0 {
+		l.Objective = 1 - s.allowed/float64(l.Counted)
+	}
+	l.Hidden = uint64(math.Ceil(float64(s.busiest)*missing.Minutes())) + uncounted
+	failed := float64(l.Counted - l.InTime)
+	allowed := s.allowed + float64(l.Hidden)*(1-s.highest) + tolerance
+	switch {
+	case failed > allowed:
+		l.Judgment = No
+	case failed > s.allowed+tolerance, failed+float64(l.Hidden) > allowed:
+		l.Judgment = CannotTell
+	default:
+		l.Judgment = Yes
+	}
+	return l
+}
+
+// judge gives the judgment of the day: the worst of its lines.
+func (p *Page) judge(records int) (Judgment, string) {
+	if records == 0 {
+		return CannotTell, "there are no records of this day"
+	}
+	for _, judgment := range []Judgment{No, CannotTell} {
+		for i := range p.Lines {
+			l := &p.Lines[i]
+			if l.Judgment != judgment {
+				continue
+			}
+			attained, _ := l.Attained()
+			reason := fmt.Sprintf("%s %s: %s in time, objective %s", l.Application, l.Kind, Share(attained), Share(l.Objective))
+			if judgment == CannotTell {
+				reason += fmt.Sprintf("; missing records can hide up to %d requests, which can decide it", l.Hidden)
+			}
+			return judgment, reason
+		}
+	}
+	if len(p.Lines) == 0 {
+		if len(p.Gaps) > 0 || p.Uncounted > 0 {
+			return CannotTell, "no request was recorded, and records are missing"
+		}
+		return Yes, "no request was made"
+	}
+	reason := "every objective was met"
+	if len(p.Gaps) > 0 || p.Uncounted > 0 {
+		reason += ", whatever the missing records hide"
+	}
+	return Yes, reason
+}
+
+// Share returns a share in percent, rounded down, so that a missed objective is
+// never shown as met.
+func Share(share float64) string {
+	return fmt.Sprintf("%.2f%%", math.Floor(share*1e4+tolerance)/100)
+}
+
+func decoded(histogram string) (*hdrhistogram.Histogram, error) {
+	if histogram == "" {
+		return newHistogram(), nil
+	}
+	return hdrhistogram.Decode([]byte(histogram))
+}
+
+// merge adds an encoded histogram. ReadDay has left out records whose
+// histograms cannot be decoded.
+func merge(into *hdrhistogram.Histogram, histogram string) {
+	if from, err := decoded(histogram); err == nil && histogram != "" {
+		into.Merge(from)
+	}
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	at := func(percentile float64) time.Duration {
+		return time.Duration(h.ValueAtPercentile(percentile)) * time.Microsecond
+	}
+	return Percentiles{Count: h.TotalCount(), P50: at(50), P95: at(95), P99: at(99)}
+}
--- a/state/daybook/record.go
+++ b/state/daybook/record.go
@@ -25,6 +25,8 @@
 	// Host and Start identify the process.
 	Host  fleet.HostName    `json:"host"`
 	Start fleet.StartNumber `json:"start"`
+	// Began is when the process began to count.
+	Began time.Time `json:"began"`
 	// Interval is the start of the interval, a whole minute in UTC.
 	Interval time.Time `json:"interval"`
 	// From and Until bound the time that was counted; both are within the
