--- a/coordination/daybook/page.go
+++ b/coordination/daybook/page.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -44,12 +45,21 @@
 	Lines []Line `json:"lines"`
 	// Gaps are in the order of time.
 	Gaps []Gap `json:"gaps"`
+	// Minutes are the recorded minutes of all hosts together, in order.
+	Minutes []Minute `json:"minutes"`
 	// Uncounted is the number of requests that hosts could not count,
 	// Unreadable the number of records that could not be decoded.
 	Uncounted  uint64 `json:"uncounted"`
 	Unreadable int    `json:"unreadable"`
 }
 
+// A Minute has the requests of a minute that objectives cover.
+type Minute struct {
+	From    time.Time `json:"from"`
+	Counted uint64    `json:"counted"`
+	InTime  uint64    `json:"in-time"`
+}
+
 // A Line is the evaluation of one application and kind.
 type Line struct {
 	Application configuration.ApplicationName `json:"application"`
@@ -133,11 +143,20 @@
 		Gaps: gapsOf(day), Unreadable: day.Unreadable, Hosts: len(byHost(lives(day))),
 	}
 	sums := make(map[line]*sum)
+	minutes := make(map[time.Time]*Minute)
 	for i := range day.Records {
-		p.Uncounted += day.Records[i].Uncounted
-		for j := range day.Records[i].Counts {
-			addCount(sums, &day.Records[i], &day.Records[i].Counts[j])
+		r := &day.Records[i]
+		p.Uncounted += r.Uncounted
+		if minutes[r.Interval] == nil {
+			minutes[r.Interval] = &Minute{From: r.Interval}
 		}
+		for j := range r.Counts {
+			minutes[r.Interval].Counted += addCount(sums, r, &r.Counts[j])
+			minutes[r.Interval].InTime += r.Counts[j].InTime
+		}
+	}
+	for _, interval := range slices.SortedFunc(maps.Keys(minutes), time.Time.Compare) {
+		p.Minutes = append(p.Minutes, *minutes[interval])
 	}
 	var missing time.Duration
 	for i := range p.Gaps {
@@ -153,7 +172,8 @@
 	return p
 }
 
-func addCount(sums map[line]*sum, r *daybook.Record, c *daybook.Count) {
+// addCount returns the number of requests that the objective covers.
+func addCount(sums map[line]*sum, r *daybook.Record, c *daybook.Count) uint64 {
 	key := line{c.Application, c.Kind}
 	s := sums[key]
 	if s == nil {
@@ -166,10 +186,10 @@
 		}
 		sums[key] = s
 	}
-	s.add(r, c)
+	return s.add(r, c)
 }
 
-func (s *sum) add(r *daybook.Record, c *daybook.Count) {
+func (s *sum) add(r *daybook.Record, c *daybook.Count) uint64 {
 	l := &s.line
 	if !r.Interval.Before(s.last) {
 		s.last, l.Repeat, l.Deadline = r.Interval, c.Repeat, c.Deadline
@@ -201,6 +221,7 @@
 	}
 	merge(s.stalls, c.Stalls)
 	merge(s.durations, c.Durations)
+	return counted
 }
 
 // judge compares the failures with those allowed, once with every hidden
