--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -44,6 +44,7 @@
 		&checkSettingsCommand{stdout: stdout},
 		&demoCommand{stdout: stdout, stderr: stderr},
 		&loadCommand{stdout: stdout},
+		newReportCommand(stdout),
 		&serveCommand{stderr: stderr},
 		&versionCommand{stdout: stdout},
 	}
--- a/internal/cmd/script_test.go
+++ b/internal/cmd/script_test.go
@@ -1,12 +1,22 @@
 package cmd_test
 
 import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
 	"os"
 	"testing"
+	"time"
 
+	"github.com/frankban/quicktest"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/persimmonmux/persimmonmux/internal/cmd"
+	"github.com/persimmonmux/persimmonmux/standin/platform"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/daybook"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
 func TestMain(m *testing.M) {
@@ -17,5 +27,47 @@
 
 // Guards against commands that accept wrong input or fail without saying why.
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "testdata/scripts"})
+	server := httptest.NewServer(&platform.Server{Objects: recordedDay(quicktest.New(t))})
+	// The scripts run in parallel and end after this function.
+	t.Cleanup(server.Close)
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/scripts",
+		Setup: func(e *testscript.Env) error {
+			e.Setenv("PLATFORM", server.Listener.Addr().String())
+			return nil
+		},
+	})
+}
+
+// recordedDay returns an object store with the records of hosts a and b from
+// 18:00 to 18:03 on 2026-03-09, without that of host b at 18:01.
+func recordedDay(c *quicktest.C) *platform.ObjectStore {
+	store := platform.NewObjectStore(1)
+	began := time.Date(2026, 3, 9, 18, 0, 0, 0, time.UTC)
+	for _, host := range []fleet.HostName{"a", "b"} {
+		for minute := range 3 {
+			if host == "b" && minute == 1 {
+				continue
+			}
+			interval := began.Add(time.Duration(minute) * time.Minute)
+			count := daybook.Count{
+				Application: "campus", Kind: "enrolment", Repeat: configuration.RepeatForbidden, Objective: 0.99,
+				InTime: 4, Refused: map[verdict.Code]uint64{verdict.CodeOverloaded: 1},
+			}
+			if host == "a" && minute == 0 {
+				count.InTime = 2
+				count.MayHaveRun = map[verdict.Code]uint64{verdict.CodeBackendLost: 1}
+				count.Doubts = []daybook.Doubt{{Caller: "campus", ID: "id-<7>"}}
+			}
+			record := daybook.Record{
+				Host: host, Start: 1, Began: began, Interval: interval, From: interval, Until: interval.Add(time.Minute),
+				Final: minute == 2, Counts: []daybook.Count{count},
+			}
+			value, err := json.Marshal(record)
+			c.Assert(err, quicktest.IsNil)
+			key := record.Key()
+			c.Assert(store.Put(context.Background(), key.String(), value), quicktest.IsNil)
+		}
+	}
+	return store
 }
--- /dev/null
+++ b/internal/daypage/html.go
@@ -0,0 +1,271 @@
+package daypage
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/persimmonmux/persimmonmux/coordination/daybook"
+)
+
+// The sizes of plots.
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 7 * vg.Centimeter
+	barWidth   = 12 * vg.Millimeter
+)
+
+// The grays of plots, apart enough for a printer without color.
+var (
+	light  = color.Gray{Y: 215}
+	middle = color.Gray{Y: 140}
+	dark   = color.Gray{Y: 40}
+)
+
+var pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{
+	"attained": attained, "share": daybook.Share, "total": total, "doubtful": doubtful, "cells": cells,
+	"period": period, "reasons": reasons, "missing": missing,
+}).Parse(`<!DOCTYPE html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>Page of {{.Page.Date}}</title>
+<style>
+body { font-family: sans-serif; color: black; background: white; max-width: 60em; margin: 1em auto; padding: 0 1em; }
+table { border-collapse: collapse; }
+th, td { border-bottom: 1px solid gray; padding: 0.2em 0.6em; text-align: left; }
+svg { max-width: 100%; height: auto; }
+.judgment { border: 2px solid black; padding: 0.5em; }
+</style>
+</head>
+<body>
+<h1>Page of {{.Page.Date}}</h1>
+<p class="judgment">Did the day go well? <strong>{{.Page.Judgment}}</strong>: {{.Page.Reason}}</p>
+<p>{{period .Page}}, {{.Page.Hosts}} hosts</p>
+<h2>Answers in time</h2>
+<table>
+<tr><th>application</th><th>kind</th><th>in time</th><th>objective</th><th>met</th><th>requests</th><th>late</th><th>refused</th><th>may have run</th><th>callers' faults</th><th>deadline</th></tr>
+{{range .Page.Lines}}<tr><td>{{.Application}}</td><td>{{.Kind}}</td><td>{{attained .}}</td><td>{{share .Objective}}</td><td>{{.Judgment}}</td><td>{{.Counted}}</td><td>{{.Late}}</td><td>{{total .Refused}}</td><td>{{total .MayHaveRun}}</td><td>{{.CallerFaults}}</td><td>{{.Deadline}}</td></tr>
+{{end}}</table>
+{{with .Shares}}{{.}}{{end}}
+<h2>Requests by minute</h2>
+{{with .Minutes}}{{.}}{{else}}<p>No minute was recorded.</p>{{end}}
+<h2>Load stalls and whole answers</h2>
+<table>
+<tr><th>application</th><th>kind</th><th>stalls</th><th>p50</th><th>p95</th><th>p99</th><th>answers</th><th>p50</th><th>p95</th><th>p99</th></tr>
+{{range .Page.Lines}}<tr><td>{{.Application}}</td><td>{{.Kind}}</td>{{range cells .Stalls}}<td>{{.}}</td>{{end}}{{range cells .Durations}}<td>{{.}}</td>{{end}}</tr>
+{{end}}</table>
+{{with .Stalls}}{{.}}{{end}}
+<h2>Bookings</h2>
+<table>
+<tr><th>application</th><th>kind</th><th>landed</th><th>declined</th><th>refused</th><th>may have run</th></tr>
+{{range .Page.Lines}}{{if .Forbidden}}<tr><td>{{.Application}}</td><td>{{.Kind}}</td><td>{{.Landed}}</td><td>{{.Declined}}</td><td>{{total .Refused}}</td><td>{{doubtful .}}</td></tr>
+{{end}}{{end}}</table>
+<ul>
+{{range $line := .Page.Lines}}{{range .Doubts}}<li>to look up, it may have run: {{.ID}} of caller {{.Caller}} ({{$line.Application}} {{$line.Kind}})</li>
+{{end}}{{end}}{{range reasons .Page}}<li>{{.}}</li>
+{{end}}</ul>
+<h2>Missing records</h2>
+<ul>
+{{range missing .Page}}<li>{{.}}</li>
+{{end}}</ul>
+</body>
+</html>
+`))
+
+// WriteHTML writes the page as one HTML file that refers to no other.
+func WriteHTML(w io.Writer, p *daybook.Page) error {
+	content := struct {
+		Page                    *daybook.Page
+		Shares, Minutes, Stalls template.HTML
+	}{Page: p}
+	for _, drawing := range []struct {
+		into *template.HTML
+		plot func(*daybook.Page) (*plot.Plot, error)
+	}{{&content.Shares, plotShares}, {&content.Minutes, plotMinutes}, {&content.Stalls, plotStalls}} {
+		drawn, err := drawing.plot(p)
+		if err != nil {
+			return err
+		}
+		if drawn == nil {
+			continue
+		}
+		if *drawing.into, err = inline(drawn); err != nil {
+			return err
+		}
+	}
+	return pageTemplate.Execute(w, content)
+}
+
+// inline returns a plot as an SVG element, without the XML declaration.
+func inline(p *plot.Plot) (template.HTML, error) {
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", err
+	}
+	start := bytes.Index(b.Bytes(), []byte("<svg"))
+	if start < 0 {
+		return "", fmt.Errorf("plot %q: no SVG element", p.Title.Text)
+	}
+	// The plot library escapes the names that it writes.
+	return template.HTML(b.Bytes()[start:]), nil
+}
+
+// plotShares draws the shares in time as bars and the objectives as lines.
+func plotShares(page *daybook.Page) (*plot.Plot, error) {
+	if len(page.Lines) == 0 {
+		return nil, nil
+	}
+	p := plot.New()
+	p.Title.Text = "Answers in time (bars) and objectives (thick lines)"
+	p.Y.Label.Text = "percent"
+	p.Y.Min, p.Y.Max = 0, 100
+	var shares plotter.Values
+	var objectives []plot.Plotter
+	for i := range page.Lines {
+		share, _ := page.Lines[i].Attained()
+		shares = append(shares, 100*share)
+		objective, err := plotter.NewLine(plotter.XYs{
+			{X: float64(i) - 0.4, Y: 100 * page.Lines[i].Objective}, {X: float64(i) + 0.4, Y: 100 * page.Lines[i].Objective},
+		})
+		if err != nil {
+			return nil, err
+		}
+		objective.Width = vg.Points(2.5)
+		objectives = append(objectives, objective)
+	}
+	bars, err := grayBars(shares, light, 0)
+	if err != nil {
+		return nil, err
+	}
+	p.Add(bars)
+	p.Add(objectives...)
+	p.NominalX(names(page)...)
+	p.X.Min, p.X.Max = -0.6, float64(len(page.Lines))-0.4
+	return p, nil
+}
+
+// plotMinutes draws the requests of each minute, with gaps as gray bands. A
+// minute without records interrupts the lines.
+func plotMinutes(page *daybook.Page) (*plot.Plot, error) {
+	if len(page.Minutes) == 0 {
+		return nil, nil
+	}
+	p := plot.New()
+	p.Title.Text = "Requests (solid), answers in time (dashed), missing records (gray)"
+	p.Y.Label.Text = "per minute"
+	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04"}
+	highest := 1.0
+	for i := range page.Minutes {
+		highest = max(highest, float64(page.Minutes[i].Counted))
+	}
+	for i := range page.Gaps {
+		from, until := float64(page.Gaps[i].From.Unix()), float64(page.Gaps[i].Until.Unix())
+		band, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: until, Y: 0}, {X: until, Y: highest}, {X: from, Y: highest}})
+		if err != nil {
+			return nil, err
+		}
+		band.Color, band.Width = light, 0
+		p.Add(band)
+	}
+	for _, run := range runs(page.Minutes) {
+		var counted, inTime plotter.XYs
+		for _, m := range run {
+			// A step holds for its whole minute.
+			for _, x := range []time.Time{m.From, m.From.Add(time.Minute)} {
+				counted = append(counted, plotter.XY{X: float64(x.Unix()), Y: float64(m.Counted)})
+				inTime = append(inTime, plotter.XY{X: float64(x.Unix()), Y: float64(m.InTime)})
+			}
+		}
+		solid, err := plotter.NewLine(counted)
+		if err != nil {
+			return nil, err
+		}
+		dashed, err := plotter.NewLine(inTime)
+		if err != nil {
+			return nil, err
+		}
+		dashed.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+		p.Add(solid, dashed)
+	}
+	p.Y.Min = 0
+	return p, nil
+}
+
+// runs splits minutes where one is missing.
+func runs(minutes []daybook.Minute) [][]daybook.Minute {
+	var split [][]daybook.Minute
+	for i, m := range minutes {
+		if i == 0 || !minutes[i-1].From.Add(time.Minute).Equal(m.From) {
+			split = append(split, nil)
+		}
+		split[len(split)-1] = append(split[len(split)-1], m)
+	}
+	return split
+}
+
+// plotStalls draws the percentiles of load stalls as three bars a line.
+func plotStalls(page *daybook.Page) (*plot.Plot, error) {
+	var fifty, ninetyFive, ninetyNine plotter.Values
+	var labels []string
+	for i, name := range names(page) {
+		s := page.Lines[i].Stalls
+		if s.Count == 0 {
+			continue
+		}
+		labels = append(labels, name)
+		fifty = append(fifty, s.P50.Seconds())
+		ninetyFive = append(ninetyFive, s.P95.Seconds())
+		ninetyNine = append(ninetyNine, s.P99.Seconds())
+	}
+	if len(labels) == 0 {
+		return nil, nil
+	}
+	p := plot.New()
+	p.Title.Text = "Load stalls: p50 (light), p95 (middle), p99 (dark)"
+	p.Y.Label.Text = "seconds"
+	p.Y.Min = 0
+	for i, group := range []struct {
+		values plotter.Values
+		gray   color.Gray
+	}{{fifty, light}, {ninetyFive, middle}, {ninetyNine, dark}} {
+		bars, err := grayBars(group.values, group.gray, vg.Length(i-1)*barWidth)
+		if err != nil {
+			return nil, err
+		}
+		p.Add(bars)
+	}
+	p.NominalX(labels...)
+	p.X.Min, p.X.Max = -0.6, float64(len(labels))-0.4
+	return p, nil
+}
+
+func grayBars(values plotter.Values, gray color.Gray, offset vg.Length) (*plotter.BarChart, error) {
+	bars, err := plotter.NewBarChart(values, barWidth)
+	if err != nil {
+		return nil, err
+	}
+	bars.Color, bars.Offset = gray, offset
+	bars.LineStyle.Width = vg.Points(1)
+	return bars, nil
+}
+
+// names returns a label for each line.
+func names(page *daybook.Page) []string {
+	labels := make([]string, len(page.Lines))
+	for i := range page.Lines {
+		labels[i] = fmt.Sprintf("%s %s", page.Lines[i].Application, page.Lines[i].Kind)
+	}
+	return labels
+}
