--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -51,15 +51,22 @@
 		return err
 	}
 	defer s.close()
+	stopHosts := sync.OnceFunc(s.stopHosts)
+	defer stopHosts()
 	limited, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
 	if err := s.ready(limited); err != nil {
 		return trace.Wrap(err)
 	}
 	c := newCallers(s)
+	began := time.Now()
 	course := d.drive(ctx, s, c)
 	judgement := judge(s, c, course)
 	writeSummary(d.Output, d, s, c, course)
+	stopHosts()
+	if err := writePage(ctx, d.Output, s, began); err != nil {
+		return err
+	}
 	if !judgement.write(d.Output) {
 		return ErrBroken
 	}
--- a/internal/demo/summary.go
+++ b/internal/demo/summary.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -8,8 +9,12 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gravitational/trace"
 
+	"github.com/persimmonmux/persimmonmux/coordination/daybook"
+	"github.com/persimmonmux/persimmonmux/internal/daypage"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
+	daystate "github.com/persimmonmux/persimmonmux/state/daybook"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
@@ -41,6 +46,21 @@
 	_, _ = fmt.Fprintf(w, "  loads: %d of %d adapters, at most %d in flight\n", total, len(loads), highest)
 }
 
+// writePage prints the page of the day of the run from the records in the object
+// store. The hosts have stopped, so that nothing is still to be written.
+func writePage(ctx context.Context, w io.Writer, s *system, began time.Time) error {
+	day, err := daybook.ReadDay(ctx, s.platform.Objects, began, time.Now().Add(2*daystate.WritePeriod))
+	if err != nil {
+		return trace.Wrap(err, "read the page of the day")
+	}
+	_, _ = fmt.Fprintln(w)
+	if err := daypage.WriteText(w, daybook.Evaluate(day)); err != nil {
+		return trace.Wrap(err, "write the page of the day")
+	}
+	_, _ = fmt.Fprintln(w)
+	return nil
+}
+
 // writeKind prints one line: answers in time, latencies and outcomes.
 func writeKind(w io.Writer, s *system, c *callers, kind configuration.KindName) {
 	first := hdrhistogram.New(1, histogramLimit, 3)
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -314,8 +314,8 @@
 	}
 }
 
-// close stops everything and waits.
-func (s *system) close() {
+// stopHosts stops all entry hosts gracefully and waits.
+func (s *system) stopHosts() {
 	var stops sync.WaitGroup
 	for _, h := range s.hosts {
 		stops.Go(func() {
@@ -325,6 +325,10 @@
 		})
 	}
 	stops.Wait()
+}
+
+// close ends the stand-ins, after the hosts were stopped.
+func (s *system) close() {
 	for _, e := range s.engines {
 		_ = e.Close()
 	}
--- a/internal/entryhost/parts.go
+++ b/internal/entryhost/parts.go
@@ -10,6 +10,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/admission"
 	"github.com/persimmonmux/persimmonmux/coordination/budget"
 	"github.com/persimmonmux/persimmonmux/coordination/claim"
+	"github.com/persimmonmux/persimmonmux/coordination/daybook"
 	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
 	"github.com/persimmonmux/persimmonmux/coordination/lease"
 	"github.com/persimmonmux/persimmonmux/coordination/membership"
@@ -68,6 +69,7 @@
 	Router          *routing.Router
 	Routes          *routeKeeper
 	Recorder        *metrics.Recorder
+	Daybook         *daybook.Keeper
 	PeerServer      *peer.Server
 	Server          *entry.Server
 	RevisionWatcher *revisionWatcher
@@ -85,6 +87,7 @@
 	return []namedRunner{
 		{"peer-server", p.PeerServer},
 		{"membership", p.Monitor},
+		{"daybook", p.Daybook},
 		{"revision", p.Distributor},
 		{"leases", p.Keeper},
 		{"releaser", p.Releaser},
@@ -183,6 +186,9 @@
 			}
 		},
 		h.newRecorder,
+		func(self fleet.Host, p *platform.Client, m *membership.Monitor) *daybook.Keeper {
+			return &daybook.Keeper{Host: self, Store: p, Members: &liveHosts{monitor: m}, Logger: h.Log}
+		},
 		h.newDispatcher,
 		h.newPeerServer,
 		h.newServer,
@@ -306,6 +312,7 @@
 	s *service.Client,
 	retries *retry.Budget,
 	recorder *metrics.Recorder,
+	book *daybook.Keeper,
 ) *dispatch.Dispatcher {
 	return &dispatch.Dispatcher{
 		Host:       self.Name,
@@ -316,7 +323,7 @@
 		Engines:    e,
 		Services:   s,
 		Retries:    retries,
-		Recorder:   recorders{recorder, retries},
+		Recorder:   recorders{recorder, retries, book},
 		GrantLimit: h.Settings.Timings.GrantLimit,
 	}
 }
--- a/internal/entryhost/servers.go
+++ b/internal/entryhost/servers.go
@@ -8,6 +8,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/claim"
 	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
 	"github.com/persimmonmux/persimmonmux/coordination/lease"
+	"github.com/persimmonmux/persimmonmux/coordination/membership"
 	"github.com/persimmonmux/persimmonmux/coordination/ownership"
 	"github.com/persimmonmux/persimmonmux/state/booking"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
@@ -81,6 +82,16 @@
 	return ok
 }
 
+// liveHosts implements daybook.Members.
+type liveHosts struct {
+	monitor *membership.Monitor
+}
+
+// Live implements daybook.Members.
+func (l *liveHosts) Live(domain fleet.FailureDomainName) []fleet.Host {
+	return l.monitor.View().Live(domain)
+}
+
 // recorders passes the end of each request to several recorders.
 type recorders []dispatch.Recorder
 
