--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -49,6 +49,7 @@
 		newHostCommand(stdout, stderr),
 		newKindCommand(stdout, stderr),
 		&loadCommand{stdout: stdout},
+		newReportCommand(stdout),
 		newRevisionCommand(stdout, stderr),
 		&serveCommand{stderr: stderr},
 		&versionCommand{stdout: stdout},
--- a/internal/processes/deployment_test.go
+++ b/internal/processes/deployment_test.go
@@ -48,6 +48,8 @@
 	// leaseDuration is the shortest that the tests' renewal and margin allow
 	// with some room for a busy machine.
 	leaseDuration = 2 * time.Second
+	// applicationName is the application that all callers belong to.
+	applicationName = "tests"
 	// graceTime is several intervals of the callers' look at /readyz.
 	graceTime = 2 * time.Second
 )
