Use the placement's priority for permits; do not retry what the router refused with a time

Cause: the policy bench orders permits by the placement's priority, while hosts ordered them by urgency only; and a request that the router refused for all engines with a retry-after spent the retry budget at once.

--- a/bench/policy/rig.go
+++ b/bench/policy/rig.go
@@ -203,7 +203,7 @@
 	sample := &r.samples[number]
 	sample.At, sample.Class, sample.Domain = arrival.At, arrival.Class, h.domain
 	q := &request.Request{
-		ID: requestID(number), Kind: kind, Adapter: arrival.Adapter, Arrived: now, Deadline: now.Add(kind.Deadline),
+		ID: requestID(number), RunID: requestID(number), Kind: kind, Adapter: arrival.Adapter, Arrived: now, Deadline: now.Add(kind.Deadline),
 	}
 	_, err := h.dispatcher.Dispatch(ctx, q, nil)
 	sample.Ended = time.Since(r.began)
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -191,6 +191,8 @@
 	open *openRun
 	// doubt is the last failure after which the request may have run.
 	doubt *verdict.Error
+	// unrouted says that no engine took the last try.
+	unrouted bool
 }
 
 // An openRun is a run that an engine may still hold.
@@ -232,6 +234,11 @@
 	if failure.Code == verdict.CodeCanceled || failure.Code == verdict.CodeDeadline {
 		return false
 	}
+	// The router refused for all engines and said when to come back, which is
+	// later than a retry here would.
+	if p.unrouted && failure.RetryAfter > 0 {
+		return false
+	}
 	if p.chunks.count > 0 && (p.open == nil || !resumable(failure.Code)) {
 		return false
 	}
@@ -252,6 +259,7 @@
 	}
 	d.abandon(ctx, r, p)
 	engine, err := d.Router.Choose(r, p.tried)
+	p.unrouted = err != nil
 	if err != nil {
 		return request.Answer{}, err
 	}
--- a/internal/entryhost/loads.go
+++ b/internal/entryhost/loads.go
@@ -42,6 +42,11 @@
 	return l.share.Acquire(ctx, budget.Want{Engine: engine, Priority: urgencyPriority[urgency]})
 }
 
+// AcquirePriority implements ownership.PriorityBudget.
+func (l *loadShare) AcquirePriority(ctx context.Context, engine fleet.EngineName, priority float64) error {
+	return l.share.Acquire(ctx, budget.Want{Engine: engine, Priority: priority})
+}
+
 // urgencyPriority orders loads of different engines.
 var urgencyPriority = map[configuration.Urgency]float64{
 	configuration.UrgencyInteractive: 3,
