--- a/coordination/budget/share.go
+++ b/coordination/budget/share.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
@@ -76,7 +77,7 @@
 			// Without an allocator the share comes back when the loan ends.
 			pause = min(lent, borrowEvery/4)
 		}
-		if ctx.Err() != nil || !wait(ctx, pause) {
+		if ctx.Err() != nil || !duty.Pause(ctx, pause) {
 			return verdict.Refuse(verdict.CodeDeadline, "load budget: no permit in time")
 		}
 	}
@@ -111,14 +112,3 @@
 	defer reservation.CancelAt(now)
 	return min(max(reservation.DelayFrom(now), time.Millisecond), borrowEvery), false
 }
-
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/state/booking"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/request"
@@ -222,7 +223,7 @@
 			return request.Answer{}, failure
 		}
 		pause, allowed := d.Retries.Next(r, retry)
-		if !allowed || !sleep(ctx, pause) {
+		if !allowed || !duty.Pause(ctx, pause) {
 			return request.Answer{}, failure
 		}
 	}
@@ -370,15 +371,3 @@
 	s.count++
 	return nil
 }
-
-// sleep waits for the pause and reports whether ctx is still alive.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/coordination/duty/pause.go
@@ -0,0 +1,18 @@
+package duty
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for the duration and reports whether ctx is still alive.
+func Pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(max(duration, 0))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/coordination/revision/accept.go
+++ b/coordination/revision/accept.go
@@ -10,6 +10,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/table"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
@@ -135,7 +136,7 @@
 			return records[0].Version, 0, nil
 		case head.Revision < a.expected && d.Revision() >= a.expected:
 			// The read lags: a revision in force was the head once.
-			if !sleep(ctx, staleRetry) {
+			if !duty.Pause(ctx, staleRetry) {
 				return 0, 0, unavailable(ctx.Err())
 			}
 		default:
@@ -235,7 +236,7 @@
 			return 0, unavailable(err)
 		}
 		inDoubt = inDoubt || !errors.Is(err, table.ErrUnavailable)
-		if !sleep(ctx, pause.NextBackOff()) {
+		if !duty.Pause(ctx, pause.NextBackOff()) {
 			return 0, verdict.Doubt(verdict.CodeTableUnavailable, err, "operation %q may have been accepted; repeat it to learn", a.change.Operation)
 		}
 	}
@@ -252,15 +253,3 @@
 func unavailable(cause error) *verdict.Error {
 	return &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeTableUnavailable, Message: "change was not accepted", Cause: cause}
 }
-
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/coordination/revision/lookup.go
+++ b/coordination/revision/lookup.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/table"
 )
@@ -51,7 +52,7 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = 20*time.Millisecond, time.Second
 	results, err := d.Table.Commit(ctx, transaction)
-	for errors.Is(err, table.ErrUnknown) && sleep(ctx, pause.NextBackOff()) {
+	for errors.Is(err, table.ErrUnknown) && duty.Pause(ctx, pause.NextBackOff()) {
 		results, err = d.Table.Commit(ctx, transaction)
 	}
 	if err != nil {
@@ -76,7 +77,7 @@
 			return found, nil
 		}
 		// The read lags behind the transaction.
-		if err != nil || !sleep(ctx, staleRetry) {
+		if err != nil || !duty.Pause(ctx, staleRetry) {
 			return Lookup{}, unavailable(errors.Join(err, ctx.Err()))
 		}
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
+	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 )
 
@@ -112,7 +113,7 @@
 	progress := time.Now()
 	for number := 0; ; number++ {
 		gap := random.ExpFloat64() / (chatsPerSecond + bookingsPerSecond)
-		if !pause(loading, time.Duration(gap*float64(time.Second))) {
+		if !duty.Pause(loading, time.Duration(gap*float64(time.Second))) {
 			return
 		}
 		adapter := fleet.AdapterReference{Name: adapterName(int(zipf.Uint64())), Version: 1}
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/standin/platform"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
@@ -58,7 +59,7 @@
 	random := rand.New(rand.NewPCG(seed, 2))
 	began := time.Now()
 	until := func(share float64) bool {
-		return pause(ctx, time.Until(began.Add(time.Duration(share*float64(length)))))
+		return duty.Pause(ctx, time.Until(began.Add(time.Duration(share*float64(length)))))
 	}
 	c := &course{}
 	if !until(restartAt) {
@@ -129,7 +130,7 @@
 			c.say("revision %d was in force on all %d entry hosts after %s", revision, len(hosts), c.inForce.Round(time.Millisecond))
 			return
 		}
-		if !pause(ctx, time.Millisecond) {
+		if !duty.Pause(ctx, time.Millisecond) {
 			return
 		}
 	}
@@ -171,7 +172,7 @@
 // watchRevisions counts readings that go back, until ctx ends.
 func (s *system) watchRevisions(ctx context.Context, c *course) {
 	highest := make(map[fleet.StartNumber]configuration.Revision)
-	for pause(ctx, 20*time.Millisecond) {
+	for duty.Pause(ctx, 20*time.Millisecond) {
 		for _, host := range s.running() {
 			revision := host.Revision()
 			c.readings++
@@ -182,15 +183,3 @@
 		}
 	}
 }
-
-// pause waits and reports whether ctx is still alive.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(max(duration, 0))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -77,6 +77,20 @@
 	qt.Check(t, s.LogLevel, qt.Equals, "info")
 }
 
+// Guards against first steps in README.md that a host does not accept.
+func TestFirstStepsAreAccepted(t *testing.T) {
+	c := qt.New(t)
+	data, err := os.ReadFile("../../examples/first-steps/entry-host.jsonc")
+	c.Assert(err, qt.IsNil)
+	s, err := settings.Decode("entry-host.jsonc", data)
+	c.Assert(err, qt.IsNil)
+	data, err = os.ReadFile("../../examples/first-steps/configuration.jsonc")
+	c.Assert(err, qt.IsNil)
+	first, err := settings.DecodeConfiguration("configuration.jsonc", data)
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.Engines["engine-1"].Domain, qt.Equals, s.FailureDomain)
+}
+
 // Guards against examples that a host does not accept.
 func TestExamplesAreAccepted(t *testing.T) {
 	for _, deployment := range []string{"kurswerk", "medna-ploscha"} {
