dispatch: resume under a new grant, cancel abandoned runs in the background

TestColdRestartOfAnEngine: a stream resumed under the grant of the engine's earlier start; the owner had voided it and unloaded the instance, which had been loaded again under the same name, under the run (2 requests). TestSilentConnectionsToAnEngine: the cancel order to a silent engine took 2 s before the next try, and three streams met their deadlines. Ruled out: late orders and evictions with a grant in force, because the violations name the engine that had restarted and its first epoch. Change: a resume demands a new grant and goes on only on the same instance and start; abandoned runs are canceled in the background, and Close waits. TestStreamIsNotResumedAfterRestart covers the first.

--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/coordination/duty"
@@ -114,6 +115,16 @@
 	Retries    RetryBudget
 	Recorder   Recorder
 	GrantLimit time.Duration
+
+	// cancels are the cancel orders in flight.
+	cancels sync.WaitGroup
+}
+
+// Close waits for the cancel orders in flight. It is called after the last
+// Dispatch has returned.
+func (d *Dispatcher) Close() error {
+	d.cancels.Wait()
+	return nil
 }
 
 // resolveTimeout bounds the time for recording an outcome after the caller's
@@ -256,7 +267,7 @@
 		return d.Services.Call(ctx, r)
 	}
 	if p.open != nil && p.chunks.count > 0 {
-		return d.complete(ctx, r, p, *p.open)
+		return d.resume(ctx, r, p)
 	}
 	d.abandon(ctx, r, p)
 	engine, err := d.Router.Choose(r, p.tried)
@@ -275,6 +286,25 @@
 	return d.complete(ctx, r, p, openRun{grant: grant, end: sent.Add(grant.Duration)})
 }
 
+// resume goes on with a stream under a new grant. The owner voids grants when
+// the engine restarts, so that the former one may no longer protect the
+// instance, which can be loaded again under the same name.
+func (d *Dispatcher) resume(ctx context.Context, r *request.Request, p *progress) (request.Answer, error) {
+	former := p.open.grant
+	sent := time.Now()
+	grant, err := d.Grants.Demand(ctx, d.demandFor(r, former.Engine, sent))
+	if err != nil {
+		return request.Answer{}, err
+	}
+	if grant.EngineStart != former.EngineStart || grant.Instance != former.Instance {
+		d.Grants.Release(grant)
+		return request.Answer{}, verdict.Doubt(verdict.CodeBackendRefused, nil, "engine %s no longer holds the stream", former.Engine)
+	}
+	p.stalled += grant.Stalled
+	d.Grants.Release(former)
+	return d.complete(ctx, r, p, openRun{grant: grant, end: sent.Add(grant.Duration)})
+}
+
 // complete calls the engine under a grant and releases the grant, unless the
 // run may go on there.
 func (d *Dispatcher) complete(ctx context.Context, r *request.Request, p *progress, run openRun) (request.Answer, error) {
@@ -300,19 +330,23 @@
 }
 
 // abandon ends a run that nobody waits for and then releases its grant. A run
-// that cannot be ended keeps its grant until the grant's end.
+// that cannot be ended keeps its grant until the grant's end. The order goes on
+// in the background, because a silent engine would use up the time that the
+// next try needs.
 func (d *Dispatcher) abandon(ctx context.Context, r *request.Request, p *progress) {
 	if p.open == nil {
 		return
 	}
 	grant := p.open.grant
 	p.open = nil
-	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
-	defer cancel()
-	engine := fleet.Engine{Name: grant.Engine, Address: grant.Address}
-	if d.Engines.Cancel(bounded, engine, r.RunID) == nil {
-		d.Grants.Release(grant)
-	}
+	d.cancels.Go(func() {
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+		defer cancel()
+		engine := fleet.Engine{Name: grant.Engine, Address: grant.Address}
+		if d.Engines.Cancel(bounded, engine, r.RunID) == nil {
+			d.Grants.Release(grant)
+		}
+	})
 }
 
 func (d *Dispatcher) demandFor(r *request.Request, engine fleet.EngineName, now time.Time) Demand {
--- a/coordination/dispatch/dispatcher_test.go
+++ b/coordination/dispatch/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,13 +24,18 @@
 	recorded *booking.Outcome
 	resolved []booking.Outcome
 	// stall is how long the owner takes to grant; a grant lasts grantFor.
-	stall    time.Duration
+	stall time.Duration
+	// start is the start number of the engine; restart raises it after a call.
+	start    fleet.StartNumber
+	restart  bool
 	grantFor time.Duration
 	grantErr []error
 	// calls are the results of the engine, one for each try.
-	calls    []call
-	made     int
-	granted  int
+	calls   []call
+	made    int
+	granted int
+	// mutex guards released and canceled, which background cancels change.
+	mutex    sync.Mutex
 	released int
 	canceled int
 	// cancelErr is the result of every cancel order.
@@ -64,6 +70,8 @@
 func (p *parts) Done(fleet.EngineName) { p.inFlight-- }
 
 func (p *parts) Cancel(context.Context, fleet.Engine, fleet.RequestID) error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	p.canceled++
 	return p.cancelErr
 }
@@ -80,14 +88,21 @@
 	if p.grantFor > 0 {
 		duration = p.grantFor
 	}
-	return fleet.Grant{Engine: demand.Engine, Duration: duration}, nil
+	return fleet.Grant{Engine: demand.Engine, EngineStart: p.start, Duration: duration}, nil
 }
 
-func (p *parts) Release(fleet.Grant) { p.released++ }
+func (p *parts) Release(fleet.Grant) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.released++
+}
 
 func (p *parts) Complete(_ context.Context, grant fleet.Grant, _ *request.Request, resume int, sink Sink) (request.Answer, error) {
 	result := p.calls[p.made]
 	p.made++
+	if p.restart {
+		p.start++
+	}
 	p.resumes = append(p.resumes, resume)
 	p.engines = append(p.engines, grant.Engine)
 	for i := range result.chunks {
@@ -143,47 +158,49 @@
 	wrong := verdict.Doubt(verdict.CodeWrongInstance, nil, "wrong instance")
 	cases := map[string]struct {
 		repeat  configuration.RepeatRule
-		parts   parts
+		parts   *parts
 		verdict verdict.Verdict
 		calls   int
 		resumes []int
 	}{
-		"repeatable, first try succeeds": {configuration.RepeatAllowed, parts{calls: []call{{}}}, "", 1, []int{0}},
+		"repeatable, first try succeeds": {configuration.RepeatAllowed, &parts{calls: []call{{}}}, "", 1, []int{0}},
 		"repeatable, lost before a chunk": {configuration.RepeatAllowed,
-			parts{calls: []call{{err: lost}, {}}}, "", 2, []int{0, 0}},
+			&parts{calls: []call{{err: lost}, {}}}, "", 2, []int{0, 0}},
 		"repeatable, lost after three chunks resumes": {configuration.RepeatAllowed,
-			parts{calls: []call{{chunks: 3, err: lost}, {chunks: 2}}}, "", 2, []int{0, 3}},
+			&parts{calls: []call{{chunks: 3, err: lost}, {chunks: 2}}}, "", 2, []int{0, 3}},
 		"repeatable, wrong instance after a chunk ends": {configuration.RepeatAllowed,
-			parts{calls: []call{{chunks: 1, err: wrong}}}, verdict.MayHaveRun, 1, []int{0}},
+			&parts{calls: []call{{chunks: 1, err: wrong}}}, verdict.MayHaveRun, 1, []int{0}},
 		"repeatable, budget spent": {configuration.RepeatAllowed,
-			parts{calls: []call{{err: wrong}, {err: wrong}, {err: wrong}, {err: wrong}}}, verdict.MayHaveRun, 4, []int{0, 0, 0, 0}},
+			&parts{calls: []call{{err: wrong}, {err: wrong}, {err: wrong}, {err: wrong}}}, verdict.MayHaveRun, 4, []int{0, 0, 0, 0}},
 		"not repeatable, lost once may have run": {configuration.RepeatForbidden,
-			parts{calls: []call{{err: lost}}}, verdict.MayHaveRun, 1, []int{0}},
+			&parts{calls: []call{{err: lost}}}, verdict.MayHaveRun, 1, []int{0}},
 		"not repeatable, unknown instance is tried again": {configuration.RepeatForbidden,
-			parts{calls: []call{{err: unknown}, {}}}, "", 2, []int{0, 0}},
+			&parts{calls: []call{{err: unknown}, {}}}, "", 2, []int{0, 0}},
 		"not repeatable, no grant is tried elsewhere": {configuration.RepeatForbidden,
-			parts{grantErr: []error{refused}, calls: []call{{}}}, "", 1, []int{0}},
+			&parts{grantErr: []error{refused}, calls: []call{{}}}, "", 1, []int{0}},
 		"not repeatable, an error without verdict may have run": {configuration.RepeatForbidden,
-			parts{calls: []call{{err: errors.New("broken")}}}, verdict.MayHaveRun, 1, []int{0}},
+			&parts{calls: []call{{err: errors.New("broken")}}}, verdict.MayHaveRun, 1, []int{0}},
 		"repeatable, doubt outlasts a later refusal": {configuration.RepeatAllowed,
-			parts{calls: []call{{err: wrong}, {err: unknown}, {err: unknown}, {err: unknown}}}, verdict.MayHaveRun, 4, []int{0, 0, 0, 0}},
+			&parts{calls: []call{{err: wrong}, {err: unknown}, {err: unknown}, {err: unknown}}}, verdict.MayHaveRun, 4, []int{0, 0, 0, 0}},
 		"repeatable, the engine lost the stream": {configuration.RepeatAllowed,
-			parts{calls: []call{{chunks: 2, err: lost}, {err: gone}}}, verdict.MayHaveRun, 2, []int{0, 2}},
+			&parts{calls: []call{{chunks: 2, err: lost}, {err: gone}}}, verdict.MayHaveRun, 2, []int{0, 2}},
 		"claim refused": {configuration.RepeatForbidden,
-			parts{claimErr: verdict.Refuse(verdict.CodeTableUnavailable, "table down")}, verdict.NotRun, 0, nil},
+			&parts{claimErr: verdict.Refuse(verdict.CodeTableUnavailable, "table down")}, verdict.NotRun, 0, nil},
 		"not admitted": {configuration.RepeatAllowed,
-			parts{admitErr: verdict.Refuse(verdict.CodeStopping, "stopping")}, verdict.NotRun, 0, nil},
+			&parts{admitErr: verdict.Refuse(verdict.CodeStopping, "stopping")}, verdict.NotRun, 0, nil},
 		"recorded outcome is returned": {configuration.RepeatForbidden,
-			parts{recorded: &booking.Outcome{Verdict: verdict.Ran, Answer: &request.Answer{Status: 200}}}, "", 0, nil},
+			&parts{recorded: &booking.Outcome{Verdict: verdict.Ran, Answer: &request.Answer{Status: 200}}}, "", 0, nil},
 		"recorded doubt is returned": {configuration.RepeatForbidden,
-			parts{recorded: &booking.Outcome{Verdict: verdict.MayHaveRun}}, verdict.MayHaveRun, 0, nil},
+			&parts{recorded: &booking.Outcome{Verdict: verdict.MayHaveRun}}, verdict.MayHaveRun, 0, nil},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := quicktest.New(t)
-				p := &test.parts
-				_, err := dispatcher(p).Dispatch(t.Context(), modelRequest(test.repeat), p)
+				p := test.parts
+				d := dispatcher(p)
+				_, err := d.Dispatch(t.Context(), modelRequest(test.repeat), p)
+				c.Assert(d.Close(), quicktest.IsNil)
 				if test.verdict == "" {
 					c.Assert(err, quicktest.IsNil)
 				} else {
@@ -214,6 +231,22 @@
 	})
 }
 
+// TestStreamIsNotResumedAfterRestart guards against a run on an instance that
+// was loaded again under the same name, for which the former grant is void.
+func TestStreamIsNotResumedAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		lost := verdict.Doubt(verdict.CodeBackendLost, nil, "connection lost")
+		p := &parts{restart: true, calls: []call{{chunks: 2, err: lost}, {chunks: 1}}}
+		d := dispatcher(p)
+		_, err := d.Dispatch(t.Context(), modelRequest(configuration.RepeatAllowed), p)
+		c.Assert(d.Close(), quicktest.IsNil)
+		c.Assert(verdict.From(err).Verdict, quicktest.Equals, verdict.MayHaveRun)
+		c.Assert(p.made, quicktest.Equals, 1)
+		c.Assert(p.released, quicktest.Equals, p.granted)
+	})
+}
+
 // TestRunIsEndedBeforeItsGrant guards against a grant that is released while
 // the engine still runs the request: the owner could evict the instance.
 func TestRunIsEndedBeforeItsGrant(t *testing.T) {
@@ -229,7 +262,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := quicktest.New(t)
 				p := &parts{calls: []call{{err: lost}}, cancelErr: test.cancelErr}
-				_, err := dispatcher(p).Dispatch(t.Context(), modelRequest(configuration.RepeatForbidden), p)
+				d := dispatcher(p)
+				_, err := d.Dispatch(t.Context(), modelRequest(configuration.RepeatForbidden), p)
+				c.Assert(d.Close(), quicktest.IsNil)
 				c.Assert(verdict.From(err).Verdict, quicktest.Equals, verdict.MayHaveRun)
 				c.Assert(p.canceled, quicktest.Equals, 1)
 				c.Assert(p.released, quicktest.Equals, test.released)
--- a/internal/entryhost/parts.go
+++ b/internal/entryhost/parts.go
@@ -73,6 +73,7 @@
 	Daybook         *daybook.Keeper
 	PeerServer      *peer.Server
 	Server          *entry.Server
+	Dispatcher      *dispatch.Dispatcher
 	RevisionWatcher *revisionWatcher
 	OperatorServer  *operator.Server
 }
@@ -106,6 +107,7 @@
 }
 
 func (p *parts) closeClients() {
+	_ = p.Dispatcher.Close()
 	_ = p.EngineClient.Close()
 	_ = p.ServiceClient.Close()
 	_ = p.PeerClient.Close()
