dispatch: give each run of a repeatable request its own id

Cause: make test-processes, TestColdRestartOfAnEngine: two requests ran on an instance that was unloaded under them. A run that was given up is canceled and its grant released while the next run has begun; both had one id. After a restart of the engine the first grant was void, so that its late release ended the second one, and a late cancel order ended the second run. Change: each run after the first has an id of its own; a resumed stream and a request that may not be repeated keep theirs.

--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -205,11 +206,15 @@
 	doubt *verdict.Error
 	// unrouted says that no engine took the last try.
 	unrouted bool
+	// runs is the number of runs that were named.
+	runs int
 }
 
 // An openRun is a run that an engine may still hold.
 type openRun struct {
-	grant fleet.Grant
+	// request names the run.
+	request *request.Request
+	grant   fleet.Grant
 	// end is when the grant ends on this host's clock.
 	end time.Time
 }
@@ -222,7 +227,7 @@
 // retry budget is spent.
 func (d *Dispatcher) tries(ctx context.Context, r *request.Request, sink Sink) (request.Answer, error) {
 	p := &progress{chunks: &countingSink{sink: sink}}
-	defer func() { d.abandon(ctx, r, p) }()
+	defer func() { d.abandon(ctx, p) }()
 	for retry := 1; ; retry++ {
 		answer, err := d.try(ctx, r, p)
 		if err == nil {
@@ -267,9 +272,10 @@
 		return d.Services.Call(ctx, r)
 	}
 	if p.open != nil && p.chunks.count > 0 {
-		return d.resume(ctx, r, p)
+		return d.resume(ctx, p)
 	}
-	d.abandon(ctx, r, p)
+	d.abandon(ctx, p)
+	r = p.name(r)
 	engine, err := d.Router.Choose(r, p.tried)
 	p.unrouted = err != nil
 	if err != nil {
@@ -283,14 +289,28 @@
 		return request.Answer{}, err
 	}
 	p.stalled += grant.Stalled
-	return d.complete(ctx, r, p, openRun{grant: grant, end: sent.Add(grant.Duration)})
+	return d.complete(ctx, p, openRun{request: r, grant: grant, end: sent.Add(grant.Duration)})
+}
+
+// name returns the request with the id of its next run. A run that was given up
+// may still be canceled and its grant released when the next one begins, so that
+// the two must not have one id. A request that may not be repeated has a next
+// run only if the one before did not run, and keeps its id for the records.
+func (p *progress) name(r *request.Request) *request.Request {
+	p.runs++
+	if p.runs == 1 || !r.Repeatable() {
+		return r
+	}
+	named := *r
+	named.RunID = fleet.RequestID(fmt.Sprintf("%s-%d", r.RunID, p.runs))
+	return &named
 }
 
 // resume goes on with a stream under a new grant. The owner voids grants when
 // the engine restarts, so that the former one may no longer protect the
 // instance, which can be loaded again under the same name.
-func (d *Dispatcher) resume(ctx context.Context, r *request.Request, p *progress) (request.Answer, error) {
-	former := p.open.grant
+func (d *Dispatcher) resume(ctx context.Context, p *progress) (request.Answer, error) {
+	r, former := p.open.request, p.open.grant
 	sent := time.Now()
 	grant, err := d.Grants.Demand(ctx, d.demandFor(r, former.Engine, sent))
 	if err != nil {
@@ -302,12 +322,12 @@
 	}
 	p.stalled += grant.Stalled
 	d.Grants.Release(former)
-	return d.complete(ctx, r, p, openRun{grant: grant, end: sent.Add(grant.Duration)})
+	return d.complete(ctx, p, openRun{request: r, grant: grant, end: sent.Add(grant.Duration)})
 }
 
 // complete calls the engine under a grant and releases the grant, unless the
 // run may go on there.
-func (d *Dispatcher) complete(ctx context.Context, r *request.Request, p *progress, run openRun) (request.Answer, error) {
+func (d *Dispatcher) complete(ctx context.Context, p *progress, run openRun) (request.Answer, error) {
 	p.open = nil
 	if !time.Now().Before(run.end) {
 		d.Grants.Release(run.grant)
@@ -315,7 +335,7 @@
 	}
 	callContext, cancel := context.WithDeadline(ctx, run.end)
 	defer cancel()
-	answer, err := d.Engines.Complete(callContext, run.grant, r, p.chunks.count, p.chunks)
+	answer, err := d.Engines.Complete(callContext, run.grant, run.request, p.chunks.count, p.chunks)
 	failure := verdict.From(err)
 	if failure == nil || failure.Verdict != verdict.MayHaveRun {
 		d.Grants.Release(run.grant)
@@ -333,17 +353,17 @@
 // that cannot be ended keeps its grant until the grant's end. The order goes on
 // in the background, because a silent engine would use up the time that the
 // next try needs.
-func (d *Dispatcher) abandon(ctx context.Context, r *request.Request, p *progress) {
+func (d *Dispatcher) abandon(ctx context.Context, p *progress) {
 	if p.open == nil {
 		return
 	}
-	grant := p.open.grant
+	grant, id := p.open.grant, p.open.request.RunID
 	p.open = nil
 	d.cancels.Go(func() {
 		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 		defer cancel()
 		engine := fleet.Engine{Name: grant.Engine, Address: grant.Address}
-		if d.Engines.Cancel(bounded, engine, r.RunID) == nil {
+		if d.Engines.Cancel(bounded, engine, id) == nil {
 			d.Grants.Release(grant)
 		}
 	})
--- a/coordination/dispatch/dispatcher_test.go
+++ b/coordination/dispatch/dispatcher_test.go
@@ -42,6 +42,7 @@
 	cancelErr error
 	inFlight  int
 	resumes   []int
+	runs      []fleet.RequestID
 	engines   []fleet.EngineName
 	finished  []*verdict.Error
 }
@@ -97,7 +98,8 @@
 	p.released++
 }
 
-func (p *parts) Complete(_ context.Context, grant fleet.Grant, _ *request.Request, resume int, sink Sink) (request.Answer, error) {
+func (p *parts) Complete(_ context.Context, grant fleet.Grant, r *request.Request, resume int, sink Sink) (request.Answer, error) {
+	p.runs = append(p.runs, r.RunID)
 	result := p.calls[p.made]
 	p.made++
 	if p.restart {
@@ -231,6 +233,35 @@
 	})
 }
 
+// TestRunsHaveTheirOwnIDs guards against a late cancel order or release of a
+// run that was given up, which would end the next run or its grant. A resumed
+// stream and a request that may not be repeated keep their id.
+func TestRunsHaveTheirOwnIDs(t *testing.T) {
+	lost := verdict.Doubt(verdict.CodeBackendLost, nil, "connection lost")
+	unknown := verdict.Refuse(verdict.CodeUnknownInstance, "unknown instance")
+	for name, test := range map[string]struct {
+		repeat configuration.RepeatRule
+		calls  []call
+		same   bool
+	}{
+		"given up":            {configuration.RepeatAllowed, []call{{err: lost}, {}}, false},
+		"resumed":             {configuration.RepeatAllowed, []call{{chunks: 1, err: lost}, {}}, true},
+		"may not be repeated": {configuration.RepeatForbidden, []call{{err: unknown}, {}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				p := &parts{calls: test.calls}
+				d := dispatcher(p)
+				_, err := d.Dispatch(t.Context(), modelRequest(test.repeat), p)
+				c.Assert(err, quicktest.IsNil)
+				c.Assert(d.Close(), quicktest.IsNil)
+				c.Assert(p.runs[0] == p.runs[1], quicktest.Equals, test.same)
+			})
+		})
+	}
+}
+
 // TestStreamIsNotResumedAfterRestart guards against a run on an instance that
 // was loaded again under the same name, for which the former grant is void.
 func TestStreamIsNotResumedAfterRestart(t *testing.T) {
