--- a/bench/policy/engine.go
+++ b/bench/policy/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -226,7 +227,9 @@
 
 // requestNumber is the inverse of requestID.
 func requestNumber(id fleet.RequestID) int {
-	number, err := strconv.Atoi(string(id))
+	// Runs after the first have their number behind a hyphen.
+	first, _, _ := strings.Cut(string(id), "-")
+	number, err := strconv.Atoi(first)
 	if err != nil {
 		panic(err)
 	}
