--- /dev/null
+++ b/coordination/adapter/advance.go
@@ -0,0 +1,254 @@
+package adapter
+
+import (
+	"context"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+// advance gives the next order to an engine, if one is due, and returns the time
+// until it should be called again.
+func (o *Owner) advance(ctx context.Context, e *engine) time.Duration {
+	now := time.Now()
+	e.expire(now)
+	if e.busy || o.stopping.Load() {
+		return tick
+	}
+	if now.Before(e.notBefore) {
+		return e.notBefore.Sub(now)
+	}
+	epoch, held := o.Tenure.Epoch(e.server.Zone)
+	if !held || epoch != e.epoch {
+		return tick
+	}
+	if !e.read {
+		o.report(ctx, e)
+		return tick
+	}
+	if order, ok := o.next(e, now); ok {
+		o.order(ctx, e, order)
+		return tick
+	}
+	wait := tick
+	for _, l := range e.loads {
+		wait = min(wait, l.due.Sub(now))
+	}
+	return wait
+}
+
+// next decides on the next order: a look at a load that should be complete, a
+// base model that is missing, a newer version, or what demands ask for.
+func (o *Owner) next(e *engine, now time.Time) (site.Order, bool) {
+	for adapter, l := range e.loads {
+		if !now.Before(l.due) {
+			return site.Order{Adapter: adapter, Version: l.version}, true
+		}
+	}
+	view := o.Views.View()
+	service := view.Service(e.server.Service)
+	if service == nil || service.Engines == nil || e.server.State != site.Ready {
+		return site.Order{}, false
+	}
+	if order, ok := o.nextModel(e, service.Engines); ok {
+		return order, true
+	}
+	if e.transit() >= transitPerEngine || o.transit() >= o.transitShare(view) {
+		return site.Order{}, false
+	}
+	for adapter, version := range view.Versions {
+		if held, ok := e.held[adapter]; ok && held < version && e.loads[adapter] == nil {
+			return site.Order{Adapter: adapter, Version: version}, true
+		}
+	}
+	return o.nextDemand(e, view, service.Engines, now)
+}
+
+// nextModel returns the order for a base model that the engine lost with a restart.
+func (o *Owner) nextModel(e *engine, engines *site.Engines) (site.Order, bool) {
+	if len(engines.Models) != 1 {
+		// With several models the placement of base models is the operator's.
+		return site.Order{}, false
+	}
+	model := site.Adapter{Model: engines.Models[0].Name}
+	if _, ok := e.held[model]; ok || e.loads[model] != nil || o.modelLoads > 0 {
+		return site.Order{}, false
+	}
+	return site.Order{Adapter: model}, true
+}
+
+func (o *Owner) nextDemand(e *engine, view *site.View, engines *site.Engines, now time.Time) (site.Order, bool) {
+	for _, d := range e.wanted {
+		adapter := d.request.Adapter
+		if e.loads[adapter] != nil || adapter.Name == "" {
+			continue
+		}
+		model := engines.Model(adapter.Model)
+		if _, ok := e.held[site.Adapter{Model: adapter.Model}]; !ok || model == nil {
+			continue
+		}
+		if _, held := e.held[adapter]; held || e.taken() < engines.AdapterRoom(model) {
+			return site.Order{Adapter: adapter, Version: view.Versions[adapter]}, true
+		}
+		if victim, ok := e.victim(now); ok {
+			return site.Order{Unload: true, Adapter: victim}, true
+		}
+	}
+	return site.Order{}, false
+}
+
+// transit is the number of adapters that are being loaded on all own engines.
+func (o *Owner) transit() int {
+	count := 0
+	for _, e := range o.engines {
+		count += e.transit()
+	}
+	return count
+}
+
+// transitShare is this host's part of the adapters that may be loaded at once.
+func (o *Owner) transitShare(view *site.View) int {
+	all := 0
+	for _, server := range view.Servers {
+		if service := view.Service(server.Service); service != nil && service.Engines != nil {
+			all++
+		}
+	}
+	return max((transitTotal*len(o.engines)+all-1)/max(all, 1), 1)
+}
+
+// report reads the engine's state on a worker.
+func (o *Owner) report(ctx context.Context, e *engine) {
+	e.busy = true
+	server := e.server
+	o.lifecycle.Work(func() {
+		report, err := o.Engines.Report(ctx, server)
+		o.results <- &reported{engine: e, report: report, err: err}
+	})
+}
+
+// order gives one order on a worker. Orders to one engine are given one by one.
+func (o *Owner) order(ctx context.Context, e *engine, order site.Order) {
+	e.busy = true
+	order.Expected, order.Holder, order.Epoch = e.accepted, o.Host, e.epoch
+	if order.Unload {
+		// Other hosts stop sending requests for the adapter before it goes.
+		delete(e.held, order.Adapter)
+		o.publish(e)
+	}
+	server := e.server
+	o.lifecycle.Work(func() {
+		outcome, err := o.Engines.Order(ctx, server, order)
+		o.results <- &ordered{engine: e, order: order, outcome: outcome, err: err}
+	})
+}
+
+// reported is the end of a report.
+type reported struct {
+	engine *engine
+	report site.Report
+	err    error
+}
+
+func (r *reported) handle(_ context.Context, o *Owner) {
+	e := r.engine
+	e.busy = false
+	now := time.Now()
+	if r.err != nil {
+		e.notBefore = now.Add(refusedPause)
+		o.Log.Warn().Err(r.err).Str("engine", string(e.server.ID)).Msg("report failed")
+		return
+	}
+	before := e.modelLoads()
+	e.takeReport(r.report, now)
+	o.modelLoads += e.modelLoads() - before
+	o.publish(e)
+}
+
+// refusedPause is the pause after an order that was not accepted.
+const refusedPause = 100 * time.Millisecond
+
+// ordered is the end of an order.
+type ordered struct {
+	engine  *engine
+	order   site.Order
+	outcome site.OrderOutcome
+	err     error
+}
+
+func (r *ordered) handle(_ context.Context, o *Owner) {
+	e, now := r.engine, time.Now()
+	e.busy = false
+	before := e.modelLoads()
+	o.Log.Debug().Str("engine", string(e.server.ID)).Bool("unload", r.order.Unload).Str("adapter", r.order.Adapter.Name).
+		Int("version", r.order.Version).Int("expected", r.order.Expected).Str("outcome", string(r.outcome)).Err(r.err).Msg("order")
+	if r.order.Unload {
+		e.unloaded(r, now)
+	} else {
+		e.loaded(r, now)
+	}
+	o.modelLoads += e.modelLoads() - before
+	o.publish(e)
+}
+
+// unloaded takes the end of an unload over. Only an unload that was carried out
+// makes room.
+func (e *engine) unloaded(r *ordered, now time.Time) {
+	switch r.outcome {
+	case site.OrderHolds:
+		e.accepted++
+		e.recent[r.order.Adapter] = true
+	case site.OrderAccepted:
+		// The unload waits for its runs; the report tells when it is done.
+		e.accepted++
+		e.read, e.notBefore = false, now.Add(refusedPause)
+	default:
+		e.read, e.notBefore = false, now.Add(refusedPause)
+	}
+}
+
+func (e *engine) loaded(r *ordered, now time.Time) {
+	adapter := r.order.Adapter
+	l := e.loads[adapter]
+	switch r.outcome {
+	case site.OrderHolds:
+		delete(e.loads, adapter)
+		delete(e.doubts, adapter)
+		e.held[adapter] = max(r.order.Version, e.held[adapter], 1)
+		e.recent[adapter] = true
+		e.used[adapter] = now
+		e.serve()
+	case site.OrderAccepted:
+		if l == nil {
+			e.accepted++
+			l = &load{version: r.order.Version, began: now}
+			e.loads[adapter] = l
+			l.due = now.Add(coldLoad)
+			switch {
+			case adapter.Name == "":
+				l.due = now.Add(modelPoll)
+			case e.recent[adapter]:
+				l.due = now.Add(warmLoad)
+			}
+			return
+		}
+		l.due = now.Add(pollPause)
+		if adapter.Name == "" {
+			l.due = now.Add(modelPoll)
+		}
+	case site.OrderUnknown:
+		e.doubts[adapter] = now.Add(doubtTime)
+		delete(e.loads, adapter)
+		e.read, e.notBefore = false, now.Add(reportLag)
+	default:
+		if l != nil && now.Sub(l.began) < loadLimit {
+			l.due = now.Add(pollPause)
+			if adapter.Name == "" {
+				l.due = now.Add(modelPoll)
+			}
+			return
+		}
+		delete(e.loads, adapter)
+		e.read, e.notBefore = false, now.Add(refusedPause)
+	}
+}
--- /dev/null
+++ b/coordination/adapter/engine.go
@@ -0,0 +1,219 @@
+package adapter
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+const (
+	// coldLoad is the expected time of a load from the weight store, and warmLoad
+	// that of one from the engine's own memory.
+	coldLoad = 250 * time.Millisecond
+	warmLoad = 25 * time.Millisecond
+	// pollPause is the time between two looks whether a load is complete.
+	pollPause = 30 * time.Millisecond
+	// modelPoll is the same for a base model.
+	modelPoll = 150 * time.Millisecond
+	// idleBeforeEviction is how long an adapter stays after its last known use.
+	// Uses of other hosts are known within about a second.
+	idleBeforeEviction = 1500 * time.Millisecond
+	// doubtTime is how long an order without an answer may still be carried out.
+	doubtTime = 13 * time.Second
+	// reportLag is how old the values of a report are at most.
+	reportLag = 500 * time.Millisecond
+	// loadLimit is the time after which the state of a load is read anew.
+	loadLimit = 4 * time.Second
+)
+
+// An engine is what the duty knows of one engine. The duty owns it.
+type engine struct {
+	server *site.Server
+	epoch  uint64
+	// sequence numbers the changes of held; it begins with a time, so that a
+	// later owner's sequences differ.
+	sequence uint64
+	// read says that a report was taken over.
+	read     bool
+	readAt   time.Time
+	accepted int
+	held     map[site.Adapter]int
+	loads    map[site.Adapter]*load
+	// recent has the adapters that the engine held since its start, which it can
+	// load again from its own memory.
+	recent map[site.Adapter]bool
+	used   map[site.Adapter]time.Time
+	// doubts are loads without an answer, which may still take a slot, until the time.
+	doubts map[site.Adapter]time.Time
+	wanted []*demand
+	// busy says that an order or a report is in flight.
+	busy bool
+	// notBefore is when the next order may be given after a refused one.
+	notBefore time.Time
+	// replaced has the versions that a resident adapter was ordered to change to.
+	replaced map[site.Adapter]int
+}
+
+// A load is an accepted order that is not known to be complete.
+type load struct {
+	version int
+	began   time.Time
+	due     time.Time
+}
+
+func newEngine(server *site.Server, epoch uint64) *engine {
+	return &engine{
+		server:   server,
+		epoch:    epoch,
+		sequence: uint64(time.Now().UnixNano()),
+		held:     make(map[site.Adapter]int),
+		loads:    make(map[site.Adapter]*load),
+		recent:   make(map[site.Adapter]bool),
+		used:     make(map[site.Adapter]time.Time),
+		doubts:   make(map[site.Adapter]time.Time),
+		replaced: make(map[site.Adapter]int),
+	}
+}
+
+func (e *engine) residency() site.Residency {
+	e.sequence++
+	return site.Residency{Server: e.server.Incarnation, Epoch: e.epoch, Sequence: e.sequence, Adapters: maps.Clone(e.held)}
+}
+
+// takeReport replaces what is believed by what the engine said.
+func (e *engine) takeReport(report site.Report, now time.Time) {
+	e.accepted = report.Accepted
+	e.read, e.readAt = true, now
+	e.held = make(map[site.Adapter]int)
+	for _, m := range report.Models {
+		e.held[site.Adapter{Model: m.Name}] = m.Version
+		for name, version := range m.Adapters {
+			adapter := site.Adapter{Model: m.Name, Name: name}
+			e.held[adapter] = version
+			e.recent[adapter] = true
+		}
+	}
+	for adapter, l := range e.loads {
+		if version, ok := e.held[adapter]; ok && version >= l.version || report.Coming[adapter] == 0 && adapter.Name != "" {
+			delete(e.loads, adapter)
+		}
+	}
+	for adapter, version := range report.Coming {
+		if e.loads[adapter] == nil {
+			e.loads[adapter] = &load{version: version, began: now, due: now.Add(coldLoad)}
+		}
+	}
+	e.serve()
+}
+
+// demand answers at once if the adapter is loaded, and queues otherwise.
+func (e *engine) demand(d *demand, now time.Time) {
+	if d.missing && e.read && now.Sub(e.readAt) > reportLag {
+		// The engine denied what is believed here, so the belief is read anew.
+		if _, ok := e.held[d.request.Adapter]; ok {
+			e.read = false
+		}
+	}
+	e.used[d.request.Adapter] = now
+	if e.read && e.has(d.request) {
+		d.reply <- nil
+		return
+	}
+	e.wanted = append(e.wanted, d)
+	slices.SortStableFunc(e.wanted, func(a, b *demand) int { return a.request.Priority - b.request.Priority })
+}
+
+// has says whether the adapter is loaded in a version that will do.
+func (e *engine) has(r site.PlaceRequest) bool {
+	version, ok := e.held[r.Adapter]
+	return ok && version >= r.Version && e.loads[r.Adapter] == nil
+}
+
+// serve answers the demands whose adapters are loaded.
+func (e *engine) serve() {
+	e.wanted = slices.DeleteFunc(e.wanted, func(d *demand) bool {
+		if !e.has(d.request) {
+			return false
+		}
+		d.reply <- nil
+		return true
+	})
+}
+
+// expire drops the demands that have waited for too long.
+func (e *engine) expire(now time.Time) {
+	e.wanted = slices.DeleteFunc(e.wanted, func(d *demand) bool {
+		if now.Before(d.ends) {
+			return false
+		}
+		d.reply <- verdict.Refuse(verdict.CodeDeadline, "adapter %s was not loaded on %s in time", d.request.Adapter.Name, e.server.ID)
+		return true
+	})
+	for adapter, until := range e.doubts {
+		if !now.Before(until) {
+			delete(e.doubts, adapter)
+		}
+	}
+}
+
+func (e *engine) refuseAll(err error) {
+	for _, d := range e.wanted {
+		d.reply <- err
+	}
+	e.wanted = nil
+}
+
+// taken is the number of adapter slots that are in use or may be.
+func (e *engine) taken() int {
+	count := 0
+	for adapter := range e.held {
+		if adapter.Name != "" {
+			count++
+		}
+	}
+	for adapter := range e.loads {
+		if _, held := e.held[adapter]; adapter.Name != "" && !held {
+			count++
+		}
+	}
+	for adapter := range e.doubts {
+		if _, held := e.held[adapter]; !held && e.loads[adapter] == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// transit is the number of adapters that are being loaded.
+func (e *engine) transit() int {
+	return len(e.loads) - e.modelLoads()
+}
+
+// modelLoads is the number of base models that are being loaded.
+func (e *engine) modelLoads() int {
+	count := 0
+	for adapter := range e.loads {
+		if adapter.Name == "" {
+			count++
+		}
+	}
+	return count
+}
+
+// victim returns the adapter that was not used for the longest time.
+func (e *engine) victim(now time.Time) (site.Adapter, bool) {
+	var best site.Adapter
+	found := false
+	for adapter := range e.held {
+		if adapter.Name == "" || e.loads[adapter] != nil || now.Sub(e.used[adapter]) < idleBeforeEviction {
+			continue
+		}
+		if !found || e.used[adapter].Before(e.used[best]) {
+			best, found = adapter, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/coordination/forward/forwarder.go
@@ -0,0 +1,321 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/coordination/balance"
+	"github.com/persimmonmux/persimmonmux/coordination/duty"
+	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// Views has the newest view of the site.
+type Views interface {
+	View() *site.View
+	// Complete says whether the view may be used.
+	Complete() bool
+}
+
+// Balancer chooses servers and learns how they answered.
+type Balancer interface {
+	Choose(w balance.Want) (balance.Pick, error)
+	Done(server *site.Server)
+	Answered(server *site.Server, load *balance.Load)
+	Failed(server *site.Server)
+	Placed(server *site.Server, adapter site.Adapter, version int)
+	Denied(server *site.Server, adapter site.Adapter)
+}
+
+// Placer has adapters loaded.
+type Placer interface {
+	// Place waits until the adapter is loaded on the server. missing says that
+	// the server denied having it. The error is a *verdict.Error with verdict NotRun.
+	Place(ctx context.Context, server *site.Server, request site.PlaceRequest, missing bool) error
+}
+
+// Repeats bounds the sends of a service beyond the first of each request.
+type Repeats interface {
+	First(service string)
+	Again(service string) bool
+}
+
+const (
+	// unavailablePause is the time after which a client should come back to a
+	// host that knows no desired state yet.
+	unavailablePause = 300 * time.Millisecond
+	// overloadPause is the same when no server takes the request.
+	overloadPause = 250 * time.Millisecond
+	// rejectedSends bounds the sends of one request that servers refused.
+	rejectedSends = 4
+	// againPause is the mean pause before a server of a full service is asked again.
+	againPause = 40 * time.Millisecond
+	// endMargin is how long before its time is up a request is given its final answer.
+	endMargin = 30 * time.Millisecond
+	// leastSend is the least time left with which a send is worth while.
+	leastSend = 40 * time.Millisecond
+)
+
+// A Forwarder runs requests. Its fields are set before use; it may be used by
+// many goroutines.
+type Forwarder struct {
+	Views    Views
+	Balancer Balancer
+	Placer   Placer
+	Repeats  Repeats
+	Log      zerolog.Logger
+}
+
+// ErrGone means that the client left; there is nobody to answer.
+var ErrGone = errors.New("client left")
+
+// An attempt is the state of one request. It belongs to the request's goroutine.
+type attempt struct {
+	request *Request
+	client  Client
+	route   *site.Route
+	service site.ServiceName
+	// ends is when the request gets its final answer.
+	ends    time.Time
+	tried   []site.ServerID
+	sends   int
+	ran     int
+	missing site.ServerID
+	// doubt says that an earlier send may have run.
+	doubt bool
+}
+
+// Forward runs a request until the client has the whole answer. Its error is
+// ErrGone or a *verdict.Error, after which the client has got no part of an
+// answer unless it has Started.
+func (f *Forwarder) Forward(ctx context.Context, request *Request, client Client) error {
+	view := f.Views.View()
+	if !f.Views.Complete() {
+		return refusal(verdict.CodeNoConfiguration, unavailablePause, "no desired state is known yet")
+	}
+	route := view.Route(request.Host, request.Path)
+	if route == nil || len(route.Shares) == 0 {
+		return verdict.Refuse(verdict.CodeUnknownName, "no route for %s%s", request.Host, request.Path)
+	}
+	a := &attempt{request: request, client: client, route: route, service: pickShare(route)}
+	limit := route.Timeout
+	if request.Patience > 0 && request.Patience < limit {
+		limit = request.Patience
+	}
+	a.ends = request.Arrived.Add(limit)
+	limited, cancel := context.WithDeadline(ctx, a.ends.Add(-endMargin))
+	defer cancel()
+	err := f.run(limited, a)
+	if err != nil && ctx.Err() != nil {
+		return ErrGone
+	}
+	if failure := verdict.From(err); failure != nil {
+		f.Log.Info().Str("request", request.Attempt).Str("route", route.Name).Int64("desired", view.Desired.Version).
+			Str("service", string(a.service)).Int("sends", a.sends).Str("verdict", string(failure.Verdict)).Str("code", string(failure.Code)).
+			Dur("after", time.Since(request.Arrived)).Err(failure).Msg("request failed")
+		return failure
+	}
+	return nil
+}
+
+func refusal(code verdict.Code, pause time.Duration, message string) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.NotRun, Code: code, Message: message, RetryAfter: pause}
+}
+
+func pickShare(route *site.Route) site.ServiceName {
+	total := 0
+	for _, share := range route.Shares {
+		total += share.Weight
+	}
+	at := rand.IntN(max(total, 1))
+	for _, share := range route.Shares {
+		if at < share.Weight {
+			return share.Service
+		}
+		at -= share.Weight
+	}
+	return route.Shares[0].Service
+}
+
+// run makes sends until one succeeds or no further one is allowed.
+func (f *Forwarder) run(ctx context.Context, a *attempt) error {
+	f.Repeats.First(string(a.service))
+	for {
+		failure := f.try(ctx, a)
+		if failure == nil {
+			return nil
+		}
+		if failure.Verdict != verdict.NotRun {
+			a.doubt = true
+		}
+		if ctx.Err() != nil || !f.mayRepeat(a) {
+			return f.final(ctx, a, failure)
+		}
+		if a.sends > 0 && !f.Repeats.Again(string(a.service)) {
+			return f.final(ctx, a, failure)
+		}
+		if len(a.tried) == 0 && !duty.Pause(ctx, againPause/2+rand.N(againPause)) {
+			return f.final(ctx, a, failure)
+		}
+	}
+}
+
+// mayRepeat says whether another send keeps to the route's rules.
+func (f *Forwarder) mayRepeat(a *attempt) bool {
+	if a.doubt && !a.route.Repeatable() {
+		return false
+	}
+	return a.ran < a.route.MaxAttempts && a.sends < a.ran+rejectedSends && time.Until(a.ends) > leastSend
+}
+
+// final returns the failure that the client is told. A request that may have
+// run in an earlier send is never called not run.
+func (f *Forwarder) final(ctx context.Context, a *attempt, failure *verdict.Error) error {
+	told := *failure
+	if ctx.Err() != nil {
+		told.Code = verdict.CodeDeadline
+	}
+	if a.doubt {
+		told.Verdict = verdict.MayHaveRun
+	}
+	if told.Verdict == verdict.NotRun && told.RetryAfter == 0 {
+		told.RetryAfter = overloadPause
+	}
+	return &told
+}
+
+// try chooses a server, has the adapter loaded and sends the request once.
+func (f *Forwarder) try(ctx context.Context, a *attempt) *verdict.Error {
+	view := f.Views.View()
+	version := view.Versions[a.request.Adapter]
+	want := balance.Want{Service: a.service, Adapter: a.request.Adapter, Version: version, Tried: a.tried}
+	if service := view.Service(a.service); service == nil || service.Engines == nil {
+		want.Adapter = site.Adapter{}
+	}
+	pick, err := f.Balancer.Choose(want)
+	if err != nil {
+		failure := verdict.From(err)
+		if len(a.tried) > 0 {
+			// Every server was tried; the next round may try them again.
+			a.tried = nil
+		}
+		return failure
+	}
+	defer f.Balancer.Done(pick.Server)
+	if !pick.Loaded {
+		if failure := f.place(ctx, a, pick.Server, want); failure != nil {
+			return failure
+		}
+	}
+	return f.send(ctx, a, pick.Server, want)
+}
+
+func (f *Forwarder) place(ctx context.Context, a *attempt, server *site.Server, want balance.Want) *verdict.Error {
+	request := site.PlaceRequest{
+		Server:   server.Incarnation,
+		Adapter:  want.Adapter,
+		Version:  want.Version,
+		Priority: a.route.Priority,
+		Patience: time.Until(a.ends),
+	}
+	if err := f.Placer.Place(ctx, server, request, a.missing == server.ID); err != nil {
+		a.tried = append(a.tried, server.ID)
+		f.Log.Info().Str("request", a.request.Attempt).Str("engine", string(server.ID)).Str("adapter", want.Adapter.Name).
+			Int("version", want.Version).Err(err).Msg("adapter was not loaded")
+		return verdict.From(err)
+	}
+	f.Balancer.Placed(server, want.Adapter, want.Version)
+	return nil
+}
+
+func (f *Forwarder) send(ctx context.Context, a *attempt, server *site.Server, want balance.Want) *verdict.Error {
+	instructions := Instructions{
+		Left:     time.Until(a.ends),
+		Urgency:  -1,
+		Repeated: a.doubt,
+	}
+	if want.Adapter.Model != "" {
+		instructions.Urgency = min(2*a.route.Priority, 9)
+		if want.Adapter.Name != "" {
+			instructions.Version = want.Version
+		}
+	}
+	a.sends++
+	answer, err := a.client.Send(ctx, server, instructions)
+	if err != nil {
+		return f.failed(a, server, verdict.From(err), ctx)
+	}
+	head := answer.Head()
+	if head.Misdirected || head.NotRun {
+		answer.Discard()
+		return f.rejected(a, server, want, head)
+	}
+	f.Balancer.Answered(server, head.Load)
+	a.ran++
+	if head.Status >= 500 && a.route.Repeatable() && !a.client.Started() && a.ran < a.route.MaxAttempts &&
+		time.Until(a.ends) > leastSend && f.Repeats.Again(string(a.service)) {
+		answer.Discard()
+		a.tried = append(a.tried, server.ID)
+		f.Log.Info().Str("request", a.request.Attempt).Str("server", string(server.ID)).Int("status", head.Status).Msg("server failed; sending again")
+		return f.again(ctx, a)
+	}
+	return f.deliver(ctx, a, server, answer)
+}
+
+// again makes the next send after its part of the budget was taken.
+func (f *Forwarder) again(ctx context.Context, a *attempt) *verdict.Error {
+	a.doubt = true
+	return f.try(ctx, a)
+}
+
+// failed notes a send without an answer.
+func (f *Forwarder) failed(a *attempt, server *site.Server, failure *verdict.Error, ctx context.Context) *verdict.Error {
+	if failure.Verdict != verdict.NotRun {
+		a.ran++
+	}
+	if ctx.Err() == nil {
+		f.Balancer.Failed(server)
+		a.tried = append(a.tried, server.ID)
+		f.Log.Info().Str("request", a.request.Attempt).Str("server", string(server.ID)).Str("verdict", string(failure.Verdict)).
+			Err(failure).Msg("send failed")
+	}
+	return failure
+}
+
+// rejected notes an answer that says that the request did not run.
+func (f *Forwarder) rejected(a *attempt, server *site.Server, want balance.Want, head Head) *verdict.Error {
+	f.Log.Info().Str("request", a.request.Attempt).Str("server", string(server.ID)).Int("status", head.Status).
+		Str("adapter", want.Adapter.Name).Int("version", want.Version).Msg("server refused the request")
+	if head.Misdirected && head.SameServer && want.Adapter.Model != "" {
+		f.Balancer.Denied(server, want.Adapter)
+		a.missing = server.ID
+		return verdict.Refuse(verdict.CodeUnknownInstance, "engine %s does not hold adapter %s", server.ID, want.Adapter.Name)
+	}
+	if head.Misdirected {
+		f.Balancer.Failed(server)
+	} else {
+		f.Balancer.Answered(server, head.Load)
+	}
+	a.tried = append(a.tried, server.ID)
+	return verdict.Refuse(verdict.CodeBackendRefused, "server %s refused the request with status %d", server.ID, head.Status)
+}
+
+// deliver passes the answer on. A stream that breaks off goes on at another
+// server where its route allows it.
+func (f *Forwarder) deliver(ctx context.Context, a *attempt, server *site.Server, answer Answer) *verdict.Error {
+	err := answer.Deliver(ctx)
+	if err == nil {
+		return nil
+	}
+	var broken *Broken
+	if errors.As(err, &broken) && !broken.ClientGone && ctx.Err() == nil {
+		f.Balancer.Failed(server)
+		a.tried = append(a.tried, server.ID)
+	}
+	f.Log.Info().Str("request", a.request.Attempt).Str("server", string(server.ID)).Err(err).Msg("answer broke off")
+	return verdict.Doubt(verdict.CodeIncomplete, err, "answer of server %s broke off", server.ID)
+}
--- /dev/null
+++ b/coordination/watch/reader.go
@@ -0,0 +1,134 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/coordination/duty"
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+// A Store is the platform's store.
+type Store interface {
+	// Rows returns all rows of a table.
+	Rows(ctx context.Context, table site.Table) (site.Changes, error)
+	// Feed waits for rows that changed after a position.
+	Feed(ctx context.Context, table site.Table, after site.Position, wait time.Duration) (site.Changes, error)
+}
+
+const (
+	// readerPause is the time between two reads of one table. It lets one call
+	// carry the changes of many servers, because each call is paid for.
+	readerPause = 700 * time.Millisecond
+	// feedWait is how long the store holds a read of a table that seldom changes; a
+	// connection that went silent is noticed a little later.
+	// serverWait is the wait for servers, which shows that the store is alive.
+	feedWait   = 3 * time.Second
+	serverWait = 900 * time.Millisecond
+	// idlePause is how often an idle reader looks whether it is needed.
+	idlePause = 150 * time.Millisecond
+	// failurePause is the mean pause after a failed read.
+	failurePause = 350 * time.Millisecond
+	// firstPause is the pause of a host that has no desired state yet.
+	firstPause = 250 * time.Millisecond
+	// StaleLimit is the age of the last word of the store from which a host reads
+	// the store itself. It leaves a second of the 2.5 s in which a change is to
+	// be in force.
+	StaleLimit = 1500 * time.Millisecond
+)
+
+// A Reader is the duty that reads the store while this host has to. Its exported
+// fields are set before Run.
+type Reader struct {
+	Store   Store
+	Watcher *Watcher
+	// Gone is the error of a Feed whose history was dropped.
+	Gone error
+	// Owner says whether this host owns a zone and therefore reads for others.
+	Owner func() bool
+	// Lively names the table that is read with short waits, as a sign of life.
+	Lively site.Table
+	Log    zerolog.Logger
+
+	lifecycle duty.Lifecycle
+	lost      atomic.Bool
+}
+
+// Run reads until ctx ends or Close is called.
+func (r *Reader) Run(ctx context.Context) error {
+	return r.lifecycle.Run(ctx, func(ctx context.Context) error {
+		for _, table := range r.Watcher.Tables {
+			r.lifecycle.Work(func() { r.follow(ctx, table) })
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	})
+}
+
+// Close ends the duty and waits until it has ended.
+func (r *Reader) Close() error {
+	return r.lifecycle.Close()
+}
+
+// needed says whether this host has to read the store itself.
+func (r *Reader) needed() bool {
+	return r.Owner() || r.Watcher.Age() > StaleLimit || !r.Watcher.Complete()
+}
+
+func (r *Reader) follow(ctx context.Context, table site.Table) {
+	reread := r.Watcher.Position(table) == 0
+	for ctx.Err() == nil {
+		if !r.needed() {
+			duty.Pause(ctx, idlePause)
+			continue
+		}
+		changes, err := r.read(ctx, table, reread)
+		if errors.Is(err, r.Gone) {
+			reread = true
+			continue
+		}
+		if err != nil {
+			r.failed(ctx, table, err)
+			duty.Pause(ctx, failurePause/2+rand.N(failurePause))
+			continue
+		}
+		if r.lost.Swap(false) {
+			r.Log.Info().Msg("store regained")
+		}
+		r.Watcher.Contact(0)
+		reread = !r.Watcher.Learn(changes)
+		pause := readerPause
+		if r.Watcher.View().Desired == nil {
+			pause = firstPause
+		}
+		duty.Pause(ctx, pause)
+	}
+}
+
+// read reads the whole table, or what changed.
+func (r *Reader) read(ctx context.Context, table site.Table, whole bool) (site.Changes, error) {
+	after := r.Watcher.Position(table)
+	if whole || after == 0 {
+		return r.Store.Rows(ctx, table)
+	}
+	wait := feedWait
+	if table == r.Lively || !r.Owner() {
+		wait = serverWait
+	}
+	return r.Store.Feed(ctx, table, after, wait)
+}
+
+func (r *Reader) failed(ctx context.Context, table site.Table, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	r.Watcher.Outage()
+	if !r.lost.Swap(true) {
+		r.Log.Warn().Err(err).Str("table", string(table)).Dur("store-age", r.Watcher.Age()).Msg("store lost")
+	}
+}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -46,6 +46,7 @@
 		&checkSettingsCommand{stdout: stdout},
 		&demoCommand{stdout: stdout, stderr: stderr},
 		newEngineCommand(stdout, stderr),
+		&frontCommand{stdout: stdout},
 		newHostCommand(stdout, stderr),
 		newKindCommand(stdout, stderr),
 		&loadCommand{stdout: stdout},
--- /dev/null
+++ b/internal/fronthost/parts.go
@@ -0,0 +1,273 @@
+package fronthost
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/dig"
+
+	"github.com/persimmonmux/persimmonmux/coordination/adapter"
+	"github.com/persimmonmux/persimmonmux/coordination/balance"
+	"github.com/persimmonmux/persimmonmux/coordination/forward"
+	"github.com/persimmonmux/persimmonmux/coordination/lease"
+	"github.com/persimmonmux/persimmonmux/coordination/retry"
+	"github.com/persimmonmux/persimmonmux/coordination/watch"
+	"github.com/persimmonmux/persimmonmux/coordination/zone"
+	"github.com/persimmonmux/persimmonmux/platform"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/backend"
+	"github.com/persimmonmux/persimmonmux/transport/front"
+	"github.com/persimmonmux/persimmonmux/transport/peer"
+)
+
+const (
+	// leaseDuration is how long the lease of a zone lasts after a renewal. It is
+	// short, because nothing is loaded in a zone while its owner is missing.
+	leaseDuration = 4 * time.Second
+	leaseRenewal  = 1300 * time.Millisecond
+	leaseMargin   = 500 * time.Millisecond
+	// storeTimeout bounds one read or write of a lease.
+	storeTimeout = 1300 * time.Millisecond
+	// stopMargin is the part of the grace time that is kept for closing.
+	stopMargin = 700 * time.Millisecond
+	// repeatMargin is the part of the bound on repeats that is used: hosts count
+	// apart, and their windows do not begin together.
+	repeatMargin = 0.8
+	// connectionLimit bounds the unused connections to the store and for orders.
+	dialLimit = 500 * time.Millisecond
+)
+
+// parts are everything that a host consists of.
+type parts struct {
+	dig.In
+
+	Store      *platform.Store
+	Engines    *platform.Engines
+	PeerClient *peer.Client
+	Pool       *backend.Pool
+	Watcher    *watch.Watcher
+	Reader     *watch.Reader
+	Follower   *watch.Follower
+	Keeper     *lease.Keeper
+	Tenant     *zone.Tenant
+	Owner      *adapter.Owner
+	PeerServer *peer.Server
+	Server     *front.Server
+}
+
+// A namedRunner is a duty with the name that logs use.
+type namedRunner struct {
+	name   string
+	runner runner
+}
+
+// duties returns the duties in the order of their start. Each uses only those
+// before it when it closes.
+func (p *parts) duties() []namedRunner {
+	return []namedRunner{
+		{"watcher", p.Watcher},
+		{"reader", p.Reader},
+		{"leases", p.Keeper},
+		{"tenant", p.Tenant},
+		{"follower", p.Follower},
+		{"owner", p.Owner},
+		{"peer-server", p.PeerServer},
+		{"front", p.Server},
+	}
+}
+
+func (p *parts) closeClients() {
+	_ = p.PeerClient.Close()
+	_ = p.Store.Connections.Close()
+	_ = p.Engines.Connections.Close()
+	_ = p.Pool.Close()
+}
+
+// providers returns the constructors of all parts.
+func (h *Host) providers() []any {
+	return []any{
+		func() *platform.Store {
+			return &platform.Store{
+				Address:     h.Settings.PlatformAddress.String(),
+				Connections: &backend.Connections{DialLimit: dialLimit},
+			}
+		},
+		func() *platform.Engines {
+			return &platform.Engines{Connections: &backend.Connections{DialLimit: dialLimit}}
+		},
+		func() *peer.Client { return &peer.Client{Domain: fleet.FailureDomainName(h.Settings.FailureDomain)} },
+		func() *watch.Watcher {
+			return &watch.Watcher{
+				Decoder: platform.Decoder{},
+				Tables:  []site.Table{platform.OperatorTable, zone.HostTable, platform.ServerTable},
+				Log:     h.Log,
+			}
+		},
+		h.newReader,
+		h.newFollower,
+		func(s *platform.Store) *lease.Keeper {
+			return &lease.Keeper{
+				Host:     fleet.HostName(h.Settings.HostName),
+				Start:    fleet.StartNumber(h.Start),
+				Table:    s,
+				Duration: leaseDuration,
+				Renewal:  leaseRenewal,
+				Margin:   leaseMargin,
+				Timeout:  storeTimeout,
+				Logger:   h.Log,
+			}
+		},
+		func(w *watch.Watcher) *balance.Balancer {
+			return &balance.Balancer{Zone: h.Settings.FailureDomain, Regions: h.Settings.Regions, Views: w}
+		},
+		func() *aliveness { return &aliveness{} },
+		h.newTenant,
+		func(e *platform.Engines, t *zone.Tenant, w *watch.Watcher, b *balance.Balancer) *adapter.Owner {
+			return &adapter.Owner{Host: h.Settings.HostName, Engines: e, Tenure: t, Views: w, Learners: b, Log: h.Log}
+		},
+		func(w *watch.Watcher) *retry.Window {
+			return &retry.Window{
+				Length: h.Settings.Repeats.Window,
+				Share:  h.Settings.Repeats.Share * repeatMargin,
+				Slack:  h.Settings.Repeats.Slack * repeatMargin,
+				Hosts:  func() int { return len(w.View().Hosts) },
+			}
+		},
+		func() *backend.Pool { return &backend.Pool{} },
+		func(w *watch.Watcher, b *balance.Balancer, o *adapter.Owner, c *peer.Client, r *retry.Window) *forward.Forwarder {
+			placer := &placer{self: h.Settings.HostName, watcher: w, owner: o, client: c}
+			return &forward.Forwarder{Views: w, Balancer: b, Placer: placer, Repeats: r, Log: h.Log}
+		},
+		h.newPeerServer,
+		h.newServer,
+	}
+}
+
+func (h *Host) newReader(s *platform.Store, w *watch.Watcher, t *zone.Tenant) *watch.Reader {
+	return &watch.Reader{
+		Store:   s,
+		Watcher: w,
+		Gone:    platform.ErrHistoryGone,
+		Owner:   t.Owns,
+		Lively:  platform.ServerTable,
+		Log:     h.Log,
+	}
+}
+
+func (h *Host) newFollower(w *watch.Watcher, c *peer.Client, b *balance.Balancer, a *aliveness) *watch.Follower {
+	a.follower = &watch.Follower{
+		Self:       h.Settings.HostName,
+		Zone:       h.Settings.FailureDomain,
+		Watcher:    w,
+		Neighbors:  c,
+		Residences: b,
+		Log:        h.Log,
+	}
+	return a.follower
+}
+
+// aliveness breaks the cycle between the tenant, which needs to know the living
+// owners, and the follower, which finds them.
+type aliveness struct {
+	follower *watch.Follower
+}
+
+// Alive says whether the owner answers.
+func (a *aliveness) Alive(host string) bool {
+	return a.follower != nil && a.follower.Alive(host)
+}
+
+func (h *Host) newTenant(s *platform.Store, k *lease.Keeper, w *watch.Watcher, a *aliveness) *zone.Tenant {
+	return &zone.Tenant{
+		Host: site.Host{
+			Name:    h.Settings.HostName,
+			Start:   h.Start,
+			Address: h.Settings.PeerAddress.String(),
+			Zone:    h.Settings.FailureDomain,
+			Region:  h.Settings.Regions[h.Settings.FailureDomain],
+		},
+		Leases:     k,
+		Views:      w,
+		Owners:     a,
+		Table:      s,
+		Quarantine: h.Settings.OrderPause,
+		Log:        h.Log,
+	}
+}
+
+func (h *Host) newPeerServer(w *watch.Watcher, o *adapter.Owner, t *zone.Tenant) (*peer.Server, error) {
+	listener, err := net.Listen("tcp", h.Settings.PeerAddress.String())
+	if err != nil {
+		return nil, trace.Wrap(err, "listen for entry hosts")
+	}
+	return &peer.Server{Listener: listener, Site: &ownedSite{watcher: w, owner: o, tenant: t}}, nil
+}
+
+func (h *Host) newServer(f *forward.Forwarder, w *watch.Watcher, p *backend.Pool) (*front.Server, error) {
+	callers, err := net.Listen("tcp", h.Settings.CallerAddress.String())
+	if err != nil {
+		return nil, trace.Wrap(err, "listen for callers")
+	}
+	checks, err := net.Listen("tcp", h.Settings.ReadyAddress.String())
+	if err != nil {
+		_ = callers.Close()
+		return nil, trace.Wrap(err, "listen for checks")
+	}
+	return &front.Server{
+		Listener:      callers,
+		ReadyListener: checks,
+		Forwarder:     f,
+		Views:         w,
+		Pool:          p,
+		StopLimit:     h.Settings.GraceTime - stopMargin,
+		Log:           h.Log,
+	}, nil
+}
+
+// ownedSite answers other hosts for the zones of this one.
+type ownedSite struct {
+	watcher *watch.Watcher
+	owner   *adapter.Owner
+	tenant  *zone.Tenant
+}
+
+// Follow tells what changed since the positions of the request.
+func (s *ownedSite) Follow(request site.FollowRequest) site.FollowReply {
+	s.owner.Used(request.Uses)
+	return site.FollowReply{
+		Changes:     s.watcher.Since(request.Positions),
+		Age:         s.watcher.Age(),
+		Leaving:     s.tenant.Leaving(),
+		Residencies: s.owner.Residencies(request.Known),
+	}
+}
+
+// Place waits until an adapter is loaded on one of this host's engines.
+func (s *ownedSite) Place(ctx context.Context, request site.PlaceRequest, missing bool) error {
+	return s.owner.Place(ctx, request, missing)
+}
+
+// placer asks the owner of an engine to load an adapter, wherever it runs.
+type placer struct {
+	self    string
+	watcher *watch.Watcher
+	owner   *adapter.Owner
+	client  *peer.Client
+}
+
+// Place waits until the adapter is loaded on the server.
+func (p *placer) Place(ctx context.Context, server *site.Server, request site.PlaceRequest, missing bool) error {
+	host := p.watcher.View().Owners[server.Zone]
+	switch {
+	case host == nil:
+		return verdict.Refuse(verdict.CodeNotOwner, "the engines of zone %s have no owner", server.Zone)
+	case host.Name == p.self:
+		return p.owner.Place(ctx, request, missing)
+	default:
+		return p.client.Place(ctx, host.Address, request, missing)
+	}
+}
--- /dev/null
+++ b/internal/settings/front.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"net/netip"
+	"reflect"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Front are the settings of a host that runs on the platform and passes requests
+// on. The tags json, default, required and help also make the reference page.
+type Front struct {
+	HostName        string            `json:"host-name" required:"true" help:"Name of this entry host; unique in the deployment."`
+	FailureDomain   string            `json:"failure-domain" required:"true" help:"Failure domain that the host stands in."`
+	Regions         map[string]string `json:"regions" required:"true" help:"Region of each failure domain, by the name of the failure domain."`
+	CallerAddress   netip.AddrPort    `json:"caller-address" required:"true" help:"Address to listen on for callers."`
+	ReadyAddress    netip.AddrPort    `json:"ready-address" required:"true" help:"Address to listen on for the load balancer's checks."`
+	PeerAddress     netip.AddrPort    `json:"peer-address" required:"true" help:"Address to listen on for other entry hosts. They are told this address."`
+	PlatformAddress netip.AddrPort    `json:"platform-address" required:"true" help:"Address of the platform's store."`
+	LogLevel        string            `json:"log-level" default:"info" help:"Least level that is logged: trace, debug, info, warn or error."`
+	MemoryMegabytes int64             `json:"memory-megabytes" default:"256" help:"Memory that the process may use."`
+	GraceTime       time.Duration     `json:"grace-time" default:"8s" help:"Time between the request to stop and the end of the process."`
+	OrderPause      time.Duration     `json:"order-pause" default:"3s" help:"How long the new owner of a failure domain's engines waits before its first order."`
+	Repeats         Repeats           `json:"repeats" help:"Bounds on repeated sends; equal on all hosts of a deployment."`
+}
+
+// Repeats bound the sends of a service beyond the first of each request.
+type Repeats struct {
+	Window time.Duration `json:"window" default:"10s" help:"Span in which sends are counted."`
+	Share  float64       `json:"share" default:"0.2" help:"Part of the requests that may be sent once more."`
+	Slack  float64       `json:"slack" default:"20" help:"Repeated sends of all hosts together that need no requests."`
+}
+
+// DecodeFront reads the settings of a front host from the content of a file. Its
+// error is of type Problems.
+func DecodeFront(file string, data []byte) (Front, error) {
+	var s Front
+	setDefaults(reflect.ValueOf(&s).Elem())
+	d := decodeFile(file, data, &s)
+	if len(d.problems) == 0 {
+		d.checkFront(&s)
+	}
+	return s, d.result()
+}
+
+func (d *decoder) checkFront(s *Front) {
+	if s.HostName == "" {
+		d.fail("host-name", "is empty, expected a name")
+	}
+	if s.Regions[s.FailureDomain] == "" {
+		d.fail("failure-domain", "%q has no region, expected a key of regions", s.FailureDomain)
+	}
+	if level, err := zerolog.ParseLevel(s.LogLevel); err != nil || level < zerolog.TraceLevel || level > zerolog.ErrorLevel {
+		d.fail("log-level", "%q is no level, expected trace, debug, info, warn or error", s.LogLevel)
+	}
+	if s.MemoryMegabytes < 1 {
+		d.fail("memory-megabytes", "is %d, expected at least 1", s.MemoryMegabytes)
+	}
+	// The comparisons are written so that they also refuse numbers out of range.
+	if !(s.Repeats.Share >= 0) || !(s.Repeats.Slack >= 0) || s.Repeats.Window <= 0 {
+		d.fail("repeats", "expected share and slack of at least 0 and a window above 0")
+	}
+}
--- /dev/null
+++ b/state/site/follow.go
@@ -0,0 +1,56 @@
+package site
+
+import "time"
+
+// A Use tells the owner of an engine how often an adapter was used there.
+type Use struct {
+	Server  ServerID
+	Adapter Adapter
+	// Count is the number of requests that began since the last report.
+	Count int
+}
+
+// A FollowRequest asks another host for news.
+type FollowRequest struct {
+	// Host asks.
+	Host string
+	// Positions say how far the asking host knows each table.
+	Positions map[Table]Position
+	// Known has the sequences of the residencies that the asking host knows.
+	Known map[ServerID]uint64
+	// Uses are for the engines that the answering host owns.
+	Uses []Use
+}
+
+// A Residency is what the owner of an engine knows to be loaded there.
+type Residency struct {
+	Server Incarnation
+	// Epoch is that of the owner's lease, and Sequence grows with each change
+	// under one epoch.
+	Epoch, Sequence uint64
+	// Adapters has the versions of the loaded adapters; a base model has no Name.
+	Adapters map[Adapter]int
+}
+
+// A FollowReply is the answer to a FollowRequest.
+type FollowReply struct {
+	Changes []Changes
+	// Age is the time since the answering host last heard from the store.
+	Age time.Duration
+	// Leaving says that the answering host stops and gives its leases up.
+	Leaving bool
+	// Residencies are those that changed since the asking host's sequences.
+	Residencies []Residency
+}
+
+// A PlaceRequest asks the owner of an engine to have an adapter loaded there.
+type PlaceRequest struct {
+	Server  Incarnation
+	Adapter Adapter
+	// Version is the lowest version that will do; 0 means any.
+	Version int
+	// Priority is that of the waiting request; 0 is the most urgent.
+	Priority int
+	// Patience is how long the request can wait.
+	Patience time.Duration
+}
--- /dev/null
+++ b/transport/backend/pool.go
@@ -0,0 +1,359 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	// poolDialLimit bounds a connection attempt of a Pool; servers that do not
+	// accept within this time are tried elsewhere.
+	poolDialLimit = 400 * time.Millisecond
+	// poolIdleLimit is how long a connection is kept unused where the server
+	// does not tell. poolIdleMargin is subtracted from what it tells.
+	poolIdleLimit  = 4 * time.Second
+	poolIdleMargin = 500 * time.Millisecond
+	// smallBody is the size up to which a body is written before the answer is
+	// read. A longer one is written meanwhile, because a server may answer
+	// before it has read the whole body.
+	smallBody = 8 << 10
+	// readBuffer is the size of a connection's read buffer.
+	readBuffer = 4 << 10
+	// informational bounds the 1xx answers before the final one.
+	informational = 8
+)
+
+// A Pool has raw HTTP/1.1 connections to servers. It sends every request once,
+// and a connection is used again only if nothing waits on it. Its exported
+// fields are set before use; it may be used by many goroutines.
+type Pool struct {
+	// Limit is the most connections to one server; 0 means no limit.
+	Limit func(address string) int
+
+	mutex  sync.Mutex
+	idle   map[string][]*channel
+	open   map[string]int
+	closed bool
+	swept  time.Time
+	opened atomic.Int64
+}
+
+// A channel is one connection to a server.
+type channel struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	// until is when the server may close it while it is unused.
+	until time.Time
+}
+
+// An Outgoing is a request as it is written.
+type Outgoing struct {
+	Address string
+	Method  string
+	// Target is the raw path and query.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Fresh asks for a connection that was never used.
+	Fresh bool
+}
+
+// An Incoming is the answer to an Outgoing. Its Close is called once.
+type Incoming struct {
+	*http.Response
+
+	pool    *Pool
+	channel *channel
+	stop    func() bool
+	// written receives the end of the body's writing.
+	written chan error
+}
+
+// errFull is returned when the server has all the connections that it may have.
+var errFull = errors.New("all connections to the server are in use")
+
+// Opened returns the number of connections opened since the start.
+func (p *Pool) Opened() int64 { return p.opened.Load() }
+
+// Do sends the request and reads the head of the answer. With an error, wrote
+// says whether a byte of the request may have been written.
+func (p *Pool) Do(ctx context.Context, out *Outgoing) (in *Incoming, wrote bool, err error) {
+	ch, err := p.take(ctx, out)
+	if err != nil {
+		return nil, false, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = ch.SetDeadline(time.Unix(1, 0)) })
+	in = &Incoming{pool: p, channel: ch, stop: stop}
+	if err := in.write(out); err != nil && in.written == nil && !answered(ch) {
+		in.discard()
+		return nil, true, fmt.Errorf("write to %s: %w", out.Address, cause(ctx, err))
+	}
+	in.Response, err = readHead(ch.reader, out.Method)
+	if err != nil {
+		in.discard()
+		return nil, true, fmt.Errorf("answer of %s: %w", out.Address, cause(ctx, err))
+	}
+	return in, true, nil
+}
+
+// cause names the end of the context in place of the deadline that it set.
+func cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+// answered says whether bytes of an answer have arrived. A server may answer and
+// close before it has read the whole request.
+func answered(ch *channel) bool {
+	_, err := ch.reader.Peek(1)
+	return err == nil
+}
+
+func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
+	for range informational {
+		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+	return nil, errors.New("too many informational answers")
+}
+
+// write writes the head, and the body with it if it is small.
+func (in *Incoming) write(out *Outgoing) error {
+	var head strings.Builder
+	head.WriteString(out.Method + " " + out.Target + " HTTP/1.1\r\nHost: " + out.Host + "\r\n")
+	for name, values := range out.Header {
+		for _, value := range values {
+			head.WriteString(name + ": " + value + "\r\n")
+		}
+	}
+	if len(out.Body) > 0 || out.Method != http.MethodGet && out.Method != http.MethodHead {
+		head.WriteString("Content-Length: " + strconv.Itoa(len(out.Body)) + "\r\n")
+	}
+	head.WriteString("\r\n")
+	if len(out.Body) <= smallBody {
+		_, err := in.channel.Write(append([]byte(head.String()), out.Body...))
+		return err
+	}
+	if _, err := io.WriteString(in.channel, head.String()); err != nil {
+		return err
+	}
+	in.written = make(chan error, 1)
+	go func() {
+		_, err := in.channel.Write(out.Body)
+		in.written <- err
+	}()
+	return nil
+}
+
+// Close ends the answer. complete says that its body was read to its end; the
+// connection is then used again if the server allows it.
+func (in *Incoming) Close(complete bool) {
+	if !complete || !in.reusable() {
+		in.discard()
+		return
+	}
+	in.pool.put(in.channel)
+}
+
+// reusable says whether the connection is clean: both sides are at the end of
+// their message, and the request's context has not closed it.
+func (in *Incoming) reusable() bool {
+	if !in.stop() || in.Response.Close || in.channel.reader.Buffered() > 0 {
+		return false
+	}
+	if in.written != nil {
+		select {
+		case err := <-in.written:
+			if err != nil {
+				return false
+			}
+		default:
+			return false
+		}
+	}
+	in.channel.until = time.Now().Add(keepAlive(in.Header))
+	return time.Now().Before(in.channel.until)
+}
+
+// keepAlive returns how long the server keeps the connection, less a margin.
+func keepAlive(header http.Header) time.Duration {
+	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seconds, err := strconv.ParseFloat(value, 64); strings.EqualFold(name, "timeout") && err == nil {
+			return min(time.Duration(seconds*float64(time.Second))-poolIdleMargin, poolIdleLimit)
+		}
+	}
+	return poolIdleLimit
+}
+
+func (in *Incoming) discard() {
+	in.stop()
+	in.pool.drop(in.channel)
+}
+
+// take returns an unused clean connection, or a new one.
+func (p *Pool) take(ctx context.Context, out *Outgoing) (*channel, error) {
+	for !out.Fresh {
+		ch := p.pop(out.Address)
+		if ch == nil {
+			break
+		}
+		if time.Now().Before(ch.until) && quiet(ch.Conn) {
+			_ = ch.SetDeadline(time.Time{})
+			return ch, nil
+		}
+		p.drop(ch)
+	}
+	if err := p.reserve(out.Address); err != nil {
+		return nil, err
+	}
+	dialer := net.Dialer{Timeout: poolDialLimit}
+	raw, err := dialer.DialContext(ctx, "tcp", out.Address)
+	if err != nil {
+		p.release(out.Address)
+		return nil, err
+	}
+	p.opened.Add(1)
+	return &channel{Conn: raw, address: out.Address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+func (p *Pool) pop(address string) *channel {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	ch := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return ch
+}
+
+func (p *Pool) put(ch *channel) {
+	p.mutex.Lock()
+	if p.closed {
+		p.mutex.Unlock()
+		p.drop(ch)
+		return
+	}
+	if p.idle == nil {
+		p.idle = make(map[string][]*channel)
+	}
+	p.idle[ch.address] = append(p.idle[ch.address], ch)
+	stale := p.sweep(time.Now())
+	p.mutex.Unlock()
+	for _, ch := range stale {
+		p.drop(ch)
+	}
+}
+
+// sweep takes the connections out that were unused for too long. The mutex is held.
+func (p *Pool) sweep(now time.Time) []*channel {
+	if now.Sub(p.swept) < time.Second {
+		return nil
+	}
+	p.swept = now
+	var stale []*channel
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, ch := range list {
+			if now.Before(ch.until) {
+				kept = append(kept, ch)
+			} else {
+				stale = append(stale, ch)
+			}
+		}
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	return stale
+}
+
+func (p *Pool) reserve(address string) error {
+	limit := 0
+	if p.Limit != nil {
+		limit = p.Limit(address)
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.open == nil {
+		p.open = make(map[string]int)
+	}
+	if limit > 0 && p.open[address] >= limit {
+		return errFull
+	}
+	p.open[address]++
+	return nil
+}
+
+func (p *Pool) release(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.open[address]--
+	if p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
+func (p *Pool) drop(ch *channel) {
+	_ = ch.Close()
+	p.release(ch.address)
+}
+
+// Close closes the unused connections. Those in use end with their answers.
+func (p *Pool) Close() error {
+	p.mutex.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.mutex.Unlock()
+	for _, list := range idle {
+		for _, ch := range list {
+			p.drop(ch)
+		}
+	}
+	return nil
+}
+
+// quiet says whether nothing has arrived on an unused connection: neither its
+// end nor bytes that belong to no request.
+func quiet(conn net.Conn) bool {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	clean := false
+	err = control.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		clean = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && clean
+}
--- /dev/null
+++ b/transport/front/handler.go
@@ -0,0 +1,118 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/coordination/forward"
+	"github.com/persimmonmux/persimmonmux/platform"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// serve runs one request of a caller.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	body, status := s.body(w, r)
+	if status != 0 {
+		answerStatus(w, status, 0)
+		return
+	}
+	request := &forward.Request{
+		Attempt: r.Header.Get(platform.HeaderAttempt),
+		Host:    hostOf(r.Host),
+		Path:    rawPath(r.RequestURI),
+		Adapter: platform.DecodeModel(r.Header.Get(platform.HeaderModel)),
+		Arrived: arrived,
+	}
+	if text := r.Header.Get(platform.HeaderTimeLeft); text != "" {
+		left, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || left < 0 {
+			answerStatus(w, http.StatusBadRequest, 0)
+			return
+		}
+		request.Patience = time.Duration(left) * time.Millisecond
+	}
+	c := &client{server: s, writer: w, request: r, body: body, lastEvent: r.Header.Get(platform.HeaderLastEvent)}
+	err := s.Forwarder.Forward(r.Context(), request, c)
+	if err == nil {
+		return
+	}
+	if errors.Is(err, forward.ErrGone) || c.started {
+		// The answer must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+	failure := verdict.From(err)
+	answerStatus(w, statusOf(failure), failure.RetryAfter)
+}
+
+// body reads the whole body of a request, or returns the status of a refusal.
+func (s *Server) body(w http.ResponseWriter, r *http.Request) (body []byte, status int) {
+	limit := int64(bodyLimit)
+	if desired := s.Views.View().Desired; desired != nil && desired.Limits.BodyBytes > 0 {
+		limit = int64(desired.Limits.BodyBytes)
+	}
+	if r.ContentLength > limit {
+		w.Header().Set("Connection", "close")
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	if r.ContentLength == 0 {
+		return nil, 0
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, http.StatusRequestEntityTooLarge
+	case err != nil:
+		w.Header().Set("Connection", "close")
+		return nil, http.StatusBadRequest
+	}
+	return body, 0
+}
+
+// statusOf returns the status of a failure. Only a request that has not run is
+// answered 503.
+func statusOf(failure *verdict.Error) int {
+	switch {
+	case failure.Verdict == verdict.NotRun && failure.Code == verdict.CodeUnknownName:
+		return http.StatusNotFound
+	case failure.Verdict == verdict.NotRun:
+		return http.StatusServiceUnavailable
+	case failure.Code == verdict.CodeDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+func answerStatus(w http.ResponseWriter, status int, retryAfter time.Duration) {
+	if status == http.StatusServiceUnavailable && retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// hostOf returns the host in lower case, without the port.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// rawPath returns the path of a request target as it was sent.
+func rawPath(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -106,6 +106,7 @@
 	Configurations Configurations
 	Claims         Claims
 	Loans          Loans
+	Site           Site
 	// Log is called with errors of single connections; it may be nil.
 	Log func(error)
 
--- /dev/null
+++ b/transport/peer/site.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/persimmonmux/persimmonmux/protocol/peer"
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+// A Site answers for the zones that this host owns.
+type Site interface {
+	// Follow tells what changed since the positions of the request.
+	Follow(request site.FollowRequest) site.FollowReply
+	// Place waits until an adapter is loaded. Its error is a *verdict.Error.
+	Place(ctx context.Context, request site.PlaceRequest, missing bool) error
+}
+
+// Follow asks the host at the address for news.
+func (c *Client) Follow(ctx context.Context, address string, request site.FollowRequest) (site.FollowReply, error) {
+	message := peer.FromFollowRequest(request)
+	reply, err := invoke(ctx, c, options{name: "follow", address: address, limit: exchangeLimit, idempotent: true},
+		func(ctx context.Context, p peer.DRPCPeerClient) (*peer.FollowReply, error) {
+			return p.Follow(ctx, message)
+		})
+	if err != nil {
+		return site.FollowReply{}, err
+	}
+	return peer.ToFollowReply(reply), nil
+}
+
+// Place asks the owner of an engine for an adapter. The error is a
+// *verdict.Error with verdict NotRun.
+func (c *Client) Place(ctx context.Context, address string, request site.PlaceRequest, missing bool) error {
+	message := peer.FromPlaceRequest(request, missing)
+	limit := max(request.Patience, 0) + demandMargin
+	reply, err := invoke(ctx, c, options{name: "place", address: address, limit: limit, demand: true, idempotent: true},
+		func(ctx context.Context, p peer.DRPCPeerClient) (*peer.PlaceReply, error) {
+			return p.Place(ctx, message)
+		})
+	if err != nil {
+		return refusalOf(err)
+	}
+	if refusal := reply.GetRefusal(); refusal != nil {
+		return peer.ToRefusal(refusal)
+	}
+	return nil
+}
+
+// Follow answers with news.
+func (e *endpoint) Follow(_ context.Context, message *peer.FollowRequest) (*peer.FollowReply, error) {
+	if e.server.Site == nil {
+		return nil, errNotServed
+	}
+	return peer.FromFollowReply(e.server.Site.Follow(peer.ToFollowRequest(message))), nil
+}
+
+// Place answers when the adapter is loaded.
+func (e *endpoint) Place(ctx context.Context, message *peer.PlaceRequest) (*peer.PlaceReply, error) {
+	if e.server.Site == nil {
+		return nil, errNotServed
+	}
+	request := peer.ToPlaceRequest(message)
+	ctx, cancel := context.WithTimeout(ctx, max(request.Patience, 0))
+	defer cancel()
+	if err := e.server.Site.Place(ctx, request, message.GetMissing()); err != nil {
+		return &peer.PlaceReply{Refusal: peer.FromRefusal(err)}, nil
+	}
+	return &peer.PlaceReply{}, nil
+}
