adapter: drop demands that nobody waits for; load from memory beside the store

Ruled out: missing slots, because victims were there; refused orders, because most of them are looks at loads in transit. Change: a demand whose caller has left is dropped; only loads from the store count against the share, which is one larger than the zone's part.

--- a/coordination/adapter/advance.go
+++ b/coordination/adapter/advance.go
@@ -53,7 +53,7 @@
 	if order, ok := o.nextModel(e, service.Engines); ok {
 		return order, true
 	}
-	if e.transit() >= transitPerEngine || o.transit() >= o.transitShare(view) {
+	if all, _ := e.transit(); all >= transitPerEngine {
 		return site.Order{}, false
 	}
 	for adapter, version := range view.Versions {
@@ -77,10 +77,14 @@
 	return site.Order{Adapter: model}, true
 }
 
+// nextDemand returns the order for the first demand that can be met now: by a
+// load from the engine's own memory at any time, and by one from the weight
+// store while this host's part of the loads at once is not used up.
 func (o *Owner) nextDemand(e *engine, view *site.View, engines *site.Engines, now time.Time) (site.Order, bool) {
+	spent := o.coldLoads() >= o.coldShare(view)
 	for _, d := range e.wanted {
 		adapter := d.request.Adapter
-		if e.loads[adapter] != nil || adapter.Name == "" {
+		if e.loads[adapter] != nil || adapter.Name == "" || spent && !e.recent[adapter] {
 			continue
 		}
 		model := engines.Model(adapter.Model)
@@ -97,24 +101,26 @@
 	return site.Order{}, false
 }
 
-// transit is the number of adapters that are being loaded on all own engines.
-func (o *Owner) transit() int {
+// coldLoads is the number of adapters that all own engines load from the weight store.
+func (o *Owner) coldLoads() int {
 	count := 0
 	for _, e := range o.engines {
-		count += e.transit()
+		_, cold := e.transit()
+		count += cold
 	}
 	return count
 }
 
-// transitShare is this host's part of the adapters that may be loaded at once.
-func (o *Owner) transitShare(view *site.View) int {
+// coldShare is this host's part of the adapters that may come from the weight
+// store at once. One more than the part lets a busy zone use what others leave.
+func (o *Owner) coldShare(view *site.View) int {
 	all := 0
 	for _, server := range view.Servers {
 		if service := view.Service(server.Service); service != nil && service.Engines != nil {
 			all++
 		}
 	}
-	return max((transitTotal*len(o.engines)+all-1)/max(all, 1), 1)
+	return (transitTotal*len(o.engines)+all-1)/max(all, 1) + 1
 }
 
 // report reads the engine's state on a worker.
@@ -221,13 +227,13 @@
 	case site.OrderAccepted:
 		if l == nil {
 			e.accepted++
-			l = &load{version: r.order.Version, began: now}
+			l = &load{version: r.order.Version, warm: e.recent[adapter], began: now}
 			e.loads[adapter] = l
 			l.due = now.Add(coldLoad)
 			switch {
 			case adapter.Name == "":
 				l.due = now.Add(modelPoll)
-			case e.recent[adapter]:
+			case l.warm:
 				l.due = now.Add(warmLoad)
 			}
 			return
--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -60,8 +60,10 @@
 // A load is an accepted order that is not known to be complete.
 type load struct {
 	version int
-	began   time.Time
-	due     time.Time
+	// warm says that the adapter comes from the engine's own memory.
+	warm  bool
+	began time.Time
+	due   time.Time
 }
 
 func newEngine(server *site.Server, epoch uint64) *engine {
@@ -143,10 +145,10 @@
 	})
 }
 
-// expire drops the demands that have waited for too long.
+// expire drops the demands that nobody waits for, so that no load is spent on them.
 func (e *engine) expire(now time.Time) {
 	e.wanted = slices.DeleteFunc(e.wanted, func(d *demand) bool {
-		if now.Before(d.ends) {
+		if !d.dead(now) {
 			return false
 		}
 		d.reply <- verdict.Refuse(verdict.CodeDeadline, "adapter %s was not loaded on %s in time", d.request.Adapter.Name, e.server.ID)
@@ -187,9 +189,19 @@
 	return count
 }
 
-// transit is the number of adapters that are being loaded.
-func (e *engine) transit() int {
-	return len(e.loads) - e.modelLoads()
+// transit is the number of adapters that are being loaded, and cold the number
+// of those that come from the weight store.
+func (e *engine) transit() (all, cold int) {
+	for adapter, l := range e.loads {
+		if adapter.Name == "" {
+			continue
+		}
+		all++
+		if !l.warm {
+			cold++
+		}
+	}
+	return all, cold
 }
 
 // modelLoads is the number of base models that are being loaded.
--- /dev/null
+++ b/coordination/adapter/fake_test.go
@@ -0,0 +1,207 @@
+package adapter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+const testModel = "base"
+
+// A fakeEngine carries orders out as engines of the platform do.
+type fakeEngine struct {
+	slots    int
+	accepted int
+	held     map[site.Adapter]int
+	ready    map[site.Adapter]time.Time
+	versions map[site.Adapter]int
+	inUse    map[site.Adapter]bool
+	// mute makes the next orders go unanswered and not carried out.
+	mute int
+	// late keeps the unanswered orders, to be carried out later.
+	late []site.Order
+	// crashed says that more was loaded than fits.
+	crashed bool
+	// cold and warm count the loads by their source.
+	cold, warm int
+	orders     []site.Order
+	seen       map[site.Adapter]bool
+}
+
+func newFakeEngine(slots int) *fakeEngine {
+	return &fakeEngine{
+		slots:    slots,
+		held:     map[site.Adapter]int{{Model: testModel}: 1},
+		ready:    map[site.Adapter]time.Time{},
+		versions: map[site.Adapter]int{},
+		inUse:    map[site.Adapter]bool{},
+		seen:     map[site.Adapter]bool{},
+	}
+}
+
+func (f *fakeEngine) settle() {
+	for adapter, at := range f.ready {
+		if !time.Now().Before(at) {
+			f.held[adapter] = max(f.versions[adapter], 1)
+			delete(f.ready, adapter)
+		}
+	}
+}
+
+// carry does what the order asks for.
+func (f *fakeEngine) carry(o site.Order) site.OrderOutcome {
+	f.settle()
+	_, held := f.held[o.Adapter]
+	switch {
+	case o.Unload && !held, !o.Unload && held && f.held[o.Adapter] >= max(o.Version, f.versions[o.Adapter]):
+		return site.OrderHolds
+	case o.Expected != f.accepted:
+		return site.OrderConflict
+	}
+	if _, coming := f.ready[o.Adapter]; coming {
+		return site.OrderConflict
+	}
+	f.accepted++
+	if o.Unload {
+		delete(f.held, o.Adapter)
+		return site.OrderHolds
+	}
+	f.versions[o.Adapter] = max(o.Version, f.versions[o.Adapter])
+	duration := coldLoad
+	if f.seen[o.Adapter] {
+		duration = warmLoad
+		f.warm++
+	} else {
+		f.cold++
+	}
+	f.seen[o.Adapter] = true
+	f.ready[o.Adapter] = time.Now().Add(duration)
+	if len(f.held)-1+len(f.ready) > f.slots {
+		f.crashed = true
+	}
+	return site.OrderAccepted
+}
+
+// A fakeSite has engines, a view and a tenure.
+type fakeSite struct {
+	mutex   sync.Mutex
+	engines map[site.ServerID]*fakeEngine
+	view    *site.View
+	epoch   uint64
+	held    bool
+	learned map[site.ServerID]site.Residency
+}
+
+var errMute = errors.New("no answer")
+
+func (f *fakeSite) Order(_ context.Context, server *site.Server, o site.Order) (site.OrderOutcome, error) {
+	time.Sleep(time.Millisecond)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	e := f.engines[server.ID]
+	e.orders = append(e.orders, o)
+	if e.mute > 0 {
+		e.mute--
+		e.late = append(e.late, o)
+		return site.OrderUnknown, errMute
+	}
+	return e.carry(o), nil
+}
+
+func (f *fakeSite) Report(_ context.Context, server *site.Server) (site.Report, error) {
+	time.Sleep(time.Millisecond)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	e := f.engines[server.ID]
+	e.settle()
+	model := site.HeldModel{Name: testModel, Version: 1, Adapters: map[string]int{}}
+	for adapter, version := range e.held {
+		if adapter.Name != "" {
+			model.Adapters[adapter.Name] = version
+		}
+	}
+	report := site.Report{Accepted: e.accepted, Coming: map[site.Adapter]int{}}
+	if _, ok := e.held[site.Adapter{Model: testModel}]; ok {
+		report.Models = []site.HeldModel{model}
+	}
+	for adapter := range e.ready {
+		report.Coming[adapter] = max(e.versions[adapter], 1)
+	}
+	return report, nil
+}
+
+func (f *fakeSite) Epoch(string) (uint64, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.epoch, f.held
+}
+
+func (f *fakeSite) View() *site.View {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.view
+}
+
+func (f *fakeSite) Learn(r site.Residency) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.learned[r.Server.ID] = r
+}
+
+// newFakeSite returns a site with one service of engines of the given slots.
+func newFakeSite(engines, slots int) *fakeSite {
+	f := &fakeSite{engines: map[site.ServerID]*fakeEngine{}, epoch: 1, held: true, learned: map[site.ServerID]site.Residency{}}
+	f.view = &site.View{
+		Desired: &site.DesiredState{Version: 1, Services: map[site.ServiceName]*site.Service{
+			"writers": {Name: "writers", Engines: &site.Engines{
+				BatchSize: 8, Megabytes: 1000, AdapterSlots: slots,
+				Models: []site.Model{{Name: testModel, Megabytes: 500, AdapterMegabytes: 1, LoadTime: 2 * time.Second}},
+			}},
+		}},
+		Servers:  map[site.ServerID]*site.Server{},
+		Versions: map[site.Adapter]int{},
+	}
+	for i := range engines {
+		id := site.ServerID(fmt.Sprintf("engine-%d", i))
+		f.engines[id] = newFakeEngine(slots)
+		f.view.Servers[id] = &site.Server{
+			Incarnation: site.Incarnation{ID: id, Born: 1}, Service: "writers", Zone: "zone", State: site.Ready, Slots: 8,
+		}
+	}
+	f.view.Index()
+	return f
+}
+
+func lora(i int) site.Adapter {
+	return site.Adapter{Model: testModel, Name: fmt.Sprintf("a%d", i)}
+}
+
+// with runs a test against an Owner of the site in virtual time.
+func with(t *testing.T, f *fakeSite, test func(c *quicktest.C, o *Owner)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		o := &Owner{Host: "host", Engines: f, Tenure: f, Views: f, Learners: f, Log: zerolog.Nop()}
+		done := make(chan error, 1)
+		go func() { done <- o.Run(context.Background()) }()
+		time.Sleep(2 * tick)
+		test(c, o)
+		c.Assert(o.Close(), quicktest.IsNil)
+		c.Assert(<-done, quicktest.IsNil)
+	})
+}
+
+// place asks for an adapter on an engine.
+func place(o *Owner, f *fakeSite, id site.ServerID, adapter site.Adapter, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return o.Place(ctx, site.PlaceRequest{Server: f.View().Servers[id].Incarnation, Adapter: adapter, Patience: patience}, false)
+}
--- a/coordination/adapter/owner.go
+++ b/coordination/adapter/owner.go
@@ -87,8 +87,19 @@
 	request site.PlaceRequest
 	missing bool
 	ends    time.Time
-	arrived time.Time
-	reply   chan error
+	// gone is closed when nobody waits any more.
+	gone  <-chan struct{}
+	reply chan error
+}
+
+// dead says whether nobody waits for the answer.
+func (d *demand) dead(now time.Time) bool {
+	select {
+	case <-d.gone:
+		return true
+	default:
+		return !now.Before(d.ends)
+	}
 }
 
 // uses report that adapters were used.
@@ -126,7 +137,7 @@
 func (o *Owner) Place(ctx context.Context, request site.PlaceRequest, missing bool) error {
 	o.prepare()
 	now := time.Now()
-	d := &demand{request: request, missing: missing, arrived: now, ends: now.Add(request.Patience), reply: make(chan error, 1)}
+	d := &demand{request: request, missing: missing, ends: now.Add(request.Patience), gone: ctx.Done(), reply: make(chan error, 1)}
 	if !o.messages.Offer(d) {
 		return verdict.Refuse(verdict.CodeOverloaded, "too many demands for adapters wait")
 	}
@@ -165,6 +176,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			o.refuseRest()
 			return ctx.Err()
 		case m := <-o.messages.Messages():
 			m.handle(ctx, o)
@@ -181,6 +193,24 @@
 	}
 }
 
+// refuseRest refuses the demands that wait when the duty ends.
+func (o *Owner) refuseRest() {
+	stopped := verdict.Refuse(verdict.CodeStopping, "the owner of the engines stops")
+	for _, e := range o.engines {
+		e.refuseAll(stopped)
+	}
+	for {
+		select {
+		case m := <-o.messages.Messages():
+			if d, ok := m.(*demand); ok {
+				d.reply <- stopped
+			}
+		default:
+			return
+		}
+	}
+}
+
 // refresh follows the view and the tenure: engines come, restart and go.
 func (o *Owner) refresh() {
 	view := o.Views.View()
--- /dev/null
+++ b/coordination/adapter/owner_test.go
@@ -0,0 +1,81 @@
+package adapter
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+// TestLoadIsShared guards against one load for each of several requests that
+// wait for one adapter.
+func TestLoadIsShared(t *testing.T) {
+	f := newFakeSite(1, 4)
+	with(t, f, func(c *quicktest.C, o *Owner) {
+		var group sync.WaitGroup
+		for range 10 {
+			group.Go(func() { c.Check(place(o, f, "engine-0", lora(1), time.Second), quicktest.IsNil) })
+		}
+		group.Wait()
+		c.Assert(f.engines["engine-0"].cold, quicktest.Equals, 1)
+	})
+}
+
+// TestRoomIsKept guards against an engine that is ordered to load more adapters
+// than fit, which crashes it.
+func TestRoomIsKept(t *testing.T) {
+	f := newFakeSite(1, 4)
+	with(t, f, func(c *quicktest.C, o *Owner) {
+		for i := range 12 {
+			c.Assert(place(o, f, "engine-0", lora(i), 5*time.Second), quicktest.IsNil)
+			c.Assert(f.engines["engine-0"].crashed, quicktest.IsFalse)
+		}
+	})
+}
+
+// TestDepartedDemandIsNotLoaded guards against loads for requests that have
+// left, which delay the loads that somebody waits for.
+func TestDepartedDemandIsNotLoaded(t *testing.T) {
+	f := newFakeSite(1, 40)
+	with(t, f, func(c *quicktest.C, o *Owner) {
+		// The patience is that of the route; the caller leaves much earlier.
+		for i := range 30 {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+				defer cancel()
+				server := f.View().Servers["engine-0"].Incarnation
+				_ = o.Place(ctx, site.PlaceRequest{Server: server, Adapter: lora(i), Patience: 20 * time.Second}, false)
+			}()
+		}
+		time.Sleep(150 * time.Millisecond)
+		c.Assert(place(o, f, "engine-0", lora(100), time.Second), quicktest.IsNil)
+		c.Assert(f.engines["engine-0"].cold < 15, quicktest.IsTrue, quicktest.Commentf("%d loads", f.engines["engine-0"].cold))
+	})
+}
+
+// TestWarmLoadDoesNotWaitForTheStore guards against loads from an engine's own
+// memory that wait until the weight store has room.
+func TestWarmLoadDoesNotWaitForTheStore(t *testing.T) {
+	f := newFakeSite(3, 12)
+	with(t, f, func(c *quicktest.C, o *Owner) {
+		c.Assert(place(o, f, "engine-0", lora(0), time.Second), quicktest.IsNil)
+		time.Sleep(2 * idleBeforeEviction)
+		for i := range 12 {
+			c.Assert(place(o, f, "engine-0", lora(1+i), 5*time.Second), quicktest.IsNil)
+		}
+		for id := range f.engines {
+			for i := range 30 {
+				go func() { _ = place(o, f, id, lora(100+i), 10*time.Second) }()
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		c.Assert(place(o, f, "engine-0", lora(0), 5*time.Second), quicktest.IsNil)
+		c.Assert(time.Since(began) < 2*coldLoad+idleBeforeEviction, quicktest.IsTrue, quicktest.Commentf("%s", time.Since(began)))
+		c.Assert(f.engines["engine-0"].warm, quicktest.Equals, 1)
+	})
+}
