adapter: give an order without an answer again at once

Once any later order is accepted, the first one is refused by the engine, so that no slot stays in doubt. A report that is older than the last accepted order is left out.

--- a/coordination/adapter/advance.go
+++ b/coordination/adapter/advance.go
@@ -37,9 +37,12 @@
 	return wait
 }
 
-// next decides on the next order: a look at a load that should be complete, a
+// next decides on the next order: one that got no answer, a look at a load that should be complete, a
 // base model that is missing, a newer version, or what demands ask for.
 func (o *Owner) next(e *engine, now time.Time) (site.Order, bool) {
+	if e.again != nil {
+		return *e.again, true
+	}
 	for adapter, l := range e.loads {
 		if !now.Before(l.due) {
 			return site.Order{Adapter: adapter, Version: l.version}, true
@@ -202,13 +205,18 @@
 func (e *engine) unloaded(r *ordered, now time.Time) {
 	switch r.outcome {
 	case site.OrderHolds:
-		e.accepted++
+		// An engine that did not hold the adapter has accepted nothing; the next
+		// order is then refused and the number read anew.
+		e.accept()
 		e.recent[r.order.Adapter] = true
 	case site.OrderAccepted:
 		// The unload waits for its runs; the report tells when it is done.
-		e.accepted++
+		e.accept()
 		e.read, e.notBefore = false, now.Add(refusedPause)
+	case site.OrderUnknown:
+		e.again = &r.order
 	default:
+		e.again = nil
 		e.read, e.notBefore = false, now.Add(refusedPause)
 	}
 }
@@ -219,14 +227,14 @@
 	switch r.outcome {
 	case site.OrderHolds:
 		delete(e.loads, adapter)
-		delete(e.doubts, adapter)
+		e.again = nil
 		e.held[adapter] = max(r.order.Version, e.held[adapter], 1)
 		e.recent[adapter] = true
 		e.used[adapter] = now
 		e.serve()
 	case site.OrderAccepted:
 		if l == nil {
-			e.accepted++
+			e.accept()
 			l = &load{version: r.order.Version, warm: e.recent[adapter], began: now}
 			e.loads[adapter] = l
 			l.due = now.Add(coldLoad)
@@ -243,10 +251,14 @@
 			l.due = now.Add(modelPoll)
 		}
 	case site.OrderUnknown:
-		e.doubts[adapter] = now.Add(doubtTime)
-		delete(e.loads, adapter)
-		e.read, e.notBefore = false, now.Add(reportLag)
+		if l != nil {
+			l.due = now.Add(pollPause)
+			return
+		}
+		e.doubts[adapter] = true
+		e.again = &r.order
 	default:
+		e.again = nil
 		if l != nil && now.Sub(l.began) < loadLimit {
 			l.due = now.Add(pollPause)
 			if adapter.Name == "" {
--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -21,10 +21,11 @@
 	// idleBeforeEviction is how long an adapter stays after its last known use.
 	// Uses of other hosts are known within about a second.
 	idleBeforeEviction = 1500 * time.Millisecond
-	// doubtTime is how long an order without an answer may still be carried out.
-	doubtTime = 13 * time.Second
-	// reportLag is how old the values of a report are at most.
+	// reportLag is how old the values of a report are in most cases.
 	reportLag = 500 * time.Millisecond
+	// staleLimit is the time after which a report with fewer orders than were
+	// accepted is believed: the engine has restarted.
+	staleLimit = 1500 * time.Millisecond
 	// loadLimit is the time after which the state of a load is read anew.
 	loadLimit = 4 * time.Second
 )
@@ -46,8 +47,14 @@
 	// load again from its own memory.
 	recent map[site.Adapter]bool
 	used   map[site.Adapter]time.Time
-	// doubts are loads without an answer, which may still take a slot, until the time.
-	doubts map[site.Adapter]time.Time
+	// doubts are loads without an answer. They may be carried out, and take a
+	// slot, until the engine has accepted another order.
+	doubts map[site.Adapter]bool
+	// again is an order without an answer. Giving it again either gets an answer
+	// or makes the engine refuse the first one, should that be carried out later.
+	again *site.Order
+	// stale is when the first report came that was older than an accepted order.
+	stale  time.Time
 	wanted []*demand
 	// busy says that an order or a report is in flight.
 	busy bool
@@ -75,7 +82,7 @@
 		loads:    make(map[site.Adapter]*load),
 		recent:   make(map[site.Adapter]bool),
 		used:     make(map[site.Adapter]time.Time),
-		doubts:   make(map[site.Adapter]time.Time),
+		doubts:   make(map[site.Adapter]bool),
 		replaced: make(map[site.Adapter]int),
 	}
 }
@@ -85,8 +92,23 @@
 	return site.Residency{Server: e.server.Incarnation, Epoch: e.epoch, Sequence: e.sequence, Adapters: maps.Clone(e.held)}
 }
 
-// takeReport replaces what is believed by what the engine said.
+// takeReport replaces what is believed by what the engine said. A report that is
+// older than the last accepted order is left out.
 func (e *engine) takeReport(report site.Report, now time.Time) {
+	if report.Accepted < e.accepted {
+		if e.stale.IsZero() {
+			e.stale = now
+		}
+		if now.Sub(e.stale) < staleLimit {
+			e.notBefore = now.Add(refusedPause)
+			return
+		}
+	}
+	e.stale = time.Time{}
+	if report.Accepted != e.accepted {
+		clear(e.doubts)
+		e.again = nil
+	}
 	e.accepted = report.Accepted
 	e.read, e.readAt = true, now
 	e.held = make(map[site.Adapter]int)
@@ -154,11 +176,14 @@
 		d.reply <- verdict.Refuse(verdict.CodeDeadline, "adapter %s was not loaded on %s in time", d.request.Adapter.Name, e.server.ID)
 		return true
 	})
-	for adapter, until := range e.doubts {
-		if !now.Before(until) {
-			delete(e.doubts, adapter)
-		}
-	}
+}
+
+// accept counts an accepted order. Orders without an answer from before are void,
+// because they expect an earlier number.
+func (e *engine) accept() {
+	e.accepted++
+	e.again = nil
+	clear(e.doubts)
 }
 
 func (e *engine) refuseAll(err error) {
--- a/coordination/adapter/owner_test.go
+++ b/coordination/adapter/owner_test.go
@@ -79,3 +79,25 @@
 		c.Assert(f.engines["engine-0"].warm, quicktest.Equals, 1)
 	})
 }
+
+// TestUnansweredOrderIsGivenAgain guards against a long wait after an order
+// without an answer, and against the room that a late order takes.
+func TestUnansweredOrderIsGivenAgain(t *testing.T) {
+	f := newFakeSite(1, 1)
+	with(t, f, func(c *quicktest.C, o *Owner) {
+		e := f.engines["engine-0"]
+		for i := range 12 {
+			e.mute = 2
+			began := time.Now()
+			c.Assert(place(o, f, "engine-0", lora(i), 10*time.Second), quicktest.IsNil)
+			c.Assert(time.Since(began) < 2*idleBeforeEviction+2*coldLoad, quicktest.IsTrue, quicktest.Commentf("%s", time.Since(began)))
+			f.mutex.Lock()
+			for _, late := range e.late {
+				e.carry(late)
+			}
+			e.late = nil
+			f.mutex.Unlock()
+			c.Assert(e.crashed, quicktest.IsFalse)
+		}
+	})
+}
