adapter: let prompts in by turns at the owner of the engine

An event of six tokens takes six steps, and each step may read 2,048 tokens of other prompts. Ruled out: late passing on by the host. Change: each request for an engine asks the owner of the engine for its turn; 6,400 prompt tokens are let in within any 220 ms. Without the owner's word for 400 ms a request for a loaded adapter goes on.

--- a/coordination/adapter/advance.go
+++ b/coordination/adapter/advance.go
@@ -12,25 +12,27 @@
 func (o *Owner) advance(ctx context.Context, e *engine) time.Duration {
 	now := time.Now()
 	e.expire(now)
+	e.serve(now)
+	turn := e.nextTurn(now)
 	if e.busy || o.stopping.Load() {
-		return tick
+		return turn
 	}
 	if now.Before(e.notBefore) {
-		return e.notBefore.Sub(now)
+		return min(e.notBefore.Sub(now), turn)
 	}
 	epoch, held := o.Tenure.Epoch(e.server.Zone)
 	if !held || epoch != e.epoch {
-		return tick
+		return turn
 	}
 	if !e.read {
 		o.report(ctx, e)
-		return tick
+		return turn
 	}
 	if order, ok := o.next(e, now); ok {
 		o.order(ctx, e, order)
-		return tick
+		return turn
 	}
-	wait := tick
+	wait := turn
 	for _, l := range e.loads {
 		wait = min(wait, l.due.Sub(now))
 	}
@@ -231,7 +233,7 @@
 		e.held[adapter] = max(r.order.Version, e.held[adapter], 1)
 		e.recent[adapter] = true
 		e.used[adapter] = now
-		e.serve()
+		e.serve(now)
 	case site.OrderAccepted:
 		if l == nil {
 			e.accept()
--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -56,6 +56,8 @@
 	// stale is when the first report came that was older than an accepted order.
 	stale  time.Time
 	wanted []*demand
+	// turns are the prompts that were let in within the window.
+	turns []turn
 	// busy says that an order or a report is in flight.
 	busy bool
 	// notBefore is when the next order may be given after a refused one.
@@ -130,7 +132,7 @@
 			e.loads[adapter] = &load{version: version, began: now, due: now.Add(coldLoad)}
 		}
 	}
-	e.serve()
+	e.serve(now)
 }
 
 // demand answers at once if the adapter is loaded, and queues otherwise.
@@ -142,12 +144,9 @@
 		}
 	}
 	e.used[d.request.Adapter] = now
-	if e.read && e.has(d.request) {
-		d.reply <- nil
-		return
-	}
 	e.wanted = append(e.wanted, d)
 	slices.SortStableFunc(e.wanted, func(a, b *demand) int { return a.request.Priority - b.request.Priority })
+	e.serve(now)
 }
 
 // has says whether the adapter is loaded in a version that will do.
@@ -156,12 +155,22 @@
 	return ok && version >= r.Version && e.loads[r.Adapter] == nil
 }
 
-// serve answers the demands whose adapters are loaded.
-func (e *engine) serve() {
+// serve answers the demands whose adapters are loaded, in order, while the
+// engine has room to read their prompts.
+func (e *engine) serve(now time.Time) {
+	if !e.read {
+		return
+	}
+	full := false
 	e.wanted = slices.DeleteFunc(e.wanted, func(d *demand) bool {
-		if !e.has(d.request) {
+		if full || d.dead(now) || !e.has(d.request) {
+			return false
+		}
+		if !e.turn(d.request.Tokens, now) {
+			full = true
 			return false
 		}
+		e.used[d.request.Adapter] = now
 		d.reply <- nil
 		return true
 	})
--- /dev/null
+++ b/coordination/adapter/turn.go
@@ -0,0 +1,52 @@
+package adapter
+
+import "time"
+
+const (
+	// turnWindow is the span in which prompts are counted. It is shorter than the
+	// shortest pause between events that callers accept, 250 ms.
+	turnWindow = 220 * time.Millisecond
+	// turnTokens is the number of prompt tokens that may be let in within the
+	// window. Engines read about 38 in a millisecond, between the tokens that they
+	// produce for other requests.
+	turnTokens = 6400
+)
+
+// A turn is a prompt that was let in.
+type turn struct {
+	at     time.Time
+	tokens int
+}
+
+// turn lets a prompt in if the engine can read it without stopping the streams
+// that run there for too long. A prompt that is longer than the whole window is
+// let in alone.
+func (e *engine) turn(tokens int, now time.Time) bool {
+	e.forgetTurns(now)
+	sum := 0
+	for _, t := range e.turns {
+		sum += t.tokens
+	}
+	if sum > 0 && sum+tokens > turnTokens {
+		return false
+	}
+	e.turns = append(e.turns, turn{at: now, tokens: tokens})
+	return true
+}
+
+func (e *engine) forgetTurns(now time.Time) {
+	first := 0
+	for first < len(e.turns) && now.Sub(e.turns[first].at) >= turnWindow {
+		first++
+	}
+	e.turns = e.turns[first:]
+}
+
+// nextTurn returns the time until the window has more room, if demands wait.
+func (e *engine) nextTurn(now time.Time) time.Duration {
+	e.forgetTurns(now)
+	if len(e.wanted) == 0 || len(e.turns) == 0 {
+		return tick
+	}
+	return min(tick, e.turns[0].at.Add(turnWindow).Sub(now))
+}
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -56,6 +56,8 @@
 	againPause = 40 * time.Millisecond
 	// endMargin is how long before its time is up a request is given its final answer.
 	endMargin = 30 * time.Millisecond
+	// turnLimit is how long a request for a loaded adapter waits for its turn.
+	turnLimit = 400 * time.Millisecond
 	// leastSend is the least time left with which a send is worth while.
 	leastSend = 40 * time.Millisecond
 )
@@ -206,23 +208,35 @@
 		return failure
 	}
 	defer f.Balancer.Done(pick.Server)
-	if !pick.Loaded {
-		if failure := f.place(ctx, a, pick.Server, want); failure != nil {
+	if want.Adapter.Model != "" {
+		if failure := f.place(ctx, a, pick, want); failure != nil {
 			return failure
 		}
 	}
 	return f.send(ctx, a, pick.Server, want)
 }
 
-func (f *Forwarder) place(ctx context.Context, a *attempt, server *site.Server, want balance.Want) *verdict.Error {
+// place waits for the request's turn at an engine. Without a word of the
+// engine's owner, a request for an adapter that is loaded is sent all the same.
+func (f *Forwarder) place(ctx context.Context, a *attempt, pick balance.Pick, want balance.Want) *verdict.Error {
+	server := pick.Server
+	if pick.Loaded {
+		limited, cancel := context.WithTimeout(ctx, turnLimit)
+		defer cancel()
+		ctx = limited
+	}
 	request := site.PlaceRequest{
 		Server:   server.Incarnation,
 		Adapter:  want.Adapter,
 		Version:  want.Version,
 		Priority: a.route.Priority,
+		Tokens:   a.request.Tokens,
 		Patience: time.Until(a.ends),
 	}
 	if err := f.Placer.Place(ctx, server, request, a.missing == server.ID); err != nil {
+		if pick.Loaded {
+			return nil
+		}
 		a.tried = append(a.tried, server.ID)
 		f.Log.Info().Str("request", a.request.Attempt).Str("engine", string(server.ID)).Str("adapter", want.Adapter.Name).
 			Int("version", want.Version).Err(err).Msg("adapter was not loaded")
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -107,6 +107,7 @@
 		Priority:            int32(r.Priority),
 		PatienceNanoseconds: int64(r.Patience),
 		Missing:             missing,
+		Tokens:              int32(r.Tokens),
 	}
 }
 
@@ -117,6 +118,7 @@
 		Adapter:  toAdapter(message.GetAdapter()),
 		Version:  int(message.GetAdapter().GetVersion()),
 		Priority: int(message.GetPriority()),
+		Tokens:   int(message.GetTokens()),
 		Patience: time.Duration(message.GetPatienceNanoseconds()),
 	}
 }
--- a/state/site/follow.go
+++ b/state/site/follow.go
@@ -43,7 +43,8 @@
 	Residencies []Residency
 }
 
-// A PlaceRequest asks the owner of an engine to have an adapter loaded there.
+// A PlaceRequest asks the owner of an engine for a turn there: to have the
+// adapter loaded and to read the prompt.
 type PlaceRequest struct {
 	Server  Incarnation
 	Adapter Adapter
@@ -51,6 +52,8 @@
 	Version int
 	// Priority is that of the waiting request; 0 is the most urgent.
 	Priority int
+	// Tokens is the length of the prompt.
+	Tokens int
 	// Patience is how long the request can wait.
 	Patience time.Duration
 }
