Keep zones over outages of the store; load only where an owner gives orders

Change: leases of 12 s; a restarted host takes its own lease at once and needs no pause before its first order; owners tell in which zones they give orders, misses go to engines there, and a request whose owner falls silent goes on; a pause stands between two tries without a send.

--- a/coordination/adapter/turn.go
+++ b/coordination/adapter/turn.go
@@ -9,7 +9,7 @@
 	// turnTokens is the number of prompt tokens that may be let in within the
 	// window. Engines read about 38 in a millisecond, between the tokens that they
 	// produce for other requests.
-	turnTokens = 6400
+	turnTokens = 5500
 )
 
 // A turn is a prompt that was let in.
--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -70,6 +70,8 @@
 	Zone    string
 	Regions map[string]string
 	Views   Views
+	// Ordered says whether somebody gives orders to the engines of a zone now.
+	Ordered func(zone string) bool
 
 	mutex    sync.Mutex
 	stations map[site.ServerID]*station
@@ -119,7 +121,10 @@
 	}
 	chosen := cheapest(candidates, func(candidate) bool { return true })
 	if w.Adapter.Model != "" {
-		chosen = chooseEngine(candidates, w.Adapter)
+		chosen = b.chooseEngine(candidates, w.Adapter)
+	}
+	if chosen.station == nil {
+		return Pick{}, verdict.Refuse(verdict.CodeNotOwner, "adapter %s is not loaded and no engine to try has an owner", w.Adapter.Name)
 	}
 	chosen.station.sent++
 	if w.Adapter.Model != "" {
@@ -227,27 +232,35 @@
 
 // chooseEngine prefers an engine that holds the adapter. All hosts agree on the
 // home of an adapter that is not loaded, so that it is loaded once.
-func chooseEngine(candidates []candidate, adapter site.Adapter) candidate {
+func (b *Balancer) chooseEngine(candidates []candidate, adapter site.Adapter) candidate {
 	resident := cheapest(candidates, func(c candidate) bool { return c.loaded })
 	if resident.station != nil && resident.load < spillLoad {
 		return resident
 	}
-	home := home(candidates, adapter)
+	home := b.home(candidates, adapter)
 	if resident.station == nil {
 		return home
 	}
-	if home.load+spillGain < resident.load {
+	if home.station != nil && home.load+spillGain < resident.load {
 		return home
 	}
 	return resident
 }
 
 // home returns the first engine without the adapter in rendezvous order that
-// has room, or the first of all.
-func home(candidates []candidate, adapter site.Adapter) candidate {
+// has room and an owner, or the first of all that have an owner. Its station is
+// nil if there is none.
+func (b *Balancer) home(candidates []candidate, adapter site.Adapter) candidate {
 	var best, first candidate
 	var bestScore, firstScore uint64
+	ordered := make(map[string]bool)
 	for _, c := range candidates {
+		if _, known := ordered[c.server.Zone]; !known {
+			ordered[c.server.Zone] = b.Ordered(c.server.Zone)
+		}
+		if !ordered[c.server.Zone] {
+			continue
+		}
 		score := xxhash.Sum64String(adapter.Name + "\x00" + adapter.Model + "\x00" + string(c.server.ID))
 		if first.station == nil || score > firstScore {
 			first, firstScore = c, score
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -147,6 +147,7 @@
 func (f *Forwarder) run(ctx context.Context, a *attempt) error {
 	f.Repeats.First(string(a.service))
 	for {
+		sends := a.sends
 		failure := f.try(ctx, a)
 		if failure == nil {
 			return nil
@@ -157,10 +158,10 @@
 		if ctx.Err() != nil || !f.mayRepeat(a) {
 			return f.final(ctx, a, failure)
 		}
-		if a.sends > 0 && !f.Repeats.Again(string(a.service)) {
+		if a.sends > sends && !f.Repeats.Again(string(a.service)) {
 			return f.final(ctx, a, failure)
 		}
-		if len(a.tried) == 0 && !duty.Pause(ctx, againPause/2+rand.N(againPause)) {
+		if a.sends == sends && !duty.Pause(ctx, againPause/2+rand.N(againPause)) {
 			return f.final(ctx, a, failure)
 		}
 	}
--- a/coordination/lease/keeper.go
+++ b/coordination/lease/keeper.go
@@ -63,6 +63,9 @@
 	// a host.
 	Host  fleet.HostName
 	Start fleet.StartNumber
+	// Exclusive says that no earlier process of Host can still run, because this
+	// one holds its sockets. Leases of an earlier process are then taken at once.
+	Exclusive bool
 	// Table keeps the records.
 	Table Table
 	// Duration is the length of a lease, counted from before the write was
@@ -331,6 +334,9 @@
 	if l.record.Holder == "" {
 		return l.seen.Add(delay)
 	}
+	if k.Exclusive && l.record.Holder == k.Host {
+		return l.seen
+	}
 	duration := max(k.Duration, time.Duration(l.record.Duration)*time.Millisecond)
 	return l.seen.Add(duration + k.Margin + delay)
 }
--- a/coordination/lease/keeper_test.go
+++ b/coordination/lease/keeper_test.go
@@ -318,3 +318,33 @@
 		c.Assert(valid(a, "e"), quicktest.IsFalse)
 	})
 }
+
+// TestRestartedHostTakesItsLeaseAtOnce guards against a wait for the lease of a
+// process that has ended: a restarted host that holds the same sockets knows it.
+func TestRestartedHostTakesItsLeaseAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		p := platform.NewTable(1)
+		first := startHost(p, "host", 1)
+		first.Want("e", 0)
+		advance(time.Second)
+		c.Assert(valid(first, "e"), quicktest.IsTrue)
+		epoch, _ := first.Valid("e")
+		first.table.dead.Store(true)
+
+		second := &testHost{table: &hostTable{Table: p}}
+		second.Keeper = &Keeper{Host: "host", Start: 2, Exclusive: true, Table: second.table, Events: ring.New[Event](10)}
+		go second.Run(context.Background())
+		second.Want("e", 2)
+		other := startHost(p, "other", 1)
+		other.Want("e", 0)
+		advance(time.Second)
+		c.Assert(valid(second, "e"), quicktest.IsTrue)
+		next, _ := second.Valid("e")
+		c.Assert(next, quicktest.Equals, epoch+1)
+		c.Assert(valid(other, "e"), quicktest.IsFalse)
+		first.Close()
+		second.Close()
+		other.Close()
+	})
+}
--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,7 +60,14 @@
 	results   chan result
 	links     map[string]*link
 	// alive has the owners that answered, by host; it is replaced, not modified.
-	alive atomic.Pointer[map[string]time.Time]
+	alive atomic.Pointer[map[string]answered]
+}
+
+// answered is the last answer of an owner.
+type answered struct {
+	heard time.Time
+	// ordering has the zones in which the owner gives orders.
+	ordering []string
 }
 
 // A link is what the duty knows of one owner.
@@ -71,6 +79,8 @@
 	heard   time.Time
 	leaving bool
 	lost    bool
+	// ordering has the zones in which the owner gives orders.
+	ordering []string
 }
 
 type result struct {
@@ -85,7 +95,7 @@
 		f.started = time.Now()
 		f.results = make(chan result, 64)
 		f.links = make(map[string]*link)
-		f.alive.Store(&map[string]time.Time{})
+		f.alive.Store(&map[string]answered{})
 	})
 }
 
@@ -103,8 +113,15 @@
 // Alive says whether the host answered lately and does not stop.
 func (f *Follower) Alive(host string) bool {
 	f.prepare()
-	at, ok := (*f.alive.Load())[host]
-	return ok && time.Since(at) < silenceLimit
+	a, ok := (*f.alive.Load())[host]
+	return ok && time.Since(a.heard) < silenceLimit
+}
+
+// Orders says whether the host said lately that it gives orders in the zone.
+func (f *Follower) Orders(host, zone string) bool {
+	f.prepare()
+	a, ok := (*f.alive.Load())[host]
+	return ok && time.Since(a.heard) < silenceLimit && slices.Contains(a.ordering, zone)
 }
 
 func (f *Follower) loop(ctx context.Context) error {
@@ -196,7 +213,7 @@
 	if l.lost {
 		f.Log.Info().Str("owner", r.host).Msg("owner regained")
 	}
-	l.heard, l.leaving, l.lost = now, r.reply.Leaving, false
+	l.heard, l.leaving, l.lost, l.ordering = now, r.reply.Leaving, false, r.reply.Ordering
 	f.publish()
 	f.Watcher.Contact(r.reply.Age)
 	for _, changes := range r.reply.Changes {
@@ -208,10 +225,10 @@
 }
 
 func (f *Follower) publish() {
-	alive := make(map[string]time.Time, len(f.links))
+	alive := make(map[string]answered, len(f.links))
 	for name, l := range f.links {
 		if !l.leaving && !l.lost {
-			alive[name] = l.heard
+			alive[name] = answered{heard: l.heard, ordering: l.ordering}
 		}
 	}
 	f.alive.Store(&alive)
--- a/coordination/zone/tenant.go
+++ b/coordination/zone/tenant.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -195,7 +194,7 @@
 		before, ok := (*t.held.Load())[zone]
 		if !ok || before.epoch != uint64(epoch) {
 			before = tenure{epoch: uint64(epoch), from: now}
-			if epoch > 1 {
+			if t.strange(zone) {
 				before.from = now.Add(t.Quarantine)
 			}
 			t.Log.Info().Str("zone", zone).Uint64("epoch", uint64(epoch)).Msg("zone taken over")
@@ -217,6 +216,12 @@
 	}
 }
 
+// strange says whether another host was the last known owner of the zone.
+func (t *Tenant) strange(zone string) bool {
+	owner := t.Views.View().Owners[zone]
+	return owner != nil && owner.Name != t.Host.Name
+}
+
 // consider wants a zone's lease if its owner does not answer, and gives the wish
 // up if another owner does.
 func (t *Tenant) consider(view *site.View, zone string, held map[string]tenure, patience time.Duration, now time.Time) {
@@ -274,12 +279,14 @@
 	})
 }
 
-// Zones returns the zones that this host owns.
-func (t *Tenant) Zones() map[string]uint64 {
+// Ordering returns the zones in which this host may give orders now.
+func (t *Tenant) Ordering() []string {
 	t.prepare()
-	zones := make(map[string]uint64)
-	for zone, held := range maps.All(*t.held.Load()) {
-		zones[zone] = held.epoch
+	var zones []string
+	for zone := range *t.held.Load() {
+		if _, ok := t.Epoch(zone); ok {
+			zones = append(zones, zone)
+		}
 	}
 	return zones
 }
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -10,6 +10,7 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/adapter"
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
+	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
 	"github.com/persimmonmux/persimmonmux/coordination/lease"
 	"github.com/persimmonmux/persimmonmux/coordination/retry"
@@ -25,10 +26,11 @@
 )
 
 const (
-	// leaseDuration is how long the lease of a zone lasts after a renewal. It is
-	// short, because nothing is loaded in a zone while its owner is missing.
-	leaseDuration = 4 * time.Second
-	leaseRenewal  = 1300 * time.Millisecond
+	// leaseDuration is how long the lease of a zone lasts after a renewal. It
+	// outlasts the usual outages of the store, in which nobody could take it over.
+	// While an owner is missing, the engines of other zones load what is asked for.
+	leaseDuration = 12 * time.Second
+	leaseRenewal  = 2500 * time.Millisecond
 	leaseMargin   = 500 * time.Millisecond
 	// storeTimeout bounds one read or write of a lease.
 	storeTimeout = 1300 * time.Millisecond
@@ -111,20 +113,21 @@
 		h.newFollower,
 		func(s *platform.Store) *lease.Keeper {
 			return &lease.Keeper{
-				Host:     fleet.HostName(h.Settings.HostName),
-				Start:    fleet.StartNumber(h.Start),
-				Table:    s,
-				Duration: leaseDuration,
-				Renewal:  leaseRenewal,
-				Margin:   leaseMargin,
-				Timeout:  storeTimeout,
-				Logger:   h.Log,
+				Host:      fleet.HostName(h.Settings.HostName),
+				Start:     fleet.StartNumber(h.Start),
+				Exclusive: true,
+				Table:     s,
+				Duration:  leaseDuration,
+				Renewal:   leaseRenewal,
+				Margin:    leaseMargin,
+				Timeout:   storeTimeout,
+				Logger:    h.Log,
 			}
 		},
-		func(w *watch.Watcher) *balance.Balancer {
-			return &balance.Balancer{Zone: h.Settings.FailureDomain, Regions: h.Settings.Regions, Views: w}
+		func(w *watch.Watcher, a *aliveness) *balance.Balancer {
+			return &balance.Balancer{Zone: h.Settings.FailureDomain, Regions: h.Settings.Regions, Views: w, Ordered: a.ordered}
 		},
-		func() *aliveness { return &aliveness{} },
+		func(w *watch.Watcher) *aliveness { return &aliveness{self: h.Settings.HostName, watcher: w} },
 		h.newTenant,
 		func(e *platform.Engines, t *zone.Tenant, w *watch.Watcher, b *balance.Balancer) *adapter.Owner {
 			return &adapter.Owner{Host: h.Settings.HostName, Engines: e, Tenure: t, Views: w, Learners: b, Log: h.Log}
@@ -138,8 +141,8 @@
 			}
 		},
 		func() *backend.Pool { return &backend.Pool{} },
-		func(w *watch.Watcher, b *balance.Balancer, o *adapter.Owner, c *peer.Client, r *retry.Window) *forward.Forwarder {
-			placer := &placer{self: h.Settings.HostName, watcher: w, owner: o, client: c}
+		func(w *watch.Watcher, b *balance.Balancer, o *adapter.Owner, c *peer.Client, r *retry.Window, a *aliveness) *forward.Forwarder {
+			placer := &placer{self: h.Settings.HostName, watcher: w, owner: o, client: c, owners: a}
 			return &forward.Forwarder{Views: w, Balancer: b, Placer: placer, Repeats: r, Log: h.Log}
 		},
 		h.newPeerServer,
@@ -170,10 +173,27 @@
 	return a.follower
 }
 
-// aliveness breaks the cycle between the tenant, which needs to know the living
-// owners, and the follower, which finds them.
+// aliveness breaks the cycles between those who need to know the living owners
+// and the follower, which finds them.
 type aliveness struct {
+	self     string
+	watcher  *watch.Watcher
 	follower *watch.Follower
+	tenant   *zone.Tenant
+}
+
+// ordered says whether somebody gives orders to the engines of the zone.
+func (a *aliveness) ordered(name string) bool {
+	host := a.watcher.View().Owners[name]
+	switch {
+	case host == nil || a.follower == nil || a.tenant == nil:
+		return false
+	case host.Name == a.self:
+		_, ok := a.tenant.Epoch(name)
+		return ok
+	default:
+		return a.follower.Orders(host.Name, name)
+	}
 }
 
 // Alive says whether the owner answers.
@@ -182,7 +202,7 @@
 }
 
 func (h *Host) newTenant(s *platform.Store, k *lease.Keeper, w *watch.Watcher, a *aliveness) *zone.Tenant {
-	return &zone.Tenant{
+	a.tenant = &zone.Tenant{
 		Host: site.Host{
 			Name:    h.Settings.HostName,
 			Start:   h.Start,
@@ -197,6 +217,7 @@
 		Quarantine: h.Settings.OrderPause,
 		Log:        h.Log,
 	}
+	return a.tenant
 }
 
 func (h *Host) newPeerServer(w *watch.Watcher, o *adapter.Owner, t *zone.Tenant) (*peer.Server, error) {
@@ -242,6 +263,7 @@
 		Changes:     s.watcher.Since(request.Positions),
 		Age:         s.watcher.Age(),
 		Leaving:     s.tenant.Leaving(),
+		Ordering:    s.tenant.Ordering(),
 		Residencies: s.owner.Residencies(request.Known),
 	}
 }
@@ -257,8 +279,12 @@
 	watcher *watch.Watcher
 	owner   *adapter.Owner
 	client  *peer.Client
+	owners  *aliveness
 }
 
+// ownerCheck is how often a waiting request looks whether its owner still answers.
+const ownerCheck = 300 * time.Millisecond
+
 // Place waits until the adapter is loaded on the server.
 func (p *placer) Place(ctx context.Context, server *site.Server, request site.PlaceRequest, missing bool) error {
 	host := p.watcher.View().Owners[server.Zone]
@@ -267,7 +293,17 @@
 		return verdict.Refuse(verdict.CodeNotOwner, "the engines of zone %s have no owner", server.Zone)
 	case host.Name == p.self:
 		return p.owner.Place(ctx, request, missing)
-	default:
-		return p.client.Place(ctx, host.Address, request, missing)
 	}
+	// A frozen owner keeps its connections, so that only its silence shows it.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	check := time.AfterFunc(ownerCheck, func() {
+		for duty.Pause(ctx, ownerCheck) {
+			if !p.owners.ordered(server.Zone) {
+				cancel()
+			}
+		}
+	})
+	defer check.Stop()
+	return p.client.Place(ctx, host.Address, request, missing)
 }
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -50,7 +50,7 @@
 
 // FromFollowReply encodes news.
 func FromFollowReply(r site.FollowReply) *FollowReply {
-	message := &FollowReply{AgeNanoseconds: int64(r.Age), Leaving: r.Leaving}
+	message := &FollowReply{AgeNanoseconds: int64(r.Age), Leaving: r.Leaving, Ordering: r.Ordering}
 	for _, changes := range r.Changes {
 		encoded := &Changes{Table: string(changes.Table), Whole: changes.Whole, Upto: uint64(changes.Upto)}
 		for _, row := range changes.Rows {
@@ -70,7 +70,7 @@
 
 // ToFollowReply decodes news.
 func ToFollowReply(message *FollowReply) site.FollowReply {
-	r := site.FollowReply{Age: time.Duration(message.GetAgeNanoseconds()), Leaving: message.GetLeaving()}
+	r := site.FollowReply{Age: time.Duration(message.GetAgeNanoseconds()), Leaving: message.GetLeaving(), Ordering: message.GetOrdering()}
 	for _, encoded := range message.GetChanges() {
 		changes := site.Changes{Table: site.Table(encoded.GetTable()), Whole: encoded.GetWhole(), Upto: site.Position(encoded.GetUpto())}
 		for _, row := range encoded.GetRows() {
--- a/state/site/follow.go
+++ b/state/site/follow.go
@@ -39,6 +39,8 @@
 	Age time.Duration
 	// Leaving says that the answering host stops and gives its leases up.
 	Leaving bool
+	// Ordering has the zones in which the answering host gives orders now.
+	Ordering []string
 	// Residencies are those that changed since the asking host's sequences.
 	Residencies []Residency
 }
