adapter: owners count what runs and hold requests while an engine is full

No host knows the load of an engine that 90 hosts use. Change: hosts tell owners their requests in flight with each question, owners tell all hosts what runs; a full engine refuses at once, so that another one is tried, and the second try waits in order of priority. An adapter that is used often from another region, or on a busy engine, gets a copy near the caller. The number of loads at once follows the store's rate.

--- a/coordination/adapter/advance.go
+++ b/coordination/adapter/advance.go
@@ -89,7 +89,7 @@
 	spent := o.coldLoads() >= o.coldShare(view)
 	for _, d := range e.wanted {
 		adapter := d.request.Adapter
-		if e.loads[adapter] != nil || adapter.Name == "" || spent && !e.recent[adapter] {
+		if e.has(d.request) || e.loads[adapter] != nil || adapter.Name == "" || spent && !e.recent[adapter] {
 			continue
 		}
 		model := engines.Model(adapter.Model)
@@ -119,13 +119,15 @@
 // coldShare is this host's part of the adapters that may come from the weight
 // store at once. One more than the part lets a busy zone use what others leave.
 func (o *Owner) coldShare(view *site.View) int {
-	all := 0
+	all, loads := 0, 0.0
 	for _, server := range view.Servers {
 		if service := view.Service(server.Service); service != nil && service.Engines != nil {
 			all++
+			loads = max(loads, service.Engines.LoadsPerSecond)
 		}
 	}
-	return (transitTotal*len(o.engines)+all-1)/max(all, 1) + 1
+	total := transitUnit * max(int(loads/loadsUnit+0.5), 1)
+	return (total*len(o.engines)+all-1)/max(all, 1) + 1
 }
 
 // report reads the engine's state on a worker.
--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -33,6 +33,7 @@
 // An engine is what the duty knows of one engine. The duty owns it.
 type engine struct {
 	server *site.Server
+	region string
 	epoch  uint64
 	// sequence numbers the changes of held; it begins with a time, so that a
 	// later owner's sequences differ.
@@ -56,6 +57,12 @@
 	// stale is when the first report came that was older than an accepted order.
 	stale  time.Time
 	wanted []*demand
+	// turned has the requests of each host, as it told last and with the turns
+	// since, and heard is when the host was heard of last.
+	turned map[string]int
+	heard  map[string]time.Time
+	// asked counts the uses of adapters by region, for copies.
+	asked map[asking]int
 	// turns are the prompts that were let in within the window.
 	turns []turn
 	// busy says that an order or a report is in flight.
@@ -75,9 +82,10 @@
 	due   time.Time
 }
 
-func newEngine(server *site.Server, epoch uint64) *engine {
+func newEngine(server *site.Server, region string, epoch uint64) *engine {
 	return &engine{
 		server:   server,
+		region:   region,
 		epoch:    epoch,
 		sequence: uint64(time.Now().UnixNano()),
 		held:     make(map[site.Adapter]int),
@@ -86,6 +94,9 @@
 		used:     make(map[site.Adapter]time.Time),
 		doubts:   make(map[site.Adapter]bool),
 		replaced: make(map[site.Adapter]int),
+		turned:   make(map[string]int),
+		heard:    make(map[string]time.Time),
+		asked:    make(map[asking]int),
 	}
 }
 
@@ -137,13 +148,17 @@
 
 // demand answers at once if the adapter is loaded, and queues otherwise.
 func (e *engine) demand(d *demand, now time.Time) {
-	if d.missing && e.read && now.Sub(e.readAt) > reportLag {
+	if d.request.Missing && e.read && now.Sub(e.readAt) > reportLag {
 		// The engine denied what is believed here, so the belief is read anew.
 		if _, ok := e.held[d.request.Adapter]; ok {
 			e.read = false
 		}
 	}
 	e.used[d.request.Adapter] = now
+	if !d.request.Queue && !d.request.Ahead && e.read && e.full() {
+		d.reply <- answer{err: verdict.Refuse(verdict.CodeOverloaded, "engine %s is full", e.server.ID)}
+		return
+	}
 	e.wanted = append(e.wanted, d)
 	slices.SortStableFunc(e.wanted, func(a, b *demand) int { return a.request.Priority - b.request.Priority })
 	e.serve(now)
@@ -166,12 +181,17 @@
 		if full || d.dead(now) || !e.has(d.request) {
 			return false
 		}
-		if !e.turn(d.request.Tokens, now) {
+		if d.request.Ahead {
+			d.reply <- answer{}
+			return true
+		}
+		if e.full() || !e.turn(d.request.Tokens, now) {
 			full = true
 			return false
 		}
 		e.used[d.request.Adapter] = now
-		d.reply <- nil
+		e.turned[d.request.Host]++
+		d.reply <- answer{placement: site.Placement{Copy: e.worthCopy(d.request)}}
 		return true
 	})
 }
@@ -182,7 +202,7 @@
 		if !d.dead(now) {
 			return false
 		}
-		d.reply <- verdict.Refuse(verdict.CodeDeadline, "adapter %s was not loaded on %s in time", d.request.Adapter.Name, e.server.ID)
+		d.reply <- answer{err: verdict.Refuse(verdict.CodeDeadline, "adapter %s was not loaded on %s in time", d.request.Adapter.Name, e.server.ID)}
 		return true
 	})
 }
@@ -197,7 +217,7 @@
 
 func (e *engine) refuseAll(err error) {
 	for _, d := range e.wanted {
-		d.reply <- err
+		d.reply <- answer{err: err}
 	}
 	e.wanted = nil
 }
--- a/coordination/adapter/fake_test.go
+++ b/coordination/adapter/fake_test.go
@@ -151,6 +151,10 @@
 	return f.view
 }
 
+func (f *fakeSite) Busy(map[site.ServerID]int) {}
+
+func (f *fakeSite) InFlight(map[string]bool) []site.InFlight { return nil }
+
 func (f *fakeSite) Learn(r site.Residency) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -189,7 +193,7 @@
 func with(t *testing.T, f *fakeSite, test func(c *quicktest.C, o *Owner)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
-		o := &Owner{Host: "host", Engines: f, Tenure: f, Views: f, Learners: f, Log: zerolog.Nop()}
+		o := &Owner{Host: "host", Engines: f, Tenure: f, Views: f, Local: f, Log: zerolog.Nop()}
 		done := make(chan error, 1)
 		go func() { done <- o.Run(context.Background()) }()
 		time.Sleep(2 * tick)
@@ -203,5 +207,6 @@
 func place(o *Owner, f *fakeSite, id site.ServerID, adapter site.Adapter, patience time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	return o.Place(ctx, site.PlaceRequest{Server: f.View().Servers[id].Incarnation, Adapter: adapter, Patience: patience}, false)
+	_, err := o.Place(ctx, site.PlaceRequest{Server: f.View().Servers[id].Incarnation, Adapter: adapter, Patience: patience, Ahead: true})
+	return err
 }
--- a/coordination/adapter/owner.go
+++ b/coordination/adapter/owner.go
@@ -37,9 +37,12 @@
 	View() *site.View
 }
 
-// Learners are told of every change of a residency.
-type Learners interface {
+// A Local is this host's own knowledge of servers. Other hosts are told, and
+// tell, by way of their questions.
+type Local interface {
 	Learn(residency site.Residency)
+	Busy(running map[site.ServerID]int)
+	InFlight(zones map[string]bool) []site.InFlight
 }
 
 const (
@@ -49,21 +52,25 @@
 	tick = 100 * time.Millisecond
 	// transitPerEngine is the number of adapters that an engine loads at once.
 	transitPerEngine = 4
-	// transitTotal is the number of adapters that all engines may load at once
-	// before every load slows down.
-	transitTotal = 8
+	// transitUnit is the number of adapters that all engines may load at once
+	// before every load slows down, for each loadsUnit of base models that the
+	// weight store allows in a second. The platform does not tell the number.
+	transitUnit = 8
+	loadsUnit   = 4.5
 )
 
 // An Owner is the duty that orders for engines. Its exported fields are set
 // before Run.
 type Owner struct {
 	// Host is the name under which orders are given.
-	Host     string
-	Engines  Engines
-	Tenure   Tenure
-	Views    Views
-	Learners Learners
-	Log      zerolog.Logger
+	Host string
+	// Regions has the region of each zone.
+	Regions map[string]string
+	Engines Engines
+	Tenure  Tenure
+	Views   Views
+	Local   Local
+	Log     zerolog.Logger
 
 	lifecycle duty.Lifecycle
 	once      sync.Once
@@ -72,7 +79,9 @@
 	engines   map[site.ServerID]*engine
 	// residencies is replaced with each change and never modified.
 	residencies atomic.Pointer[map[site.ServerID]site.Residency]
-	stopping    atomic.Bool
+	// running has the requests on each engine; it is replaced, not modified.
+	running  atomic.Pointer[map[site.ServerID]int]
+	stopping atomic.Bool
 	// modelLoads is the number of base models being loaded.
 	modelLoads int
 }
@@ -85,11 +94,16 @@
 // A demand asks for an adapter on an engine.
 type demand struct {
 	request site.PlaceRequest
-	missing bool
 	ends    time.Time
 	// gone is closed when nobody waits any more.
 	gone  <-chan struct{}
-	reply chan error
+	reply chan answer
+}
+
+// An answer is the end of a demand.
+type answer struct {
+	placement site.Placement
+	err       error
 }
 
 // dead says whether nobody waits for the answer.
@@ -102,8 +116,11 @@
 	}
 }
 
-// uses report that adapters were used.
-type uses []site.Use
+// counts are the requests of a host on engines.
+type counts struct {
+	host string
+	list []site.InFlight
+}
 
 func (o *Owner) prepare() {
 	o.once.Do(func() {
@@ -111,6 +128,7 @@
 		o.results = make(chan message, 256)
 		o.engines = make(map[site.ServerID]*engine)
 		o.residencies.Store(&map[site.ServerID]site.Residency{})
+		o.running.Store(&map[site.ServerID]int{})
 	})
 }
 
@@ -131,30 +149,34 @@
 	o.stopping.Store(true)
 }
 
-// Place waits until the adapter is loaded on the engine. Its error is a
-// *verdict.Error with verdict NotRun. missing says that the engine denied having
-// the adapter.
-func (o *Owner) Place(ctx context.Context, request site.PlaceRequest, missing bool) error {
+// Place waits until the adapter is loaded on the engine and the request has its
+// turn there. Its error is a *verdict.Error with verdict NotRun.
+func (o *Owner) Place(ctx context.Context, request site.PlaceRequest) (site.Placement, error) {
 	o.prepare()
 	now := time.Now()
-	d := &demand{request: request, missing: missing, ends: now.Add(request.Patience), gone: ctx.Done(), reply: make(chan error, 1)}
+	d := &demand{request: request, ends: now.Add(request.Patience), gone: ctx.Done(), reply: make(chan answer, 1)}
 	if !o.messages.Offer(d) {
-		return verdict.Refuse(verdict.CodeOverloaded, "too many demands for adapters wait")
+		return site.Placement{}, verdict.Refuse(verdict.CodeOverloaded, "too many demands for adapters wait")
 	}
 	select {
-	case err := <-d.reply:
-		return err
+	case a := <-d.reply:
+		return a.placement, a.err
 	case <-ctx.Done():
-		return &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeDeadline, Message: "adapter " + request.Adapter.Name + " was not loaded in time", Cause: ctx.Err()}
+		return site.Placement{}, &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeDeadline, Message: "adapter " + request.Adapter.Name + " was not loaded in time", Cause: ctx.Err()}
 	}
 }
 
-// Used notes that adapters were used; engines of other owners are ignored.
-func (o *Owner) Used(list []site.Use) {
+// InFlight notes the requests of a host on engines; engines of other owners are
+// ignored. An empty list shows that the host lives.
+func (o *Owner) InFlight(host string, list []site.InFlight) {
 	o.prepare()
-	if len(list) > 0 {
-		o.messages.Offer(uses(list))
-	}
+	o.messages.Offer(counts{host: host, list: list})
+}
+
+// Running returns the requests on each own engine.
+func (o *Owner) Running() map[site.ServerID]int {
+	o.prepare()
+	return *o.running.Load()
 }
 
 // Residencies returns what this host's engines hold, as far as it changed since
@@ -203,7 +225,7 @@
 		select {
 		case m := <-o.messages.Messages():
 			if d, ok := m.(*demand); ok {
-				d.reply <- stopped
+				d.reply <- answer{err: stopped}
 			}
 		default:
 			return
@@ -233,12 +255,35 @@
 			continue
 		}
 		if epoch, held := o.Tenure.Epoch(server.Zone); held && !o.stopping.Load() {
-			o.engines[id] = newEngine(server, epoch)
+			o.engines[id] = newEngine(server, o.Regions[server.Zone], epoch)
 		}
 	}
 	if changed {
 		o.publish(nil)
 	}
+	o.count()
+}
+
+// count takes over this host's own requests and publishes what runs.
+func (o *Owner) count() {
+	zones := make(map[string]bool)
+	for _, e := range o.engines {
+		zones[e.server.Zone] = true
+	}
+	now := time.Now()
+	for _, sent := range o.Local.InFlight(zones) {
+		if e := o.engines[sent.Server]; e != nil {
+			e.turned[o.Host] = sent.Count
+		}
+	}
+	running := make(map[site.ServerID]int, len(o.engines))
+	for id, e := range o.engines {
+		e.heard[o.Host] = now
+		e.forgetHosts(now)
+		running[id] = e.running()
+	}
+	o.running.Store(&running)
+	o.Local.Busy(running)
 }
 
 // publish replaces the residencies, with a new one of the engine if it is given.
@@ -253,7 +298,7 @@
 	if e != nil && o.engines[e.server.ID] == e {
 		residency := e.residency()
 		next[e.server.ID] = residency
-		o.Learners.Learn(residency)
+		o.Local.Learn(residency)
 	}
 	o.residencies.Store(&next)
 }
@@ -265,17 +310,20 @@
 		e = o.engines[d.request.Server.ID]
 	}
 	if e == nil || e.server.Incarnation != d.request.Server || o.stopping.Load() {
-		d.reply <- verdict.Refuse(verdict.CodeNotOwner, "engine %s is not owned by this host", d.request.Server.ID)
+		d.reply <- answer{err: verdict.Refuse(verdict.CodeNotOwner, "engine %s is not owned by this host", d.request.Server.ID)}
 		return
 	}
 	e.demand(d, time.Now())
 }
 
-func (u uses) handle(_ context.Context, o *Owner) {
+func (n counts) handle(_ context.Context, o *Owner) {
 	now := time.Now()
-	for _, use := range u {
-		if e := o.engines[use.Server]; e != nil {
-			e.used[use.Adapter] = now
+	for _, e := range o.engines {
+		e.heard[n.host] = now
+	}
+	for _, sent := range n.list {
+		if e := o.engines[sent.Server]; e != nil {
+			e.turned[n.host] = sent.Count
 		}
 	}
 }
--- a/coordination/adapter/owner_test.go
+++ b/coordination/adapter/owner_test.go
@@ -9,6 +9,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
 // TestLoadIsShared guards against one load for each of several requests that
@@ -48,7 +49,7 @@
 				ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 				defer cancel()
 				server := f.View().Servers["engine-0"].Incarnation
-				_ = o.Place(ctx, site.PlaceRequest{Server: server, Adapter: lora(i), Patience: 20 * time.Second}, false)
+				_, _ = o.Place(ctx, site.PlaceRequest{Server: server, Adapter: lora(i), Patience: 20 * time.Second, Ahead: true})
 			}()
 		}
 		time.Sleep(150 * time.Millisecond)
@@ -101,3 +102,47 @@
 		}
 	})
 }
+
+// TestWaitForTurnGivesNoOrders guards against load orders for adapters that are
+// loaded, while their requests wait for room on the engine.
+func TestWaitForTurnGivesNoOrders(t *testing.T) {
+	f := newFakeSite(1, 4)
+	with(t, f, func(c *quicktest.C, o *Owner) {
+		c.Assert(place(o, f, "engine-0", lora(1), time.Second), quicktest.IsNil)
+		orders := len(f.engines["engine-0"].orders)
+		var group sync.WaitGroup
+		for range 20 {
+			group.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				server := f.View().Servers["engine-0"].Incarnation
+				_, _ = o.Place(ctx, site.PlaceRequest{Server: server, Host: "host", Adapter: lora(1), Tokens: 2000, Patience: time.Second, Queue: true})
+			})
+		}
+		group.Wait()
+		c.Assert(f.engines["engine-0"].orders, quicktest.HasLen, orders)
+	})
+}
+
+// TestFullEngineRefusesAtOnce guards against requests that wait at a full engine
+// while another one has room, and against more requests than the engine runs.
+func TestFullEngineRefusesAtOnce(t *testing.T) {
+	f := newFakeSite(1, 4)
+	with(t, f, func(c *quicktest.C, o *Owner) {
+		server := f.View().Servers["engine-0"]
+		request := site.PlaceRequest{Server: server.Incarnation, Host: "other", Adapter: lora(1), Tokens: 1, Patience: time.Second}
+		for range int(fullLoad * float64(server.Slots)) {
+			_, err := o.Place(context.Background(), request)
+			c.Assert(err, quicktest.IsNil)
+		}
+		_, err := o.Place(context.Background(), request)
+		c.Assert(verdict.From(err).Code, quicktest.Equals, verdict.CodeOverloaded)
+		request.Queue = true
+		_, err = o.Place(context.Background(), request)
+		c.Assert(verdict.From(err).Code, quicktest.Equals, verdict.CodeDeadline)
+		// The host tells that all but one have ended.
+		o.InFlight("other", []site.InFlight{{Server: "engine-0", Count: 1}})
+		_, err = o.Place(context.Background(), request)
+		c.Assert(err, quicktest.IsNil)
+	})
+}
--- a/coordination/adapter/turn.go
+++ b/coordination/adapter/turn.go
@@ -1,6 +1,10 @@
 package adapter
 
-import "time"
+import (
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
 
 const (
 	// turnWindow is the span in which prompts are counted. It is shorter than the
@@ -10,8 +14,24 @@
 	// window. Engines read about 38 in a millisecond, between the tokens that they
 	// produce for other requests.
 	turnTokens = 5500
+	// hostMemory is how long the requests of a host count after its last word.
+	hostMemory = 4 * time.Second
+	// fullLoad is the part of the slots from which requests wait. It is more than
+	// 1, because hosts tell of the ends of their requests half a second late.
+	fullLoad = 1.25
+	// copyUses is the number of uses from one region after which a copy there
+	// costs less than the bytes between the regions.
+	copyUses = 8
+	// copyLoad is the part of the slots from which a copy elsewhere is worth its load.
+	copyLoad = 0.6
 )
 
+// An asking is the use of an adapter from a region.
+type asking struct {
+	adapter site.Adapter
+	region  string
+}
+
 // A turn is a prompt that was let in.
 type turn struct {
 	at     time.Time
@@ -50,3 +70,43 @@
 	}
 	return min(tick, e.turns[0].at.Add(turnWindow).Sub(now))
 }
+
+// full says whether the engine has as many requests as it should.
+func (e *engine) full() bool {
+	return float64(e.running()) >= fullLoad*float64(e.server.Slots)
+}
+
+// running is the number of requests on the engine.
+func (e *engine) running() int {
+	sum := 0
+	for _, count := range e.turned {
+		sum += count
+	}
+	return sum
+}
+
+// forgetHosts drops the requests of hosts that are silent: they have ended, or
+// can no longer report their ends.
+func (e *engine) forgetHosts(now time.Time) {
+	for host, at := range e.heard {
+		if now.Sub(at) > hostMemory {
+			delete(e.heard, host)
+			delete(e.turned, host)
+		}
+	}
+}
+
+// worthCopy counts a use and says whether the adapter is worth another copy: it
+// is used often from another region, or its engine has much to do.
+func (e *engine) worthCopy(r site.PlaceRequest) bool {
+	if r.Adapter.Name == "" {
+		return false
+	}
+	key := asking{adapter: r.Adapter, region: r.Region}
+	e.asked[key]++
+	uses := e.asked[key]
+	if uses%copyUses != 0 {
+		return false
+	}
+	return r.Region != e.region || float64(e.running()) >= copyLoad*float64(e.server.Slots)
+}
--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -93,7 +93,9 @@
 	// adapters is what the owner says is loaded; residency says whether it did.
 	adapters  map[site.Adapter]int
 	residency site.Residency
-	uses      map[site.Adapter]int
+	// running counts the requests that were passed on, and told is what the owner
+	// was told of them last.
+	running, told int
 }
 
 func (b *Balancer) station(server *site.Server) *station {
@@ -102,7 +104,7 @@
 	}
 	s := b.stations[server.ID]
 	if s == nil || s.incarnation != server.Incarnation {
-		s = &station{incarnation: server.Incarnation, zone: server.Zone, uses: make(map[site.Adapter]int)}
+		s = &station{incarnation: server.Incarnation, zone: server.Zone}
 		b.stations[server.ID] = s
 	}
 	return s
@@ -127,9 +129,6 @@
 		return Pick{}, verdict.Refuse(verdict.CodeNotOwner, "adapter %s is not loaded and no engine to try has an owner", w.Adapter.Name)
 	}
 	chosen.station.sent++
-	if w.Adapter.Model != "" {
-		chosen.station.uses[w.Adapter]++
-	}
 	return Pick{Server: chosen.server, Loaded: chosen.loaded}, nil
 }
 
@@ -275,13 +274,44 @@
 	return best
 }
 
-// Done ends the count of a request.
-func (b *Balancer) Done(server *site.Server) {
+// Passed counts a request that is passed on to its server.
+func (b *Balancer) Passed(server *site.Server) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.station(server).running++
+}
+
+// Done ends the count of a request. passed says that it was passed on.
+func (b *Balancer) Done(server *site.Server, passed bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if s := b.stations[server.ID]; s != nil && s.incarnation == server.Incarnation {
-		s.sent = max(s.sent-1, 0)
+	s := b.stations[server.ID]
+	if s == nil || s.incarnation != server.Incarnation {
+		return
+	}
+	s.sent = max(s.sent-1, 0)
+	if passed {
+		s.running = max(s.running-1, 0)
+	}
+}
+
+// Copy returns the engine on which another copy of the adapter is best loaded,
+// or nil: one of this region that does not hold it and has room.
+func (b *Balancer) Copy(w Want) *site.Server {
+	view, now := b.Views.View(), time.Now()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var near []candidate
+	for _, c := range b.candidates(view, w, now) {
+		if b.Regions[c.server.Zone] == b.Regions[b.Zone] && !c.loaded && c.load < spillLoad {
+			near = append(near, c)
+		}
+	}
+	chosen := b.home(near, w.Adapter)
+	if chosen.station == nil {
+		return nil
 	}
+	return chosen.server
 }
 
 // Answered notes that a server answered, and its load if it told.
--- a/coordination/balance/residence.go
+++ b/coordination/balance/residence.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
@@ -54,19 +55,29 @@
 	delete(b.station(server).adapters, adapter)
 }
 
-// Uses takes the uses of the zones' engines since the last call.
-func (b *Balancer) Uses(zones map[string]bool) []site.Use {
+// InFlight has the requests of this host on the zones' engines. Counts above zero
+// are told each time, so that a lost report is made good by the next one.
+func (b *Balancer) InFlight(zones map[string]bool) []site.InFlight {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	var uses []site.Use
+	var list []site.InFlight
 	for id, s := range b.stations {
-		if !zones[s.zone] {
-			continue
+		if (s.running > 0 || s.told > 0) && zones[s.zone] {
+			list = append(list, site.InFlight{Server: id, Count: s.running})
+			s.told = s.running
 		}
-		for adapter, count := range s.uses {
-			uses = append(uses, site.Use{Server: id, Adapter: adapter, Count: count})
+	}
+	return list
+}
+
+// Busy takes over how many requests run on each engine, as its owner counts them.
+func (b *Balancer) Busy(running map[site.ServerID]int) {
+	now := time.Now()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for id, count := range running {
+		if s := b.stations[id]; s != nil {
+			s.load, s.reported, s.sentThen = Load{Running: count}, now, s.sent
 		}
-		clear(s.uses)
 	}
-	return uses
 }
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -24,7 +24,9 @@
 // Balancer chooses servers and learns how they answered.
 type Balancer interface {
 	Choose(w balance.Want) (balance.Pick, error)
-	Done(server *site.Server)
+	Passed(server *site.Server)
+	Done(server *site.Server, passed bool)
+	Copy(w balance.Want) *site.Server
 	Answered(server *site.Server, load *balance.Load)
 	Failed(server *site.Server)
 	Placed(server *site.Server, adapter site.Adapter, version int)
@@ -33,9 +35,11 @@
 
 // Placer has adapters loaded.
 type Placer interface {
-	// Place waits until the adapter is loaded on the server. missing says that
-	// the server denied having it. The error is a *verdict.Error with verdict NotRun.
-	Place(ctx context.Context, server *site.Server, request site.PlaceRequest, missing bool) error
+	// Place waits for a turn at the engine. The error is a *verdict.Error with
+	// verdict NotRun.
+	Place(ctx context.Context, server *site.Server, request site.PlaceRequest) (site.Placement, error)
+	// Ahead asks for a load that no request waits for. It does not wait.
+	Ahead(server *site.Server, request site.PlaceRequest)
 }
 
 // Repeats bounds the sends of a service beyond the first of each request.
@@ -87,6 +91,8 @@
 	sends   int
 	ran     int
 	missing site.ServerID
+	// refusedTurns counts the engines that were full or could not load.
+	refusedTurns int
 	// doubt says that an earlier send may have run.
 	doubt bool
 }
@@ -208,17 +214,20 @@
 		}
 		return failure
 	}
-	defer f.Balancer.Done(pick.Server)
+	passed := false
+	defer func() { f.Balancer.Done(pick.Server, passed) }()
 	if want.Adapter.Model != "" {
 		if failure := f.place(ctx, a, pick, want); failure != nil {
 			return failure
 		}
 	}
+	passed = true
+	f.Balancer.Passed(pick.Server)
 	return f.send(ctx, a, pick.Server, want)
 }
 
-// place waits for the request's turn at an engine. Without a word of the
-// engine's owner, a request for an adapter that is loaded is sent all the same.
+// place waits for the request's turn at an engine. Without a word of the engine's
+// owner, a request for an adapter that is loaded is sent all the same.
 func (f *Forwarder) place(ctx context.Context, a *attempt, pick balance.Pick, want balance.Want) *verdict.Error {
 	server := pick.Server
 	if pick.Loaded {
@@ -233,17 +242,28 @@
 		Priority: a.route.Priority,
 		Tokens:   a.request.Tokens,
 		Patience: time.Until(a.ends),
+		Queue:    a.refusedTurns > 0,
+		Missing:  a.missing == server.ID,
 	}
-	if err := f.Placer.Place(ctx, server, request, a.missing == server.ID); err != nil {
-		if pick.Loaded {
+	placement, err := f.Placer.Place(ctx, server, request)
+	if err != nil {
+		failure := verdict.From(err)
+		if pick.Loaded && failure.Code != verdict.CodeOverloaded {
 			return nil
 		}
+		a.refusedTurns++
 		a.tried = append(a.tried, server.ID)
 		f.Log.Info().Str("request", a.request.Attempt).Str("engine", string(server.ID)).Str("adapter", want.Adapter.Name).
-			Int("version", want.Version).Err(err).Msg("adapter was not loaded")
-		return verdict.From(err)
+			Int("version", want.Version).Err(err).Msg("engine gave no turn")
+		return failure
 	}
 	f.Balancer.Placed(server, want.Adapter, want.Version)
+	if placement.Copy {
+		if near := f.Balancer.Copy(want); near != nil {
+			request.Server, request.Ahead, request.Missing = near.Incarnation, true, false
+			f.Placer.Ahead(near, request)
+		}
+	}
 	return nil
 }
 
--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -26,8 +26,11 @@
 	Known(zones map[string]bool) map[site.ServerID]uint64
 	// Learn takes a residency over.
 	Learn(residency site.Residency)
-	// Uses takes the uses of the zones' engines since the last call.
-	Uses(zones map[string]bool) []site.Use
+	// InFlight has the requests of this host on the zones' engines, as far as
+	// their number changed since the last call.
+	InFlight(zones map[string]bool) []site.InFlight
+	// Busy takes over how many requests run on each engine.
+	Busy(running map[site.ServerID]int)
 }
 
 const (
@@ -187,7 +190,7 @@
 		Host:      f.Self,
 		Positions: f.Watcher.Positions(),
 		Known:     f.Residences.Known(l.zones),
-		Uses:      f.Residences.Uses(l.zones),
+		InFlight:  f.Residences.InFlight(l.zones),
 	}
 	host := l.host
 	f.lifecycle.Work(func() {
@@ -219,6 +222,7 @@
 	for _, changes := range r.reply.Changes {
 		f.Watcher.Learn(changes)
 	}
+	f.Residences.Busy(r.reply.Running)
 	for _, residency := range r.reply.Residencies {
 		f.Residences.Learn(residency)
 	}
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -130,7 +130,15 @@
 		func(w *watch.Watcher) *aliveness { return &aliveness{self: h.Settings.HostName, watcher: w} },
 		h.newTenant,
 		func(e *platform.Engines, t *zone.Tenant, w *watch.Watcher, b *balance.Balancer) *adapter.Owner {
-			return &adapter.Owner{Host: h.Settings.HostName, Engines: e, Tenure: t, Views: w, Learners: b, Log: h.Log}
+			return &adapter.Owner{
+				Host:    h.Settings.HostName,
+				Regions: h.Settings.Regions,
+				Engines: e,
+				Tenure:  t,
+				Views:   w,
+				Local:   b,
+				Log:     h.Log,
+			}
 		},
 		func(w *watch.Watcher) *retry.Window {
 			return &retry.Window{
@@ -142,7 +150,8 @@
 		},
 		func() *backend.Pool { return &backend.Pool{} },
 		func(w *watch.Watcher, b *balance.Balancer, o *adapter.Owner, c *peer.Client, r *retry.Window, a *aliveness) *forward.Forwarder {
-			placer := &placer{self: h.Settings.HostName, watcher: w, owner: o, client: c, owners: a}
+			region := h.Settings.Regions[h.Settings.FailureDomain]
+			placer := &placer{self: h.Settings.HostName, region: region, watcher: w, owner: o, client: c, owners: a}
 			return &forward.Forwarder{Views: w, Balancer: b, Placer: placer, Repeats: r, Log: h.Log}
 		},
 		h.newPeerServer,
@@ -258,24 +267,26 @@
 
 // Follow tells what changed since the positions of the request.
 func (s *ownedSite) Follow(request site.FollowRequest) site.FollowReply {
-	s.owner.Used(request.Uses)
+	s.owner.InFlight(request.Host, request.InFlight)
 	return site.FollowReply{
 		Changes:     s.watcher.Since(request.Positions),
 		Age:         s.watcher.Age(),
 		Leaving:     s.tenant.Leaving(),
 		Ordering:    s.tenant.Ordering(),
+		Running:     s.owner.Running(),
 		Residencies: s.owner.Residencies(request.Known),
 	}
 }
 
-// Place waits until an adapter is loaded on one of this host's engines.
-func (s *ownedSite) Place(ctx context.Context, request site.PlaceRequest, missing bool) error {
-	return s.owner.Place(ctx, request, missing)
+// Place waits for a turn at one of this host's engines.
+func (s *ownedSite) Place(ctx context.Context, request site.PlaceRequest) (site.Placement, error) {
+	return s.owner.Place(ctx, request)
 }
 
-// placer asks the owner of an engine to load an adapter, wherever it runs.
+// placer asks the owner of an engine for turns there, wherever it runs.
 type placer struct {
 	self    string
+	region  string
 	watcher *watch.Watcher
 	owner   *adapter.Owner
 	client  *peer.Client
@@ -285,14 +296,29 @@
 // ownerCheck is how often a waiting request looks whether its owner still answers.
 const ownerCheck = 300 * time.Millisecond
 
-// Place waits until the adapter is loaded on the server.
-func (p *placer) Place(ctx context.Context, server *site.Server, request site.PlaceRequest, missing bool) error {
+// aheadLimit bounds a load that no request waits for.
+const aheadLimit = 3 * time.Second
+
+// Ahead asks for a load that no request waits for.
+func (p *placer) Ahead(server *site.Server, request site.PlaceRequest) {
+	request.Patience = aheadLimit
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), aheadLimit)
+		defer cancel()
+		// Without the copy, requests go on to the engines that hold the adapter.
+		_, _ = p.Place(ctx, server, request)
+	}()
+}
+
+// Place waits for a turn at the engine.
+func (p *placer) Place(ctx context.Context, server *site.Server, request site.PlaceRequest) (site.Placement, error) {
+	request.Host, request.Region = p.self, p.region
 	host := p.watcher.View().Owners[server.Zone]
 	switch {
 	case host == nil:
-		return verdict.Refuse(verdict.CodeNotOwner, "the engines of zone %s have no owner", server.Zone)
+		return site.Placement{}, verdict.Refuse(verdict.CodeNotOwner, "the engines of zone %s have no owner", server.Zone)
 	case host.Name == p.self:
-		return p.owner.Place(ctx, request, missing)
+		return p.owner.Place(ctx, request)
 	}
 	// A frozen owner keeps its connections, so that only its silence shows it.
 	ctx, cancel := context.WithCancel(ctx)
@@ -305,5 +331,5 @@
 		}
 	})
 	defer check.Stop()
-	return p.client.Place(ctx, host.Address, request, missing)
+	return p.client.Place(ctx, host.Address, request)
 }
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -15,12 +15,8 @@
 	for id, sequence := range r.Known {
 		message.Known[string(id)] = sequence
 	}
-	for _, use := range r.Uses {
-		message.Uses = append(message.Uses, &Use{
-			Server:  string(use.Server),
-			Adapter: fromAdapter(use.Adapter, 0),
-			Count:   int32(use.Count),
-		})
+	for _, sent := range r.InFlight {
+		message.InFlight = append(message.InFlight, &InFlight{Server: string(sent.Server), Count: int32(sent.Count)})
 	}
 	return message
 }
@@ -38,19 +34,18 @@
 	for id, sequence := range message.GetKnown() {
 		r.Known[site.ServerID(id)] = sequence
 	}
-	for _, use := range message.GetUses() {
-		r.Uses = append(r.Uses, site.Use{
-			Server:  site.ServerID(use.GetServer()),
-			Adapter: toAdapter(use.GetAdapter()),
-			Count:   int(use.GetCount()),
-		})
+	for _, sent := range message.GetInFlight() {
+		r.InFlight = append(r.InFlight, site.InFlight{Server: site.ServerID(sent.GetServer()), Count: int(sent.GetCount())})
 	}
 	return r
 }
 
 // FromFollowReply encodes news.
 func FromFollowReply(r site.FollowReply) *FollowReply {
-	message := &FollowReply{AgeNanoseconds: int64(r.Age), Leaving: r.Leaving, Ordering: r.Ordering}
+	message := &FollowReply{AgeNanoseconds: int64(r.Age), Leaving: r.Leaving, Ordering: r.Ordering, Running: make(map[string]int32)}
+	for id, count := range r.Running {
+		message.Running[string(id)] = int32(count)
+	}
 	for _, changes := range r.Changes {
 		encoded := &Changes{Table: string(changes.Table), Whole: changes.Whole, Upto: uint64(changes.Upto)}
 		for _, row := range changes.Rows {
@@ -70,7 +65,15 @@
 
 // ToFollowReply decodes news.
 func ToFollowReply(message *FollowReply) site.FollowReply {
-	r := site.FollowReply{Age: time.Duration(message.GetAgeNanoseconds()), Leaving: message.GetLeaving(), Ordering: message.GetOrdering()}
+	r := site.FollowReply{
+		Age:      time.Duration(message.GetAgeNanoseconds()),
+		Leaving:  message.GetLeaving(),
+		Ordering: message.GetOrdering(),
+		Running:  make(map[site.ServerID]int, len(message.GetRunning())),
+	}
+	for id, count := range message.GetRunning() {
+		r.Running[site.ServerID(id)] = int(count)
+	}
 	for _, encoded := range message.GetChanges() {
 		changes := site.Changes{Table: site.Table(encoded.GetTable()), Whole: encoded.GetWhole(), Upto: site.Position(encoded.GetUpto())}
 		for _, row := range encoded.GetRows() {
@@ -98,28 +101,36 @@
 	return r
 }
 
-// FromPlaceRequest encodes a demand for an adapter. missing says that the engine
-// denied having it.
-func FromPlaceRequest(r site.PlaceRequest, missing bool) *PlaceRequest {
+// FromPlaceRequest encodes a demand for a turn at an engine.
+func FromPlaceRequest(r site.PlaceRequest) *PlaceRequest {
 	return &PlaceRequest{
+		Host:                r.Host,
+		Region:              r.Region,
 		Server:              fromIncarnation(r.Server),
 		Adapter:             fromAdapter(r.Adapter, r.Version),
 		Priority:            int32(r.Priority),
-		PatienceNanoseconds: int64(r.Patience),
-		Missing:             missing,
 		Tokens:              int32(r.Tokens),
+		PatienceNanoseconds: int64(r.Patience),
+		Queue:               r.Queue,
+		Ahead:               r.Ahead,
+		Missing:             r.Missing,
 	}
 }
 
-// ToPlaceRequest decodes a demand for an adapter.
+// ToPlaceRequest decodes a demand for a turn at an engine.
 func ToPlaceRequest(message *PlaceRequest) site.PlaceRequest {
 	return site.PlaceRequest{
+		Host:     message.GetHost(),
+		Region:   message.GetRegion(),
 		Server:   toIncarnation(message.GetServer()),
 		Adapter:  toAdapter(message.GetAdapter()),
 		Version:  int(message.GetAdapter().GetVersion()),
 		Priority: int(message.GetPriority()),
 		Tokens:   int(message.GetTokens()),
 		Patience: time.Duration(message.GetPatienceNanoseconds()),
+		Queue:    message.GetQueue(),
+		Ahead:    message.GetAhead(),
+		Missing:  message.GetMissing(),
 	}
 }
 
--- a/state/site/follow.go
+++ b/state/site/follow.go
@@ -2,12 +2,10 @@
 
 import "time"
 
-// A Use tells the owner of an engine how often an adapter was used there.
-type Use struct {
-	Server  ServerID
-	Adapter Adapter
-	// Count is the number of requests that began since the last report.
-	Count int
+// An InFlight tells the owner of an engine how many requests of a host run there.
+type InFlight struct {
+	Server ServerID
+	Count  int
 }
 
 // A FollowRequest asks another host for news.
@@ -18,8 +16,8 @@
 	Positions map[Table]Position
 	// Known has the sequences of the residencies that the asking host knows.
 	Known map[ServerID]uint64
-	// Uses are for the engines that the answering host owns.
-	Uses []Use
+	// InFlight has the counts that changed, for engines that the answering host owns.
+	InFlight []InFlight
 }
 
 // A Residency is what the owner of an engine knows to be loaded there.
@@ -41,6 +39,8 @@
 	Leaving bool
 	// Ordering has the zones in which the answering host gives orders now.
 	Ordering []string
+	// Running has the requests on each engine that the answering host owns.
+	Running map[ServerID]int
 	// Residencies are those that changed since the asking host's sequences.
 	Residencies []Residency
 }
@@ -48,7 +48,9 @@
 // A PlaceRequest asks the owner of an engine for a turn there: to have the
 // adapter loaded and to read the prompt.
 type PlaceRequest struct {
-	Server  Incarnation
+	// Host and Region are where the request came in.
+	Host, Region string
+	Server       Incarnation
 	Adapter Adapter
 	// Version is the lowest version that will do; 0 means any.
 	Version int
@@ -58,4 +60,18 @@
 	Tokens int
 	// Patience is how long the request can wait.
 	Patience time.Duration
+	// Queue says that the request waits while the engine is full. Otherwise it is
+	// refused, so that another engine can be tried.
+	Queue bool
+	// Ahead says that no request waits: the adapter is to be loaded for later ones.
+	Ahead bool
+	// Missing says that the engine denied having the adapter.
+	Missing bool
+}
+
+// A Placement is the answer to a PlaceRequest that was met.
+type Placement struct {
+	// Copy says that the adapter is worth another copy, nearer to the host that
+	// asked or on an engine with less to do.
+	Copy bool
 }
--- a/transport/peer/site.go
+++ b/transport/peer/site.go
@@ -11,8 +11,8 @@
 type Site interface {
 	// Follow tells what changed since the positions of the request.
 	Follow(request site.FollowRequest) site.FollowReply
-	// Place waits until an adapter is loaded. Its error is a *verdict.Error.
-	Place(ctx context.Context, request site.PlaceRequest, missing bool) error
+	// Place waits for a turn at an engine. Its error is a *verdict.Error.
+	Place(ctx context.Context, request site.PlaceRequest) (site.Placement, error)
 }
 
 // Follow asks the host at the address for news.
@@ -28,22 +28,22 @@
 	return peer.ToFollowReply(reply), nil
 }
 
-// Place asks the owner of an engine for an adapter. The error is a
+// Place asks the owner of an engine for a turn there. The error is a
 // *verdict.Error with verdict NotRun.
-func (c *Client) Place(ctx context.Context, address string, request site.PlaceRequest, missing bool) error {
-	message := peer.FromPlaceRequest(request, missing)
+func (c *Client) Place(ctx context.Context, address string, request site.PlaceRequest) (site.Placement, error) {
+	message := peer.FromPlaceRequest(request)
 	limit := max(request.Patience, 0) + demandMargin
 	reply, err := invoke(ctx, c, options{name: "place", address: address, limit: limit, demand: true, idempotent: true},
 		func(ctx context.Context, p peer.DRPCPeerClient) (*peer.PlaceReply, error) {
 			return p.Place(ctx, message)
 		})
 	if err != nil {
-		return refusalOf(err)
+		return site.Placement{}, refusalOf(err)
 	}
 	if refusal := reply.GetRefusal(); refusal != nil {
-		return peer.ToRefusal(refusal)
+		return site.Placement{}, peer.ToRefusal(refusal)
 	}
-	return nil
+	return site.Placement{Copy: reply.GetCopy()}, nil
 }
 
 // Follow answers with news.
@@ -54,7 +54,7 @@
 	return peer.FromFollowReply(e.server.Site.Follow(peer.ToFollowRequest(message))), nil
 }
 
-// Place answers when the adapter is loaded.
+// Place answers when the request has its turn.
 func (e *endpoint) Place(ctx context.Context, message *peer.PlaceRequest) (*peer.PlaceReply, error) {
 	if e.server.Site == nil {
 		return nil, errNotServed
@@ -62,8 +62,9 @@
 	request := peer.ToPlaceRequest(message)
 	ctx, cancel := context.WithTimeout(ctx, max(request.Patience, 0))
 	defer cancel()
-	if err := e.server.Site.Place(ctx, request, message.GetMissing()); err != nil {
+	placement, err := e.server.Site.Place(ctx, request)
+	if err != nil {
 		return &peer.PlaceReply{Refusal: peer.FromRefusal(err)}, nil
 	}
-	return &peer.PlaceReply{}, nil
+	return &peer.PlaceReply{Copy: placement.Copy}, nil
 }
