Keep adapters within regions that have engines enough; tell residencies by sequence

Change: a region with 12 engines or more keeps its own copies and uses other regions only when its engines are full or lost; owners of other regions are asked seldom and without residencies. An owner numbers its residencies with one sequence, so that a host names one number in place of one for each engine.

--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -35,9 +35,6 @@
 	server *site.Server
 	region string
 	epoch  uint64
-	// sequence numbers the changes of held; it begins with a time, so that a
-	// later owner's sequences differ.
-	sequence uint64
 	// read says that a report was taken over.
 	read     bool
 	readAt   time.Time
@@ -87,7 +84,6 @@
 		server:   server,
 		region:   region,
 		epoch:    epoch,
-		sequence: uint64(time.Now().UnixNano()),
 		held:     make(map[site.Adapter]int),
 		loads:    make(map[site.Adapter]*load),
 		recent:   make(map[site.Adapter]bool),
@@ -100,9 +96,8 @@
 	}
 }
 
-func (e *engine) residency() site.Residency {
-	e.sequence++
-	return site.Residency{Server: e.server.Incarnation, Epoch: e.epoch, Sequence: e.sequence, Adapters: maps.Clone(e.held)}
+func (e *engine) residency(sequence uint64) site.Residency {
+	return site.Residency{Server: e.server.Incarnation, Epoch: e.epoch, Sequence: sequence, Adapters: maps.Clone(e.held)}
 }
 
 // takeReport replaces what is believed by what the engine said. A report that is
--- a/coordination/adapter/fake_test.go
+++ b/coordination/adapter/fake_test.go
@@ -155,10 +155,11 @@
 
 func (f *fakeSite) InFlight(map[string]bool) []site.InFlight { return nil }
 
-func (f *fakeSite) Learn(r site.Residency) {
+func (f *fakeSite) Learn(r site.Residency) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.learned[r.Server.ID] = r
+	return true
 }
 
 // newFakeSite returns a site with one service of engines of the given slots.
--- a/coordination/adapter/owner.go
+++ b/coordination/adapter/owner.go
@@ -40,7 +40,7 @@
 // A Local is this host's own knowledge of servers. Other hosts are told, and
 // tell, by way of their questions.
 type Local interface {
-	Learn(residency site.Residency)
+	Learn(residency site.Residency) bool
 	Busy(running map[site.ServerID]int)
 	InFlight(zones map[string]bool) []site.InFlight
 }
@@ -82,6 +82,8 @@
 	// running has the requests on each engine; it is replaced, not modified.
 	running  atomic.Pointer[map[site.ServerID]int]
 	stopping atomic.Bool
+	// sequence numbers the changes of residencies.
+	sequence uint64
 	// modelLoads is the number of base models being loaded.
 	modelLoads int
 }
@@ -179,17 +181,19 @@
 	return *o.running.Load()
 }
 
-// Residencies returns what this host's engines hold, as far as it changed since
-// the known sequences.
-func (o *Owner) Residencies(known map[site.ServerID]uint64) []site.Residency {
+// Residencies returns what this host's engines hold, as far as it changed after
+// the known sequence, and the sequence up to which that is complete.
+func (o *Owner) Residencies(known uint64) ([]site.Residency, uint64) {
 	o.prepare()
 	var changed []site.Residency
-	for id, residency := range *o.residencies.Load() {
-		if known[id] != residency.Sequence {
+	newest := known
+	for _, residency := range *o.residencies.Load() {
+		if residency.Sequence > known {
 			changed = append(changed, residency)
+			newest = max(newest, residency.Sequence)
 		}
 	}
-	return changed
+	return changed, newest
 }
 
 func (o *Owner) loop(ctx context.Context) error {
@@ -296,7 +300,8 @@
 		}
 	}
 	if e != nil && o.engines[e.server.ID] == e {
-		residency := e.residency()
+		o.sequence++
+		residency := e.residency(o.sequence)
 		next[e.server.ID] = residency
 		o.Local.Learn(residency)
 	}
--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -50,6 +50,10 @@
 	// another copy is considered, and spillGain by how much that has to be less.
 	spillLoad = 0.8
 	spillGain = 0.35
+	// regionEngines is the number of engines from which a region keeps its own
+	// copies of all adapters that it uses. With fewer ones the loads that two
+	// regions share cost more than the bytes between them.
+	regionEngines = 12
 	// homeLoad is the load from which the home of an adapter is passed over.
 	homeLoad = 0.9
 )
@@ -123,7 +127,13 @@
 	}
 	chosen := cheapest(candidates, func(candidate) bool { return true })
 	if w.Adapter.Model != "" {
-		chosen = b.chooseEngine(candidates, w.Adapter)
+		chosen = candidate{}
+		if b.regional(view) {
+			chosen = b.chooseEngine(b.near(candidates), w.Adapter)
+		}
+		if chosen.station == nil || chosen.load >= homeLoad {
+			chosen = b.chooseEngine(candidates, w.Adapter)
+		}
 	}
 	if chosen.station == nil {
 		return Pick{}, verdict.Refuse(verdict.CodeNotOwner, "adapter %s is not loaded and no engine to try has an owner", w.Adapter.Name)
@@ -301,19 +311,30 @@
 	view, now := b.Views.View(), time.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	var near []candidate
-	for _, c := range b.candidates(view, w, now) {
-		if b.Regions[c.server.Zone] == b.Regions[b.Zone] && !c.loaded && c.load < spillLoad {
-			near = append(near, c)
+	var free []candidate
+	for _, c := range b.near(b.candidates(view, w, now)) {
+		if !c.loaded && c.load < spillLoad {
+			free = append(free, c)
 		}
 	}
-	chosen := b.home(near, w.Adapter)
+	chosen := b.home(free, w.Adapter)
 	if chosen.station == nil {
 		return nil
 	}
 	return chosen.server
 }
 
+// near returns the candidates of this region.
+func (b *Balancer) near(candidates []candidate) []candidate {
+	var near []candidate
+	for _, c := range candidates {
+		if b.Regions[c.server.Zone] == b.Regions[b.Zone] {
+			near = append(near, c)
+		}
+	}
+	return near
+}
+
 // Answered notes that a server answered, and its load if it told.
 func (b *Balancer) Answered(server *site.Server, load *Load) {
 	b.mutex.Lock()
--- a/coordination/balance/residence.go
+++ b/coordination/balance/residence.go
@@ -7,35 +7,48 @@
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
-// Known has the sequences of the residencies known of the zones' engines.
-func (b *Balancer) Known(zones map[string]bool) map[site.ServerID]uint64 {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	known := make(map[site.ServerID]uint64)
-	for id, s := range b.stations {
-		if s.residency.Sequence > 0 && zones[s.zone] {
-			known[id] = s.residency.Sequence
+// Distant says that the zones' engines are used only when those of this region
+// are full or lost, so that nothing has to be known of what is loaded there.
+func (b *Balancer) Distant(zones map[string]bool) bool {
+	if !b.regional(b.Views.View()) {
+		return false
+	}
+	for zone := range zones {
+		if b.Regions[zone] == b.Regions[b.Zone] {
+			return false
+		}
+	}
+	return true
+}
+
+// regional says whether this region has engines enough to keep to itself.
+func (b *Balancer) regional(view *site.View) bool {
+	count := 0
+	for _, server := range view.Servers {
+		if len(server.Models) > 0 && b.Regions[server.Zone] == b.Regions[b.Zone] {
+			count++
 		}
 	}
-	return known
+	return count >= regionEngines
 }
 
 // Learn takes over what the owner of an engine says is loaded there, unless an
-// owner with a higher epoch has spoken.
-func (b *Balancer) Learn(r site.Residency) {
+// owner with a higher epoch has spoken. It reports whether the engine is known.
+func (b *Balancer) Learn(r site.Residency) bool {
 	server := b.Views.View().Servers[r.Server.ID]
 	if server == nil || server.Incarnation != r.Server {
-		return
+		return false
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	s := b.station(server)
 	known := s.residency
 	if r.Epoch < known.Epoch || r.Epoch == known.Epoch && r.Sequence <= known.Sequence {
-		return
+		return true
 	}
 	s.residency = r
 	s.adapters = maps.Clone(r.Adapters)
+	return true
 }
 
 // Placed notes that the owner has loaded an adapter, before it says so to all.
--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -22,10 +22,10 @@
 
 // Residences takes over what owners tell of their engines.
 type Residences interface {
-	// Known has the sequences of the residencies known of the zones' engines.
-	Known(zones map[string]bool) map[site.ServerID]uint64
-	// Learn takes a residency over.
-	Learn(residency site.Residency)
+	// Distant says that nothing has to be known of what is loaded in the zones.
+	Distant(zones map[string]bool) bool
+	// Learn takes a residency over and reports whether its engine is known.
+	Learn(residency site.Residency) bool
 	// InFlight has the requests of this host on the zones' engines, as far as
 	// their number changed since the last call.
 	InFlight(zones map[string]bool) []site.InFlight
@@ -38,6 +38,9 @@
 	// the own zone and of another one.
 	nearPause = 350 * time.Millisecond
 	farPause  = 600 * time.Millisecond
+	// distantPause is the same for an owner whose engines are used only when
+	// those of the own region are full or lost.
+	distantPause = 1200 * time.Millisecond
 	// followLimit bounds a question. A host that does not answer for this long
 	// is taken for silent.
 	followLimit = 800 * time.Millisecond
@@ -68,7 +71,8 @@
 
 // answered is the last answer of an owner.
 type answered struct {
-	heard time.Time
+	heard    time.Time
+	patience time.Duration
 	// ordering has the zones in which the owner gives orders.
 	ordering []string
 }
@@ -84,6 +88,10 @@
 	lost    bool
 	// ordering has the zones in which the owner gives orders.
 	ordering []string
+	// distant says that the owner is asked seldom and in brief.
+	distant bool
+	// known is the sequence up to which the owner's residencies are known.
+	known uint64
 }
 
 type result struct {
@@ -117,14 +125,14 @@
 func (f *Follower) Alive(host string) bool {
 	f.prepare()
 	a, ok := (*f.alive.Load())[host]
-	return ok && time.Since(a.heard) < silenceLimit
+	return ok && time.Since(a.heard) < a.patience
 }
 
 // Orders says whether the host said lately that it gives orders in the zone.
 func (f *Follower) Orders(host, zone string) bool {
 	f.prepare()
 	a, ok := (*f.alive.Load())[host]
-	return ok && time.Since(a.heard) < silenceLimit && slices.Contains(a.ordering, zone)
+	return ok && time.Since(a.heard) < a.patience && slices.Contains(a.ordering, zone)
 }
 
 func (f *Follower) loop(ctx context.Context) error {
@@ -172,7 +180,7 @@
 		if !l.busy && !now.Before(l.due) {
 			f.ask(ctx, l, now)
 		}
-		if now.Sub(l.heard) > silenceLimit && !l.lost {
+		if now.Sub(l.heard) > l.patience() && !l.lost {
 			l.lost = true
 			f.Log.Warn().Str("owner", name).Dur("silent", now.Sub(l.heard)).Msg("owner lost")
 			f.publish()
@@ -180,16 +188,29 @@
 	}
 }
 
+// patience is the time without an answer after which the owner counts as lost.
+func (l *link) patience() time.Duration {
+	if l.distant {
+		return silenceLimit + distantPause
+	}
+	return silenceLimit
+}
+
 func (f *Follower) ask(ctx context.Context, l *link, now time.Time) {
+	l.distant = f.Residences.Distant(l.zones)
 	pause := farPause
-	if l.zones[f.Zone] {
+	switch {
+	case l.zones[f.Zone]:
 		pause = nearPause
+	case l.distant:
+		pause = distantPause
 	}
 	l.busy, l.due = true, now.Add(pause*9/10+rand.N(pause/5))
 	request := site.FollowRequest{
 		Host:      f.Self,
 		Positions: f.Watcher.Positions(),
-		Known:     f.Residences.Known(l.zones),
+		Known:     l.known,
+		Brief:     l.distant,
 		InFlight:  f.Residences.InFlight(l.zones),
 	}
 	host := l.host
@@ -223,8 +244,12 @@
 		f.Watcher.Learn(changes)
 	}
 	f.Residences.Busy(r.reply.Running)
+	known := true
 	for _, residency := range r.reply.Residencies {
-		f.Residences.Learn(residency)
+		known = f.Residences.Learn(residency) && known
+	}
+	if known {
+		l.known = r.reply.Sequence
 	}
 }
 
@@ -232,7 +257,7 @@
 	alive := make(map[string]answered, len(f.links))
 	for name, l := range f.links {
 		if !l.leaving && !l.lost {
-			alive[name] = answered{heard: l.heard, ordering: l.ordering}
+			alive[name] = answered{heard: l.heard, patience: l.patience(), ordering: l.ordering}
 		}
 	}
 	f.alive.Store(&alive)
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -268,13 +268,19 @@
 // Follow tells what changed since the positions of the request.
 func (s *ownedSite) Follow(request site.FollowRequest) site.FollowReply {
 	s.owner.InFlight(request.Host, request.InFlight)
+	var residencies []site.Residency
+	sequence := request.Known
+	if !request.Brief {
+		residencies, sequence = s.owner.Residencies(request.Known)
+	}
 	return site.FollowReply{
 		Changes:     s.watcher.Since(request.Positions),
 		Age:         s.watcher.Age(),
 		Leaving:     s.tenant.Leaving(),
 		Ordering:    s.tenant.Ordering(),
 		Running:     s.owner.Running(),
-		Residencies: s.owner.Residencies(request.Known),
+		Residencies: residencies,
+		Sequence:    sequence,
 	}
 }
 
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -8,13 +8,10 @@
 
 // FromFollowRequest encodes a question for news.
 func FromFollowRequest(r site.FollowRequest) *FollowRequest {
-	message := &FollowRequest{Host: r.Host, Positions: make(map[string]uint64), Known: make(map[string]uint64)}
+	message := &FollowRequest{Host: r.Host, Positions: make(map[string]uint64), Known: r.Known, Brief: r.Brief}
 	for table, position := range r.Positions {
 		message.Positions[string(table)] = uint64(position)
 	}
-	for id, sequence := range r.Known {
-		message.Known[string(id)] = sequence
-	}
 	for _, sent := range r.InFlight {
 		message.InFlight = append(message.InFlight, &InFlight{Server: string(sent.Server), Count: int32(sent.Count)})
 	}
@@ -26,14 +23,12 @@
 	r := site.FollowRequest{
 		Host:      message.GetHost(),
 		Positions: make(map[site.Table]site.Position),
-		Known:     make(map[site.ServerID]uint64),
+		Known:     message.GetKnown(),
+		Brief:     message.GetBrief(),
 	}
 	for table, position := range message.GetPositions() {
 		r.Positions[site.Table(table)] = site.Position(position)
 	}
-	for id, sequence := range message.GetKnown() {
-		r.Known[site.ServerID(id)] = sequence
-	}
 	for _, sent := range message.GetInFlight() {
 		r.InFlight = append(r.InFlight, site.InFlight{Server: site.ServerID(sent.GetServer()), Count: int(sent.GetCount())})
 	}
@@ -42,7 +37,7 @@
 
 // FromFollowReply encodes news.
 func FromFollowReply(r site.FollowReply) *FollowReply {
-	message := &FollowReply{AgeNanoseconds: int64(r.Age), Leaving: r.Leaving, Ordering: r.Ordering, Running: make(map[string]int32)}
+	message := &FollowReply{AgeNanoseconds: int64(r.Age), Leaving: r.Leaving, Ordering: r.Ordering, Running: make(map[string]int32), Sequence: r.Sequence}
 	for id, count := range r.Running {
 		message.Running[string(id)] = int32(count)
 	}
@@ -69,6 +64,7 @@
 		Age:      time.Duration(message.GetAgeNanoseconds()),
 		Leaving:  message.GetLeaving(),
 		Ordering: message.GetOrdering(),
+		Sequence: message.GetSequence(),
 		Running:  make(map[site.ServerID]int, len(message.GetRunning())),
 	}
 	for id, count := range message.GetRunning() {
--- a/state/site/follow.go
+++ b/state/site/follow.go
@@ -14,8 +14,11 @@
 	Host string
 	// Positions say how far the asking host knows each table.
 	Positions map[Table]Position
-	// Known has the sequences of the residencies that the asking host knows.
-	Known map[ServerID]uint64
+	// Known is the sequence up to which the asking host knows the residencies of
+	// the answering one.
+	Known uint64
+	// Brief says that the asking host wants no residencies.
+	Brief bool
 	// InFlight has the counts that changed, for engines that the answering host owns.
 	InFlight []InFlight
 }
@@ -23,8 +26,8 @@
 // A Residency is what the owner of an engine knows to be loaded there.
 type Residency struct {
 	Server Incarnation
-	// Epoch is that of the owner's lease, and Sequence grows with each change
-	// under one epoch.
+	// Epoch is that of the owner's lease, and Sequence grows with each change of
+	// any engine of one owner.
 	Epoch, Sequence uint64
 	// Adapters has the versions of the loaded adapters; a base model has no Name.
 	Adapters map[Adapter]int
@@ -41,8 +44,10 @@
 	Ordering []string
 	// Running has the requests on each engine that the answering host owns.
 	Running map[ServerID]int
-	// Residencies are those that changed since the asking host's sequences.
+	// Residencies are those that changed since the asking host's sequence, up to
+	// Sequence.
 	Residencies []Residency
+	Sequence    uint64
 }
 
 // A PlaceRequest asks the owner of an engine for a turn there: to have the
