Unload adapters after the expected end of their runs; wait for the first view

Clients that leave are logged with what they waited for. Tried and reverted: looks at loads beside other orders.

--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -18,9 +18,12 @@
 	pollPause = 30 * time.Millisecond
 	// modelPoll is the same for a base model.
 	modelPoll = 150 * time.Millisecond
-	// idleBeforeEviction is how long an adapter stays after its last known use.
-	// Uses of other hosts are known within about a second.
-	idleBeforeEviction = 1500 * time.Millisecond
+	// idleBeforeEviction is how long an adapter stays after the expected end of its
+	// last request. An unload of an adapter in use waits for its runs and keeps the
+	// engine from other orders.
+	idleBeforeEviction = 300 * time.Millisecond
+	// tokenTime is the expected time for a token of an answer.
+	tokenTime = 7 * time.Millisecond
 	// reportLag is how old the values of a report are in most cases.
 	reportLag = 500 * time.Millisecond
 	// staleLimit is the time after which a report with fewer orders than were
@@ -45,6 +48,8 @@
 	// load again from its own memory.
 	recent map[site.Adapter]bool
 	used   map[site.Adapter]time.Time
+	// until is the expected end of the last request of each adapter.
+	until map[site.Adapter]time.Time
 	// doubts are loads without an answer. They may be carried out, and take a
 	// slot, until the engine has accepted another order.
 	doubts map[site.Adapter]bool
@@ -88,6 +93,7 @@
 		loads:    make(map[site.Adapter]*load),
 		recent:   make(map[site.Adapter]bool),
 		used:     make(map[site.Adapter]time.Time),
+		until:    make(map[site.Adapter]time.Time),
 		doubts:   make(map[site.Adapter]bool),
 		replaced: make(map[site.Adapter]int),
 		turned:   make(map[string]int),
@@ -184,7 +190,7 @@
 			full = true
 			return false
 		}
-		e.used[d.request.Adapter] = now
+		e.use(d.request, now)
 		e.turned[d.request.Host]++
 		d.reply <- answer{placement: site.Placement{Copy: e.worthCopy(d.request)}}
 		return true
@@ -264,12 +270,20 @@
 	return count
 }
 
+// use notes a request that begins.
+func (e *engine) use(r site.PlaceRequest, now time.Time) {
+	e.used[r.Adapter] = now
+	if end := now.Add(time.Duration(r.Output) * tokenTime); end.After(e.until[r.Adapter]) {
+		e.until[r.Adapter] = end
+	}
+}
+
 // victim returns the adapter that was not used for the longest time.
 func (e *engine) victim(now time.Time) (site.Adapter, bool) {
 	var best site.Adapter
 	found := false
 	for adapter := range e.held {
-		if adapter.Name == "" || e.loads[adapter] != nil || now.Sub(e.used[adapter]) < idleBeforeEviction {
+		if adapter.Name == "" || e.loads[adapter] != nil || now.Sub(e.until[adapter]) < idleBeforeEviction {
 			continue
 		}
 		if !found || e.used[adapter].Before(e.used[best]) {
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -17,8 +17,8 @@
 // Views has the newest view of the site.
 type Views interface {
 	View() *site.View
-	// Complete says whether the view may be used.
-	Complete() bool
+	// Known is closed when the view may be used.
+	Known() <-chan struct{}
 }
 
 // Balancer chooses servers and learns how they answered.
@@ -52,6 +52,8 @@
 	// unavailablePause is the time after which a client should come back to a
 	// host that knows no desired state yet.
 	unavailablePause = 300 * time.Millisecond
+	// startLimit is how long a request waits at a host that has just started.
+	startLimit = 1500 * time.Millisecond
 	// overloadPause is the same when no server takes the request.
 	overloadPause = 250 * time.Millisecond
 	// rejectedSends bounds the sends of one request that servers refused.
@@ -79,6 +81,18 @@
 // ErrGone means that the client left; there is nobody to answer.
 var ErrGone = errors.New("client left")
 
+// A stage is what a request waits for.
+type stage string
+
+// The stages of a request.
+const (
+	waitsForServer stage = "server"
+	waitsForTurn   stage = "turn"
+	waitsForLoad   stage = "load"
+	waitsForAnswer stage = "answer"
+	waitsForEnd    stage = "end"
+)
+
 // An attempt is the state of one request. It belongs to the request's goroutine.
 type attempt struct {
 	request *Request
@@ -91,6 +105,9 @@
 	sends   int
 	ran     int
 	missing site.ServerID
+	// waits says what the request waits for, and server where.
+	waits  stage
+	server site.ServerID
 	// refusedTurns counts the engines that were full or could not load.
 	refusedTurns int
 	// doubt says that an earlier send may have run.
@@ -101,10 +118,10 @@
 // ErrGone or a *verdict.Error, after which the client has got no part of an
 // answer unless it has Started.
 func (f *Forwarder) Forward(ctx context.Context, request *Request, client Client) error {
-	view := f.Views.View()
-	if !f.Views.Complete() {
+	if !f.await(ctx, request) {
 		return refusal(verdict.CodeNoConfiguration, unavailablePause, "no desired state is known yet")
 	}
+	view := f.Views.View()
 	route := view.Route(request.Host, request.Path)
 	if route == nil || len(route.Shares) == 0 {
 		return verdict.Refuse(verdict.CodeUnknownName, "no route for %s%s", request.Host, request.Path)
@@ -119,6 +136,9 @@
 	defer cancel()
 	err := f.run(limited, a)
 	if err != nil && ctx.Err() != nil {
+		f.Log.Info().Str("request", request.Attempt).Str("route", route.Name).Str("service", string(a.service)).
+			Int("sends", a.sends).Bool("started", client.Started()).Str("waits", string(a.waits)).Str("server", string(a.server)).
+			Dur("after", time.Since(request.Arrived)).Msg("client left")
 		return ErrGone
 	}
 	if failure := verdict.From(err); failure != nil {
@@ -130,6 +150,29 @@
 	return nil
 }
 
+// await waits until the view may be used, for a part of the client's time: most
+// clients come back only once, and a host knows its site soon after its start.
+func (f *Forwarder) await(ctx context.Context, request *Request) bool {
+	select {
+	case <-f.Views.Known():
+		return true
+	default:
+	}
+	limit := startLimit
+	if request.Patience > 0 {
+		limit = min(limit, request.Patience/2)
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-f.Views.Known():
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func refusal(code verdict.Code, pause time.Duration, message string) *verdict.Error {
 	return &verdict.Error{Verdict: verdict.NotRun, Code: code, Message: message, RetryAfter: pause}
 }
@@ -201,6 +244,7 @@
 func (f *Forwarder) try(ctx context.Context, a *attempt) *verdict.Error {
 	view := f.Views.View()
 	version := view.Versions[a.request.Adapter]
+	a.waits, a.server = waitsForServer, ""
 	want := balance.Want{Service: a.service, Adapter: a.request.Adapter, Version: version, Tried: a.tried}
 	if service := view.Service(a.service); service == nil || service.Engines == nil {
 		want.Adapter = site.Adapter{}
@@ -230,7 +274,9 @@
 // owner, a request for an adapter that is loaded is sent all the same.
 func (f *Forwarder) place(ctx context.Context, a *attempt, pick balance.Pick, want balance.Want) *verdict.Error {
 	server := pick.Server
+	a.waits, a.server = waitsForLoad, server.ID
 	if pick.Loaded {
+		a.waits = waitsForTurn
 		limited, cancel := context.WithTimeout(ctx, turnLimit)
 		defer cancel()
 		ctx = limited
@@ -241,6 +287,7 @@
 		Version:  want.Version,
 		Priority: a.route.Priority,
 		Tokens:   a.request.Tokens,
+		Output:   a.request.Output,
 		Patience: time.Until(a.ends),
 		Queue:    a.refusedTurns > 0,
 		Missing:  a.missing == server.ID,
@@ -280,6 +327,7 @@
 		}
 	}
 	a.sends++
+	a.waits, a.server = waitsForAnswer, server.ID
 	answer, err := a.client.Send(ctx, server, instructions)
 	if err != nil {
 		return f.failed(a, server, verdict.From(err), ctx)
@@ -342,6 +390,7 @@
 // deliver passes the answer on. A stream that breaks off goes on at another
 // server where its route allows it.
 func (f *Forwarder) deliver(ctx context.Context, a *attempt, server *site.Server, answer Answer) *verdict.Error {
+	a.waits = waitsForEnd
 	err := answer.Deliver(ctx)
 	if err == nil {
 		return nil
--- a/coordination/watch/watcher.go
+++ b/coordination/watch/watcher.go
@@ -57,6 +57,9 @@
 	once      sync.Once
 	arrivals  *ring.Ring[site.Changes]
 	view      atomic.Pointer[site.View]
+	// known is closed when the view is complete for the first time.
+	known    chan struct{}
+	complete atomic.Bool
 	// contact and outage are nanoseconds since started: the last word of the
 	// store, and the last failure to reach it.
 	started time.Time
@@ -90,6 +93,7 @@
 func (w *Watcher) prepare() {
 	w.once.Do(func() {
 		w.started = time.Now()
+		w.known = make(chan struct{})
 		w.arrivals = ring.New[site.Changes](arrivalCapacity)
 		w.tables = make(map[site.Table]*content)
 		for _, table := range w.Tables {
@@ -154,7 +158,14 @@
 // Complete says whether all tables were read at least once and a desired state
 // is known.
 func (w *Watcher) Complete() bool {
-	return w.View().Desired != nil && w.Position(w.Tables[len(w.Tables)-1]) > 0
+	w.prepare()
+	return w.complete.Load()
+}
+
+// Known is closed when the view is complete for the first time.
+func (w *Watcher) Known() <-chan struct{} {
+	w.prepare()
+	return w.known
 }
 
 // Position returns how far the table is known.
@@ -240,10 +251,17 @@
 		c.whole = true
 	}
 	c.upto = max(c.upto, changes.Upto)
+	whole := true
+	for _, table := range w.tables {
+		whole = whole && table.upto > 0
+	}
 	w.mutex.Unlock()
 	if changed {
 		w.publish()
 	}
+	if whole && w.View().Desired != nil && !w.complete.Swap(true) {
+		close(w.known)
+	}
 }
 
 func (w *Watcher) applyRow(c *content, table site.Table, row site.Row, now time.Time) bool {
--- a/state/site/follow.go
+++ b/state/site/follow.go
@@ -61,8 +61,8 @@
 	Version int
 	// Priority is that of the waiting request; 0 is the most urgent.
 	Priority int
-	// Tokens is the length of the prompt.
-	Tokens int
+	// Tokens is the length of the prompt, and Output the most tokens of the answer.
+	Tokens, Output int
 	// Patience is how long the request can wait.
 	Patience time.Duration
 	// Queue says that the request waits while the engine is full. Otherwise it is
