--- /dev/null
+++ b/transport/front/front_test.go
@@ -0,0 +1,346 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/coordination/balance"
+	"github.com/persimmonmux/persimmonmux/coordination/forward"
+	"github.com/persimmonmux/persimmonmux/coordination/retry"
+	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/transport/backend"
+)
+
+// A backendServer is a raw server: serve gets each request after it was read.
+type backendServer struct {
+	listener net.Listener
+	mutex    sync.Mutex
+	requests []*http.Request
+	serve    func(n int, conn net.Conn, r *http.Request) (keep bool)
+}
+
+func startBackend(c *quicktest.C, serve func(n int, conn net.Conn, r *http.Request) bool) *backendServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	b := &backendServer{listener: listener, serve: serve}
+	c.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go b.talk(conn)
+		}
+	}()
+	return b
+}
+
+func (b *backendServer) talk(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		b.mutex.Lock()
+		b.requests = append(b.requests, r)
+		n := len(b.requests)
+		b.mutex.Unlock()
+		if !b.serve(n, conn, r) {
+			return
+		}
+	}
+}
+
+func (b *backendServer) count() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.requests)
+}
+
+// success answers with a receipt and a length.
+func success(conn net.Conn, r *http.Request, body string) bool {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s\r\nContent-Length: %d\r\n\r\n%s",
+		r.Header.Get("X-Attempt-Id"), len(body), body)
+	return true
+}
+
+type fixedViews struct {
+	view  *site.View
+	known chan struct{}
+}
+
+func (f *fixedViews) View() *site.View       { return f.view }
+func (f *fixedViews) Known() <-chan struct{} { return f.known }
+func (f *fixedViews) Complete() bool {
+	select {
+	case <-f.known:
+		return true
+	default:
+		return false
+	}
+}
+
+type noPlacer struct{}
+
+func (noPlacer) Place(context.Context, *site.Server, site.PlaceRequest) (site.Placement, error) {
+	return site.Placement{}, nil
+}
+func (noPlacer) Ahead(*site.Server, site.PlaceRequest) {}
+
+// startFront returns the address of a front before the servers.
+func startFront(c *quicktest.C, views *fixedViews, servers ...*backendServer) string {
+	views.view = &site.View{
+		Desired: &site.DesiredState{
+			Version: 1,
+			Routes: []site.Route{
+				{Name: "r", Host: "h.example", Prefix: "/safe/", Kind: site.Safe, Timeout: 2 * time.Second, MaxAttempts: 2, Shares: []site.Share{{Service: "s", Weight: 1}}},
+				{Name: "u", Host: "h.example", Prefix: "/unsafe/", Kind: site.Unsafe, Timeout: 2 * time.Second, MaxAttempts: 1, Shares: []site.Share{{Service: "s", Weight: 1}}},
+				{Name: "l", Host: "h.example", Prefix: "/stream/", Kind: site.Streaming, Resumable: true, Timeout: 2 * time.Second, MaxAttempts: 2, Shares: []site.Share{{Service: "s", Weight: 1}}},
+				{Name: "o", Host: "h.example", Prefix: "/once/", Kind: site.Streaming, Timeout: 2 * time.Second, MaxAttempts: 1, Shares: []site.Share{{Service: "s", Weight: 1}}},
+			},
+			Services: map[site.ServiceName]*site.Service{"s": {Name: "s"}},
+		},
+		Servers: map[site.ServerID]*site.Server{},
+	}
+	for i, b := range servers {
+		id := site.ServerID(fmt.Sprintf("server-%d", i))
+		views.view.Servers[id] = &site.Server{Incarnation: site.Incarnation{ID: id}, Service: "s", Address: b.listener.Addr().String(), State: site.Ready, Slots: 8}
+	}
+	views.view.Index()
+	balancer := &balance.Balancer{Views: views, Ordered: func(string) bool { return true }}
+	window := &retry.Window{Length: 10 * time.Second, Share: 0.2, Slack: 100, Hosts: func() int { return 1 }}
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	checks, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	s := &Server{
+		Listener: callers, ReadyListener: checks, Views: views, Pool: &backend.Pool{}, StopLimit: noticeTime + time.Second, Log: zerolog.Nop(),
+		Forwarder: &forward.Forwarder{Views: views, Balancer: balancer, Placer: noPlacer{}, Repeats: window, Log: zerolog.Nop()},
+	}
+	go s.Run(context.Background())
+	return callers.Addr().String()
+}
+
+func known() *fixedViews {
+	v := &fixedViews{known: make(chan struct{})}
+	close(v.known)
+	return v
+}
+
+// ask sends one request and reads the whole answer.
+func ask(address, method, target, body string, header ...string) (*http.Response, string, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, "", err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id-1\r\nX-Deadline-Ms: 1500\r\nContent-Length: %d\r\n%s\r\n%s",
+		method, target, len(body), strings.Join(append(header, ""), "\r\n"), body)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	if err != nil {
+		return nil, "", err
+	}
+	content, err := io.ReadAll(answer.Body)
+	return answer, string(content), err
+}
+
+// TestRequestIsPassedOnUnchanged guards against paths that are cleaned, bodies
+// that change, and headers of the system that a caller sets.
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	c := quicktest.New(t)
+	b := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool { return success(conn, r, "answer") })
+	front := startFront(c, known(), b)
+	answer, body, err := ask(front, "POST", "/unsafe/a//b/%2f/../c?q=%20x&&y", "the body", "X-Hold: 1", "Kv-From: 1.2.3.4:5/6",
+		"X-Expect-Instance: other", "X-Own: kept", "Connection: X-Drop", "X-Drop: 1")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(answer.StatusCode, quicktest.Equals, 200)
+	c.Assert(body, quicktest.Equals, "answer")
+	got := b.requests[0]
+	c.Assert(got.RequestURI, quicktest.Equals, "/unsafe/a//b/%2f/../c?q=%20x&&y")
+	sent, _ := io.ReadAll(got.Body)
+	c.Assert(string(sent), quicktest.Equals, "the body")
+	c.Assert(got.Header.Get("X-Hold")+got.Header.Get("Kv-From")+got.Header.Get("X-Drop"), quicktest.Equals, "")
+	c.Assert(got.Header.Get("X-Expect-Instance"), quicktest.Equals, "server-0")
+	c.Assert(got.Header.Get("X-Own"), quicktest.Equals, "kept")
+}
+
+// TestUnsafeRequestIsSentOnce guards against a second run of a request whose
+// reused connection dies after the server has read it, and against a status
+// that promises that it did not run.
+func TestUnsafeRequestIsSentOnce(t *testing.T) {
+	c := quicktest.New(t)
+	b := startBackend(c, func(n int, conn net.Conn, r *http.Request) bool { return n == 1 && success(conn, r, "first") })
+	front := startFront(c, known(), b)
+	_, _, err := ask(front, "POST", "/unsafe/x", "body")
+	c.Assert(err, quicktest.IsNil)
+	answer, _, err := ask(front, "POST", "/unsafe/x", "body")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(answer.StatusCode, quicktest.Equals, http.StatusBadGateway)
+	c.Assert(b.count(), quicktest.Equals, 2)
+}
+
+// TestSafeRequestGoesToAnotherServer guards against a failure that another
+// server would not have.
+func TestSafeRequestGoesToAnotherServer(t *testing.T) {
+	c := quicktest.New(t)
+	broken := startBackend(c, func(int, net.Conn, *http.Request) bool { return false })
+	sound := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool { return success(conn, r, "answer") })
+	front := startFront(c, known(), broken, sound)
+	answer, body, err := ask(front, "GET", "/safe/x", "")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(answer.StatusCode, quicktest.Equals, 200)
+	c.Assert(body, quicktest.Equals, "answer")
+	c.Assert(broken.count(), quicktest.Equals, 1)
+}
+
+// TestAnswerOfAnotherRequestIsNotPassedOn guards against crossed answers: one
+// with another id, and one that waits on a connection before its request is sent.
+func TestAnswerOfAnotherRequestIsNotPassedOn(t *testing.T) {
+	c := quicktest.New(t)
+	crossed := startBackend(c, func(_ int, conn net.Conn, _ *http.Request) bool {
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Response-Signature: s\r\nContent-Length: 5\r\n\r\nwrong")
+		return true
+	})
+	front := startFront(c, known(), crossed)
+	answer, _, err := ask(front, "POST", "/unsafe/x", "body")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(answer.StatusCode, quicktest.Equals, http.StatusBadGateway)
+
+	extra := startBackend(c, func(n int, conn net.Conn, r *http.Request) bool {
+		success(conn, r, fmt.Sprintf("answer %d", n))
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Signature: s\r\nContent-Length: 5\r\n\r\nwrong")
+		return true
+	})
+	front = startFront(c, known(), extra)
+	for n := 1; n < 4; n++ {
+		_, body, err := ask(front, "POST", "/unsafe/x", "body")
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(body, quicktest.Equals, fmt.Sprintf("answer %d", n))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// stream answers with events from first to last; a cut stream ends within an event.
+func stream(conn net.Conn, r *http.Request, first, last int, cut bool) bool {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		r.Header.Get("X-Attempt-Id"))
+	for i := first; i <= last; i++ {
+		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+	}
+	if cut {
+		fmt.Fprint(conn, "6\r\nid: 99\r\n")
+		return false
+	}
+	fmt.Fprint(conn, "0\r\n\r\n")
+	return true
+}
+
+// TestBrokenStreamIsResumed guards against streams with a gap, with an event
+// twice, or with a part of an event, after their engine broke off.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	c := quicktest.New(t)
+	serve := func(_ int, conn net.Conn, r *http.Request) bool {
+		if r.Header.Get("Last-Event-Id") == "3" {
+			return stream(conn, r, 4, 6, false)
+		}
+		return stream(conn, r, 1, 3, true)
+	}
+	front := startFront(c, known(), startBackend(c, serve), startBackend(c, serve))
+	_, body, err := ask(front, "POST", "/stream/x", "body")
+	c.Assert(err, quicktest.IsNil)
+	var want strings.Builder
+	for i := 1; i <= 6; i++ {
+		fmt.Fprintf(&want, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	c.Assert(body, quicktest.Equals, want.String())
+}
+
+// TestStreamThatMayNotBeResumedEndsEarly guards against an answer that broke off
+// and looks complete, and against its second run.
+func TestStreamThatMayNotBeResumedEndsEarly(t *testing.T) {
+	c := quicktest.New(t)
+	serve := func(_ int, conn net.Conn, r *http.Request) bool { return stream(conn, r, 1, 3, true) }
+	first, second := startBackend(c, serve), startBackend(c, serve)
+	front := startFront(c, known(), first, second)
+	_, _, err := ask(front, "POST", "/once/x", "body")
+	c.Assert(errors.Is(err, io.ErrUnexpectedEOF), quicktest.IsTrue, quicktest.Commentf("%v", err))
+	c.Assert(first.count()+second.count(), quicktest.Equals, 1)
+}
+
+// TestRefusalsAreTrue guards against 503 for a request that may have run, and
+// against a client that isn't told when to come back.
+func TestRefusalsAreTrue(t *testing.T) {
+	c := quicktest.New(t)
+	refusing := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Attempt-Id"))
+		return true
+	})
+	front := startFront(c, known(), refusing)
+	answer, _, err := ask(front, "POST", "/unsafe/x", "body")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(answer.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+	c.Assert(answer.Header.Get("Retry-After"), quicktest.Not(quicktest.Equals), "")
+	answer, _, err = ask(front, "POST", "/nowhere/x", "body")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(answer.StatusCode, quicktest.Equals, http.StatusNotFound)
+
+	silent := startBackend(c, func(int, net.Conn, *http.Request) bool { time.Sleep(3 * time.Second); return false })
+	front = startFront(c, known(), silent)
+	began := time.Now()
+	answer, _, err = ask(front, "POST", "/unsafe/x", "body")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(answer.StatusCode, quicktest.Equals, http.StatusGatewayTimeout)
+	c.Assert(time.Since(began) < 2*time.Second, quicktest.IsTrue)
+}
+
+// TestRequestWaitsForFirstView guards against 404 and hasty refusals at a host
+// that has just started.
+func TestRequestWaitsForFirstView(t *testing.T) {
+	c := quicktest.New(t)
+	b := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool { return success(conn, r, "answer") })
+	views := &fixedViews{known: make(chan struct{})}
+	front := startFront(c, views, b)
+	time.AfterFunc(300*time.Millisecond, func() { close(views.known) })
+	answer, _, err := ask(front, "POST", "/unsafe/x", "body")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(answer.StatusCode, quicktest.Equals, 200)
+}
+
+// TestCallerThatLeavesEndsTheRun guards against servers that go on working for a
+// caller that has closed its connection.
+func TestCallerThatLeavesEndsTheRun(t *testing.T) {
+	c := quicktest.New(t)
+	ended := make(chan time.Time, 1)
+	b := startBackend(c, func(_ int, conn net.Conn, _ *http.Request) bool {
+		_, _ = conn.Read(make([]byte, 1))
+		ended <- time.Now()
+		return false
+	})
+	front := startFront(c, known(), b)
+	conn, err := net.Dial("tcp", front)
+	c.Assert(err, quicktest.IsNil)
+	fmt.Fprint(conn, "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id-1\r\n\r\n")
+	time.Sleep(100 * time.Millisecond)
+	left := time.Now()
+	conn.Close()
+	c.Assert((<-ended).Sub(left) < 500*time.Millisecond, quicktest.IsTrue)
+}
