Reload settings on SIGHUP; changes from the own zone's owner, large rows compressed

Change: SIGHUP reads the settings anew and takes log level and memory limit over, or keeps the former ones; hosts ask the owner of their own zone for changes, and others once the last word of the store is a second old; rows of 2 KB and more are compressed once.

--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -41,9 +41,13 @@
 	// distantPause is the same for an owner whose engines are used only when
 	// those of the own region are full or lost.
 	distantPause = 1200 * time.Millisecond
+	// freshLimit is the age of the last word of the store up to which changes are
+	// asked of the owner of the own zone only. A desired state may be large, and
+	// an owner's link narrow.
+	freshLimit = time.Second
 	// followLimit bounds a question. A host that does not answer for this long
 	// is taken for silent.
-	followLimit = 800 * time.Millisecond
+	followLimit = 1200 * time.Millisecond
 	// silenceLimit is the time without an answer after which an owner counts as lost.
 	silenceLimit = 1500 * time.Millisecond
 	// planPause is how often the owners are looked up in the view.
@@ -97,8 +101,10 @@
 type result struct {
 	host  string
 	start int64
-	reply site.FollowReply
-	err   error
+	// changes says that the question asked for changes.
+	changes bool
+	reply   site.FollowReply
+	err     error
 }
 
 func (f *Follower) prepare() {
@@ -207,11 +213,13 @@
 	}
 	l.busy, l.due = true, now.Add(pause*9/10+rand.N(pause/5))
 	request := site.FollowRequest{
-		Host:      f.Self,
-		Positions: f.Watcher.Positions(),
-		Known:     l.known,
-		Brief:     l.distant,
-		InFlight:  f.Residences.InFlight(l.zones),
+		Host:     f.Self,
+		Known:    l.known,
+		Brief:    l.distant,
+		InFlight: f.Residences.InFlight(l.zones),
+	}
+	if l.zones[f.Zone] || f.Watcher.Age() > freshLimit {
+		request.Positions = f.Watcher.Positions()
 	}
 	host := l.host
 	f.lifecycle.Work(func() {
@@ -219,7 +227,7 @@
 		defer cancel()
 		reply, err := f.Neighbors.Follow(limited, host.Address, request)
 		select {
-		case f.results <- result{host: host.Name, start: host.Start, reply: reply, err: err}:
+		case f.results <- result{host: host.Name, start: host.Start, changes: len(request.Positions) > 0, reply: reply, err: err}:
 		case <-ctx.Done():
 		}
 	})
@@ -239,7 +247,10 @@
 	}
 	l.heard, l.leaving, l.lost, l.ordering = now, r.reply.Leaving, false, r.reply.Ordering
 	f.publish()
-	f.Watcher.Contact(r.reply.Age)
+	if r.changes {
+		// Only an answer with all changes shows that this host is up to date.
+		f.Watcher.Contact(r.reply.Age)
+	}
 	for _, changes := range r.reply.Changes {
 		f.Watcher.Learn(changes)
 	}
--- a/coordination/watch/watcher.go
+++ b/coordination/watch/watcher.go
@@ -188,11 +188,14 @@
 	return positions
 }
 
-// Since returns what changed after the positions.
+// Since returns what changed after the positions; nothing if there are none.
 func (w *Watcher) Since(positions map[site.Table]site.Position) []site.Changes {
 	w.prepare()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if len(positions) == 0 {
+		return nil
+	}
 	var all []site.Changes
 	for name, c := range w.tables {
 		after, upto := positions[name], c.upto
--- a/internal/cmd/frontcmd.go
+++ b/internal/cmd/frontcmd.go
@@ -30,26 +30,49 @@
 
 // Execute serves until a signal.
 func (f *frontCommand) Execute([]string) error {
-	data, err := os.ReadFile(f.Settings)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	decoded, err := settings.DecodeFront(f.Settings, data)
+	decoded, err := f.read()
 	if err != nil {
 		return err
 	}
-	level, err := zerolog.ParseLevel(decoded.LogLevel)
-	if err != nil {
-		return trace.Wrap(err)
-	}
 	host := &fronthost.Host{
 		Settings: decoded,
 		Start:    time.Now().UnixNano(),
-		Log:      zerolog.New(f.stdout).Level(level).With().Timestamp().Str("host", decoded.HostName).Logger(),
+		Log:      zerolog.New(f.stdout).With().Timestamp().Str("host", decoded.HostName).Logger(),
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	// After the first signal the default action of a second one ends the process.
 	context.AfterFunc(ctx, stop)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go f.follow(ctx, host, reload)
 	return host.Run(ctx)
 }
+
+// read decodes the settings file.
+func (f *frontCommand) read() (settings.Front, error) {
+	data, err := os.ReadFile(f.Settings)
+	if err != nil {
+		return settings.Front{}, trace.Wrap(err)
+	}
+	return settings.DecodeFront(f.Settings, data)
+}
+
+// follow reads the settings again after each SIGHUP. A file with a problem
+// leaves the former settings in force.
+func (f *frontCommand) follow(ctx context.Context, host *fronthost.Host, reload <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		}
+		changed, err := f.read()
+		if err != nil {
+			host.Log.Error().Err(err).Msg("settings were not reloaded; the former ones stay in force")
+			continue
+		}
+		host.Reload(changed)
+	}
+}
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -32,10 +32,25 @@
 	Close() error
 }
 
+// Reload takes over the settings that can change while the host runs: the log
+// level and the memory limit. The others need a restart.
+func (h *Host) Reload(changed settings.Front) {
+	apply(changed)
+	h.Log.Info().Str("log-level", changed.LogLevel).Int64("memory-megabytes", changed.MemoryMegabytes).
+		Msg("settings reloaded; other changes need a restart")
+}
+
+func apply(s settings.Front) {
+	debug.SetMemoryLimit(int64(float64(s.MemoryMegabytes<<20) * memoryShare))
+	if level, err := zerolog.ParseLevel(s.LogLevel); err == nil {
+		zerolog.SetGlobalLevel(level)
+	}
+}
+
 // Run serves until ctx ends, then gives its zones up, finishes the requests in
 // flight and closes its duties.
 func (h *Host) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(float64(h.Settings.MemoryMegabytes<<20) * memoryShare))
+	apply(h.Settings)
 	p, err := h.assemble()
 	if err != nil {
 		return err
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -44,7 +44,8 @@
 	for _, changes := range r.Changes {
 		encoded := &Changes{Table: string(changes.Table), Whole: changes.Whole, Upto: uint64(changes.Upto)}
 		for _, row := range changes.Rows {
-			encoded.Rows = append(encoded.Rows, &Row{Key: row.Key, Value: row.Value, Position: uint64(row.Position), Deleted: row.Deleted})
+			value, packed := packValue(row)
+			encoded.Rows = append(encoded.Rows, &Row{Key: row.Key, Value: value, Position: uint64(row.Position), Deleted: row.Deleted, Packed: packed})
 		}
 		message.Changes = append(message.Changes, encoded)
 	}
@@ -59,7 +60,7 @@
 }
 
 // ToFollowReply decodes news.
-func ToFollowReply(message *FollowReply) site.FollowReply {
+func ToFollowReply(message *FollowReply) (site.FollowReply, error) {
 	r := site.FollowReply{
 		Age:      time.Duration(message.GetAgeNanoseconds()),
 		Leaving:  message.GetLeaving(),
@@ -73,9 +74,13 @@
 	for _, encoded := range message.GetChanges() {
 		changes := site.Changes{Table: site.Table(encoded.GetTable()), Whole: encoded.GetWhole(), Upto: site.Position(encoded.GetUpto())}
 		for _, row := range encoded.GetRows() {
+			value, err := unpackValue(row)
+			if err != nil {
+				return site.FollowReply{}, err
+			}
 			changes.Rows = append(changes.Rows, site.Row{
 				Key:      row.GetKey(),
-				Value:    row.GetValue(),
+				Value:    value,
 				Position: site.Position(row.GetPosition()),
 				Deleted:  row.GetDeleted(),
 			})
@@ -94,7 +99,7 @@
 		}
 		r.Residencies = append(r.Residencies, residency)
 	}
-	return r
+	return r, nil
 }
 
 // FromPlaceRequest encodes a demand for a turn at an engine.
--- a/state/site/follow.go
+++ b/state/site/follow.go
@@ -12,7 +12,8 @@
 type FollowRequest struct {
 	// Host asks.
 	Host string
-	// Positions say how far the asking host knows each table.
+	// Positions say how far the asking host knows each table. Without any, it
+	// wants no changes.
 	Positions map[Table]Position
 	// Known is the sequence up to which the asking host knows the residencies of
 	// the answering one.
--- a/transport/peer/site.go
+++ b/transport/peer/site.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return site.FollowReply{}, err
 	}
-	return peer.ToFollowReply(reply), nil
+	return peer.ToFollowReply(reply)
 }
 
 // Place asks the owner of an engine for a turn there. The error is a
