Bound the log without blocking; serve counters and histograms

Requests count by service, route, verdict and code with the existing OpenTelemetry recorder, on the metrics address of the settings.

--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -42,6 +42,13 @@
 	Ahead(server *site.Server, request site.PlaceRequest)
 }
 
+// A Recorder counts how requests end.
+type Recorder interface {
+	// Finished is called once for each request with a route. stalled is how long
+	// it waited for its turn. failure is nil for an answer that was passed on.
+	Finished(route *site.Route, service site.ServiceName, arrived time.Time, stalled time.Duration, failure *verdict.Error)
+}
+
 // Repeats bounds the sends of a service beyond the first of each request.
 type Repeats interface {
 	First(service string)
@@ -75,6 +82,7 @@
 	Balancer Balancer
 	Placer   Placer
 	Repeats  Repeats
+	Recorder Recorder
 	Log      zerolog.Logger
 }
 
@@ -108,6 +116,8 @@
 	// waits says what the request waits for, and server where.
 	waits  stage
 	server site.ServerID
+	// stalled is how long the request has waited for turns.
+	stalled time.Duration
 	// refusedTurns counts the engines that were full or could not load.
 	refusedTurns int
 	// doubt says that an earlier send may have run.
@@ -135,6 +145,7 @@
 	limited, cancel := context.WithDeadline(ctx, a.ends.Add(-endMargin))
 	defer cancel()
 	err := f.run(limited, a)
+	f.Recorder.Finished(route, a.service, request.Arrived, a.stalled, verdict.From(err))
 	if err != nil && ctx.Err() != nil {
 		f.Log.Info().Str("request", request.Attempt).Str("route", route.Name).Str("service", string(a.service)).
 			Int("sends", a.sends).Bool("started", client.Started()).Str("waits", string(a.waits)).Str("server", string(a.server)).
@@ -292,7 +303,9 @@
 		Queue:    a.refusedTurns > 0,
 		Missing:  a.missing == server.ID,
 	}
+	began := time.Now()
 	placement, err := f.Placer.Place(ctx, server, request)
+	a.stalled += time.Since(began)
 	if err != nil {
 		failure := verdict.From(err)
 		if pick.Loaded && failure.Code != verdict.CodeOverloaded {
--- a/internal/cmd/frontcmd.go
+++ b/internal/cmd/frontcmd.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmonmux/persimmonmux/internal/fronthost"
+	"github.com/persimmonmux/persimmonmux/internal/linelog"
 	"github.com/persimmonmux/persimmonmux/internal/settings"
 )
 
@@ -34,10 +35,13 @@
 	if err != nil {
 		return err
 	}
+	lines := &linelog.Writer{Target: f.stdout}
+	go func() { _ = lines.Run(context.Background()) }()
+	defer func() { _ = lines.Close() }()
 	host := &fronthost.Host{
 		Settings: decoded,
 		Start:    time.Now().UnixNano(),
-		Log:      zerolog.New(f.stdout).With().Timestamp().Str("host", decoded.HostName).Logger(),
+		Log:      zerolog.New(lines).With().Timestamp().Str("host", decoded.HostName).Logger(),
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -17,11 +17,14 @@
 	"github.com/persimmonmux/persimmonmux/coordination/watch"
 	"github.com/persimmonmux/persimmonmux/coordination/zone"
 	"github.com/persimmonmux/persimmonmux/platform"
+	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/request"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 	"github.com/persimmonmux/persimmonmux/transport/backend"
 	"github.com/persimmonmux/persimmonmux/transport/front"
+	"github.com/persimmonmux/persimmonmux/transport/metrics"
 	"github.com/persimmonmux/persimmonmux/transport/peer"
 )
 
@@ -58,6 +61,7 @@
 	Tenant     *zone.Tenant
 	Owner      *adapter.Owner
 	PeerServer *peer.Server
+	Recorder   *metrics.Recorder
 	Server     *front.Server
 }
 
@@ -87,6 +91,7 @@
 	_ = p.Store.Connections.Close()
 	_ = p.Engines.Connections.Close()
 	_ = p.Pool.Close()
+	_ = p.Recorder.Close()
 }
 
 // providers returns the constructors of all parts.
@@ -149,10 +154,14 @@
 			}
 		},
 		func() *backend.Pool { return &backend.Pool{} },
-		func(w *watch.Watcher, b *balance.Balancer, o *adapter.Owner, c *peer.Client, r *retry.Window, a *aliveness) *forward.Forwarder {
+		func() (*metrics.Recorder, error) {
+			r := &metrics.Recorder{}
+			return r, r.Start()
+		},
+		func(w *watch.Watcher, b *balance.Balancer, o *adapter.Owner, c *peer.Client, r *retry.Window, a *aliveness, m *metrics.Recorder) *forward.Forwarder {
 			region := h.Settings.Regions[h.Settings.FailureDomain]
 			placer := &placer{self: h.Settings.HostName, region: region, watcher: w, owner: o, client: c, owners: a}
-			return &forward.Forwarder{Views: w, Balancer: b, Placer: placer, Repeats: r, Log: h.Log}
+			return &forward.Forwarder{Views: w, Balancer: b, Placer: placer, Repeats: r, Recorder: &recorder{figures: m}, Log: h.Log}
 		},
 		h.newPeerServer,
 		h.newServer,
@@ -237,7 +246,7 @@
 	return &peer.Server{Listener: listener, Site: &ownedSite{watcher: w, owner: o, tenant: t}}, nil
 }
 
-func (h *Host) newServer(f *forward.Forwarder, w *watch.Watcher, p *backend.Pool) (*front.Server, error) {
+func (h *Host) newServer(f *forward.Forwarder, w *watch.Watcher, p *backend.Pool, m *metrics.Recorder) (*front.Server, error) {
 	callers, err := net.Listen("tcp", h.Settings.CallerAddress.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for callers")
@@ -247,15 +256,40 @@
 		_ = callers.Close()
 		return nil, trace.Wrap(err, "listen for checks")
 	}
-	return &front.Server{
+	server := &front.Server{
 		Listener:      callers,
 		ReadyListener: checks,
+		Metrics:       m.Handler(),
 		Forwarder:     f,
 		Views:         w,
 		Pool:          p,
 		StopLimit:     h.Settings.GraceTime - stopMargin,
 		Log:           h.Log,
-	}, nil
+	}
+	if !h.Settings.MetricsAddress.IsValid() {
+		return server, nil
+	}
+	if server.MetricsListener, err = net.Listen("tcp", h.Settings.MetricsAddress.String()); err != nil {
+		_ = callers.Close()
+		_ = checks.Close()
+		return nil, trace.Wrap(err, "listen for metrics")
+	}
+	return server, nil
+}
+
+// recorder counts requests by their service and route.
+type recorder struct {
+	figures *metrics.Recorder
+}
+
+// Finished counts one request.
+func (r *recorder) Finished(route *site.Route, service site.ServiceName, arrived time.Time, stalled time.Duration, failure *verdict.Error) {
+	ended := &request.Request{
+		Application: configuration.ApplicationName(service),
+		Kind:        configuration.Kind{Name: configuration.KindName(route.Name)},
+		Arrived:     arrived,
+	}
+	r.figures.Finished(ended, request.Answer{Stalled: stalled}, failure)
 }
 
 // ownedSite answers other hosts for the zones of this one.
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -18,6 +18,7 @@
 	ReadyAddress    netip.AddrPort    `json:"ready-address" required:"true" help:"Address to listen on for the load balancer's checks."`
 	PeerAddress     netip.AddrPort    `json:"peer-address" required:"true" help:"Address to listen on for other entry hosts. They are told this address."`
 	PlatformAddress netip.AddrPort    `json:"platform-address" required:"true" help:"Address of the platform's store."`
+	MetricsAddress  netip.AddrPort    `json:"metrics-address" help:"Address at which counters and histograms are served under /metrics. Without it they are not served."`
 	LogLevel        string            `json:"log-level" default:"info" help:"Least level that is logged: trace, debug, info, warn or error."`
 	MemoryMegabytes int64             `json:"memory-megabytes" default:"256" help:"Memory that the process may use."`
 	GraceTime       time.Duration     `json:"grace-time" default:"8s" help:"Time between the request to stop and the end of the process."`
--- a/state/site/follow.go
+++ b/state/site/follow.go
@@ -57,7 +57,7 @@
 	// Host and Region are where the request came in.
 	Host, Region string
 	Server       Incarnation
-	Adapter Adapter
+	Adapter      Adapter
 	// Version is the lowest version that will do; 0 means any.
 	Version int
 	// Priority is that of the waiting request; 0 is the most urgent.
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -20,6 +20,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
 	"github.com/persimmonmux/persimmonmux/coordination/retry"
 	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
 	"github.com/persimmonmux/persimmonmux/transport/backend"
 )
 
@@ -104,6 +105,10 @@
 }
 func (noPlacer) Ahead(*site.Server, site.PlaceRequest) {}
 
+type noRecorder struct{}
+
+func (noRecorder) Finished(*site.Route, site.ServiceName, time.Time, time.Duration, *verdict.Error) {}
+
 // startFront returns the address of a front before the servers.
 func startFront(c *quicktest.C, views *fixedViews, servers ...*backendServer) string {
 	views.view = &site.View{
@@ -132,7 +137,7 @@
 	c.Assert(err, quicktest.IsNil)
 	s := &Server{
 		Listener: callers, ReadyListener: checks, Views: views, Pool: &backend.Pool{}, StopLimit: noticeTime + time.Second, Log: zerolog.Nop(),
-		Forwarder: &forward.Forwarder{Views: views, Balancer: balancer, Placer: noPlacer{}, Repeats: window, Log: zerolog.Nop()},
+		Forwarder: &forward.Forwarder{Views: views, Balancer: balancer, Placer: noPlacer{}, Repeats: window, Recorder: noRecorder{}, Log: zerolog.Nop()},
 	}
 	go s.Run(context.Background())
 	return callers.Addr().String()
--- a/transport/front/server.go
+++ b/transport/front/server.go
@@ -51,9 +51,12 @@
 type Server struct {
 	// Listener takes callers, and ReadyListener the balancer's checks. Run closes both.
 	Listener, ReadyListener net.Listener
-	Forwarder               Forwarder
-	Views                   Views
-	Pool                    *backend.Pool
+	// MetricsListener serves Metrics under /metrics; it may be nil. Run closes it.
+	MetricsListener net.Listener
+	Metrics         http.Handler
+	Forwarder       Forwarder
+	Views           Views
+	Pool            *backend.Pool
 	// StopLimit bounds the time that requests in flight have at a stop.
 	StopLimit time.Duration
 	Log       zerolog.Logger
@@ -76,9 +79,13 @@
 			ErrorLog:          log.New(io.Discard, "", 0),
 		}
 		ready := &http.Server{Handler: checks, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: front.ErrorLog}
-		failed := make(chan error, 2)
+		figures := &http.Server{Handler: s.figures(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: front.ErrorLog}
+		failed := make(chan error, 3)
 		s.lifecycle.Work(func() { failed <- front.Serve(s.Listener) })
 		s.lifecycle.Work(func() { failed <- ready.Serve(s.ReadyListener) })
+		if s.MetricsListener != nil {
+			s.lifecycle.Work(func() { failed <- figures.Serve(s.MetricsListener) })
+		}
 		var err error
 		select {
 		case <-ctx.Done():
@@ -86,6 +93,7 @@
 		}
 		s.stop(front)
 		_ = ready.Close()
+		_ = figures.Close()
 		if errors.Is(err, http.ErrServerClosed) {
 			err = nil
 		}
@@ -93,6 +101,20 @@
 	})
 }
 
+// figures returns the handler of the metrics address.
+func (s *Server) figures() http.Handler {
+	router := chi.NewRouter()
+	if s.Metrics != nil {
+		router.Mount("/metrics", s.Metrics)
+	}
+	return router
+}
+
+// InFlight returns the number of requests in flight.
+func (s *Server) InFlight() int {
+	return int(s.inFlight.Load())
+}
+
 // Close stops taking requests, lets those in flight end, and waits.
 func (s *Server) Close() error {
 	return s.lifecycle.Close()
