forward: refuse requests that no server has got before their callers leave

Change: a stream that no server has got is refused after three quarters of the time after which callers leave, with a time to come back.

--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -71,6 +71,13 @@
 	endMargin = 30 * time.Millisecond
 	// turnLimit is how long a request for a loaded adapter waits for its turn.
 	turnLimit = 400 * time.Millisecond
+	// A caller leaves a stream that has not begun after the longest of leastStay,
+	// stayTargets times the target and stayGaps times the accepted pause. A
+	// request that no server has got is refused a little earlier, so that the
+	// caller comes back.
+	leastStay   = 2 * time.Second
+	stayTargets = 4
+	stayGaps    = 8
 	// leastSend is the least time left with which a send is worth while.
 	leastSend = 40 * time.Millisecond
 )
@@ -107,12 +114,13 @@
 	client  Client
 	route   *site.Route
 	service site.ServiceName
-	// ends is when the request gets its final answer.
-	ends    time.Time
-	tried   []site.ServerID
-	sends   int
-	ran     int
-	missing site.ServerID
+	// ends is when the request gets its final answer, and unsent is when it is
+	// refused if no server has got it.
+	ends, unsent time.Time
+	tried        []site.ServerID
+	sends        int
+	ran          int
+	missing      site.ServerID
 	// waits says what the request waits for, and server where.
 	waits  stage
 	server site.ServerID
@@ -142,6 +150,11 @@
 		limit = request.Patience
 	}
 	a.ends = request.Arrived.Add(limit)
+	a.unsent = a.ends
+	if route.Kind == site.Streaming {
+		leaves := max(leastStay, stayTargets*route.Target, stayGaps*route.GapTarget)
+		a.unsent = request.Arrived.Add(min(limit, leaves*3/4))
+	}
 	limited, cancel := context.WithDeadline(ctx, a.ends.Add(-endMargin))
 	defer cancel()
 	err := f.run(limited, a)
@@ -232,6 +245,9 @@
 	if a.doubt && !a.route.Repeatable() {
 		return false
 	}
+	if a.sends == 0 && !time.Now().Before(a.unsent) {
+		return false
+	}
 	return a.ran < a.route.MaxAttempts && a.sends < a.ran+rejectedSends && time.Until(a.ends) > leastSend
 }
 
@@ -286,12 +302,15 @@
 func (f *Forwarder) place(ctx context.Context, a *attempt, pick balance.Pick, want balance.Want) *verdict.Error {
 	server := pick.Server
 	a.waits, a.server = waitsForLoad, server.ID
+	until := a.ends
+	if a.sends == 0 {
+		until = a.unsent
+	}
 	if pick.Loaded {
-		a.waits = waitsForTurn
-		limited, cancel := context.WithTimeout(ctx, turnLimit)
-		defer cancel()
-		ctx = limited
+		a.waits, until = waitsForTurn, time.Now().Add(turnLimit)
 	}
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
 	request := site.PlaceRequest{
 		Server:   server.Incarnation,
 		Adapter:  want.Adapter,
@@ -299,7 +318,7 @@
 		Priority: a.route.Priority,
 		Tokens:   a.request.Tokens,
 		Output:   a.request.Output,
-		Patience: time.Until(a.ends),
+		Patience: time.Until(until),
 		Queue:    a.refusedTurns > 0,
 		Missing:  a.missing == server.ID,
 	}
--- /dev/null
+++ b/coordination/retry/window_test.go
@@ -0,0 +1,43 @@
+package retry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestWindowHoldsInEverySpan guards against more repeated sends in any span of
+// the window's length than the share of the requests and the slack allow, also
+// when each span of its own would be within them.
+func TestWindowHoldsInEverySpan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		w := &Window{Length: 10 * time.Second, Share: 0.2, Slack: 30, Hosts: func() int { return 3 }}
+		var sent []time.Time
+		for range 4000 {
+			time.Sleep(10 * time.Millisecond)
+			w.First("service")
+			if w.Again("service") {
+				sent = append(sent, time.Now())
+			}
+		}
+		c.Assert(len(sent) > 500, quicktest.IsTrue)
+		for i, first := range sent {
+			count := 0
+			for _, at := range sent[i:] {
+				if at.Sub(first) < w.Length {
+					count++
+				}
+			}
+			c.Assert(count <= 210, quicktest.IsTrue, quicktest.Commentf("%d in a window from %s", count, first))
+		}
+		time.Sleep(time.Minute)
+		allowed := 0
+		for w.Again("service") {
+			allowed++
+		}
+		c.Assert(allowed, quicktest.Equals, 10)
+	})
+}
