--- a/internal/cmd/checksettingscmd.go
+++ b/internal/cmd/checksettingscmd.go
@@ -13,6 +13,7 @@
 type checkSettingsCommand struct {
 	stdout io.Writer
 
+	Fronts         []string `long:"front" value-name:"FILE" description:"settings of a front host; may be given more than once"`
 	Configurations []string `long:"configuration" value-name:"FILE" description:"configuration of a deployment; may be given more than once"`
 	Arguments      struct {
 		Files []string `positional-arg-name:"FILE" description:"settings of an entry host"`
@@ -25,12 +26,12 @@
 func (*checkSettingsCommand) name() string  { return "check-settings" }
 func (*checkSettingsCommand) short() string { return "Check settings files" }
 func (*checkSettingsCommand) long() string {
-	return "Checks settings of entry hosts and configurations of deployments, and prints each problem with file, line and column."
+	return "Checks settings of entry hosts and front hosts and configurations of deployments, and prints each problem with file, line and column."
 }
 
 // Execute checks all files and fails when one of them has a problem.
 func (c *checkSettingsCommand) Execute([]string) error {
-	if len(c.Arguments.Files)+len(c.Configurations) == 0 {
+	if len(c.Arguments.Files)+len(c.Configurations)+len(c.Fronts) == 0 {
 		return errNoFile
 	}
 	var failures []error
@@ -51,6 +52,12 @@
 			return err
 		})
 	}
+	for _, file := range c.Fronts {
+		check(file, func(file string, data []byte) error {
+			_, err := settings.DecodeFront(file, data)
+			return err
+		})
+	}
 	for _, file := range c.Configurations {
 		check(file, func(file string, data []byte) error {
 			_, err := settings.DecodeConfiguration(file, data)
