--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -71,8 +71,6 @@
 	busy bool
 	// notBefore is when the next order may be given after a refused one.
 	notBefore time.Time
-	// replaced has the versions that a resident adapter was ordered to change to.
-	replaced map[site.Adapter]int
 }
 
 // A load is an accepted order that is not known to be complete.
@@ -86,19 +84,18 @@
 
 func newEngine(server *site.Server, region string, epoch uint64) *engine {
 	return &engine{
-		server:   server,
-		region:   region,
-		epoch:    epoch,
-		held:     make(map[site.Adapter]int),
-		loads:    make(map[site.Adapter]*load),
-		recent:   make(map[site.Adapter]bool),
-		used:     make(map[site.Adapter]time.Time),
-		until:    make(map[site.Adapter]time.Time),
-		doubts:   make(map[site.Adapter]bool),
-		replaced: make(map[site.Adapter]int),
-		turned:   make(map[string]int),
-		heard:    make(map[string]time.Time),
-		asked:    make(map[asking]int),
+		server: server,
+		region: region,
+		epoch:  epoch,
+		held:   make(map[site.Adapter]int),
+		loads:  make(map[site.Adapter]*load),
+		recent: make(map[site.Adapter]bool),
+		used:   make(map[site.Adapter]time.Time),
+		until:  make(map[site.Adapter]time.Time),
+		doubts: make(map[site.Adapter]bool),
+		turned: make(map[string]int),
+		heard:  make(map[string]time.Time),
+		asked:  make(map[asking]int),
 	}
 }
 
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -36,8 +36,6 @@
 	Version int
 	// Urgency is from 0, the most urgent, to 9; less than 0 leaves it out.
 	Urgency int
-	// Repeated says that an earlier send of the request may have run.
-	Repeated bool
 }
 
 // A Head is the beginning of a server's answer.
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -1,7 +1,6 @@
 package fronthost
 
 import (
-	"context"
 	"net"
 	"time"
 
@@ -10,18 +9,14 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/adapter"
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
-	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
 	"github.com/persimmonmux/persimmonmux/coordination/lease"
 	"github.com/persimmonmux/persimmonmux/coordination/retry"
 	"github.com/persimmonmux/persimmonmux/coordination/watch"
 	"github.com/persimmonmux/persimmonmux/coordination/zone"
 	"github.com/persimmonmux/persimmonmux/platform"
-	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
-	"github.com/persimmonmux/persimmonmux/state/request"
 	"github.com/persimmonmux/persimmonmux/state/site"
-	"github.com/persimmonmux/persimmonmux/state/verdict"
 	"github.com/persimmonmux/persimmonmux/transport/backend"
 	"github.com/persimmonmux/persimmonmux/transport/front"
 	"github.com/persimmonmux/persimmonmux/transport/metrics"
@@ -191,34 +186,6 @@
 	return a.follower
 }
 
-// aliveness breaks the cycles between those who need to know the living owners
-// and the follower, which finds them.
-type aliveness struct {
-	self     string
-	watcher  *watch.Watcher
-	follower *watch.Follower
-	tenant   *zone.Tenant
-}
-
-// ordered says whether somebody gives orders to the engines of the zone.
-func (a *aliveness) ordered(name string) bool {
-	host := a.watcher.View().Owners[name]
-	switch {
-	case host == nil || a.follower == nil || a.tenant == nil:
-		return false
-	case host.Name == a.self:
-		_, ok := a.tenant.Epoch(name)
-		return ok
-	default:
-		return a.follower.Orders(host.Name, name)
-	}
-}
-
-// Alive says whether the owner answers.
-func (a *aliveness) Alive(host string) bool {
-	return a.follower != nil && a.follower.Alive(host)
-}
-
 func (h *Host) newTenant(s *platform.Store, k *lease.Keeper, w *watch.Watcher, a *aliveness) *zone.Tenant {
 	a.tenant = &zone.Tenant{
 		Host: site.Host{
@@ -276,100 +243,3 @@
 	}
 	return server, nil
 }
-
-// recorder counts requests by their service and route.
-type recorder struct {
-	figures *metrics.Recorder
-}
-
-// Finished counts one request.
-func (r *recorder) Finished(route *site.Route, service site.ServiceName, arrived time.Time, stalled time.Duration, failure *verdict.Error) {
-	ended := &request.Request{
-		Application: configuration.ApplicationName(service),
-		Kind:        configuration.Kind{Name: configuration.KindName(route.Name)},
-		Arrived:     arrived,
-	}
-	r.figures.Finished(ended, request.Answer{Stalled: stalled}, failure)
-}
-
-// ownedSite answers other hosts for the zones of this one.
-type ownedSite struct {
-	watcher *watch.Watcher
-	owner   *adapter.Owner
-	tenant  *zone.Tenant
-}
-
-// Follow tells what changed since the positions of the request.
-func (s *ownedSite) Follow(request site.FollowRequest) site.FollowReply {
-	s.owner.InFlight(request.Host, request.InFlight)
-	var residencies []site.Residency
-	sequence := request.Known
-	if !request.Brief {
-		residencies, sequence = s.owner.Residencies(request.Known)
-	}
-	return site.FollowReply{
-		Changes:     s.watcher.Since(request.Positions),
-		Age:         s.watcher.Age(),
-		Leaving:     s.tenant.Leaving(),
-		Ordering:    s.tenant.Ordering(),
-		Running:     s.owner.Running(),
-		Residencies: residencies,
-		Sequence:    sequence,
-	}
-}
-
-// Place waits for a turn at one of this host's engines.
-func (s *ownedSite) Place(ctx context.Context, request site.PlaceRequest) (site.Placement, error) {
-	return s.owner.Place(ctx, request)
-}
-
-// placer asks the owner of an engine for turns there, wherever it runs.
-type placer struct {
-	self    string
-	region  string
-	watcher *watch.Watcher
-	owner   *adapter.Owner
-	client  *peer.Client
-	owners  *aliveness
-}
-
-// ownerCheck is how often a waiting request looks whether its owner still answers.
-const ownerCheck = 300 * time.Millisecond
-
-// aheadLimit bounds a load that no request waits for.
-const aheadLimit = 3 * time.Second
-
-// Ahead asks for a load that no request waits for.
-func (p *placer) Ahead(server *site.Server, request site.PlaceRequest) {
-	request.Patience = aheadLimit
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), aheadLimit)
-		defer cancel()
-		// Without the copy, requests go on to the engines that hold the adapter.
-		_, _ = p.Place(ctx, server, request)
-	}()
-}
-
-// Place waits for a turn at the engine.
-func (p *placer) Place(ctx context.Context, server *site.Server, request site.PlaceRequest) (site.Placement, error) {
-	request.Host, request.Region = p.self, p.region
-	host := p.watcher.View().Owners[server.Zone]
-	switch {
-	case host == nil:
-		return site.Placement{}, verdict.Refuse(verdict.CodeNotOwner, "the engines of zone %s have no owner", server.Zone)
-	case host.Name == p.self:
-		return p.owner.Place(ctx, request)
-	}
-	// A frozen owner keeps its connections, so that only its silence shows it.
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	check := time.AfterFunc(ownerCheck, func() {
-		for duty.Pause(ctx, ownerCheck) {
-			if !p.owners.ordered(server.Zone) {
-				cancel()
-			}
-		}
-	})
-	defer check.Stop()
-	return p.client.Place(ctx, host.Address, request)
-}
--- /dev/null
+++ b/internal/fronthost/recorder.go
@@ -0,0 +1,26 @@
+package fronthost
+
+import (
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/configuration"
+	"github.com/persimmonmux/persimmonmux/state/request"
+	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/metrics"
+)
+
+// recorder counts requests by their service and route.
+type recorder struct {
+	figures *metrics.Recorder
+}
+
+// Finished counts one request.
+func (r *recorder) Finished(route *site.Route, service site.ServiceName, arrived time.Time, stalled time.Duration, failure *verdict.Error) {
+	ended := &request.Request{
+		Application: configuration.ApplicationName(service),
+		Kind:        configuration.Kind{Name: configuration.KindName(route.Name)},
+		Arrived:     arrived,
+	}
+	r.figures.Finished(ended, request.Answer{Stalled: stalled}, failure)
+}
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -5,13 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -35,18 +31,13 @@
 )
 
 // A Pool has raw HTTP/1.1 connections to servers. It sends every request once,
-// and a connection is used again only if nothing waits on it. Its exported
-// fields are set before use; it may be used by many goroutines.
+// and a connection is used again only if nothing waits on it. It may be used by
+// many goroutines; its zero value is ready.
 type Pool struct {
-	// Limit is the most connections to one server; 0 means no limit.
-	Limit func(address string) int
-
 	mutex  sync.Mutex
 	idle   map[string][]*channel
-	open   map[string]int
 	closed bool
 	swept  time.Time
-	opened atomic.Int64
 }
 
 // A channel is one connection to a server.
@@ -67,27 +58,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Fresh asks for a connection that was never used.
-	Fresh bool
-}
-
-// An Incoming is the answer to an Outgoing. Its Close is called once.
-type Incoming struct {
-	*http.Response
-
-	pool    *Pool
-	channel *channel
-	stop    func() bool
-	// written receives the end of the body's writing.
-	written chan error
 }
 
-// errFull is returned when the server has all the connections that it may have.
-var errFull = errors.New("all connections to the server are in use")
-
-// Opened returns the number of connections opened since the start.
-func (p *Pool) Opened() int64 { return p.opened.Load() }
-
 // Do sends the request and reads the head of the answer. With an error, wrote
 // says whether a byte of the request may have been written.
 func (p *Pool) Do(ctx context.Context, out *Outgoing) (in *Incoming, wrote bool, err error) {
@@ -117,103 +89,9 @@
 	return err
 }
 
-// answered says whether bytes of an answer have arrived. A server may answer and
-// close before it has read the whole request.
-func answered(ch *channel) bool {
-	_, err := ch.reader.Peek(1)
-	return err == nil
-}
-
-func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
-	for range informational {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-	return nil, errors.New("too many informational answers")
-}
-
-// write writes the head, and the body with it if it is small.
-func (in *Incoming) write(out *Outgoing) error {
-	var head strings.Builder
-	head.WriteString(out.Method + " " + out.Target + " HTTP/1.1\r\nHost: " + out.Host + "\r\n")
-	for name, values := range out.Header {
-		for _, value := range values {
-			head.WriteString(name + ": " + value + "\r\n")
-		}
-	}
-	if len(out.Body) > 0 || out.Method != http.MethodGet && out.Method != http.MethodHead {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(out.Body)) + "\r\n")
-	}
-	head.WriteString("\r\n")
-	if len(out.Body) <= smallBody {
-		_, err := in.channel.Write(append([]byte(head.String()), out.Body...))
-		return err
-	}
-	if _, err := io.WriteString(in.channel, head.String()); err != nil {
-		return err
-	}
-	in.written = make(chan error, 1)
-	go func() {
-		_, err := in.channel.Write(out.Body)
-		in.written <- err
-	}()
-	return nil
-}
-
-// Close ends the answer. complete says that its body was read to its end; the
-// connection is then used again if the server allows it.
-func (in *Incoming) Close(complete bool) {
-	if !complete || !in.reusable() {
-		in.discard()
-		return
-	}
-	in.pool.put(in.channel)
-}
-
-// reusable says whether the connection is clean: both sides are at the end of
-// their message, and the request's context has not closed it.
-func (in *Incoming) reusable() bool {
-	if !in.stop() || in.Response.Close || in.channel.reader.Buffered() > 0 {
-		return false
-	}
-	if in.written != nil {
-		select {
-		case err := <-in.written:
-			if err != nil {
-				return false
-			}
-		default:
-			return false
-		}
-	}
-	in.channel.until = time.Now().Add(keepAlive(in.Header))
-	return time.Now().Before(in.channel.until)
-}
-
-// keepAlive returns how long the server keeps the connection, less a margin.
-func keepAlive(header http.Header) time.Duration {
-	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if seconds, err := strconv.ParseFloat(value, 64); strings.EqualFold(name, "timeout") && err == nil {
-			return min(time.Duration(seconds*float64(time.Second))-poolIdleMargin, poolIdleLimit)
-		}
-	}
-	return poolIdleLimit
-}
-
-func (in *Incoming) discard() {
-	in.stop()
-	in.pool.drop(in.channel)
-}
-
 // take returns an unused clean connection, or a new one.
 func (p *Pool) take(ctx context.Context, out *Outgoing) (*channel, error) {
-	for !out.Fresh {
+	for {
 		ch := p.pop(out.Address)
 		if ch == nil {
 			break
@@ -224,16 +102,11 @@
 		}
 		p.drop(ch)
 	}
-	if err := p.reserve(out.Address); err != nil {
-		return nil, err
-	}
 	dialer := net.Dialer{Timeout: poolDialLimit}
 	raw, err := dialer.DialContext(ctx, "tcp", out.Address)
 	if err != nil {
-		p.release(out.Address)
 		return nil, err
 	}
-	p.opened.Add(1)
 	return &channel{Conn: raw, address: out.Address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
@@ -291,35 +164,8 @@
 	return stale
 }
 
-func (p *Pool) reserve(address string) error {
-	limit := 0
-	if p.Limit != nil {
-		limit = p.Limit(address)
-	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.open == nil {
-		p.open = make(map[string]int)
-	}
-	if limit > 0 && p.open[address] >= limit {
-		return errFull
-	}
-	p.open[address]++
-	return nil
-}
-
-func (p *Pool) release(address string) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.open[address]--
-	if p.open[address] <= 0 {
-		delete(p.open, address)
-	}
-}
-
 func (p *Pool) drop(ch *channel) {
 	_ = ch.Close()
-	p.release(ch.address)
 }
 
 // Close closes the unused connections. Those in use end with their answers.
--- a/transport/front/server.go
+++ b/transport/front/server.go
@@ -110,11 +110,6 @@
 	return router
 }
 
-// InFlight returns the number of requests in flight.
-func (s *Server) InFlight() int {
-	return int(s.inFlight.Load())
-}
-
 // Close stops taking requests, lets those in flight end, and waits.
 func (s *Server) Close() error {
 	return s.lifecycle.Close()
