--- a/coordination/ownership/machine_test.go
+++ b/coordination/ownership/machine_test.go
@@ -254,8 +254,11 @@
 // A machine is a deployment under faults, with requests.
 type machine struct {
 	*deployment
-	t        *rapid.T
-	next     int
+	t    *rapid.T
+	next int
+	// mutex guards the fields below: a request may begin in the background while
+	// others are settled.
+	mutex    sync.Mutex
 	grants   int
 	unknown  int
 	inFlight []*running
@@ -287,6 +290,8 @@
 		h.holder.Release(grant)
 		return
 	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	m.grants++
 	if !m.engines[engine].run(grant, sent) {
 		m.unknown++
@@ -298,6 +303,8 @@
 
 // settle ends requests whose grants or holders ended. A paused holder does not.
 func (m *machine) settle(finish int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	kept := m.inFlight[:0]
 	for i, r := range m.inFlight {
 		ended := !time.Now().Before(r.end) || i == finish
