forward: send nothing after a wait in vain

Cause, found by reading: after a wait for a turn, a request went on to an engine that had begun to leave or had restarted meanwhile, and without the owner's word also for a caller that had left. Change: the view and the caller are looked at again after the wait; owners refuse demands for engines that leave; the pool sends nothing for an ended context. TestNothingIsSentAfterAWaitInVain failed before.

--- a/coordination/adapter/owner.go
+++ b/coordination/adapter/owner.go
@@ -252,6 +252,9 @@
 			continue
 		}
 		e.server = server
+		if server.State != site.Ready {
+			e.refuseAll(verdict.Refuse(verdict.CodeBackendRefused, "engine %s leaves", id))
+		}
 	}
 	for id, server := range view.Servers {
 		service := view.Service(server.Service)
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -255,12 +255,29 @@
 		if failure := f.place(ctx, a, pick, want); failure != nil {
 			return failure
 		}
+		if failure := f.stale(ctx, a, pick.Server); failure != nil {
+			return failure
+		}
 	}
 	passed = true
 	f.Balancer.Passed(pick.Server)
 	return f.send(ctx, a, pick.Server, want)
 }
 
+// stale looks again, after a wait, whether the caller is there and the engine
+// still takes requests.
+func (f *Forwarder) stale(ctx context.Context, a *attempt, server *site.Server) *verdict.Error {
+	if ctx.Err() != nil {
+		return verdict.Refuse(verdict.CodeCanceled, "the request ended before its turn at engine %s", server.ID)
+	}
+	now := f.Views.View().Servers[server.ID]
+	if now != nil && now.State == site.Ready && now.Incarnation == server.Incarnation {
+		return nil
+	}
+	a.tried = append(a.tried, server.ID)
+	return verdict.Refuse(verdict.CodeBackendRefused, "engine %s left or restarted while the request waited", server.ID)
+}
+
 // place waits for the request's turn at an engine. Without a word of the engine's
 // owner, a request for an adapter that is loaded is sent all the same.
 func (f *Forwarder) place(ctx context.Context, a *attempt, pick balance.Pick, want balance.Want) *verdict.Error {
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -36,7 +36,7 @@
 	close(r.known)
 	r.view = &site.View{
 		Desired: &site.DesiredState{Routes: []site.Route{route}, Services: map[site.ServiceName]*site.Service{"s": {Name: "s", Engines: &site.Engines{}}}},
-		Servers: map[site.ServerID]*site.Server{"e": {Incarnation: site.Incarnation{ID: "e"}, Service: "s"}},
+		Servers: map[site.ServerID]*site.Server{"e": {Incarnation: site.Incarnation{ID: "e"}, Service: "s", State: site.Ready}},
 	}
 	r.view.Index()
 	r.places = func(context.Context, site.PlaceRequest) error { return nil }
@@ -117,6 +117,54 @@
 	})
 }
 
+// TestNothingIsSentAfterAWaitInVain guards against sends to an engine that began
+// to leave while the request waited, and for a caller that has left.
+func TestNothingIsSentAfterAWaitInVain(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		wait func(r *rig, leave context.CancelFunc)
+	}{
+		{"engine leaves", func(r *rig, _ context.CancelFunc) {
+			r.view.Servers = map[site.ServerID]*site.Server{"e": {Incarnation: site.Incarnation{ID: "e"}, Service: "s", State: site.Draining}}
+		}},
+		{"engine is gone", func(r *rig, _ context.CancelFunc) { r.view.Servers = nil }},
+		{"caller leaves", func(_ *rig, leave context.CancelFunc) { leave() }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				r := newRig(chat)
+				r.send = func(int) (Answer, error) { return end{head: Head{Status: 200}}, nil }
+				chosen := r.view.Servers["e"]
+				ctx, leave := context.WithCancel(context.Background())
+				defer leave()
+				r.places = func(context.Context, site.PlaceRequest) error {
+					test.wait(r, leave)
+					return verdict.Refuse(verdict.CodeNotOwner, "no word of the owner")
+				}
+				f := &Forwarder{Views: r, Balancer: &fixedChoice{rig: r, server: chosen}, Placer: r, Repeats: r, Recorder: r, Log: zerolog.Nop()}
+				request := &Request{Attempt: "id", Host: "h", Path: "/x", Adapter: site.Adapter{Model: "m", Name: "a"}, Arrived: time.Now(), Patience: time.Second}
+				c.Assert(f.Forward(ctx, request, r), quicktest.IsNotNil)
+				c.Assert(r.sent, quicktest.HasLen, 0)
+			})
+		})
+	}
+}
+
+// A fixedChoice chooses one server once.
+type fixedChoice struct {
+	*rig
+
+	server *site.Server
+}
+
+func (f *fixedChoice) Choose(w balance.Want) (balance.Pick, error) {
+	if len(w.Tried) > 0 {
+		return balance.Pick{}, verdict.Refuse(verdict.CodeOverloaded, "all tried")
+	}
+	return balance.Pick{Server: f.server, Loaded: true}, nil
+}
+
 // TestLoadedAdapterNeedsNoOwner guards against requests that wait for a silent
 // owner although the engine holds their adapter.
 func TestLoadedAdapterNeedsNoOwner(t *testing.T) {
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -63,6 +63,9 @@
 // Do sends the request and reads the head of the answer. With an error, wrote
 // says whether a byte of the request may have been written.
 func (p *Pool) Do(ctx context.Context, out *Outgoing) (in *Incoming, wrote bool, err error) {
+	if ctx.Err() != nil {
+		return nil, false, ctx.Err()
+	}
 	ch, err := p.take(ctx, out)
 	if err != nil {
 		return nil, false, err
