adapter: refusals name what the request waited for

Cause: a request that waits at an owner until its time is up was told nothing but 'context deadline exceeded', because the owner's answer came after the caller's limit.

Change: the owner refuses 40 ms before the patience ends and says what was in the way.

--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -1,6 +1,7 @@
 package adapter
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -200,11 +201,33 @@
 		if !d.dead(now) {
 			return false
 		}
-		d.reply <- answer{err: verdict.Refuse(verdict.CodeDeadline, "adapter %s was not loaded on %s in time", d.request.Adapter.Name, e.server.ID)}
+		d.reply <- answer{err: verdict.Refuse(verdict.CodeDeadline, "no turn on %s for adapter %s in time: %s", e.server.ID, d.request.Adapter.Name, e.obstacle(d.request, now))}
 		return true
 	})
 }
 
+// obstacle says what a demand waits for, for the log.
+func (e *engine) obstacle(r site.PlaceRequest, now time.Time) string {
+	_, idle := e.victim(now)
+	l := e.loads[r.Adapter]
+	switch {
+	case !e.read:
+		return "the engine's state is not known"
+	case e.has(r) && e.full():
+		return "the engine is full"
+	case e.has(r):
+		return "other prompts are being read"
+	case l != nil:
+		return fmt.Sprintf("its load began %d ms ago", now.Sub(l.began).Milliseconds())
+	case !idle:
+		return "all adapter slots are in use"
+	case e.again != nil:
+		return "an order has no answer"
+	default:
+		return "its load was not ordered"
+	}
+}
+
 // accept counts an accepted order. Orders without an answer from before are void,
 // because they expect an earlier number.
 func (e *engine) accept() {
--- a/coordination/adapter/owner.go
+++ b/coordination/adapter/owner.go
@@ -56,6 +56,9 @@
 	// before every load slows down, for each loadsUnit of base models that the
 	// weight store allows in a second. The platform does not tell the number.
 	transitUnit = 8
+	// answerMargin is how long before its patience ends a demand is refused, so
+	// that the reason reaches the host that asked.
+	answerMargin = 40 * time.Millisecond
 	loadsUnit   = 4.5
 )
 
@@ -156,7 +159,7 @@
 func (o *Owner) Place(ctx context.Context, request site.PlaceRequest) (site.Placement, error) {
 	o.prepare()
 	now := time.Now()
-	d := &demand{request: request, ends: now.Add(request.Patience), gone: ctx.Done(), reply: make(chan answer, 1)}
+	d := &demand{request: request, ends: now.Add(request.Patience - answerMargin), gone: ctx.Done(), reply: make(chan answer, 1)}
 	if !o.messages.Offer(d) {
 		return site.Placement{}, verdict.Refuse(verdict.CodeOverloaded, "too many demands for adapters wait")
 	}
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -314,7 +314,7 @@
 		a.refusedTurns++
 		a.tried = append(a.tried, server.ID)
 		f.Log.Info().Str("request", a.request.Attempt).Str("engine", string(server.ID)).Str("adapter", want.Adapter.Name).
-			Int("version", want.Version).Err(err).Msg("engine gave no turn")
+			Int("version", want.Version).Dur("waited", time.Since(began)).Err(err).Msg("engine gave no turn")
 		return failure
 	}
 	f.Balancer.Placed(server, want.Adapter, want.Version)
