adapter: owners learn which adapters are in use

Cause: an owner kept an adapter's slot until the expected end of its last request, worked out from the most output tokens at 7 ms each. Ruled out: prompts in the turn window (86 of 11,500). The output tokens go.

--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -19,12 +19,6 @@
 	pollPause = 30 * time.Millisecond
 	// modelPoll is the same for a base model.
 	modelPoll = 150 * time.Millisecond
-	// idleBeforeEviction is how long an adapter stays after the expected end of its
-	// last request. An unload of an adapter in use waits for its runs and keeps the
-	// engine from other orders.
-	idleBeforeEviction = 300 * time.Millisecond
-	// tokenTime is the expected time for a token of an answer.
-	tokenTime = 7 * time.Millisecond
 	// reportLag is how old the values of a report are in most cases.
 	reportLag = 500 * time.Millisecond
 	// staleLimit is the time after which a report with fewer orders than were
@@ -49,8 +43,6 @@
 	// load again from its own memory.
 	recent map[site.Adapter]bool
 	used   map[site.Adapter]time.Time
-	// until is the expected end of the last request of each adapter.
-	until map[site.Adapter]time.Time
 	// doubts are loads without an answer. They may be carried out, and take a
 	// slot, until the engine has accepted another order.
 	doubts map[site.Adapter]bool
@@ -60,10 +52,7 @@
 	// stale is when the first report came that was older than an accepted order.
 	stale  time.Time
 	wanted []*demand
-	// turned has the requests of each host, as it told last and with the turns
-	// since, and heard is when the host was heard of last.
-	turned map[string]int
-	heard  map[string]time.Time
+	runs   *runs
 	// asked counts the uses of adapters by region, for copies.
 	asked map[asking]int
 	// turns are the prompts that were let in within the window.
@@ -92,10 +81,8 @@
 		loads:  make(map[site.Adapter]*load),
 		recent: make(map[site.Adapter]bool),
 		used:   make(map[site.Adapter]time.Time),
-		until:  make(map[site.Adapter]time.Time),
 		doubts: make(map[site.Adapter]bool),
-		turned: make(map[string]int),
-		heard:  make(map[string]time.Time),
+		runs:   newRuns(),
 		asked:  make(map[asking]int),
 	}
 }
@@ -188,8 +175,8 @@
 			full = true
 			return false
 		}
-		e.use(d.request, now)
-		e.turned[d.request.Host]++
+		e.used[d.request.Adapter] = now
+		e.runs.begin(d.request.Host, d.request.Adapter, now)
 		d.reply <- answer{placement: site.Placement{Copy: e.worthCopy(d.request)}}
 		return true
 	})
@@ -290,20 +277,13 @@
 	return count
 }
 
-// use notes a request that begins.
-func (e *engine) use(r site.PlaceRequest, now time.Time) {
-	e.used[r.Adapter] = now
-	if end := now.Add(time.Duration(r.Output) * tokenTime); end.After(e.until[r.Adapter]) {
-		e.until[r.Adapter] = end
-	}
-}
-
-// victim returns the adapter that was not used for the longest time.
+// victim returns the adapter that was not used for the longest time. An unload of
+// an adapter in use would wait for its runs and keep its slot meanwhile.
 func (e *engine) victim(now time.Time) (site.Adapter, bool) {
 	var best site.Adapter
 	found := false
 	for adapter := range e.held {
-		if adapter.Name == "" || e.loads[adapter] != nil || now.Sub(e.until[adapter]) < idleBeforeEviction {
+		if adapter.Name == "" || e.loads[adapter] != nil || e.runs.inUse(adapter, now) {
 			continue
 		}
 		if !found || e.used[adapter].Before(e.used[best]) {
--- a/coordination/adapter/owner.go
+++ b/coordination/adapter/owner.go
@@ -59,7 +59,7 @@
 	// answerMargin is how long before its patience ends a demand is refused, so
 	// that the reason reaches the host that asked.
 	answerMargin = 40 * time.Millisecond
-	loadsUnit   = 4.5
+	loadsUnit    = 4.5
 )
 
 // An Owner is the duty that orders for engines. Its exported fields are set
@@ -283,14 +283,14 @@
 	now := time.Now()
 	for _, sent := range o.Local.InFlight(zones) {
 		if e := o.engines[sent.Server]; e != nil {
-			e.turned[o.Host] = sent.Count
+			e.runs.report(o.Host, sent.Adapters)
 		}
 	}
 	running := make(map[site.ServerID]int, len(o.engines))
 	for id, e := range o.engines {
-		e.heard[o.Host] = now
-		e.forgetHosts(now)
-		running[id] = e.running()
+		e.runs.heard[o.Host] = now
+		e.runs.forget(now)
+		running[id] = e.runs.total
 	}
 	o.running.Store(&running)
 	o.Local.Busy(running)
@@ -330,11 +330,11 @@
 func (n counts) handle(_ context.Context, o *Owner) {
 	now := time.Now()
 	for _, e := range o.engines {
-		e.heard[n.host] = now
+		e.runs.heard[n.host] = now
 	}
 	for _, sent := range n.list {
 		if e := o.engines[sent.Server]; e != nil {
-			e.turned[n.host] = sent.Count
+			e.runs.report(n.host, sent.Adapters)
 		}
 	}
 }
--- a/coordination/adapter/owner_test.go
+++ b/coordination/adapter/owner_test.go
@@ -64,7 +64,7 @@
 	f := newFakeSite(3, 12)
 	with(t, f, func(c *quicktest.C, o *Owner) {
 		c.Assert(place(o, f, "engine-0", lora(0), time.Second), quicktest.IsNil)
-		time.Sleep(2 * idleBeforeEviction)
+		time.Sleep(2 * unreportedLimit)
 		for i := range 12 {
 			c.Assert(place(o, f, "engine-0", lora(1+i), 5*time.Second), quicktest.IsNil)
 		}
@@ -76,7 +76,7 @@
 		time.Sleep(100 * time.Millisecond)
 		began := time.Now()
 		c.Assert(place(o, f, "engine-0", lora(0), 5*time.Second), quicktest.IsNil)
-		c.Assert(time.Since(began) < 2*coldLoad+idleBeforeEviction, quicktest.IsTrue, quicktest.Commentf("%s", time.Since(began)))
+		c.Assert(time.Since(began) < 2*coldLoad+unreportedLimit, quicktest.IsTrue, quicktest.Commentf("%s", time.Since(began)))
 		c.Assert(f.engines["engine-0"].warm, quicktest.Equals, 1)
 	})
 }
@@ -91,7 +91,7 @@
 			e.mute = 2
 			began := time.Now()
 			c.Assert(place(o, f, "engine-0", lora(i), 10*time.Second), quicktest.IsNil)
-			c.Assert(time.Since(began) < 2*idleBeforeEviction+2*coldLoad, quicktest.IsTrue, quicktest.Commentf("%s", time.Since(began)))
+			c.Assert(time.Since(began) < 2*unreportedLimit+2*coldLoad, quicktest.IsTrue, quicktest.Commentf("%s", time.Since(began)))
 			f.mutex.Lock()
 			for _, late := range e.late {
 				e.carry(late)
@@ -141,7 +141,7 @@
 		_, err = o.Place(context.Background(), request)
 		c.Assert(verdict.From(err).Code, quicktest.Equals, verdict.CodeDeadline)
 		// The host tells that all but one have ended.
-		o.InFlight("other", []site.InFlight{{Server: "engine-0", Count: 1}})
+		o.InFlight("other", []site.InFlight{{Server: "engine-0", Adapters: map[site.Adapter]int{lora(1): 1}}})
 		_, err = o.Place(context.Background(), request)
 		c.Assert(err, quicktest.IsNil)
 	})
--- a/coordination/adapter/turn.go
+++ b/coordination/adapter/turn.go
@@ -14,8 +14,6 @@
 	// window. Engines read about 38 in a millisecond, between the tokens that they
 	// produce for other requests.
 	turnTokens = 5500
-	// hostMemory is how long the requests of a host count after its last word.
-	hostMemory = 4 * time.Second
 	// fullLoad is the part of the slots from which requests wait. It is more than
 	// 1, because hosts tell of the ends of their requests half a second late.
 	fullLoad = 1.25
@@ -73,27 +71,7 @@
 
 // full says whether the engine has as many requests as it should.
 func (e *engine) full() bool {
-	return float64(e.running()) >= fullLoad*float64(e.server.Slots)
-}
-
-// running is the number of requests on the engine.
-func (e *engine) running() int {
-	sum := 0
-	for _, count := range e.turned {
-		sum += count
-	}
-	return sum
-}
-
-// forgetHosts drops the requests of hosts that are silent: they have ended, or
-// can no longer report their ends.
-func (e *engine) forgetHosts(now time.Time) {
-	for host, at := range e.heard {
-		if now.Sub(at) > hostMemory {
-			delete(e.heard, host)
-			delete(e.turned, host)
-		}
-	}
+	return float64(e.runs.total) >= fullLoad*float64(e.server.Slots)
 }
 
 // worthCopy counts a use and says whether the adapter is worth another copy: it
@@ -108,5 +86,5 @@
 	if uses%copyUses != 0 {
 		return false
 	}
-	return r.Region != e.region || float64(e.running()) >= copyLoad*float64(e.server.Slots)
+	return r.Region != e.region || float64(e.runs.total) >= copyLoad*float64(e.server.Slots)
 }
--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -97,9 +97,10 @@
 	// adapters is what the owner says is loaded; residency says whether it did.
 	adapters  map[site.Adapter]int
 	residency site.Residency
-	// running counts the requests that were passed on, and told is what the owner
-	// was told of them last.
-	running, told int
+	// running counts the requests that were passed on by adapter, and told says
+	// that the owner was told of some.
+	running map[site.Adapter]int
+	told    bool
 }
 
 func (b *Balancer) station(server *site.Server) *station {
@@ -108,7 +109,7 @@
 	}
 	s := b.stations[server.ID]
 	if s == nil || s.incarnation != server.Incarnation {
-		s = &station{incarnation: server.Incarnation, zone: server.Zone}
+		s = &station{incarnation: server.Incarnation, zone: server.Zone, running: make(map[site.Adapter]int)}
 		b.stations[server.ID] = s
 	}
 	return s
@@ -284,15 +285,15 @@
 	return best
 }
 
-// Passed counts a request that is passed on to its server.
-func (b *Balancer) Passed(server *site.Server) {
+// Passed counts a request for the adapter that is passed on to its server.
+func (b *Balancer) Passed(server *site.Server, adapter site.Adapter) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.station(server).running++
+	b.station(server).running[adapter]++
 }
 
 // Done ends the count of a request. passed says that it was passed on.
-func (b *Balancer) Done(server *site.Server, passed bool) {
+func (b *Balancer) Done(server *site.Server, adapter site.Adapter, passed bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	s := b.stations[server.ID]
@@ -300,8 +301,12 @@
 		return
 	}
 	s.sent = max(s.sent-1, 0)
-	if passed {
-		s.running = max(s.running-1, 0)
+	if !passed {
+		return
+	}
+	s.running[adapter]--
+	if s.running[adapter] <= 0 {
+		delete(s.running, adapter)
 	}
 }
 
--- a/coordination/balance/balancer_test.go
+++ b/coordination/balance/balancer_test.go
@@ -50,8 +50,8 @@
 		c.Assert(err, quicktest.IsNil)
 		c.Assert(a.Server.ID, quicktest.Equals, b.Server.ID)
 		c.Assert(a.Loaded, quicktest.IsFalse)
-		first.Done(a.Server, false)
-		second.Done(b.Server, false)
+		first.Done(a.Server, site.Adapter{}, false)
+		second.Done(b.Server, site.Adapter{}, false)
 	}
 }
 
@@ -65,7 +65,7 @@
 		pick, err := b.Choose(want(fmt.Sprintf("a%d", i)))
 		c.Assert(err, quicktest.IsNil)
 		c.Assert(pick.Server.Zone, quicktest.Equals, "west")
-		b.Done(pick.Server, false)
+		b.Done(pick.Server, site.Adapter{}, false)
 	}
 	b.Ordered = func(string) bool { return false }
 	_, err := b.Choose(want("a1"))
@@ -102,12 +102,12 @@
 	pick, err := b.Choose(plain)
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(pick.Server.Zone, quicktest.Equals, "east")
-	b.Done(pick.Server, false)
+	b.Done(pick.Server, site.Adapter{}, false)
 	b.Failed(pick.Server)
 	pick, err = b.Choose(plain)
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(pick.Server.Zone, quicktest.Equals, "far")
-	b.Done(pick.Server, false)
+	b.Done(pick.Server, site.Adapter{}, false)
 	b.Answered(b.Views.View().Servers["engine-0"], &Load{Running: 1, Slots: 10})
 	pick, err = b.Choose(plain)
 	c.Assert(err, quicktest.IsNil)
--- a/coordination/balance/residence.go
+++ b/coordination/balance/residence.go
@@ -68,16 +68,16 @@
 	delete(b.station(server).adapters, adapter)
 }
 
-// InFlight has the requests of this host on the zones' engines. Counts above zero
-// are told each time, so that a lost report is made good by the next one.
+// InFlight has the requests of this host on the zones' engines. Running ones are
+// told each time, so that a lost report is made good by the next one.
 func (b *Balancer) InFlight(zones map[string]bool) []site.InFlight {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var list []site.InFlight
 	for id, s := range b.stations {
-		if (s.running > 0 || s.told > 0) && zones[s.zone] {
-			list = append(list, site.InFlight{Server: id, Count: s.running})
-			s.told = s.running
+		if (len(s.running) > 0 || s.told) && zones[s.zone] {
+			list = append(list, site.InFlight{Server: id, Adapters: maps.Clone(s.running)})
+			s.told = len(s.running) > 0
 		}
 	}
 	return list
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -19,9 +19,8 @@
 	Host, Path string
 	// Adapter has an empty Model for requests to plain services.
 	Adapter site.Adapter
-	// Tokens is the length of the prompt, and Output the most tokens of the
-	// answer; 0 if they are not known.
-	Tokens, Output int
+	// Tokens is the length of the prompt; 0 if it is not known.
+	Tokens int
 	// Arrived is when the request was read, and Patience how long the client
 	// waits from then on; 0 if it did not say.
 	Arrived  time.Time
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -24,8 +24,8 @@
 // Balancer chooses servers and learns how they answered.
 type Balancer interface {
 	Choose(w balance.Want) (balance.Pick, error)
-	Passed(server *site.Server)
-	Done(server *site.Server, passed bool)
+	Passed(server *site.Server, adapter site.Adapter)
+	Done(server *site.Server, adapter site.Adapter, passed bool)
 	Copy(w balance.Want) *site.Server
 	Answered(server *site.Server, load *balance.Load)
 	Failed(server *site.Server)
@@ -250,7 +250,7 @@
 		return failure
 	}
 	passed := false
-	defer func() { f.Balancer.Done(pick.Server, passed) }()
+	defer func() { f.Balancer.Done(pick.Server, want.Adapter, passed) }()
 	if want.Adapter.Model != "" {
 		if failure := f.place(ctx, a, pick, want); failure != nil {
 			return failure
@@ -260,7 +260,7 @@
 		}
 	}
 	passed = true
-	f.Balancer.Passed(pick.Server)
+	f.Balancer.Passed(pick.Server, want.Adapter)
 	return f.send(ctx, a, pick.Server, want)
 }
 
@@ -298,7 +298,6 @@
 		Version:  want.Version,
 		Priority: a.route.Priority,
 		Tokens:   a.request.Tokens,
-		Output:   a.request.Output,
 		Patience: time.Until(until),
 		Queue:    a.refusedTurns > 0,
 		Missing:  a.missing == server.ID,
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -52,8 +52,8 @@
 	}
 	return balance.Pick{Server: r.view.Servers["e"], Loaded: r.loaded}, nil
 }
-func (r *rig) Passed(*site.Server)                    {}
-func (r *rig) Done(*site.Server, bool)                {}
+func (r *rig) Passed(*site.Server, site.Adapter)      {}
+func (r *rig) Done(*site.Server, site.Adapter, bool)  {}
 func (r *rig) Copy(balance.Want) *site.Server         { return nil }
 func (r *rig) Answered(*site.Server, *balance.Load)   {}
 func (r *rig) Failed(*site.Server)                    { r.failed++ }
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -13,7 +13,11 @@
 		message.Positions[string(table)] = uint64(position)
 	}
 	for _, sent := range r.InFlight {
-		message.InFlight = append(message.InFlight, &InFlight{Server: string(sent.Server), Count: int32(sent.Count)})
+		encoded := &InFlight{Server: string(sent.Server)}
+		for adapter, count := range sent.Adapters {
+			encoded.Runs = append(encoded.Runs, &Run{Model: adapter.Model, Name: adapter.Name, Count: int32(count)})
+		}
+		message.InFlight = append(message.InFlight, encoded)
 	}
 	return message
 }
@@ -30,7 +34,11 @@
 		r.Positions[site.Table(table)] = site.Position(position)
 	}
 	for _, sent := range message.GetInFlight() {
-		r.InFlight = append(r.InFlight, site.InFlight{Server: site.ServerID(sent.GetServer()), Count: int(sent.GetCount())})
+		decoded := site.InFlight{Server: site.ServerID(sent.GetServer()), Adapters: make(map[site.Adapter]int, len(sent.GetRuns()))}
+		for _, run := range sent.GetRuns() {
+			decoded.Adapters[site.Adapter{Model: run.GetModel(), Name: run.GetName()}] = int(run.GetCount())
+		}
+		r.InFlight = append(r.InFlight, decoded)
 	}
 	return r
 }
@@ -111,7 +119,6 @@
 		Adapter:             fromAdapter(r.Adapter, r.Version),
 		Priority:            int32(r.Priority),
 		Tokens:              int32(r.Tokens),
-		Output:              int32(r.Output),
 		PatienceNanoseconds: int64(r.Patience),
 		Queue:               r.Queue,
 		Ahead:               r.Ahead,
@@ -129,7 +136,6 @@
 		Version:  int(message.GetAdapter().GetVersion()),
 		Priority: int(message.GetPriority()),
 		Tokens:   int(message.GetTokens()),
-		Output:   int(message.GetOutput()),
 		Patience: time.Duration(message.GetPatienceNanoseconds()),
 		Queue:    message.GetQueue(),
 		Ahead:    message.GetAhead(),
--- a/state/site/follow.go
+++ b/state/site/follow.go
@@ -2,10 +2,12 @@
 
 import "time"
 
-// An InFlight tells the owner of an engine how many requests of a host run there.
+// An InFlight tells the owner of an engine which requests of a host run there.
 type InFlight struct {
 	Server ServerID
-	Count  int
+	// Adapters has the number of requests for each adapter; it is empty when the
+	// last one has ended.
+	Adapters map[Adapter]int
 }
 
 // A FollowRequest asks another host for news.
@@ -20,7 +22,7 @@
 	Known uint64
 	// Brief says that the asking host wants no residencies.
 	Brief bool
-	// InFlight has the counts that changed, for engines that the answering host owns.
+	// InFlight has the requests on engines that the answering host owns.
 	InFlight []InFlight
 }
 
@@ -62,8 +64,8 @@
 	Version int
 	// Priority is that of the waiting request; 0 is the most urgent.
 	Priority int
-	// Tokens is the length of the prompt, and Output the most tokens of the answer.
-	Tokens, Output int
+	// Tokens is the length of the prompt.
+	Tokens int
 	// Patience is how long the request can wait.
 	Patience time.Duration
 	// Queue says that the request waits while the engine is full. Otherwise it is
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -34,7 +34,7 @@
 		Adapter: platform.DecodeModel(r.Header.Get(platform.HeaderModel)),
 		Arrived: arrived,
 	}
-	request.Tokens, request.Output = platform.DecodeTokens(r.Header.Get(platform.HeaderTokens))
+	request.Tokens = platform.DecodeTokens(r.Header.Get(platform.HeaderTokens))
 	if text := r.Header.Get(platform.HeaderTimeLeft); text != "" {
 		left, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || left < 0 {
