adapter: refuse a turn at once when no slot can be had

Change: the owner counts the slots that can be freed against the demands before and refuses at once; a request waits at the third engine. A due report holds back orders only.

--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -33,7 +33,9 @@
 	server *site.Server
 	region string
 	epoch  uint64
-	// read says that a report was taken over.
+	// known says that a report was taken over since the engine's start, and read
+	// that none is needed before the next order.
+	known    bool
 	read     bool
 	readAt   time.Time
 	accepted int
@@ -109,7 +111,7 @@
 		e.again = nil
 	}
 	e.accepted = report.Accepted
-	e.read, e.readAt = true, now
+	e.known, e.read, e.readAt = true, true, now
 	e.held = make(map[site.Adapter]int)
 	for _, m := range report.Models {
 		e.held[site.Adapter{Model: m.Name}] = m.Version
@@ -132,8 +134,9 @@
 	e.serve(now)
 }
 
-// demand answers at once if the adapter is loaded, and queues otherwise.
-func (e *engine) demand(d *demand, now time.Time) {
+// demand answers at once if the adapter is loaded, and queues otherwise. room is
+// the number of adapters that fit on the engine.
+func (e *engine) demand(d *demand, room int, now time.Time) {
 	if d.request.Missing && e.read && now.Sub(e.readAt) > reportLag {
 		// The engine denied what is believed here, so the belief is read anew.
 		if _, ok := e.held[d.request.Adapter]; ok {
@@ -141,10 +144,14 @@
 		}
 	}
 	e.used[d.request.Adapter] = now
-	if !d.request.Queue && !d.request.Ahead && e.read && e.full() {
+	if !d.request.Queue && !d.request.Ahead && e.known && e.full() {
 		d.reply <- answer{err: verdict.Refuse(verdict.CodeOverloaded, "engine %s is full", e.server.ID)}
 		return
 	}
+	if !d.request.Queue && !d.request.Ahead && e.known && !e.reachable(d.request, room, now) {
+		d.reply <- answer{err: verdict.Refuse(verdict.CodeOverloaded, "all adapter slots of engine %s are in use", e.server.ID)}
+		return
+	}
 	e.wanted = append(e.wanted, d)
 	slices.SortStableFunc(e.wanted, func(a, b *demand) int { return a.request.Priority - b.request.Priority })
 	e.serve(now)
@@ -159,7 +166,7 @@
 // serve answers the demands whose adapters are loaded, in order, while the
 // engine has room to read their prompts.
 func (e *engine) serve(now time.Time) {
-	if !e.read {
+	if !e.known {
 		return
 	}
 	full := false
@@ -198,7 +205,7 @@
 	_, idle := e.victim(now)
 	l := e.loads[r.Adapter]
 	switch {
-	case !e.read:
+	case !e.known:
 		return "the engine's state is not known"
 	case e.has(r) && e.full():
 		return "the engine is full"
@@ -206,6 +213,8 @@
 		return "other prompts are being read"
 	case l != nil:
 		return fmt.Sprintf("its load began %d ms ago", now.Sub(l.began).Milliseconds())
+	case !e.read:
+		return "a report is due before the next order"
 	case !idle:
 		return "all adapter slots are in use"
 	case e.again != nil:
@@ -277,6 +286,31 @@
 	return count
 }
 
+// reachable says whether the adapter is loaded or on its way, or a slot can be had
+// for it beside those that earlier demands need.
+func (e *engine) reachable(r site.PlaceRequest, room int, now time.Time) bool {
+	_, held := e.held[r.Adapter]
+	if held || e.loads[r.Adapter] != nil {
+		return true
+	}
+	missing := make(map[site.Adapter]bool)
+	for _, d := range e.wanted {
+		if _, held := e.held[d.request.Adapter]; !held && e.loads[d.request.Adapter] == nil {
+			missing[d.request.Adapter] = true
+		}
+	}
+	if missing[r.Adapter] {
+		return true
+	}
+	free := room - e.taken()
+	for adapter := range e.held {
+		if adapter.Name != "" && e.loads[adapter] == nil && !e.runs.inUse(adapter, now) {
+			free++
+		}
+	}
+	return free > len(missing)
+}
+
 // victim returns the adapter that was not used for the longest time. An unload of
 // an adapter in use would wait for its runs and keep its slot meanwhile.
 func (e *engine) victim(now time.Time) (site.Adapter, bool) {
--- a/coordination/adapter/fake_test.go
+++ b/coordination/adapter/fake_test.go
@@ -98,6 +98,8 @@
 	view    *site.View
 	epoch   uint64
 	held    bool
+	// silent makes reports fail.
+	silent  bool
 	learned map[site.ServerID]site.Residency
 }
 
@@ -121,6 +123,9 @@
 	time.Sleep(time.Millisecond)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if f.silent {
+		return site.Report{}, errMute
+	}
 	e := f.engines[server.ID]
 	e.settle()
 	model := site.HeldModel{Name: testModel, Version: 1, Adapters: map[string]int{}}
--- a/coordination/adapter/owner.go
+++ b/coordination/adapter/owner.go
@@ -324,7 +324,13 @@
 		d.reply <- answer{err: verdict.Refuse(verdict.CodeNotOwner, "engine %s is not owned by this host", d.request.Server.ID)}
 		return
 	}
-	e.demand(d, time.Now())
+	room := 0
+	if service := o.Views.View().Service(e.server.Service); service != nil && service.Engines != nil {
+		if model := service.Engines.Model(d.request.Adapter.Model); model != nil {
+			room = service.Engines.AdapterRoom(model)
+		}
+	}
+	e.demand(d, room, time.Now())
 }
 
 func (n counts) handle(_ context.Context, o *Owner) {
--- a/coordination/adapter/runs_test.go
+++ b/coordination/adapter/runs_test.go
@@ -8,6 +8,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
 // TestSlotIsFreeWhenItsRunsEnd guards against adapters that keep their slots after
@@ -38,3 +39,48 @@
 		c.Assert(time.Since(began) < 2*coldLoad, quicktest.IsTrue, quicktest.Commentf("%s", time.Since(began)))
 	})
 }
+
+// TestNoSlotRefusesAtOnce guards against requests that wait for an adapter slot on
+// one engine while another engine has one.
+func TestNoSlotRefusesAtOnce(t *testing.T) {
+	f := newFakeSite(1, 1)
+	with(t, f, func(c *quicktest.C, o *Owner) {
+		server := f.View().Servers["engine-0"].Incarnation
+		request := site.PlaceRequest{Server: server, Host: "other", Adapter: lora(1), Patience: time.Second}
+		_, err := o.Place(context.Background(), request)
+		c.Assert(err, quicktest.IsNil)
+		request.Adapter = lora(2)
+		began := time.Now()
+		_, err = o.Place(context.Background(), request)
+		c.Assert(verdict.From(err).Code, quicktest.Equals, verdict.CodeOverloaded)
+		c.Assert(time.Since(began) < tick, quicktest.IsTrue, quicktest.Commentf("%s", time.Since(began)))
+		// The first adapter is idle after its only request.
+		time.Sleep(2 * unreportedLimit)
+		o.InFlight("other", []site.InFlight{{Server: "engine-0"}})
+		_, err = o.Place(context.Background(), request)
+		c.Assert(err, quicktest.IsNil)
+	})
+}
+
+// TestLoadedAdapterIsServedWhileAReportIsDue guards against an engine whose loaded
+// adapters get no turns because an unload has to be confirmed first.
+func TestLoadedAdapterIsServedWhileAReportIsDue(t *testing.T) {
+	f := newFakeSite(1, 4)
+	with(t, f, func(c *quicktest.C, o *Owner) {
+		c.Assert(place(o, f, "engine-0", lora(1), time.Second), quicktest.IsNil)
+		f.mutex.Lock()
+		f.silent = true
+		f.mutex.Unlock()
+		// The engine denies an adapter, so that its state has to be read again.
+		time.Sleep(2 * reportLag)
+		server := f.View().Servers["engine-0"].Incarnation
+		request := site.PlaceRequest{Server: server, Host: "other", Adapter: lora(1), Patience: time.Second, Queue: true}
+		missing := request
+		missing.Missing = true
+		_, err := o.Place(context.Background(), missing)
+		c.Assert(err, quicktest.IsNil)
+		time.Sleep(tick)
+		_, err = o.Place(context.Background(), request)
+		c.Assert(err, quicktest.IsNil)
+	})
+}
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -78,6 +78,9 @@
 	leastStay   = 2 * time.Second
 	stayTargets = 4
 	stayGaps    = 8
+	// refusedTurnsLimit is the number of engines that may refuse a turn at once
+	// before the request waits at the next one.
+	refusedTurnsLimit = 2
 	// leastSend is the least time left with which a send is worth while.
 	leastSend = 40 * time.Millisecond
 )
@@ -299,7 +302,7 @@
 		Priority: a.route.Priority,
 		Tokens:   a.request.Tokens,
 		Patience: time.Until(until),
-		Queue:    a.refusedTurns > 0,
+		Queue:    a.refusedTurns >= refusedTurnsLimit,
 		Missing:  a.missing == server.ID,
 	}
 	began := time.Now()
