--- a/coordination/zone/tenant.go
+++ b/coordination/zone/tenant.go
@@ -30,7 +30,10 @@
 	// own before hosts of other zones take it over.
 	strangePatience = 8 * time.Second
 	// ranks spreads the candidates of a zone, so that not all write at once.
-	ranks = 3
+	ranks = 2
+	// ownerLink is the bandwidth in Mbit/s that an owner needs: each host of the
+	// zone asks it for turns and news.
+	ownerLink = 50
 	// registerLimit bounds one write of the registration, and registerPause is
 	// the pause after a failed one.
 	registerLimit = 2 * time.Second
@@ -70,7 +73,9 @@
 	// Quarantine is how long a new owner waits before its first order, so that
 	// its orders and those of its predecessor do not alternate.
 	Quarantine time.Duration
-	Log        zerolog.Logger
+	// LinkMegabits is the bandwidth of this host's link in Mbit/s.
+	LinkMegabits float64
+	Log          zerolog.Logger
 
 	lifecycle duty.Lifecycle
 	once      sync.Once
@@ -245,12 +250,20 @@
 	if t.wanted[zone] || now.Sub(since) < patience {
 		return
 	}
-	rank := int(xxhash.Sum64String(t.Host.Name+"/"+zone) % ranks)
-	if t.Leases.Want(Name(zone), rank) {
+	if t.Leases.Want(Name(zone), t.rank(zone)) {
 		t.wanted[zone] = true
 	}
 }
 
+// rank orders the candidates of a zone: those with narrow links come last.
+func (t *Tenant) rank(zone string) int {
+	rank := int(xxhash.Sum64String(t.Host.Name+"/"+zone) % ranks)
+	if t.LinkMegabits < ownerLink {
+		rank += ranks
+	}
+	return rank
+}
+
 // register writes what this host is and owns, if that has changed.
 func (t *Tenant) register(ctx context.Context, now time.Time) {
 	host := t.Host
--- /dev/null
+++ b/coordination/zone/tenant_test.go
@@ -0,0 +1,104 @@
+package zone
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/coordination/lease"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/table"
+)
+
+// A fakeStore has leases that are gained at will and a table that keeps nothing.
+type fakeStore struct {
+	view   *site.View
+	ranks  map[lease.Name]int
+	epochs map[lease.Name]fleet.Epoch
+	alive  bool
+}
+
+func (f *fakeStore) Want(name lease.Name, rank int) bool { f.ranks[name] = rank; return true }
+func (f *fakeStore) Release(name lease.Name) bool        { delete(f.epochs, name); return true }
+func (f *fakeStore) Valid(name lease.Name) (fleet.Epoch, bool) {
+	epoch, ok := f.epochs[name]
+	return epoch, ok
+}
+func (f *fakeStore) View() *site.View  { return f.view }
+func (f *fakeStore) Alive(string) bool { return f.alive }
+func (f *fakeStore) Commit(context.Context, table.Transaction) ([]table.WriteResult, error) {
+	return nil, errors.New("no store")
+}
+
+func newFakeStore() *fakeStore {
+	view := &site.View{}
+	view.Index()
+	return &fakeStore{view: view, ranks: map[lease.Name]int{}, epochs: map[lease.Name]fleet.Epoch{}}
+}
+
+// with runs a test beside a Tenant of zone "east" in virtual time.
+func with(t *testing.T, f *fakeStore, link float64, test func(c *quicktest.C, tenant *Tenant)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		tenant := &Tenant{
+			Host: site.Host{Name: "host", Zone: "east"}, Leases: f, Views: f, Owners: f, Table: f,
+			Quarantine: 3 * time.Second, LinkMegabits: link, Log: zerolog.Nop(),
+		}
+		done := make(chan error, 1)
+		go func() { done <- tenant.Run(context.Background()) }()
+		time.Sleep(2 * lookPause)
+		test(c, tenant)
+		c.Assert(tenant.Close(), quicktest.IsNil)
+		c.Assert(<-done, quicktest.IsNil)
+	})
+}
+
+// TestNarrowLinkOwnsLast guards against an owner whose link is too narrow for the
+// questions of all hosts of its zone, while another host could own the zone.
+func TestNarrowLinkOwnsLast(t *testing.T) {
+	wide, narrow := newFakeStore(), newFakeStore()
+	with(t, wide, 200, func(*quicktest.C, *Tenant) {})
+	with(t, narrow, 10, func(*quicktest.C, *Tenant) {})
+	c := quicktest.New(t)
+	c.Assert(wide.ranks[Name("east")] < ranks, quicktest.IsTrue)
+	c.Assert(narrow.ranks[Name("east")] >= ranks, quicktest.IsTrue)
+}
+
+// TestNewOwnerWaitsBeforeItsFirstOrder guards against orders of a new owner that
+// alternate with those of the former one.
+func TestNewOwnerWaitsBeforeItsFirstOrder(t *testing.T) {
+	f := newFakeStore()
+	f.view = &site.View{Hosts: map[string]*site.Host{"former": {Name: "former", Owns: map[string]uint64{"east": 1}}}}
+	f.view.Index()
+	with(t, f, 200, func(c *quicktest.C, tenant *Tenant) {
+		f.epochs[Name("east")] = 2
+		time.Sleep(2 * lookPause)
+		_, ordering := tenant.Epoch("east")
+		c.Assert(ordering, quicktest.IsFalse)
+		time.Sleep(tenant.Quarantine)
+		epoch, ordering := tenant.Epoch("east")
+		c.Assert(ordering, quicktest.IsTrue)
+		c.Assert(epoch, quicktest.Equals, uint64(2))
+		delete(f.epochs, Name("east"))
+		_, ordering = tenant.Epoch("east")
+		c.Assert(ordering, quicktest.IsFalse)
+	})
+}
+
+// TestLivingOwnerIsLeftAlone guards against hosts that want a zone whose owner
+// answers.
+func TestLivingOwnerIsLeftAlone(t *testing.T) {
+	f := newFakeStore()
+	f.alive = true
+	f.view = &site.View{Hosts: map[string]*site.Host{"other": {Name: "other", Owns: map[string]uint64{"east": 1}}}}
+	f.view.Index()
+	with(t, f, 200, func(c *quicktest.C, _ *Tenant) {
+		c.Assert(f.ranks, quicktest.HasLen, 0)
+	})
+}
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -195,12 +195,13 @@
 			Zone:    h.Settings.FailureDomain,
 			Region:  h.Settings.Regions[h.Settings.FailureDomain],
 		},
-		Leases:     k,
-		Views:      w,
-		Owners:     a,
-		Table:      s,
-		Quarantine: h.Settings.OrderPause,
-		Log:        h.Log,
+		Leases:       k,
+		Views:        w,
+		Owners:       a,
+		Table:        s,
+		Quarantine:   h.Settings.OrderPause,
+		LinkMegabits: h.Settings.LinkMegabits,
+		Log:          h.Log,
 	}
 	return a.tenant
 }
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -21,6 +21,7 @@
 	MetricsAddress  netip.AddrPort    `json:"metrics-address" help:"Address at which counters and histograms are served under /metrics. Without it they are not served."`
 	LogLevel        string            `json:"log-level" default:"info" help:"Least level that is logged: trace, debug, info, warn or error."`
 	MemoryMegabytes int64             `json:"memory-megabytes" default:"256" help:"Memory that the process may use."`
+	LinkMegabits    float64           `json:"link-megabits" default:"1000" help:"Bandwidth of the host's link in Mbit/s. A host with a narrow link owns a failure domain only while no other one does."`
 	GraceTime       time.Duration     `json:"grace-time" default:"8s" help:"Time between the request to stop and the end of the process."`
 	OrderPause      time.Duration     `json:"order-pause" default:"3s" help:"How long the new owner of a failure domain's engines waits before its first order."`
 	Repeats         Repeats           `json:"repeats" help:"Bounds on repeated sends; equal on all hosts of a deployment."`
@@ -58,6 +59,9 @@
 	if s.MemoryMegabytes < 1 {
 		d.fail("memory-megabytes", "is %d, expected at least 1", s.MemoryMegabytes)
 	}
+	if !(s.LinkMegabits > 0) {
+		d.fail("link-megabits", "is %g, expected a number above 0", s.LinkMegabits)
+	}
 	// The comparisons are written so that they also refuse numbers out of range.
 	if !(s.Repeats.Share >= 0) || !(s.Repeats.Slack >= 0) || s.Repeats.Window <= 0 {
 		d.fail("repeats", "expected share and slack of at least 0 and a window above 0")
