adapter: turns whose reply is lost end with the host's next report

Cause: a turn that was granted, but whose reply came after its host had given up, counted as running for good, because a host reports only engines on which it has requests. Ruled out: that all hosts choose the cheapest engine together.

--- a/coordination/adapter/owner.go
+++ b/coordination/adapter/owner.go
@@ -281,14 +281,9 @@
 		zones[e.server.Zone] = true
 	}
 	now := time.Now()
-	for _, sent := range o.Local.InFlight(zones) {
-		if e := o.engines[sent.Server]; e != nil {
-			e.runs.report(o.Host, sent.Adapters)
-		}
-	}
+	o.takeCounts(counts{host: o.Host, list: o.Local.InFlight(zones)}, now)
 	running := make(map[site.ServerID]int, len(o.engines))
 	for id, e := range o.engines {
-		e.runs.heard[o.Host] = now
 		e.runs.forget(now)
 		running[id] = e.runs.total
 	}
@@ -334,13 +329,21 @@
 }
 
 func (n counts) handle(_ context.Context, o *Owner) {
-	now := time.Now()
-	for _, e := range o.engines {
-		e.runs.heard[n.host] = now
-	}
+	o.takeCounts(n, time.Now())
+}
+
+// takeCounts takes over the requests of a host on all own engines.
+func (o *Owner) takeCounts(n counts, now time.Time) {
+	told := make(map[site.ServerID]map[site.Adapter]int, len(n.list))
 	for _, sent := range n.list {
-		if e := o.engines[sent.Server]; e != nil {
-			e.runs.report(n.host, sent.Adapters)
+		told[sent.Server] = sent.Adapters
+	}
+	for id, e := range o.engines {
+		e.runs.heard[n.host] = now
+		if adapters, ok := told[id]; ok {
+			e.runs.report(n.host, adapters)
+		} else {
+			e.runs.unmentioned(n.host, now)
 		}
 	}
 }
--- a/coordination/adapter/runs.go
+++ b/coordination/adapter/runs.go
@@ -25,8 +25,10 @@
 	// adapters sums hosts by adapter, and total over all of them.
 	adapters map[site.Adapter]int
 	total    int
-	// began is when the last request of each adapter had its turn.
-	began map[site.Adapter]time.Time
+	// began is when the last request of each adapter had its turn, and turned when
+	// the last one of each host had.
+	began  map[site.Adapter]time.Time
+	turned map[string]time.Time
 }
 
 func newRuns() *runs {
@@ -35,6 +37,7 @@
 		heard:    make(map[string]time.Time),
 		adapters: make(map[site.Adapter]int),
 		began:    make(map[site.Adapter]time.Time),
+		turned:   make(map[string]time.Time),
 	}
 }
 
@@ -46,6 +49,7 @@
 	r.hosts[host][adapter]++
 	r.add(adapter, 1)
 	r.began[adapter] = now
+	r.turned[host] = now
 }
 
 // report replaces the requests of a host.
@@ -61,6 +65,14 @@
 	r.hosts[host] = told
 }
 
+// unmentioned takes over that a host's report had nothing about the engine. Turns
+// that the host never learned of end with it.
+func (r *runs) unmentioned(host string, now time.Time) {
+	if len(r.hosts[host]) > 0 && now.Sub(r.turned[host]) >= unreportedLimit {
+		r.report(host, nil)
+	}
+}
+
 func (r *runs) add(adapter site.Adapter, count int) {
 	r.total += count
 	r.adapters[adapter] += count
@@ -83,6 +95,7 @@
 			r.report(host, nil)
 			delete(r.heard, host)
 			delete(r.hosts, host)
+			delete(r.turned, host)
 		}
 	}
 	for adapter, at := range r.began {
--- a/coordination/adapter/runs_test.go
+++ b/coordination/adapter/runs_test.go
@@ -84,3 +84,23 @@
 		c.Assert(err, quicktest.IsNil)
 	})
 }
+
+// TestTurnWhoseReplyIsLostEnds guards against turns that their hosts never learned
+// of and that count as running for good, until the engine seems full.
+func TestTurnWhoseReplyIsLostEnds(t *testing.T) {
+	f := newFakeSite(1, 4)
+	with(t, f, func(c *quicktest.C, o *Owner) {
+		server := f.View().Servers["engine-0"]
+		request := site.PlaceRequest{Server: server.Incarnation, Host: "other", Adapter: lora(1), Tokens: 1, Patience: time.Second}
+		for range int(fullLoad * float64(server.Slots)) {
+			_, err := o.Place(context.Background(), request)
+			c.Assert(err, quicktest.IsNil)
+		}
+		for range 6 {
+			time.Sleep(300 * time.Millisecond)
+			o.InFlight("other", nil)
+		}
+		_, err := o.Place(context.Background(), request)
+		c.Assert(err, quicktest.IsNil)
+	})
+}
