watch: a starting host learns the desired state from an owner

Cause: after a power loss of all hosts the hosts of the region without the store needed 4 to 6.6 s to know their desired state (the others 0.4 s): 45 hosts read all its routes over the link between the regions, and the leases of their zones waited behind these reads until second 42. Change: only owners read the operator's table at once. Other hosts ask the owner of their zone, or the owners of their region while it is not there, and read the table themselves after 2 s.

--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -57,12 +57,13 @@
 // A Follower is the duty that follows the owners of zones. Its exported fields
 // are set before Run.
 type Follower struct {
-	Self       string
-	Zone       string
-	Watcher    *Watcher
-	Neighbors  Neighbors
-	Residences Residences
-	Log        zerolog.Logger
+	Self string
+	// Zone and Region are where this host stands.
+	Zone, Region string
+	Watcher      *Watcher
+	Neighbors    Neighbors
+	Residences   Residences
+	Log          zerolog.Logger
 
 	lifecycle duty.Lifecycle
 	once      sync.Once
@@ -218,7 +219,7 @@
 		Brief:    l.distant,
 		InFlight: f.Residences.InFlight(l.zones),
 	}
-	if l.zones[f.Zone] || f.Watcher.Age() > freshLimit {
+	if l.zones[f.Zone] || f.Watcher.Age() > freshLimit || f.substitute(l) {
 		request.Positions = f.Watcher.Positions()
 	}
 	host := l.host
@@ -233,6 +234,20 @@
 	})
 }
 
+// substitute says whether the owner tells this host of changes in place of the
+// owner of its own zone: this host has just started, and that owner is not there.
+func (f *Follower) substitute(l *link) bool {
+	if f.Watcher.Complete() || l.host.Region != f.Region {
+		return false
+	}
+	for _, other := range f.links {
+		if other.zones[f.Zone] && !other.lost {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *Follower) finish(r result, now time.Time) {
 	l := f.links[r.host]
 	if l == nil || l.host.Start != r.start {
--- a/coordination/watch/reader.go
+++ b/coordination/watch/reader.go
@@ -36,6 +36,10 @@
 	failurePause = 350 * time.Millisecond
 	// firstPause is the pause of a host that has no desired state yet.
 	firstPause = 250 * time.Millisecond
+	// startPatience is how long a host that has just started waits for an owner's
+	// word of the bulky table. When all hosts start together, their reads of a large
+	// desired state fill the link between the regions for seconds.
+	startPatience = 2 * time.Second
 	// StaleLimit is the age of the last word of the store from which a host reads
 	// the store itself. It leaves a second of the 2.5 s in which a change is to
 	// be in force.
@@ -53,15 +57,19 @@
 	Owner func() bool
 	// Lively names the table that is read with short waits, as a sign of life.
 	Lively site.Table
-	Log    zerolog.Logger
+	// Bulky names the table that a starting host rather learns from an owner.
+	Bulky site.Table
+	Log   zerolog.Logger
 
 	lifecycle duty.Lifecycle
+	started   time.Time
 	lost      atomic.Bool
 }
 
 // Run reads until ctx ends or Close is called.
 func (r *Reader) Run(ctx context.Context) error {
 	return r.lifecycle.Run(ctx, func(ctx context.Context) error {
+		r.started = time.Now()
 		for _, table := range r.Watcher.Tables {
 			r.lifecycle.Work(func() { r.follow(ctx, table) })
 		}
@@ -75,15 +83,18 @@
 	return r.lifecycle.Close()
 }
 
-// needed says whether this host has to read the store itself.
-func (r *Reader) needed() bool {
+// needed says whether this host has to read the table itself.
+func (r *Reader) needed(table site.Table) bool {
+	if table == r.Bulky && !r.Owner() && r.Watcher.Position(table) == 0 && time.Since(r.started) < startPatience {
+		return false
+	}
 	return r.Owner() || r.Watcher.Age() > StaleLimit || !r.Watcher.Complete()
 }
 
 func (r *Reader) follow(ctx context.Context, table site.Table) {
 	reread := r.Watcher.Position(table) == 0
 	for ctx.Err() == nil {
-		if !r.needed() {
+		if !r.needed(table) {
 			duty.Pause(ctx, idlePause)
 			continue
 		}
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -170,6 +170,7 @@
 		Gone:    platform.ErrHistoryGone,
 		Owner:   t.Owns,
 		Lively:  platform.ServerTable,
+		Bulky:   platform.OperatorTable,
 		Log:     h.Log,
 	}
 }
@@ -178,6 +179,7 @@
 	a.follower = &watch.Follower{
 		Self:       h.Settings.HostName,
 		Zone:       h.Settings.FailureDomain,
+		Region:     h.Settings.Regions[h.Settings.FailureDomain],
 		Watcher:    w,
 		Neighbors:  c,
 		Residences: b,
