lease: a holder that was suspended counts the time it slept

Cause: the steady clock does not count a suspension, so that a host that wakes trusts its lease by as much longer, while another host may hold it and give orders (listed under 'not built' in docs/platform.md). Test: TestSuspendedHolderStops, seen to fail with the difference left out.

--- a/coordination/lease/keeper.go
+++ b/coordination/lease/keeper.go
@@ -79,6 +79,10 @@
 	Margin time.Duration
 	// Timeout bounds one call of Table. Zero means DefaultTimeout.
 	Timeout time.Duration
+	// Suspended returns how long the machine has been suspended in all, which the
+	// steady clock leaves out. Without it a holder that wakes would trust a lease
+	// that others have taken over. It may be nil; its value never falls.
+	Suspended func() time.Duration
 	// Events receives the changes. It may be nil. Events that find it full are
 	// kept and offered again in order.
 	Events *ring.Ring[Event]
@@ -227,12 +231,21 @@
 		return 0, false
 	}
 	t, ok := (*leases)[name]
-	if !ok || !time.Now().Before(t.expires) {
+	if !ok || !k.now().Before(t.expires) {
 		return 0, false
 	}
 	return t.epoch, true
 }
 
+// now returns the time on the steady clock, with the time that the machine was
+// suspended.
+func (k *Keeper) now() time.Time {
+	if k.Suspended == nil {
+		return time.Now()
+	}
+	return time.Now().Add(k.Suspended())
+}
+
 func (k *Keeper) operate(ctx context.Context, o operation) (fleet.Epoch, error) {
 	k.setup()
 	o.reply = make(chan operationReply, 1)
@@ -268,7 +281,7 @@
 			m.handle(ctx, k)
 		case <-timer.C:
 		}
-		timer.Reset(k.step(ctx, time.Now()))
+		timer.Reset(k.step(ctx, k.now()))
 	}
 }
 
@@ -464,7 +477,7 @@
 		k.leases[name] = l
 	}
 	if rank < l.rank {
-		l.due = time.Now()
+		l.due = k.now()
 	}
 	l.wanted, l.rank = true, rank
 	return l
@@ -482,7 +495,7 @@
 	}
 	l.wanted = false
 	if l.known && k.mine(l.record) && !l.releasing {
-		now := time.Now()
+		now := k.now()
 		l.releasing, l.releaseEnd, l.due = true, now.Add(k.Duration), now
 	}
 	k.lose(l, "")
--- a/coordination/lease/keeper_test.go
+++ b/coordination/lease/keeper_test.go
@@ -348,3 +348,30 @@
 		other.Close()
 	})
 }
+
+// TestSuspendedHolderStops guards against a holder that was suspended and trusts a
+// lease whose end the steady clock did not see, while another host holds it.
+func TestSuspendedHolderStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		p := platform.NewTable(1)
+		var suspended atomic.Int64
+		h := &testHost{table: &hostTable{Table: p}}
+		h.Keeper = &Keeper{
+			Host: "a", Start: 1, Table: h.table, Events: ring.New[Event](1000),
+			Suspended: func() time.Duration { return time.Duration(suspended.Load()) },
+		}
+		go h.Run(context.Background())
+		h.Want("e", 0)
+		advance(2 * DefaultRenewal)
+		c.Check(valid(h, "e"), quicktest.IsTrue)
+		// The store does not answer while the machine wakes.
+		h.table.dead.Store(true)
+		suspended.Store(int64(DefaultDuration))
+		c.Check(valid(h, "e"), quicktest.IsFalse)
+		h.table.dead.Store(false)
+		advance(3 * DefaultRenewal)
+		c.Check(valid(h, "e"), quicktest.IsTrue)
+		h.Close()
+	})
+}
--- a/coordination/lease/operation.go
+++ b/coordination/lease/operation.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/table"
@@ -100,7 +99,7 @@
 			r.err = err
 			return r
 		}
-		r.observation = &observation{record: records[0], at: time.Now()}
+		r.observation = &observation{record: records[0], at: k.now()}
 		record, err := decode(records[0])
 		if err != nil || !k.mine(record) || record.Epoch != o.adopt {
 			r.err = errors.Join(err, ErrNotHeld)
@@ -117,7 +116,7 @@
 // numbered returns a number for a write that is sent from now on.
 func (k *Keeper) numbered() uint64 {
 	k.writes++
-	k.sent[k.writes] = time.Now()
+	k.sent[k.writes] = k.now()
 	return k.writes
 }
 
@@ -137,7 +136,7 @@
 		{Key: name.Key(), Expected: version, Value: record.encode()},
 	}})
 	if err == nil {
-		return &observation{record: results[0].Current, at: time.Now()}, nil
+		return &observation{record: results[0].Current, at: k.now()}, nil
 	}
 	if errors.Is(err, table.ErrUnavailable) {
 		return nil, err
@@ -146,7 +145,7 @@
 	if readErr != nil {
 		return nil, err
 	}
-	o := &observation{record: records[0], at: time.Now()}
+	o := &observation{record: records[0], at: k.now()}
 	if records[0].Version == version {
 		return o, err
 	}
@@ -154,7 +153,7 @@
 }
 
 func (r operationResult) handle(_ context.Context, k *Keeper) {
-	now := time.Now()
+	now := k.now()
 	l, o := r.lease, r.operation
 	l.busy = false
 	k.operations--
--- a/coordination/lease/round.go
+++ b/coordination/lease/round.go
@@ -100,7 +100,7 @@
 	var keys []table.Key
 	if len(r.writes) > 0 {
 		results, err := k.commit(ctx, table.Transaction{Writes: r.writes, Independent: true})
-		at := time.Now()
+		at := k.now()
 		for _, result := range results {
 			r.records[result.Current.Key] = observation{record: result.Current, at: at}
 		}
@@ -126,7 +126,7 @@
 		k.Logger.Warn().Err(err).Int("leases", len(keys)).Msg("lease records cannot be read")
 		return
 	}
-	at := time.Now()
+	at := k.now()
 	for _, record := range records {
 		r.records[record.Key] = observation{record: record, at: at}
 	}
@@ -146,7 +146,7 @@
 
 // handle takes over the results of the round.
 func (r *round) handle(_ context.Context, k *Keeper) {
-	now := time.Now()
+	now := k.now()
 	k.inRound = false
 	if r.renewal {
 		k.renewAt = now.Add(k.jitter(k.Renewal))
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -121,6 +121,7 @@
 				Renewal:   leaseRenewal,
 				Margin:    leaseMargin,
 				Timeout:   storeTimeout,
+				Suspended: newSuspension().Total,
 				Logger:    h.Log,
 			}
 		},
