adapter: owners refuse demands for engines that do not answer

Change: after three orders without an answer a report has to succeed; after two failed reports the owner refuses what waits there, until one succeeds, and the host that asked avoids the engine.

--- a/coordination/adapter/advance.go
+++ b/coordination/adapter/advance.go
@@ -169,9 +169,19 @@
 	now := time.Now()
 	if r.err != nil {
 		e.notBefore = now.Add(refusedPause)
-		o.Log.Warn().Err(r.err).Str("engine", string(e.server.ID)).Msg("report failed")
+		e.silent++
+		if e.silent == silentReports {
+			o.Log.Warn().Err(r.err).Str("engine", string(e.server.ID)).Int("waiting", len(e.wanted)).Msg("engine does not answer")
+		}
+		if e.unreachable() {
+			e.refuseAll(e.notAnswering())
+		}
 		return
 	}
+	if e.unreachable() {
+		o.Log.Info().Str("engine", string(e.server.ID)).Msg("engine answers again")
+	}
+	e.silent, e.unanswered = 0, 0
 	before := e.modelLoads()
 	e.takeReport(r.report, now)
 	o.modelLoads += e.modelLoads() - before
@@ -195,6 +205,13 @@
 	before := e.modelLoads()
 	o.Log.Debug().Str("engine", string(e.server.ID)).Bool("unload", r.order.Unload).Str("adapter", r.order.Adapter.Name).
 		Int("version", r.order.Version).Int("expected", r.order.Expected).Str("outcome", string(r.outcome)).Err(r.err).Msg("order")
+	e.unanswered++
+	if r.outcome != site.OrderUnknown {
+		e.unanswered = 0
+	}
+	if e.unanswered >= unansweredOrders {
+		e.read = false
+	}
 	if r.order.Unload {
 		e.unloaded(r, now)
 	} else {
--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -24,6 +24,11 @@
 	// staleLimit is the time after which a report with fewer orders than were
 	// accepted is believed: the engine has restarted.
 	staleLimit = 1500 * time.Millisecond
+	// unansweredOrders is the number of orders in a row without an answer after
+	// which a report shows whether the engine lives, and silentReports the number
+	// of failed reports from which it gets no demands.
+	unansweredOrders = 3
+	silentReports    = 2
 	// loadLimit is the time after which the state of a load is read anew.
 	loadLimit = 4 * time.Second
 )
@@ -59,6 +64,9 @@
 	asked map[asking]int
 	// turns are the prompts that were let in within the window.
 	turns []turn
+	// unanswered counts the orders in a row without an answer, and silent the
+	// reports.
+	unanswered, silent int
 	// busy says that an order or a report is in flight.
 	busy bool
 	// notBefore is when the next order may be given after a refused one.
@@ -143,6 +151,10 @@
 			e.read = false
 		}
 	}
+	if e.unreachable() {
+		d.reply <- answer{err: e.notAnswering()}
+		return
+	}
 	e.used[d.request.Adapter] = now
 	if !d.request.Queue && !d.request.Ahead && e.known && e.full() {
 		d.reply <- answer{err: verdict.Refuse(verdict.CodeOverloaded, "engine %s is full", e.server.ID)}
@@ -224,6 +236,15 @@
 	}
 }
 
+// unreachable says whether the engine has left reports without an answer.
+func (e *engine) unreachable() bool {
+	return e.silent >= silentReports
+}
+
+func (e *engine) notAnswering() error {
+	return verdict.Refuse(verdict.CodeBackendRefused, "engine %s does not answer", e.server.ID)
+}
+
 // accept counts an accepted order. Orders without an answer from before are void,
 // because they expect an earlier number.
 func (e *engine) accept() {
--- a/coordination/adapter/runs_test.go
+++ b/coordination/adapter/runs_test.go
@@ -104,3 +104,33 @@
 		c.Assert(err, quicktest.IsNil)
 	})
 }
+
+// TestDeadEngineGetsNoDemands guards against requests that wait at an engine that
+// does not answer its owner, while another engine could load their adapter.
+func TestDeadEngineGetsNoDemands(t *testing.T) {
+	f := newFakeSite(1, 4)
+	with(t, f, func(c *quicktest.C, o *Owner) {
+		c.Assert(place(o, f, "engine-0", lora(1), time.Second), quicktest.IsNil)
+		dead := func(is bool) {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			f.silent = is
+			f.engines["engine-0"].mute = 0
+			if is {
+				f.engines["engine-0"].mute = 1000
+			}
+		}
+		dead(true)
+		began := time.Now()
+		err := place(o, f, "engine-0", lora(2), 2*time.Second)
+		c.Assert(verdict.From(err).Code, quicktest.Equals, verdict.CodeBackendRefused)
+		c.Assert(time.Since(began) < time.Second/2, quicktest.IsTrue, quicktest.Commentf("%s", time.Since(began)))
+		began = time.Now()
+		err = place(o, f, "engine-0", lora(1), 2*time.Second)
+		c.Assert(verdict.From(err).Code, quicktest.Equals, verdict.CodeBackendRefused)
+		c.Assert(time.Since(began) < tick, quicktest.IsTrue)
+		dead(false)
+		time.Sleep(4 * refusedPause)
+		c.Assert(place(o, f, "engine-0", lora(2), time.Second), quicktest.IsNil)
+	})
+}
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -310,7 +310,9 @@
 	a.stalled += time.Since(began)
 	if err != nil {
 		failure := verdict.From(err)
-		if pick.Loaded && failure.Code != verdict.CodeOverloaded {
+		if failure.Code == verdict.CodeBackendRefused {
+			f.Balancer.Failed(server)
+		} else if pick.Loaded && failure.Code != verdict.CodeOverloaded {
 			return nil
 		}
 		a.refusedTurns++
