adapter: requests that can be in time go before late ones

Change: a demand says how long it can wait and be in time; within a priority, those that can come first. Found by its test: the turns of a host that never reported were never forgotten; they are now, like those of a silent host.

--- a/coordination/adapter/advance.go
+++ b/coordination/adapter/advance.go
@@ -12,6 +12,7 @@
 func (o *Owner) advance(ctx context.Context, e *engine) time.Duration {
 	now := time.Now()
 	e.expire(now)
+	e.sort(now)
 	e.serve(now)
 	turn := e.nextTurn(now)
 	if e.busy || o.stopping.Load() {
--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -165,10 +165,30 @@
 		return
 	}
 	e.wanted = append(e.wanted, d)
-	slices.SortStableFunc(e.wanted, func(a, b *demand) int { return a.request.Priority - b.request.Priority })
+	e.sort(now)
 	e.serve(now)
 }
 
+// sort puts the demands in the order in which they are met: by priority, and those
+// that can still be answered in time before those that are late anyway. In order
+// of arrival alone, all are late once more arrive than can be met.
+func (e *engine) sort(now time.Time) {
+	slices.SortStableFunc(e.wanted, func(a, b *demand) int {
+		if by := a.request.Priority - b.request.Priority; by != 0 {
+			return by
+		}
+		return a.late(now) - b.late(now)
+	})
+}
+
+// late is 1 if the request is late whatever happens, and 0 otherwise.
+func (d *demand) late(now time.Time) int {
+	if now.After(d.due) {
+		return 1
+	}
+	return 0
+}
+
 // has says whether the adapter is loaded in a version that will do.
 func (e *engine) has(r site.PlaceRequest) bool {
 	version, ok := e.held[r.Adapter]
--- a/coordination/adapter/owner.go
+++ b/coordination/adapter/owner.go
@@ -99,7 +99,8 @@
 // A demand asks for an adapter on an engine.
 type demand struct {
 	request site.PlaceRequest
-	ends    time.Time
+	// due is until when the request can be answered in time.
+	due, ends time.Time
 	// gone is closed when nobody waits any more.
 	gone  <-chan struct{}
 	reply chan answer
@@ -159,7 +160,7 @@
 func (o *Owner) Place(ctx context.Context, request site.PlaceRequest) (site.Placement, error) {
 	o.prepare()
 	now := time.Now()
-	d := &demand{request: request, ends: now.Add(request.Patience - answerMargin), gone: ctx.Done(), reply: make(chan answer, 1)}
+	d := &demand{request: request, due: now.Add(request.Due), ends: now.Add(request.Patience - answerMargin), gone: ctx.Done(), reply: make(chan answer, 1)}
 	if !o.messages.Offer(d) {
 		return site.Placement{}, verdict.Refuse(verdict.CodeOverloaded, "too many demands for adapters wait")
 	}
--- a/coordination/adapter/runs.go
+++ b/coordination/adapter/runs.go
@@ -50,6 +50,10 @@
 	r.add(adapter, 1)
 	r.began[adapter] = now
 	r.turned[host] = now
+	if _, ok := r.heard[host]; !ok {
+		// A host that dies before its first report is forgotten like any other.
+		r.heard[host] = now
+	}
 }
 
 // report replaces the requests of a host.
--- a/coordination/adapter/runs_test.go
+++ b/coordination/adapter/runs_test.go
@@ -134,3 +134,30 @@
 		c.Assert(place(o, f, "engine-0", lora(2), time.Second), quicktest.IsNil)
 	})
 }
+
+// TestRequestInTimeGoesBeforeLateOnes guards against a queue in which every request
+// is late because it waits behind others that are late already.
+func TestRequestInTimeGoesBeforeLateOnes(t *testing.T) {
+	f := newFakeSite(1, 1)
+	with(t, f, func(c *quicktest.C, o *Owner) {
+		server := f.View().Servers["engine-0"].Incarnation
+		ends := make(chan string, 4)
+		ask := func(name string, adapter int, priority int, due time.Duration) {
+			request := site.PlaceRequest{Server: server, Host: "other", Adapter: lora(adapter), Priority: priority, Due: due, Patience: 20 * time.Second, Queue: true}
+			go func() {
+				_, err := o.Place(context.Background(), request)
+				c.Check(err, quicktest.IsNil)
+				ends <- name
+			}()
+			time.Sleep(time.Millisecond)
+		}
+		ask("first", 1, 1, time.Second)
+		c.Assert(<-ends, quicktest.Equals, "first")
+		ask("late", 2, 1, -time.Second)
+		ask("in time", 3, 1, 10*time.Second)
+		ask("urgent and late", 4, 0, -time.Second)
+		for _, want := range []string{"urgent and late", "in time", "late"} {
+			c.Check(<-ends, quicktest.Equals, want)
+		}
+	})
+}
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -301,6 +301,7 @@
 		Version:  want.Version,
 		Priority: a.route.Priority,
 		Tokens:   a.request.Tokens,
+		Due:      time.Until(a.request.Arrived.Add(a.route.Target)),
 		Patience: time.Until(until),
 		Queue:    a.refusedTurns >= refusedTurnsLimit,
 		Missing:  a.missing == server.ID,
--- a/state/site/follow.go
+++ b/state/site/follow.go
@@ -66,6 +66,9 @@
 	Priority int
 	// Tokens is the length of the prompt.
 	Tokens int
+	// Due is how long the request can wait and still be answered in time; it may be
+	// less than 0.
+	Due time.Duration
 	// Patience is how long the request can wait.
 	Patience time.Duration
 	// Queue says that the request waits while the engine is full. Otherwise it is
