--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -17,6 +17,18 @@
 	return b.String()
 }
 
+// FrontReference returns the reference page of the settings of a front host in
+// Markdown.
+func FrontReference() string {
+	var b strings.Builder
+	b.WriteString("# Settings of a front host\n\n")
+	b.WriteString("A front host is `persimmonmux front`, an entry host on the users' platform. The file is JSON with comments and trailing commas; `deploy/front.jsonc` is its template. ")
+	b.WriteString("`persimmonmux check-settings --front FILE` checks it. ")
+	b.WriteString("This page is made from the struct `Front`; `go test ./internal/settings -update` writes it anew.\n")
+	writeTable(&b, "", reflect.TypeFor[Front]())
+	return b.String()
+}
+
 func writeTable(b *strings.Builder, path string, t reflect.Type) {
 	b.WriteString("\n| Key | Value | Default | Meaning |\n|---|---|---|---|\n")
 	var nested []reflect.StructField
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -142,11 +142,17 @@
 
 // Guards against a reference page that differs from the settings.
 func TestReferenceMatchesTheSettings(t *testing.T) {
-	const page = "../../docs/reference/settings.md"
-	if *update {
-		qt.Assert(t, os.WriteFile(page, []byte(settings.Reference()), 0o644), qt.IsNil)
+	for _, test := range []struct{ name, page, content string }{
+		{"serve", "../../docs/reference/settings.md", settings.Reference()},
+		{"front", "../../docs/reference/front-settings.md", settings.FrontReference()},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if *update {
+				qt.Assert(t, os.WriteFile(test.page, []byte(test.content), 0o644), qt.IsNil)
+			}
+			data, err := os.ReadFile(test.page)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, string(data), qt.Equals, test.content)
+		})
 	}
-	data, err := os.ReadFile(page)
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, string(data), qt.Equals, settings.Reference())
 }
