watch: know all owners before the first question; zone: lock the fake of a test

TestStaleOwnerIsNotEnough asked a far owner for changes, because the question to it went out before the owner of the own zone was known, in the order of a map; the follower then takes the far one for a substitute. TestNewOwnerWaitsBeforeItsFirstOrder had a data race in its own fake. Change: the plan makes all links before it asks; the fake has a mutex.

--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -184,6 +184,10 @@
 			f.links[name] = l
 		}
 		l.host, l.zones = host, owners[name]
+	}
+	// All links are known before the first question, which depends on them.
+	for name := range hosts {
+		l := f.links[name]
 		if !l.busy && !now.Before(l.due) {
 			f.ask(ctx, l, now)
 		}
--- a/coordination/zone/tenant_test.go
+++ b/coordination/zone/tenant_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,18 +19,44 @@
 
 // A fakeStore has leases that are gained at will and a table that keeps nothing.
 type fakeStore struct {
-	view   *site.View
+	view  *site.View
+	alive bool
+
+	mutex  sync.Mutex
 	ranks  map[lease.Name]int
 	epochs map[lease.Name]fleet.Epoch
-	alive  bool
 }
 
-func (f *fakeStore) Want(name lease.Name, rank int) bool { f.ranks[name] = rank; return true }
-func (f *fakeStore) Release(name lease.Name) bool        { delete(f.epochs, name); return true }
+func (f *fakeStore) Want(name lease.Name, rank int) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.ranks[name] = rank
+	return true
+}
+
+func (f *fakeStore) Release(name lease.Name) bool {
+	f.grant(name, 0)
+	return true
+}
+
 func (f *fakeStore) Valid(name lease.Name) (fleet.Epoch, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	epoch, ok := f.epochs[name]
 	return epoch, ok
 }
+
+// grant gives the lease an epoch, or ends it with epoch 0.
+func (f *fakeStore) grant(name lease.Name, epoch fleet.Epoch) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if epoch == 0 {
+		delete(f.epochs, name)
+		return
+	}
+	f.epochs[name] = epoch
+}
+
 func (f *fakeStore) View() *site.View  { return f.view }
 func (f *fakeStore) Alive(string) bool { return f.alive }
 func (f *fakeStore) Commit(context.Context, table.Transaction) ([]table.WriteResult, error) {
@@ -77,7 +104,7 @@
 	f.view = &site.View{Hosts: map[string]*site.Host{"former": {Name: "former", Owns: map[string]uint64{"east": 1}}}}
 	f.view.Index()
 	with(t, f, 200, func(c *quicktest.C, tenant *Tenant) {
-		f.epochs[Name("east")] = 2
+		f.grant(Name("east"), 2)
 		time.Sleep(2 * lookPause)
 		_, ordering := tenant.Epoch("east")
 		c.Assert(ordering, quicktest.IsFalse)
@@ -85,7 +112,7 @@
 		epoch, ordering := tenant.Epoch("east")
 		c.Assert(ordering, quicktest.IsTrue)
 		c.Assert(epoch, quicktest.Equals, uint64(2))
-		delete(f.epochs, Name("east"))
+		f.grant(Name("east"), 0)
 		_, ordering = tenant.Epoch("east")
 		c.Assert(ordering, quicktest.IsFalse)
 	})
@@ -99,6 +126,8 @@
 	f.view = &site.View{Hosts: map[string]*site.Host{"other": {Name: "other", Owns: map[string]uint64{"east": 1}}}}
 	f.view.Index()
 	with(t, f, 200, func(c *quicktest.C, _ *Tenant) {
-		c.Assert(f.ranks, quicktest.HasLen, 0)
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		c.Check(f.ranks, quicktest.HasLen, 0)
 	})
 }
