forward: no wait for a turn beyond the time when the caller is about to leave

The wait for a turn at an engine that holds the adapter was always 0.4 s, also when the request would be refused sooner. Change: the wait ends at that time; the request is then sent without the owner's word, as after a full wait.

--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -291,7 +291,10 @@
 		until = a.unsent
 	}
 	if pick.Loaded {
-		a.waits, until = waitsForTurn, time.Now().Add(turnLimit)
+		a.waits = waitsForTurn
+		if turn := time.Now().Add(turnLimit); turn.Before(until) {
+			until = turn
+		}
 	}
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -179,6 +179,33 @@
 	})
 }
 
+// TestLateTurnLeavesTimeToAnswer guards against a request that waits for its turn
+// until its caller is about to leave, and is sent in vain.
+func TestLateTurnLeavesTimeToAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		r := newRig(chat)
+		began := time.Now()
+		r.loaded = false
+		r.places = func(ctx context.Context, request site.PlaceRequest) error {
+			if r.loaded {
+				return wait(ctx, request)
+			}
+			time.Sleep(100 * time.Millisecond)
+			r.loaded = time.Since(began) > 1500*time.Millisecond
+			return verdict.Refuse(verdict.CodeOverloaded, "engine is full")
+		}
+		var sentAfter time.Duration
+		r.send = func(int) (Answer, error) {
+			sentAfter = time.Since(began)
+			return end{head: Head{Status: 200}}, nil
+		}
+		_, took := r.forward()
+		c.Assert(took <= 1900*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s", took))
+		c.Assert(sentAfter <= 1900*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s", sentAfter))
+	})
+}
+
 // TestDeniedAdapterIsAskedForAgain guards against a request that fails because
 // its adapter was unloaded on its way.
 func TestDeniedAdapterIsAskedForAgain(t *testing.T) {
