--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -142,7 +142,8 @@
 	e.serve(now)
 }
 
-// demand answers at once if the adapter is loaded, and queues otherwise. room is
+// demand answers at once if the adapter is loaded, refuses at once if no turn can
+// be had soon and the request can be tried elsewhere, and queues otherwise. room is
 // the number of adapters that fit on the engine.
 func (e *engine) demand(d *demand, room int, now time.Time) {
 	if d.request.Missing && e.read && now.Sub(e.readAt) > reportLag {
