rpc: a call is answered once its reply has arrived

Cause: drpc's Invoke also returns the error of closing the stream after the reply was decoded.

Change: operator and peer clients call through rpc.Answered, which looks at whether a reply was decoded. The bounded connections of both, which were two copies, are one type now.

--- a/transport/operator/client.go
+++ b/transport/operator/client.go
@@ -15,6 +15,7 @@
 	"github.com/persimmonmux/persimmonmux/protocol/operator"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/rpc"
 )
 
 const (
@@ -52,14 +53,14 @@
 			Verdict: verdict.NotRun, Code: verdict.CodeHostUnreachable, Message: "entry host at " + c.Address, Cause: err,
 		}
 	}
-	connection := drpcconn.NewWithOptions(&boundedConnection{Conn: raw}, drpcconn.Options{
+	connection := drpcconn.NewWithOptions(&rpc.BoundedConnection{Conn: raw, Limit: writeLimit}, drpcconn.Options{
 		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maximumMessageBytes}},
 	})
 	defer func() { _ = connection.Close() }()
 	if c.Token != "" {
 		ctx = drpcmetadata.Add(ctx, tokenKey, c.Token)
 	}
-	reply, err := invoke(ctx, operator.NewDRPCOperatorClient(connection))
+	reply, err := invoke(ctx, operator.NewDRPCOperatorClient(rpc.Answered{Conn: connection}))
 	if err != nil {
 		return none, &verdict.Error{
 			Verdict: doubt, Code: verdict.CodeHostUnreachable, Message: "answer of the entry host at " + c.Address + " was lost",
--- a/transport/operator/server.go
+++ b/transport/operator/server.go
@@ -20,6 +20,7 @@
 	"github.com/persimmonmux/persimmonmux/protocol/operator"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/rpc"
 )
 
 const (
@@ -100,7 +101,7 @@
 				InactivityTimeout: inactivityLimit,
 			},
 		})
-		if err := server.Serve(ctx, &boundedListener{Listener: s.Listener}); err != nil && ctx.Err() == nil {
+		if err := server.Serve(ctx, &rpc.BoundedListener{Listener: s.Listener, Limit: writeLimit}); err != nil && ctx.Err() == nil {
 			return fmt.Errorf("operator server: %w", err)
 		}
 		return nil
@@ -177,30 +178,3 @@
 		}
 	}
 }
-
-// A boundedListener accepts connections whose writes are bounded.
-type boundedListener struct {
-	net.Listener
-}
-
-// Accept returns the next connection.
-func (l *boundedListener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &boundedConnection{Conn: connection}, nil
-}
-
-// A boundedConnection fails a write that makes no progress within writeLimit.
-type boundedConnection struct {
-	net.Conn
-}
-
-// Write writes within writeLimit.
-func (c *boundedConnection) Write(data []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(data)
-}
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -24,6 +24,7 @@
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/rpc"
 )
 
 const (
@@ -343,7 +344,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	connection := drpcconn.NewWithOptions(&boundedConnection{Conn: raw}, drpcconn.Options{
+	connection := drpcconn.NewWithOptions(&rpc.BoundedConnection{Conn: raw, Limit: writeLimit}, drpcconn.Options{
 		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maximumMessageBytes}},
 	})
 	c.work.Go(func() {
@@ -384,7 +385,7 @@
 			dialed = true
 			return c.dial(ctx, address)
 		})
-		reply, err := call(ctx, peer.NewDRPCPeerClient(connection))
+		reply, err := call(ctx, peer.NewDRPCPeerClient(rpc.Answered{Conn: connection}))
 		if err == nil {
 			return reply, nil
 		}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -21,6 +21,7 @@
 	"github.com/persimmonmux/persimmonmux/state/booking"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/transport/rpc"
 )
 
 const (
@@ -131,7 +132,7 @@
 				InactivityTimeout: inactivityLimit,
 			},
 		})
-		if err := server.Serve(ctx, &boundedListener{Listener: s.Listener}); err != nil && ctx.Err() == nil {
+		if err := server.Serve(ctx, &rpc.BoundedListener{Listener: s.Listener, Limit: writeLimit}); err != nil && ctx.Err() == nil {
 			return fmt.Errorf("peer server: %w", err)
 		}
 		return nil
--- /dev/null
+++ b/transport/rpc/answered_test.go
@@ -0,0 +1,60 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"storj.io/drpc"
+)
+
+// A closingConnection replies and then fails because the connection has ended.
+type closingConnection struct {
+	drpc.Conn
+
+	replies bool
+}
+
+var errEnded = errors.New("the connection ended")
+
+func (c closingConnection) Invoke(_ context.Context, _ string, encoding drpc.Encoding, _, out drpc.Message) error {
+	if c.replies {
+		if err := encoding.Unmarshal([]byte("reply"), out); err != nil {
+			return err
+		}
+	}
+	return errEnded
+}
+
+// A textEncoding decodes into a string.
+type textEncoding struct{ err error }
+
+func (textEncoding) Marshal(drpc.Message) ([]byte, error) { return nil, nil }
+
+func (e textEncoding) Unmarshal(data []byte, message drpc.Message) error {
+	*message.(*string) = string(data)
+	return e.err
+}
+
+// Guards against a reply that is taken for lost because the server closed the
+// connection after it, and against a lost reply that is taken for one.
+func TestCallIsAnsweredByItsReply(t *testing.T) {
+	errMalformed := errors.New("malformed")
+	for _, test := range []struct {
+		name     string
+		replies  bool
+		encoding textEncoding
+		want     error
+	}{
+		{"reply, then the end", true, textEncoding{}, nil},
+		{"end without a reply", false, textEncoding{}, errEnded},
+		{"malformed reply", true, textEncoding{errMalformed}, errMalformed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var reply string
+			err := Answered{closingConnection{replies: test.replies}}.Invoke(context.Background(), "call", test.encoding, nil, &reply)
+			qt.Check(t, errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
