membership: keep showing a leaving name that turns out to be a host

Cause: a relay can tell that a host leaves before the host itself is known.

Change: a name that was shown among the leaving servers stays there. TestLeavingHostIsNotUnlearnedWhenItBecomesKnown failed before and is green now.

--- a/coordination/membership/roster.go
+++ b/coordination/membership/roster.go
@@ -105,6 +105,9 @@
 	start    fleet.StartNumber
 	sequence uint64
 	learned  time.Time
+	// shown says that a view has shown the process among the servers. It stays
+	// there when it turns out to be a host, so that no view unlearns it.
+	shown bool
 }
 
 func newRoster(self fleet.Host, directLimit int) *roster {
@@ -212,7 +215,12 @@
 	if record != nil && record.start >= start {
 		return
 	}
-	r.leaving[name] = &leavingRecord{start: start, sequence: r.next(changeEntry{leaving: name}), learned: now}
+	r.leaving[name] = &leavingRecord{
+		start:    start,
+		sequence: r.next(changeEntry{leaving: name}),
+		learned:  now,
+		shown:    record != nil && record.shown,
+	}
 	r.hostsDirty, r.urgent = true, true
 	if host := r.hosts[fleet.HostName(name)]; host != nil {
 		r.judge(host, now)
@@ -686,7 +694,10 @@
 		v.LeavingServers = make(map[string]fleet.StartNumber)
 		for name, record := range r.leaving {
 			host := fleet.HostName(name)
-			if _, isHost := r.hosts[host]; !isHost && host != r.self.Name && record.start >= r.servers[name] {
+			_, isHost := r.hosts[host]
+			isHost = isHost || host == r.self.Name
+			if (record.shown || !isHost) && record.start >= r.servers[name] {
+				record.shown = true
 				v.LeavingServers[name] = record.start
 			}
 		}
--- /dev/null
+++ b/coordination/membership/roster_test.go
@@ -0,0 +1,28 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+// Guards against a name that is shown as leaving and then not, because a relay
+// told that it leaves before anything else was known of that host.
+func TestLeavingHostIsNotUnlearnedWhenItBecomesKnown(t *testing.T) {
+	now := time.Now()
+	r := newRoster(fleet.Host{Name: "host-2-00", Start: 1}, 0)
+	r.receive(fleet.Heartbeat{
+		Host:    fleet.Host{Name: "host-0-00", Start: 1, State: fleet.HostLive},
+		Leaving: []fleet.Leaving{{Name: "host-1-00", Start: 3}},
+	}, now)
+	before := r.view(nil, 0)
+	quicktest.Assert(t, before.ServerLeaving("host-1-00", 3), quicktest.IsTrue)
+
+	r.list(fleet.Listing{Hosts: []fleet.Host{{Name: "host-1-00", Start: 3, State: fleet.HostLive}}}, now)
+	after := r.view(before, 0)
+	quicktest.Check(t, after.Hosts["host-1-00"].Host.State, quicktest.Equals, fleet.HostLeaving)
+	quicktest.Check(t, after.ServerLeaving("host-1-00", 3), quicktest.IsTrue)
+}
