dispatch: leave time for another engine, resume without the retry budget

Causes, from the known red tests on separate processes: - A demand waited at an engine without a free slot for the whole time left. - A silent connection was noticed after 5 s, also with 8 s left. - Streams that lost their connections at once spent the retry budget, although a resumed stream reads on in its run and adds no work. - A request with a grant for an engine's former process ran on its next one, where an instance of the same name had been loaded and unloaded again.

Changes: a demand waits for half of the time left; the progress limit is at most half of it; resuming is bounded by itself; a completion names the engine start that its grant is for.

Each has a test that failed before.

--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -132,6 +132,17 @@
 // own deadline.
 const resolveTimeout = 5 * time.Second
 
+const (
+	// resumePause is the pause before a stream goes on over another connection.
+	resumePause = 20 * time.Millisecond
+	// resumeLimit is how often one stream goes on in its run.
+	resumeLimit = 4
+)
+
+// patienceShare is the part of the time left, as a divisor, that one demand may
+// wait. The rest is for the run, or for another engine if this one has no slot.
+const patienceShare = 2
+
 // Dispatch runs a request to its end. The error is a *verdict.Error; with a
 // nil error the whole answer was returned or passed to sink.
 func (d *Dispatcher) Dispatch(ctx context.Context, r *request.Request, sink Sink) (request.Answer, error) {
@@ -206,8 +217,15 @@
 	doubt *verdict.Error
 	// unrouted says that no engine took the last try.
 	unrouted bool
-	// runs is the number of runs that were named.
-	runs int
+	// runs is the number of runs that were named, and resumed how often a stream
+	// was to go on in its run.
+	runs, resumed int
+}
+
+// resumes says that the next try goes on with a stream that the caller has begun
+// to get.
+func (p *progress) resumes() bool {
+	return p.open != nil && p.chunks.count > 0
 }
 
 // An openRun is a run that an engine may still hold.
@@ -238,13 +256,24 @@
 		if !d.mayRetry(r, p, failure) {
 			return request.Answer{}, failure
 		}
-		pause, allowed := d.Retries.Next(r, retry)
+		pause, allowed := d.next(r, p, retry)
 		if !allowed || !duty.Pause(ctx, pause) {
 			return request.Answer{}, failure
 		}
 	}
 }
 
+// next returns the pause before the next try and whether there may be one. A
+// stream that goes on in its run gives the engine no more work and takes nothing
+// from the retry budget.
+func (d *Dispatcher) next(r *request.Request, p *progress, retry int) (time.Duration, bool) {
+	if !p.resumes() {
+		return d.Retries.Next(r, retry)
+	}
+	p.resumed++
+	return resumePause, p.resumed <= resumeLimit
+}
+
 // mayRetry says whether another try cannot run the request twice against its
 // repeat rule and cannot change what the caller already has.
 func (d *Dispatcher) mayRetry(r *request.Request, p *progress, failure *verdict.Error) bool {
@@ -271,7 +300,7 @@
 	if r.Service != "" {
 		return d.Services.Call(ctx, r)
 	}
-	if p.open != nil && p.chunks.count > 0 {
+	if p.resumes() {
 		return d.resume(ctx, p)
 	}
 	d.abandon(ctx, p)
@@ -376,7 +405,7 @@
 		Adapter:  r.Adapter,
 		Request:  r.RunID,
 		Holder:   d.Host,
-		Patience: left,
+		Patience: left / patienceShare,
 		Duration: min(left, d.GrantLimit),
 		Urgency:  string(r.Kind.Urgency),
 	}
--- a/coordination/dispatch/dispatcher_test.go
+++ b/coordination/dispatch/dispatcher_test.go
@@ -34,6 +34,10 @@
 	calls   []call
 	made    int
 	granted int
+	// noRetries says that the retry budget is spent.
+	noRetries bool
+	// patience has what each demand was willing to wait.
+	patience []time.Duration
 	// mutex guards released and canceled, which background cancels change.
 	mutex    sync.Mutex
 	released int
@@ -78,6 +82,7 @@
 }
 
 func (p *parts) Demand(_ context.Context, demand Demand) (fleet.Grant, error) {
+	p.patience = append(p.patience, demand.Patience)
 	time.Sleep(p.stall)
 	if len(p.grantErr) > 0 {
 		err := p.grantErr[0]
@@ -122,7 +127,7 @@
 }
 
 func (p *parts) Next(_ *request.Request, retry int) (time.Duration, bool) {
-	return time.Millisecond, retry <= 3
+	return time.Millisecond, retry <= 3 && !p.noRetries
 }
 
 func (p *parts) Finished(_ *request.Request, _ request.Answer, failure *verdict.Error) {
@@ -233,6 +238,22 @@
 	})
 }
 
+// TestDemandLeavesTimeForAnotherEngine guards against a demand that waits at an
+// engine without a free slot until its request has no time left.
+func TestDemandLeavesTimeForAnotherEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		refused := verdict.Refuse(verdict.CodeNoGrant, "no slot in time")
+		p := &parts{stall: 20 * time.Second, grantErr: []error{refused}, calls: []call{{}}}
+		_, err := dispatcher(p).Dispatch(t.Context(), modelRequest(configuration.RepeatForbidden), p)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(p.patience, quicktest.HasLen, 2)
+		c.Check(p.patience[0], quicktest.Equals, 30*time.Second)
+		c.Check(p.patience[1] <= 20*time.Second, quicktest.IsTrue)
+		c.Check(p.engines, quicktest.DeepEquals, []fleet.EngineName{"second"})
+	})
+}
+
 // TestRunsHaveTheirOwnIDs guards against a late cancel order or release of a
 // run that was given up, which would end the next run or its grant. A resumed
 // stream and a request that may not be repeated keep their id.
@@ -304,6 +325,34 @@
 	}
 }
 
+// TestResumeIsNoRetry guards against streams that are given up because many of
+// them lost their connections at once and the retry budget is spent, and against
+// a stream that goes on for ever.
+func TestResumeIsNoRetry(t *testing.T) {
+	lost := call{chunks: 1, err: verdict.Doubt(verdict.CodeBackendLost, nil, "connection lost")}
+	for _, test := range []struct {
+		name  string
+		calls []call
+		made  int
+		ends  bool
+	}{
+		{"ends after four connections", []call{lost, lost, lost, lost, {}}, 5, true},
+		{"never ends", []call{lost, lost, lost, lost, lost, lost}, 1 + resumeLimit, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				p := &parts{calls: test.calls, noRetries: true}
+				d := dispatcher(p)
+				_, err := d.Dispatch(t.Context(), modelRequest(configuration.RepeatAllowed), p)
+				c.Check(err == nil, quicktest.Equals, test.ends)
+				c.Check(p.made, quicktest.Equals, test.made)
+				c.Assert(d.Close(), quicktest.IsNil)
+			})
+		})
+	}
+}
+
 // TestResumedStreamReturnsToItsEngine guards against a stream that goes on at
 // an engine which does not know it.
 func TestResumedStreamReturnsToItsEngine(t *testing.T) {
--- a/protocol/engineorder/engineorder.go
+++ b/protocol/engineorder/engineorder.go
@@ -17,7 +17,9 @@
 const (
 	// HeaderFencingNumber carries the epoch of the sender of a load or unload order.
 	HeaderFencingNumber = "Fencing-Number"
-	// HeaderEngineStart is in every answer.
+	// HeaderEngineStart is in every answer. In a completion it names the start that
+	// the grant is for; an engine with another start answers unknown-instance,
+	// because its instances only share their names with those of the grant.
 	HeaderEngineStart = "Engine-Start"
 	// HeaderRequestID names a completion and is echoed in its answer.
 	HeaderRequestID = "X-Request-Id"
--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,6 +25,10 @@
 		e.resume(w, r, id, last)
 		return
 	}
+	if start := r.Header.Get(engineorder.HeaderEngineStart); start != "" && start != fmt.Sprint(e.Start()) {
+		fail(w, http.StatusNotFound, engineorder.CodeUnknownInstance, "the engine has restarted since start "+start)
+		return
+	}
 	timeout, _ := strconv.Atoi(r.Header.Get(engineorder.HeaderTimeout))
 	running, planned := e.accept(id, order, time.Duration(timeout)*time.Millisecond)
 	if running == nil {
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -21,6 +21,9 @@
 	// defaultProgressLimit is well above the time between tokens (44 ms for 95
 	// in 100) and the 1 s between keep-alive comments of a queued stream.
 	defaultProgressLimit = 5 * time.Second
+	// leastProgressLimit is the shortest limit that a stream near its deadline
+	// has: two of the keep-alive comments of a queued stream.
+	leastProgressLimit = 2 * time.Second
 	// defaultAnswerLimit bounds the wait for an answer that is not streamed,
 	// which shows no progress while it runs.
 	defaultAnswerLimit = time.Minute
@@ -40,7 +43,9 @@
 type Client struct {
 	// DialLimit bounds a connection attempt.
 	DialLimit time.Duration
-	// ProgressLimit bounds the time without a line of a streamed answer.
+	// ProgressLimit bounds the time without a line of a streamed answer. A try
+	// with less than twice that time left has a shorter limit, so that a further
+	// try follows it.
 	ProgressLimit time.Duration
 	// AnswerLimit bounds the time without a byte of an answer that is not streamed.
 	AnswerLimit time.Duration
--- a/transport/engine/client_test.go
+++ b/transport/engine/client_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -138,6 +139,13 @@
 	group.Wait()
 }
 
+// restartWithInstance restarts the engine after the grant and loads an instance
+// of the same name.
+func restartWithInstance(f *fixture, _ *fleet.Grant) {
+	f.standin.Restart()
+	f.Assert(f.client.Load(context.Background(), f.engine, f.instance, 7), quicktest.IsNil)
+}
+
 // TestVerdicts guards each row of the verdict table that concerns engines.
 func TestVerdicts(t *testing.T) {
 	for _, test := range []struct {
@@ -152,6 +160,7 @@
 		{name: "dial refused", change: func(f *fixture, g *fleet.Grant) { g.Address = unusedAddress(f) }, want: verdict.NotRun, code: verdict.CodeBackendLost},
 		{name: "unknown instance", change: func(_ *fixture, g *fleet.Grant) { g.Instance.Epoch = 8 }, want: verdict.NotRun, code: verdict.CodeUnknownInstance},
 		{name: "engine restarted", change: func(f *fixture, _ *fleet.Grant) { f.standin.Restart() }, want: verdict.NotRun, code: verdict.CodeUnknownInstance},
+		{name: "engine restarted and holds the instance again", change: restartWithInstance, want: verdict.NotRun, code: verdict.CodeUnknownInstance},
 		{name: "connection lost after the request", faults: standin.Faults{CloseAfterRequest: 1}, want: verdict.MayHaveRun, code: verdict.CodeBackendLost, runs: 1},
 		{name: "connection lost in the stream", faults: standin.Faults{CloseInStream: 1}, stream: true, want: verdict.MayHaveRun, code: verdict.CodeBackendLost, runs: 1},
 		{name: "silent before the answer", faults: standin.Faults{SilentAnswer: 1}, want: verdict.MayHaveRun, code: verdict.CodeBackendLost, runs: 1},
@@ -312,6 +321,28 @@
 	f.assertVerdict(<-silent, verdict.MayHaveRun, verdict.CodeBackendLost)
 }
 
+// TestProgressLimitLeavesTimeForAnotherTry guards against a silent connection
+// that takes the time of the try after it.
+func TestProgressLimitLeavesTimeForAnotherTry(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		left, want time.Duration
+	}{
+		{"much time left", time.Minute, 5 * time.Second},
+		{"less than twice the limit left", 8 * time.Second, 4 * time.Second},
+		{"little left", time.Second, leastProgressLimit},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(context.Background(), test.left)
+				defer cancel()
+				quicktest.Check(t, progressLimit(ctx, 5*time.Second), quicktest.Equals, test.want)
+			})
+		})
+	}
+	quicktest.Check(t, progressLimit(context.Background(), 5*time.Second), quicktest.Equals, 5*time.Second)
+}
+
 // TestSlowCaller guards against taking the pace of the caller for silence of the
 // engine.
 func TestSlowCaller(t *testing.T) {
--- a/transport/engine/complete.go
+++ b/transport/engine/complete.go
@@ -112,7 +112,7 @@
 	}
 	t.limit = positive(t.client.AnswerLimit, defaultAnswerLimit)
 	if t.stream {
-		t.limit = positive(t.client.ProgressLimit, defaultProgressLimit)
+		t.limit = progressLimit(ctx, positive(t.client.ProgressLimit, defaultProgressLimit))
 	}
 	t.timer = time.AfterFunc(t.limit, func() {
 		t.silent.Store(true)
@@ -145,6 +145,16 @@
 	return t.readWhole(parent, answer)
 }
 
+// progressLimit returns how long a stream may be silent: the configured limit, or
+// half of the time left where that is less.
+func progressLimit(ctx context.Context, configured time.Duration) time.Duration {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return configured
+	}
+	return min(configured, max(time.Until(end)/2, leastProgressLimit))
+}
+
 func (t *completion) prepare(ctx context.Context) (*http.Request, *verdict.Error) {
 	body, err := engineorder.PrepareRequest(t.request.Body, t.instance, t.stream)
 	if err != nil {
@@ -156,6 +166,7 @@
 	}
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set(engineorder.HeaderRequestID, string(t.request.RunID))
+	r.Header.Set(engineorder.HeaderEngineStart, strconv.FormatUint(uint64(t.grant.EngineStart), 10))
 	if end, ok := ctx.Deadline(); ok {
 		left := max(time.Until(end).Milliseconds(), 1)
 		r.Header.Set(engineorder.HeaderTimeout, strconv.FormatInt(left, 10))
