--- a/coordination/revision/distributor.go
+++ b/coordination/revision/distributor.go
@@ -305,31 +305,38 @@
 	if after != before {
 		d.held.Store(after)
 		d.spread(ctx, m, before.revision()+1)
-		if m.origin == originAccepted {
-			if after.revision()%snapshotEvery == 0 {
+	}
+	if m.origin == originAccepted {
+		// A change may have come back from the table or a peer before this message,
+		// so that a snapshot is due by what was accepted here, not by what is new.
+		for _, change := range m.changes {
+			if change.Revision%snapshotEvery == 0 {
 				d.unstored.Store(true)
 			}
-			d.store(ctx, after.configuration)
 		}
+		d.store(ctx)
 	}
 	if m.reply != nil {
 		m.reply <- after.revision()
 	}
 }
 
-// store stores a snapshot when one is due. After a failure it is tried again
-// with the next accepted change.
-func (d *Distributor) store(ctx context.Context, snapshot *configuration.Configuration) {
+// store stores a snapshot when one is due, and another one if that becomes due
+// meanwhile. After a failure it is tried again with the next accepted change.
+func (d *Distributor) store(ctx context.Context) {
 	if d.Snapshots == nil || !d.unstored.Load() || !d.storing.CompareAndSwap(false, true) {
 		return
 	}
-	d.unstored.Store(false)
 	d.lifecycle.Work(func() {
 		defer d.storing.Store(false)
-		ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-		defer cancel()
-		if err := d.Snapshots.Store(ctx, snapshot); err != nil {
-			d.unstored.Store(true)
+		for d.unstored.Swap(false) {
+			bounded, cancel := context.WithTimeout(ctx, tableTimeout)
+			err := d.Snapshots.Store(bounded, d.holding().configuration)
+			cancel()
+			if err != nil {
+				d.unstored.Store(true)
+				return
+			}
 		}
 	})
 }
--- a/coordination/revision/distributor_test.go
+++ b/coordination/revision/distributor_test.go
@@ -218,6 +218,9 @@
 	inDeployment(t, 0, func(c *quicktest.C, d *deployment.Deployment) {
 		for expected := range configuration.Revision(230) {
 			accept(c, d.Members[0], expected, fmt.Sprint(expected))
+			// Workers store snapshots; on one processor they would run only now
+			// and then, and store one for many changes.
+			synctest.Wait()
 		}
 		c.Assert(d.Snapshots.Stored(), quicktest.Equals, 2)
 		d.List.Set(fleet.Listing{}, true)
