platform: one client for the store, which the stand-ins speak too

Change: platform.Store serves them all. It got scans, objects and independent writes: these go to the store in one call, and those whose condition does not hold are left out of the next one. What is left of the former client reads the host list (transport/hostlist). The relays of the tests on processes moved to standin/relay.

--- a/internal/cmd/reportcmd.go
+++ b/internal/cmd/reportcmd.go
@@ -13,7 +13,8 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/daybook"
 	"github.com/persimmonmux/persimmonmux/internal/daypage"
-	"github.com/persimmonmux/persimmonmux/transport/platform"
+	"github.com/persimmonmux/persimmonmux/platform"
+	"github.com/persimmonmux/persimmonmux/transport/backend"
 )
 
 // A reportCommand has the reports as subcommands.
@@ -49,9 +50,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	client := &platform.Client{Address: "http://" + address.String()}
-	defer func() { _ = client.Close() }()
-	return daybook.ReadDay(ctx, client, date, now)
+	store := &platform.Store{Address: address.String(), Connections: &backend.Connections{}}
+	defer func() { _ = store.Close() }()
+	return daybook.ReadDay(ctx, store, date, now)
 }
 
 // A reportDayCommand prints the page of a day.
--- a/internal/entryhost/parts.go
+++ b/internal/entryhost/parts.go
@@ -20,14 +20,16 @@
 	"github.com/persimmonmux/persimmonmux/coordination/revision"
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
 	"github.com/persimmonmux/persimmonmux/coordination/routing"
+	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/transport/backend"
 	"github.com/persimmonmux/persimmonmux/transport/engine"
 	"github.com/persimmonmux/persimmonmux/transport/entry"
+	"github.com/persimmonmux/persimmonmux/transport/hostlist"
 	"github.com/persimmonmux/persimmonmux/transport/metrics"
 	"github.com/persimmonmux/persimmonmux/transport/operator"
 	"github.com/persimmonmux/persimmonmux/transport/peer"
-	"github.com/persimmonmux/persimmonmux/transport/platform"
 	"github.com/persimmonmux/persimmonmux/transport/service"
 )
 
@@ -52,7 +54,8 @@
 	Self            fleet.Host
 	CallerListener  net.Listener `name:"caller"`
 	PeerListener    net.Listener `name:"peer"`
-	Platform        *platform.Client
+	Store           *platform.Store
+	HostList        *hostlist.Client
 	PeerClient      *peer.Client
 	EngineClient    *engine.Client
 	ServiceClient   *service.Client
@@ -111,7 +114,8 @@
 	_ = p.EngineClient.Close()
 	_ = p.ServiceClient.Close()
 	_ = p.PeerClient.Close()
-	_ = p.Platform.Close()
+	_ = p.Store.Close()
+	_ = p.HostList.Close()
 	_ = p.Recorder.Close()
 }
 
@@ -141,9 +145,10 @@
 	return []any{
 		h.newSelf,
 		h.newListeners,
-		func() *platform.Client {
-			return &platform.Client{Address: "http://" + h.Settings.PlatformAddress.String()}
+		func() *platform.Store {
+			return &platform.Store{Address: h.Settings.PlatformAddress.String(), Connections: &backend.Connections{}}
 		},
+		func() *hostlist.Client { return &hostlist.Client{Address: h.Settings.PlatformAddress.String()} },
 		func() *peer.Client { return &peer.Client{Domain: h.Settings.FailureDomain} },
 		func() *engine.Client { return &engine.Client{} },
 		func(d *revision.Distributor, m *membership.Monitor) *service.Client {
@@ -155,8 +160,8 @@
 		},
 		func() *revisionWatcher { return &revisionWatcher{} },
 		h.newMonitor,
-		func(self fleet.Host, p *platform.Client, c *peer.Client, m *membership.Monitor) *revision.Distributor {
-			return &revision.Distributor{Self: self, Table: p, Snapshots: &snapshotStore{objects: p}, Links: c, Members: m}
+		func(self fleet.Host, s *platform.Store, c *peer.Client, m *membership.Monitor) *revision.Distributor {
+			return &revision.Distributor{Self: self, Table: s, Snapshots: &snapshotStore{objects: s}, Links: c, Members: m}
 		},
 		h.newKeeper,
 		func(m *membership.Monitor) *addressBook { return &addressBook{monitor: m} },
@@ -165,8 +170,8 @@
 		h.newGroup,
 		h.newHolder,
 		h.newRegistry,
-		func(p *platform.Client, k *lease.Keeper) *claim.Cleaner {
-			return &claim.Cleaner{Table: p, Permit: &leasePermit{keeper: k, name: cleanupLease}}
+		func(s *platform.Store, k *lease.Keeper) *claim.Cleaner {
+			return &claim.Cleaner{Table: s, Permit: &leasePermit{keeper: k, name: cleanupLease}}
 		},
 		func() *retry.Budget { return &retry.Budget{} },
 		func(d *revision.Distributor) *admission.Gate {
@@ -191,8 +196,8 @@
 			}
 		},
 		h.newRecorder,
-		func(self fleet.Host, p *platform.Client, m *membership.Monitor) *daybook.Keeper {
-			return &daybook.Keeper{Host: self, Store: p, Members: &liveHosts{monitor: m}, Logger: h.Log}
+		func(self fleet.Host, s *platform.Store, m *membership.Monitor) *daybook.Keeper {
+			return &daybook.Keeper{Host: self, Store: s, Members: &liveHosts{monitor: m}, Logger: h.Log}
 		},
 		h.newDispatcher,
 		h.newPeerServer,
@@ -235,20 +240,20 @@
 	return net.Listen("tcp", address)
 }
 
-func (h *Host) newMonitor(self fleet.Host, c *peer.Client, p *platform.Client, w *revisionWatcher) *membership.Monitor {
+func (h *Host) newMonitor(self fleet.Host, c *peer.Client, l *hostlist.Client, w *revisionWatcher) *membership.Monitor {
 	var seeds []string
 	for _, address := range h.Settings.PeerAddresses {
 		seeds = append(seeds, address.String())
 	}
-	return &membership.Monitor{Self: self, Seeds: seeds, Links: c, HostList: p, Configuration: w}
+	return &membership.Monitor{Self: self, Seeds: seeds, Links: c, HostList: l, Configuration: w}
 }
 
-func (h *Host) newKeeper(self fleet.Host, p *platform.Client) (*lease.Keeper, *ring.Ring[lease.Event]) {
+func (h *Host) newKeeper(self fleet.Host, s *platform.Store) (*lease.Keeper, *ring.Ring[lease.Event]) {
 	events := ring.New[lease.Event](eventRing)
 	return &lease.Keeper{
 		Host:     self.Name,
 		Start:    self.Start,
-		Table:    p,
+		Table:    s,
 		Duration: h.Settings.Timings.LeaseDuration,
 		Renewal:  h.Settings.Timings.LeaseRenewal,
 		Margin:   h.Settings.Timings.LeaseMargin,
@@ -299,8 +304,8 @@
 	return holder
 }
 
-func (h *Host) newRegistry(self fleet.Host, p *platform.Client, c *peer.Client, b *addressBook) *claim.Registry {
-	return &claim.Registry{Host: self.Name, Start: self.Start, Table: p, Peers: &claimRoute{client: c, book: b}}
+func (h *Host) newRegistry(self fleet.Host, s *platform.Store, c *peer.Client, b *addressBook) *claim.Registry {
+	return &claim.Registry{Host: self.Name, Start: self.Start, Table: s, Peers: &claimRoute{client: c, book: b}}
 }
 
 func (h *Host) newRecorder(g *admission.Gate) (*metrics.Recorder, error) {
--- a/internal/entryhost/servers.go
+++ b/internal/entryhost/servers.go
@@ -10,12 +10,12 @@
 	"github.com/persimmonmux/persimmonmux/coordination/lease"
 	"github.com/persimmonmux/persimmonmux/coordination/membership"
 	"github.com/persimmonmux/persimmonmux/coordination/ownership"
+	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/booking"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/request"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
-	"github.com/persimmonmux/persimmonmux/transport/platform"
 )
 
 // An ownerServer answers other hosts for the engines that this host owns.
@@ -108,7 +108,7 @@
 // A snapshotStore keeps snapshots of the configuration in the object store. It
 // implements revision.Snapshots.
 type snapshotStore struct {
-	objects *platform.Client
+	objects *platform.Store
 }
 
 // Latest implements revision.Snapshots.
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -83,7 +83,7 @@
 
 func (p *parts) closeClients() {
 	_ = p.PeerClient.Close()
-	_ = p.Store.Connections.Close()
+	_ = p.Store.Close()
 	_ = p.Engines.Connections.Close()
 	_ = p.Pool.Close()
 	_ = p.Recorder.Close()
--- a/internal/processes/deployment_test.go
+++ b/internal/processes/deployment_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -22,13 +23,16 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/lease"
 	"github.com/persimmonmux/persimmonmux/coordination/ownership"
+	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/protocol/engineorder"
-	"github.com/persimmonmux/persimmonmux/protocol/platformstore"
+	"github.com/persimmonmux/persimmonmux/protocol/hostlist"
 	"github.com/persimmonmux/persimmonmux/standin/engine"
-	"github.com/persimmonmux/persimmonmux/standin/platform"
+	standin "github.com/persimmonmux/persimmonmux/standin/platform"
+	"github.com/persimmonmux/persimmonmux/standin/relay"
 	"github.com/persimmonmux/persimmonmux/standin/service"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/table"
+	connections "github.com/persimmonmux/persimmonmux/transport/backend"
 )
 
 const (
@@ -68,7 +72,7 @@
 
 	platformAddress string
 	// platformRelays stand between each failure domain and the platform.
-	platformRelays map[string]*relay
+	platformRelays map[string]*relay.Relay
 	options
 }
 
@@ -88,7 +92,7 @@
 	callerAddress, peer string
 	// told is the address that other hosts use; that of relay if there is one.
 	told  string
-	relay *relay
+	relay *relay.Relay
 }
 
 // A backend is an engine or a plain service.
@@ -98,7 +102,7 @@
 	address   string
 	arguments []string
 	// relay stands between the entry hosts and the backend server.
-	relay *relay
+	relay *relay.Relay
 	// earlier are the runs of earlier processes of the backend server.
 	earlier map[string]int
 }
@@ -116,7 +120,7 @@
 	t.Cleanup(func() { <-places })
 	d := &deployment{
 		t: t, directory: t.TempDir(), platformAddress: freeAddress(t),
-		platformRelays: make(map[string]*relay), options: o,
+		platformRelays: make(map[string]*relay.Relay), options: o,
 	}
 	if d.slots == 0 {
 		d.slots = slots
@@ -165,7 +169,7 @@
 			h.told = h.peer
 			if d.relayedPeers {
 				h.relay = newRelay(d.t, h.peer)
-				h.told = h.relay.address
+				h.told = h.relay.Address
 			}
 			hosts = append(hosts, h)
 			told = append(told, h.told)
@@ -194,20 +198,20 @@
 		}
 	}
 	for _, h := range d.hosts {
-		h.relay.setCut(cut(h.domain))
+		h.relay.SetCut(cut(h.domain))
 	}
 	for _, b := range d.backends() {
-		b.relay.setCut(cut(b.domain))
+		b.relay.SetCut(cut(b.domain))
 	}
 }
 
 // heal ends cutOff.
 func (d *deployment) heal() {
 	for _, h := range d.hosts {
-		h.relay.setCut(nil)
+		h.relay.SetCut(nil)
 	}
 	for _, b := range d.backends() {
-		b.relay.setCut(nil)
+		b.relay.SetCut(nil)
 	}
 }
 
@@ -233,7 +237,7 @@
 	return map[string]any{
 		"host-name": h.name, "failure-domain": h.domain, "region": region,
 		"caller-address": h.callerAddress, "peer-address": h.peer, "peer-addresses": others,
-		"platform-address": d.platformRelays[h.domain].address,
+		"platform-address": d.platformRelays[h.domain].Address,
 		"limits":           map[string]any{"grace-time": graceTime.String()},
 		"timings": map[string]any{
 			"lease-duration": leaseDuration.String(), "lease-renewal": "500ms", "lease-margin": "200ms",
@@ -257,11 +261,11 @@
 			fencing = fleet.FencingIgnored
 		}
 		engines[e.name] = map[string]any{
-			"pool": "models", "failure-domain": e.domain, "address": e.relay.address,
+			"pool": "models", "failure-domain": e.domain, "address": e.relay.Address,
 			"slots": d.slots, "batch-size": 32, "fencing": fencing,
 		}
 		s := d.services[i]
-		servers = append(servers, map[string]any{"name": s.name, "failure-domain": s.domain, "address": s.relay.address})
+		servers = append(servers, map[string]any{"name": s.name, "failure-domain": s.domain, "address": s.relay.Address})
 	}
 	return map[string]any{
 		"adapters": versions,
@@ -296,7 +300,7 @@
 		})
 	}
 	for _, host := range listed {
-		qt.Assert(d.t, call(http.MethodPut, d.platformAddress, platformstore.PathHosts, host, nil), qt.IsNil)
+		qt.Assert(d.t, call(http.MethodPut, d.platformAddress, hostlist.PathHosts, host, nil), qt.IsNil)
 	}
 }
 
@@ -331,12 +335,12 @@
 // lease returns the lease record of an engine.
 func (d *deployment) lease(e *backend) lease.Record {
 	d.t.Helper()
-	var answer platformstore.RecordsAnswer
-	key := ownership.LeaseName(fleet.EngineName(e.name)).Key()
-	err := call(http.MethodPost, d.platformAddress, platformstore.PathRead, platformstore.ReadRequest{Keys: []table.Key{key}}, &answer)
+	store := &platform.Store{Address: d.platformAddress, Connections: &connections.Connections{}}
+	defer store.Close()
+	records, err := store.Read(context.Background(), []table.Key{ownership.LeaseName(fleet.EngineName(e.name)).Key()})
 	var record lease.Record
-	if err == nil && len(answer.Records) == 1 && answer.Records[0].Version > 0 {
-		qt.Assert(d.t, json.Unmarshal(answer.Records[0].Value, &record), qt.IsNil)
+	if err == nil && records[0].Version > 0 {
+		qt.Assert(d.t, json.Unmarshal(records[0].Value, &record), qt.IsNil)
 	}
 	return record
 }
@@ -360,8 +364,8 @@
 
 // leaving returns the number of leaving hosts that the host list shows.
 func (d *deployment) leaving() int {
-	var answer platformstore.HostsAnswer
-	if call(http.MethodGet, d.platformAddress, platformstore.PathHosts, nil, &answer) != nil {
+	var answer hostlist.HostsAnswer
+	if call(http.MethodGet, d.platformAddress, hostlist.PathHosts, nil, &answer) != nil {
 		return 0
 	}
 	count := 0
@@ -374,9 +378,9 @@
 }
 
 // setPlatformFaults replaces the platform's faults.
-func (d *deployment) setPlatformFaults(faults platform.AllFaults) {
+func (d *deployment) setPlatformFaults(faults standin.AllFaults) {
 	d.t.Helper()
-	qt.Assert(d.t, call(http.MethodPut, d.platformAddress, platform.PathFaults, faults, nil), qt.IsNil)
+	qt.Assert(d.t, call(http.MethodPut, d.platformAddress, standin.PathFaults, faults, nil), qt.IsNil)
 }
 
 // instances returns the instances that an engine holds.
--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/persimmonmux/persimmonmux/standin/platform"
+	"github.com/persimmonmux/persimmonmux/standin/relay"
 	"github.com/persimmonmux/persimmonmux/standin/service"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
@@ -184,7 +185,7 @@
 	const domain = "west-a"
 	there := func(tries []try, of verdict.Verdict) int { return countAt(tries, domain, of) }
 	epochs := d.epochs()
-	d.platformRelays[domain].setCut(everything)
+	d.platformRelays[domain].SetCut(relay.Everything)
 	cut := time.Now()
 	expired := cut.Add(leaseDuration)
 	await(t, "the failure domain serves streams and refuses bookings after its leases expired", func() bool {
@@ -193,7 +194,7 @@
 			there(c.triesWithin(expired, now, isBooking), verdict.NotRun) >= adapters
 	})
 	qt.Check(t, there(c.triesWithin(cut, time.Now(), isBooking), verdict.Ran), qt.Equals, 0)
-	d.platformRelays[domain].setCut(nil)
+	d.platformRelays[domain].SetCut(nil)
 	healed := time.Now()
 	await(t, "the failure domain takes bookings again", func() bool {
 		return there(c.triesWithin(healed, time.Now(), isBooking), verdict.Ran) >= adapters
@@ -242,7 +243,7 @@
 func TestSilentConnectionsToAnEngine(t *testing.T) {
 	d, c := begin(t)
 	for _, e := range d.engines[:2] {
-		e.relay.silenceOpen()
+		e.relay.SilenceOpen()
 		c.awaitProgress()
 	}
 	c.finish(d)
--- a/standin/enginecommand.go
+++ b/standin/enginecommand.go
@@ -10,7 +10,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/persimmonmux/persimmonmux/protocol/platformstore"
+	"github.com/persimmonmux/persimmonmux/protocol/hostlist"
 	"github.com/persimmonmux/persimmonmux/standin/engine"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 )
@@ -66,11 +66,11 @@
 
 // Fetch returns after the platform says that the transfer has ended.
 func (s remoteWeights) Fetch(ctx context.Context, adapter string) error {
-	body, err := json.Marshal(platformstore.WeightsRequest{Adapter: adapter})
+	body, err := json.Marshal(hostlist.WeightsRequest{Adapter: adapter})
 	if err != nil {
 		return err
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.address+platformstore.PathWeights, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.address+hostlist.PathWeights, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -5,12 +5,11 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"golang.org/x/time/rate"
 
-	"github.com/persimmonmux/persimmonmux/protocol/platformstore"
+	"github.com/persimmonmux/persimmonmux/protocol/hostlist"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/table"
 )
@@ -25,27 +24,27 @@
 	Objects *ObjectStore
 	Hosts   *HostList
 	Weights *WeightStore
-	// Reads and Writes limit the records and objects read and the transactions
-	// and objects written each second; nil means no limit.
+	// Reads and Writes limit the reading and writing calls for rows and objects
+	// each second; nil means no limit. Calls beyond get 429.
 	Reads, Writes *rate.Limiter
 }
 
-// throttle waits for the share of n operations and reports whether the sender of
-// the request still waits.
-func throttle(w http.ResponseWriter, r *http.Request, limiter *rate.Limiter, n int) bool {
-	if limiter == nil {
+// throttle takes one call from the rate and reports whether it was left.
+func throttle(w http.ResponseWriter, _ *http.Request, limiter *rate.Limiter) bool {
+	if limiter == nil || limiter.Allow() {
 		return true
 	}
-	if err := limiter.WaitN(r.Context(), min(n, limiter.Burst())); err != nil {
-		fail(w, http.StatusServiceUnavailable, platformstore.CodeUnavailable, err)
-		return false
-	}
-	return true
+	http.Error(w, "the rate of calls is spent", http.StatusTooManyRequests)
+	return false
 }
 
 // PathFaults replaces the AllFaults of a platform that runs as a process.
 const PathFaults = "/standin/faults"
 
+// PathRows writes rows of any table as the platform's operator and the backend
+// servers do. Its body is that of a transaction.
+const PathRows = "/standin/rows"
+
 // AllFaults are the faults of all parts of the platform.
 type AllFaults struct {
 	Table   Faults       `json:"table" group:"table" namespace:"table"`
@@ -65,105 +64,100 @@
 
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	key, object := strings.CutPrefix(r.URL.Path, platformstore.PathObjects+"/")
-	switch route := r.Method + " " + r.URL.Path; {
-	case object && r.Method == http.MethodPut:
-		s.put(w, r, key)
-	case object && r.Method == http.MethodGet:
-		s.get(w, r, key)
-	case route == "GET "+platformstore.PathObjects:
+	method, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	switch r.Method + " /" + method {
+	case "GET /rows-get":
+		s.getRows(w, r)
+	case "POST /rows-tx":
+		s.commitRows(w, r)
+	case "GET /rows-feed":
+		s.feedRows(w, r)
+	case "PUT /blob-put":
+		s.put(w, r, name)
+	case "GET /blob-get":
+		s.get(w, r, name)
+	case "GET /blob-list":
 		s.list(w, r)
-	case route == "POST "+platformstore.PathRead:
-		s.read(w, r)
-	case route == "POST "+platformstore.PathScan:
-		s.scan(w, r)
-	case route == "POST "+platformstore.PathCommit:
-		s.commit(w, r)
-	case route == "GET "+platformstore.PathHosts:
+	default:
+		s.serveOthers(w, r)
+	}
+}
+
+// serveOthers answers what is not a call to the store.
+func (s *Server) serveOthers(w http.ResponseWriter, r *http.Request) {
+	switch r.Method + " " + r.URL.Path {
+	case "GET " + hostlist.PathHosts:
 		hosts, err := s.Hosts.Hosts()
-		reply(w, platformstore.HostsAnswer{Hosts: hosts}, err)
-	case route == "PUT "+platformstore.PathHosts:
+		if err != nil {
+			fail(w, err)
+			return
+		}
+		reply(w, hostlist.HostsAnswer{Hosts: hosts})
+	case "PUT " + hostlist.PathHosts:
 		s.setHost(w, r)
-	case route == "DELETE "+platformstore.PathHosts:
+	case "DELETE " + hostlist.PathHosts:
 		s.Hosts.Remove(r.URL.Query().Get("name"))
-		reply(w, struct{}{}, nil)
-	case route == "POST "+platformstore.PathWeights:
+		reply(w, struct{}{})
+	case "POST " + hostlist.PathWeights:
 		s.fetch(w, r)
-	case route == "PUT "+PathFaults:
+	case "PUT " + PathFaults:
 		s.setFaults(w, r)
+	case "PUT " + PathRows:
+		s.setRows(w, r)
 	default:
 		http.NotFound(w, r)
 	}
 }
 
-func (s *Server) read(w http.ResponseWriter, r *http.Request) {
-	var request platformstore.ReadRequest
-	if !decode(w, r, &request) || !throttle(w, r, s.Reads, len(request.Keys)) {
+func (s *Server) put(w http.ResponseWriter, r *http.Request, name string) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maximumObject))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	records, err := s.Table.Read(r.Context(), request.Keys)
-	reply(w, platformstore.RecordsAnswer{Records: records}, err)
-}
-
-func (s *Server) scan(w http.ResponseWriter, r *http.Request) {
-	var request platformstore.ScanRequest
-	if !decode(w, r, &request) || !throttle(w, r, s.Reads, max(request.Limit, 1)) {
+	if !throttle(w, r, s.Writes) {
 		return
 	}
-	records, err := s.Table.Scan(r.Context(), request.Prefix, request.After, request.Limit)
-	reply(w, platformstore.RecordsAnswer{Records: records}, err)
-}
-
-func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
-	var transaction table.Transaction
-	if !decode(w, r, &transaction) || !throttle(w, r, s.Writes, 1) {
+	if err := s.Objects.Put(r.Context(), name, value); err != nil {
+		fail(w, err)
 		return
 	}
-	results, err := s.Table.Commit(r.Context(), transaction)
-	reply(w, platformstore.CommitAnswer{Results: results}, err)
+	reply(w, struct{}{})
 }
 
-func (s *Server) put(w http.ResponseWriter, r *http.Request, key string) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maximumObject))
-	if err != nil {
-		fail(w, http.StatusBadRequest, platformstore.CodeMalformed, err)
+func (s *Server) get(w http.ResponseWriter, r *http.Request, name string) {
+	if !throttle(w, r, s.Reads) {
 		return
 	}
-	if !throttle(w, r, s.Writes, 1) {
-		return
+	value, found, err := s.Objects.Get(r.Context(), name)
+	switch {
+	case err != nil:
+		fail(w, err)
+	case !found:
+		http.Error(w, "object does not exist", http.StatusNotFound)
+	default:
+		w.Header().Set("Content-Type", "application/octet-stream")
+		_, _ = w.Write(value)
 	}
-	reply(w, struct{}{}, s.Objects.Put(r.Context(), key, value))
 }
 
-func (s *Server) get(w http.ResponseWriter, r *http.Request, key string) {
-	if !throttle(w, r, s.Reads, 1) {
-		return
-	}
-	value, found, err := s.Objects.Get(r.Context(), key)
-	if err != nil {
-		reply(w, nil, err)
-		return
-	}
-	if !found {
-		fail(w, http.StatusNotFound, platformstore.CodeNotFound, errors.New("object does not exist"))
-		return
-	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	_, _ = w.Write(value)
-}
+// namesPerAnswer is the most names of objects in one answer.
+const namesPerAnswer = 1000
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	limit, err := strconv.Atoi(query.Get("limit"))
-	if err != nil {
-		fail(w, http.StatusBadRequest, platformstore.CodeMalformed, err)
+	if !throttle(w, r, s.Reads) {
 		return
 	}
-	if !throttle(w, r, s.Reads, 1) {
+	query := r.URL.Query()
+	names, err := s.Objects.List(r.Context(), query.Get("prefix"), query.Get("after"), namesPerAnswer+1)
+	if err != nil {
+		fail(w, err)
 		return
 	}
-	keys, err := s.Objects.List(r.Context(), query.Get("prefix"), query.Get("after"), limit)
-	reply(w, platformstore.ObjectsAnswer{Keys: keys}, err)
+	reply(w, struct {
+		Names     []string `json:"names"`
+		Truncated bool     `json:"truncated"`
+	}{names[:min(namesPerAnswer, len(names))], len(names) > namesPerAnswer})
 }
 
 // setHost serves the operator of a test deployment, who marks hosts as leaving.
@@ -173,7 +167,17 @@
 		return
 	}
 	s.Hosts.Set(host)
-	reply(w, struct{}{}, nil)
+	reply(w, struct{}{})
+}
+
+// setRows writes rows without faults and rates, as their writers are not under test.
+func (s *Server) setRows(w http.ResponseWriter, r *http.Request) {
+	var body rowsTransaction
+	if !decode(w, r, &body) {
+		return
+	}
+	s.Table.apply(body.writes())
+	reply(w, answerOf(s.Table.version(), nil))
 }
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
@@ -182,40 +186,44 @@
 		return
 	}
 	s.SetFaults(faults)
-	reply(w, struct{}{}, nil)
+	reply(w, struct{}{})
 }
 
 func (s *Server) fetch(w http.ResponseWriter, r *http.Request) {
-	var request platformstore.WeightsRequest
+	var request hostlist.WeightsRequest
 	if !decode(w, r, &request) {
 		return
 	}
-	reply(w, struct{}{}, s.Weights.Fetch(r.Context(), request.Adapter))
+	if err := s.Weights.Fetch(r.Context(), request.Adapter); err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, struct{}{})
 }
 
 func decode(w http.ResponseWriter, r *http.Request, into any) bool {
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maximumObject)).Decode(into); err != nil {
-		fail(w, http.StatusBadRequest, platformstore.CodeMalformed, err)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
 	return true
 }
 
-// reply sends the value, or the failure with its code.
-func reply(w http.ResponseWriter, value any, err error) {
-	switch {
-	case err == nil:
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(value)
-	case errors.Is(err, table.ErrUnavailable), errors.Is(err, ErrStoreUnavailable):
-		fail(w, http.StatusServiceUnavailable, platformstore.CodeUnavailable, err)
-	default:
-		fail(w, http.StatusGatewayTimeout, platformstore.CodeUnknown, err)
-	}
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	encode(w, value)
 }
 
-func fail(w http.ResponseWriter, status int, code string, err error) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(platformstore.Failure{Code: code, Message: err.Error()})
+func encode(w http.ResponseWriter, value any) {
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// fail answers an operation that failed. 503 says that it had no effect; where
+// the outcome is not known, the connection ends without an answer.
+func fail(w http.ResponseWriter, err error) {
+	if errors.Is(err, table.ErrUnavailable) || errors.Is(err, ErrStoreUnavailable) {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	panic(http.ErrAbortHandler)
 }
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -30,6 +30,8 @@
 	LateDelay time.Duration `long:"late-delay" json:"late-delay"`
 	// Delay is the time of each operation.
 	Delay time.Duration `long:"delay" json:"delay"`
+	// ForgetHistory drops the history when the faults are set.
+	ForgetHistory bool `long:"forget-history" json:"forget-history"`
 }
 
 // A Table is an in-memory transactional table. It is safe for concurrent use.
@@ -41,6 +43,12 @@
 	faults  Faults
 	writes  uint64
 	reads   uint64
+	// history has the newest writes, and forgotten is the version up to which
+	// older ones are no longer known.
+	history   []tableChange
+	forgotten uint64
+	// changed is closed and replaced with each write.
+	changed chan struct{}
 }
 
 // NewTable returns an empty table whose faults follow seed.
@@ -48,6 +56,7 @@
 	return &Table{
 		records: make(map[table.Key]table.Record),
 		random:  rand.New(rand.NewPCG(seed, 1)),
+		changed: make(chan struct{}),
 	}
 }
 
@@ -56,6 +65,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.faults = faults
+	if faults.ForgetHistory {
+		t.dropHistory()
+	}
 }
 
 // Counts returns the number of transactions that took effect and of records read.
@@ -177,6 +189,7 @@
 }
 
 func (t *Table) write(write table.Write) {
+	t.note(tableChange{version: t.writes, key: write.Key, deleted: write.Delete})
 	if write.Delete {
 		delete(t.records, write.Key)
 		return
--- /dev/null
+++ b/transport/hostlist/client_test.go
@@ -0,0 +1,35 @@
+package hostlist
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	standin "github.com/persimmonmux/persimmonmux/standin/platform"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+// TestListing guards against a leaving mark that is lost on the way.
+func TestListing(t *testing.T) {
+	c := quicktest.New(t)
+	platform := &standin.Server{Hosts: standin.NewHostList(0)}
+	server := httptest.NewServer(platform)
+	defer server.Close()
+	client := &Client{Address: server.Listener.Addr().String()}
+	defer client.Close()
+	host := fleet.ListedHost{Name: "muc-a-1", Role: fleet.RoleEntry, Start: 4, Domain: "muc-a", Address: "127.0.0.1:1", State: fleet.HostLive}
+	platform.Hosts.Set(host)
+	platform.Hosts.MarkLeaving("muc-a-1")
+	platform.Hosts.Set(fleet.ListedHost{Name: "engine-1", Role: fleet.RoleBackend, Start: 2, State: fleet.HostLive})
+	listing, err := client.Listing(context.Background())
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(listing, quicktest.DeepEquals, fleet.Listing{
+		Hosts:   []fleet.Host{{Name: "muc-a-1", Start: 4, Domain: "muc-a", PeerAddress: "127.0.0.1:1", State: fleet.HostLeaving}},
+		Servers: []fleet.ListedServer{{Name: "engine-1", Start: 2, State: fleet.HostLive}},
+	})
+	platform.Hosts.SetUnavailable(true)
+	_, err = client.Listing(context.Background())
+	c.Assert(err, quicktest.IsNotNil)
+}
