explain: tell the story of a request from logs; follow the settings file

persimmonmux explain reads log lines of front hosts and prints, for one request id, what the host believed, what happened, how it ended and whether lines were dropped around that time. Log times have milliseconds, so that lines of several hosts can be put in order, and lines about dropped ones name their host.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -46,6 +47,7 @@
 		&checkSettingsCommand{stdout: stdout},
 		&demoCommand{stdout: stdout, stderr: stderr},
 		newEngineCommand(stdout, stderr),
+		&explainCommand{stdout: stdout, stdin: os.Stdin},
 		&frontCommand{stdout: stdout},
 		newHostCommand(stdout, stderr),
 		newKindCommand(stdout, stderr),
--- /dev/null
+++ b/internal/cmd/explaincmd.go
@@ -0,0 +1,52 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/persimmonmux/persimmonmux/internal/story"
+)
+
+// An explainCommand prints what log lines tell of one request.
+type explainCommand struct {
+	stdout io.Writer
+	stdin  io.Reader
+
+	Request    string `long:"request" required:"true" value-name:"ID" description:"the caller's id of the request"`
+	Positional struct {
+		Files []string `positional-arg-name:"FILE" description:"logs of front hosts; standard input if none is named"`
+	} `positional-args:"true"`
+}
+
+func (e *explainCommand) name() string  { return "explain" }
+func (e *explainCommand) short() string { return "Tell what happened to a request" }
+func (e *explainCommand) long() string {
+	return "Reads log lines of front hosts and prints what happened to one request and what its host believed then."
+}
+
+// Execute prints the story of the request.
+func (e *explainCommand) Execute([]string) error {
+	var lines []story.Line
+	for _, name := range e.Positional.Files {
+		file, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		read, err := story.Read(file)
+		_ = file.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		lines = append(lines, read...)
+	}
+	if len(e.Positional.Files) == 0 {
+		read, err := story.Read(e.stdin)
+		if err != nil {
+			return fmt.Errorf("standard input: %w", err)
+		}
+		lines = read
+	}
+	story.Tell(e.Request, lines).Write(e.stdout)
+	return nil
+}
--- a/internal/cmd/frontcmd.go
+++ b/internal/cmd/frontcmd.go
@@ -29,13 +29,23 @@
 	return "Passes requests on to the servers that the platform's store names, until SIGTERM or SIGINT. The first signal stops it gracefully; a second one ends the process at once.\n\nExample: persimmonmux front --settings /etc/persimmonmux/boot.yaml"
 }
 
+const (
+	// timeFormat is that of times in log lines.
+	timeFormat = "2006-01-02T15:04:05.000Z07:00"
+	// settingsCheck is how often the settings file is looked at, because it may
+	// change without a signal.
+	settingsCheck = 5 * time.Second
+)
+
 // Execute serves until a signal.
 func (f *frontCommand) Execute([]string) error {
 	decoded, err := f.read()
 	if err != nil {
 		return err
 	}
-	lines := &linelog.Writer{Target: f.stdout}
+	// Lines of several hosts are put in order by their times.
+	zerolog.TimeFieldFormat = timeFormat
+	lines := &linelog.Writer{Target: f.stdout, Host: decoded.HostName}
 	go func() { _ = lines.Run(context.Background()) }()
 	defer func() { _ = lines.Close() }()
 	host := &fronthost.Host{
@@ -63,20 +73,40 @@
 	return settings.DecodeFront(f.Settings, data)
 }
 
-// follow reads the settings again after each SIGHUP. A file with a problem
-// leaves the former settings in force.
+// follow reads the settings again after each SIGHUP and when the file has changed.
+// A file with a problem leaves the former settings in force.
 func (f *frontCommand) follow(ctx context.Context, host *fronthost.Host, reload <-chan os.Signal) {
+	ticker := time.NewTicker(settingsCheck)
+	defer ticker.Stop()
+	changed := f.changed()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-reload:
+			changed = f.changed()
+		case <-ticker.C:
+			now := f.changed()
+			if now.Equal(changed) {
+				continue
+			}
+			changed = now
 		}
-		changed, err := f.read()
+		read, err := f.read()
 		if err != nil {
 			host.Log.Error().Err(err).Msg("settings were not reloaded; the former ones stay in force")
 			continue
 		}
-		host.Reload(changed)
+		host.Reload(read)
+	}
+}
+
+// changed returns when the settings file was written last; a file that is missing
+// gives the zero time.
+func (f *frontCommand) changed() time.Time {
+	info, err := os.Stat(f.Settings)
+	if err != nil {
+		return time.Time{}
 	}
+	return info.ModTime()
 }
--- a/internal/linelog/writer.go
+++ b/internal/linelog/writer.go
@@ -2,13 +2,15 @@
 package linelog
 
 import (
+	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
 )
@@ -26,6 +28,8 @@
 // dropped; their number is written as a line of its own.
 type Writer struct {
 	Target io.Writer
+	// Host names the writing host in lines about dropped ones; it may be empty.
+	Host string
 
 	lifecycle duty.Lifecycle
 	once      sync.Once
@@ -91,7 +95,10 @@
 // report writes how many lines were dropped since the last report.
 func (w *Writer) report() {
 	if dropped := w.dropped.Swap(0); dropped > 0 {
-		w.write(fmt.Appendf(nil, `{"level":"warn","dropped":%d,"message":"log lines were dropped"}`+"\n", dropped))
+		var line bytes.Buffer
+		logger := zerolog.New(&line)
+		logger.Warn().Str("host", w.Host).Timestamp().Int64("dropped", dropped).Msg("log lines were dropped")
+		w.write(line.Bytes())
 	}
 }
 
