--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -141,7 +141,7 @@
 
 // patienceShare is the part of the time left, as a divisor, that one demand may
 // wait. The rest is for the run, or for another engine if this one has no slot.
-const patienceShare = 2
+const patienceShare = 4
 
 // Dispatch runs a request to its end. The error is a *verdict.Error; with a
 // nil error the whole answer was returned or passed to sink.
--- a/coordination/dispatch/dispatcher_test.go
+++ b/coordination/dispatch/dispatcher_test.go
@@ -248,8 +248,8 @@
 		_, err := dispatcher(p).Dispatch(t.Context(), modelRequest(configuration.RepeatForbidden), p)
 		c.Assert(err, quicktest.IsNil)
 		c.Assert(p.patience, quicktest.HasLen, 2)
-		c.Check(p.patience[0], quicktest.Equals, 30*time.Second)
-		c.Check(p.patience[1] <= 20*time.Second, quicktest.IsTrue)
+		c.Check(p.patience[0], quicktest.Equals, 15*time.Second)
+		c.Check(p.patience[1] <= 10*time.Second, quicktest.IsTrue)
 		c.Check(p.engines, quicktest.DeepEquals, []fleet.EngineName{"second"})
 	})
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,5 @@
-// The command standin runs a stand-in engine, service or platform as a process.
+// The command standin runs a stand-in engine, service, platform or server of the
+// users' platform as a process.
 package main
 
 import (
@@ -24,6 +25,7 @@
 	add(parser, "engine", "Run a model engine", &engineCommand{logger: logger})
 	add(parser, "service", "Run a plain service", &serviceCommand{logger: logger})
 	add(parser, "platform", "Run the platform", &platformCommand{logger: logger})
+	add(parser, "site", "Run a server of the users' platform", &siteCommand{logger: logger})
 	if _, err := parser.Parse(); err != nil {
 		var usage *flags.Error
 		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
--- /dev/null
+++ b/standin/site/server_test.go
@@ -0,0 +1,79 @@
+package site
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// fixture is an engine whose records are kept.
+type fixture struct {
+	server  *httptest.Server
+	records []Record
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{}
+	f.server = httptest.NewServer(&Server{
+		Settings: Settings{ID: "e", Service: "s", Slots: 2, Model: "m", AdapterSlots: 1, Events: 3},
+		Record:   func(r Record) { f.records = append(f.records, r) },
+	})
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fixture) call(t *testing.T, path, body string, headers ...string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, f.server.URL+path, strings.NewReader(body))
+	qt.Assert(t, err, qt.IsNil)
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	answer, err := http.DefaultClient.Do(r)
+	qt.Assert(t, err, qt.IsNil)
+	defer answer.Body.Close()
+	content, err := io.ReadAll(answer.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return answer.StatusCode, string(content)
+}
+
+// Guards against a stand-in that runs what a server of the platform would refuse,
+// and against broken promises that it does not record.
+func TestEngineKeepsToTheProtocol(t *testing.T) {
+	f := newFixture(t)
+	load := func(adapter, holder, epoch, expect string) int {
+		status, _ := f.call(t, "/order", `{"opType":"load","model":"m","adapter":"`+adapter+`","expect":`+expect+`,"holder":"`+holder+`","fencingToken":`+epoch+`}`)
+		return status
+	}
+	stream := func(headers ...string) (int, string) {
+		return f.call(t, "/chat/x", "", append(headers, "X-Attempt-Id", "1", "X-Model", "m/a1")...)
+	}
+	status, _ := stream()
+	qt.Check(t, status, qt.Equals, http.StatusMisdirectedRequest)
+	qt.Check(t, load("a1", "h1", "5", "7"), qt.Equals, http.StatusConflict)
+	qt.Check(t, load("a1", "h1", "5", "0"), qt.Equals, http.StatusAccepted)
+	for end := time.Now().Add(5 * time.Second); load("a1", "h1", "5", "0") != http.StatusOK; {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue)
+	}
+	status, body := stream("Last-Event-Id", "1")
+	qt.Check(t, status, qt.Equals, http.StatusOK)
+	qt.Check(t, body, qt.Equals, Event("1", 2)+Event("1", 3))
+	status, _ = stream("X-Expect-Version", "2")
+	qt.Check(t, status, qt.Equals, http.StatusMisdirectedRequest)
+	status, _ = stream("X-Expect-Instance", "other")
+	qt.Check(t, status, qt.Equals, http.StatusMisdirectedRequest)
+	qt.Assert(t, f.records, qt.HasLen, 1)
+
+	qt.Check(t, load("a2", "h1", "5", "1"), qt.Equals, http.StatusConflict)
+	qt.Check(t, load("a1", "h2", "5", "1"), qt.Equals, http.StatusOK)
+	qt.Check(t, load("a1", "h2", "4", "1"), qt.Equals, http.StatusOK)
+	qt.Assert(t, f.records, qt.HasLen, 4)
+	qt.Check(t, f.records[1].Reason, qt.Matches, ".* beyond the slots")
+	qt.Check(t, f.records[2].Reason, qt.Matches, "order of h2 after one of h1 .*")
+	qt.Check(t, f.records[3].Reason, qt.Matches, "order of h2 after one of h1 .*")
+}
