--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_LINT_VERSION = v2.15.0
 GO_TOOLS = $(shell go env GOPATH)/bin
 
-.PHONY: test test-processes soak lint format bench bench-quick check-model generate build
+.PHONY: test test-processes soak soak-quick explore lint format bench bench-quick check-model generate build
 
 # test runs all tests, with the race detector where duties run.
 test:
@@ -11,8 +11,20 @@
 test-processes:
 	./.ci/test-processes
 
-# soak runs the state machines on a fresh seed, which they print.
+# soak runs real processes under faults for some minutes, on fresh seeds, which it
+# prints. SEEDS is the number of runs.
+SEEDS = 6
 soak:
+	go run ./internal/soak --seeds $(SEEDS) --output $(CURDIR)/bench/results/soak
+
+# soak-quick makes one short run on a fixed seed, and runs again each seed that
+# ever failed.
+soak-quick:
+	go run ./internal/soak --seed 7 --chaos 6s --calm 8s
+	./internal/soak/regressions
+
+# explore runs the state machines on a fresh seed, which they print.
+explore:
 	go test -count=1 ./coordination/claim ./coordination/lease ./coordination/ownership \
 		./coordination/membership ./coordination/revision -rapid.seed=$$(od -An -N6 -tu8 /dev/urandom | tr -d ' ')
 
