watch: call a lost store seldom

Ruled out: leaving the reads to owners while the store is lost, because the store may turn away just the owners.

Change: while the store is lost only one table is tried, with a pause that doubles up to 0.7 s for owners and starting hosts and up to 2 s for others, which keeps within the 4 s after which a host counts as in touch.

--- a/coordination/watch/reader.go
+++ b/coordination/watch/reader.go
@@ -32,8 +32,12 @@
 	serverWait = 900 * time.Millisecond
 	// idlePause is how often an idle reader looks whether it is needed.
 	idlePause = 150 * time.Millisecond
-	// failurePause is the mean pause after a failed read.
+	// failurePause is the mean pause after a failed read. It doubles with each
+	// further one up to ownerRetry, and up to spareRetry on a host that has a view
+	// and reads for nobody else, because refused calls are paid for as well.
 	failurePause = 350 * time.Millisecond
+	ownerRetry   = 700 * time.Millisecond
+	spareRetry   = 2 * time.Second
 	// firstPause is the pause of a host that has no desired state yet.
 	firstPause = 250 * time.Millisecond
 	// startPatience is how long a host that has just started waits for an owner's
@@ -93,8 +97,10 @@
 
 func (r *Reader) follow(ctx context.Context, table site.Table) {
 	reread := r.Watcher.Position(table) == 0
+	failures := 0
 	for ctx.Err() == nil {
-		if !r.needed(table) {
+		// While the store is lost, one table shows when it is back.
+		if !r.needed(table) || r.lost.Load() && table != r.Lively {
 			duty.Pause(ctx, idlePause)
 			continue
 		}
@@ -105,9 +111,12 @@
 		}
 		if err != nil {
 			r.failed(ctx, table, err)
-			duty.Pause(ctx, failurePause/2+rand.N(failurePause))
+			pause := r.retryPause(failures)
+			failures++
+			duty.Pause(ctx, pause/2+rand.N(pause))
 			continue
 		}
+		failures = 0
 		if r.lost.Swap(false) {
 			r.Log.Info().Msg("store regained")
 		}
@@ -121,6 +130,15 @@
 	}
 }
 
+// retryPause returns the mean pause after a failed read that follows others.
+func (r *Reader) retryPause(failures int) time.Duration {
+	longest := spareRetry
+	if r.Owner() || !r.Watcher.Complete() {
+		longest = ownerRetry
+	}
+	return min(failurePause<<min(failures, 4), longest)
+}
+
 // read reads the whole table, or what changed.
 func (r *Reader) read(ctx context.Context, table site.Table, whole bool) (site.Changes, error) {
 	after := r.Watcher.Position(table)
--- a/coordination/watch/reader_test.go
+++ b/coordination/watch/reader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +40,69 @@
 	return site.Changes{Table: table, Upto: after}, ctx.Err()
 }
 
+// An awayStore refuses every call until it is back, and counts them.
+type awayStore struct {
+	countedStore
+
+	away  atomic.Bool
+	calls atomic.Int64
+}
+
+var errAway = errors.New("the store is away")
+
+func (s *awayStore) Rows(ctx context.Context, table site.Table) (site.Changes, error) {
+	s.calls.Add(1)
+	if s.away.Load() {
+		return site.Changes{}, errAway
+	}
+	return s.countedStore.Rows(ctx, table)
+}
+
+func (s *awayStore) Feed(ctx context.Context, table site.Table, after site.Position, wait time.Duration) (site.Changes, error) {
+	s.calls.Add(1)
+	if s.away.Load() {
+		return site.Changes{}, errAway
+	}
+	return s.countedStore.Feed(ctx, table, after, wait)
+}
+
+// TestHostsCallALostStoreSeldom guards against refused calls of every host for
+// every table during an outage, and against a host that notices the store's
+// return too late to have a change in force in time.
+func TestHostsCallALostStoreSeldom(t *testing.T) {
+	const outage, noticed = 20 * time.Second, 3500 * time.Millisecond
+	for _, test := range []struct {
+		name  string
+		owner bool
+		most  int64
+	}{
+		{"owner", true, int64(outage/(ownerRetry/2)) + 10},
+		{"other host", false, int64(outage/spareRetry)*2 + 10},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				w, s := newWatcher(), &awayStore{countedStore: countedStore{reads: map[site.Table]int{}}}
+				r := &Reader{Store: s, Watcher: w, Gone: errors.New("history dropped"), Owner: func() bool { return test.owner }, Lively: "servers", Bulky: "op", Log: zerolog.Nop()}
+				go w.Run(context.Background())
+				go r.Run(context.Background())
+				time.Sleep(startPatience + 2*time.Second)
+				c.Assert(w.Complete(), quicktest.IsTrue)
+				s.away.Store(true)
+				time.Sleep(2 * time.Second)
+				before := s.calls.Load()
+				time.Sleep(outage)
+				c.Check(s.calls.Load()-before <= test.most, quicktest.IsTrue, quicktest.Commentf("%d calls", s.calls.Load()-before))
+				s.away.Store(false)
+				time.Sleep(noticed)
+				c.Check(w.Age() < noticed, quicktest.IsTrue)
+				c.Assert(r.Close(), quicktest.IsNil)
+				c.Assert(w.Close(), quicktest.IsNil)
+			})
+		})
+	}
+}
+
 // TestStartingHostLeavesTheBulkyTableToOwners guards against a link between regions
 // that all hosts fill with reads of a large desired state when they start
 // together, and against a host that never reads it because no owner answers.
