front: keep to the desired state's limits on headers and unused connections

Cause: both were fixed (64 KB, 60 s), so that a desired state with a longer idle limit had callers' connections closed under them, and one with a shorter limit was not kept.

Change: a hook of http.Server closes connections that stay unused for the limit in force; a request that has begun keeps its connection. A header beyond the limit gets 431.

--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -109,6 +109,9 @@
 
 func (noRecorder) Finished(*site.Route, site.ServiceName, time.Time, time.Duration, *verdict.Error) {}
 
+// unusedLimit is the desired state's limit on unused connections.
+const unusedLimit = 300 * time.Millisecond
+
 // startFront returns the address of a front before the servers.
 func startFront(c *quicktest.C, views *fixedViews, servers ...*backendServer) string {
 	views.view = &site.View{
@@ -121,6 +124,7 @@
 				{Name: "o", Host: "h.example", Prefix: "/once/", Kind: site.Streaming, Timeout: 2 * time.Second, MaxAttempts: 1, Shares: []site.Share{{Service: "s", Weight: 1}}},
 			},
 			Services: map[site.ServiceName]*site.Service{"s": {Name: "s"}},
+			Limits:   site.Limits{HeaderBytes: 4 << 10, IdleTimeout: unusedLimit},
 		},
 		Servers: map[site.ServerID]*site.Server{},
 	}
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -22,6 +22,10 @@
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.headerTooLarge(r) {
+		answerStatus(w, http.StatusRequestHeaderFieldsTooLarge, 0)
+		return
+	}
 	body, status := s.body(w, r)
 	if status != 0 {
 		answerStatus(w, status, 0)
--- a/transport/front/server.go
+++ b/transport/front/server.go
@@ -34,14 +34,16 @@
 }
 
 const (
-	// headerLimit and bodyLimit hold until the desired state says otherwise.
+	// headerLimit and bodyLimit hold until the desired state says otherwise; it
+	// cannot raise headerLimit.
 	headerLimit = 64 << 10
 	bodyLimit   = 4 << 20
-	// headerTimeout is how long a client may take to send a header, and
-	// idleTimeout how long a connection may stay unused. They are no shorter than
-	// what operators ask for, so that no proper client is cut off.
+	// headerTimeout is how long a client may take to send a header. It is longer
+	// than what operators ask for, so that no proper client is cut off.
 	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
+	// idleTimeout is how long a connection may stay unused until the desired state
+	// says otherwise.
+	idleTimeout = 60 * time.Second
 	// noticeTime is how long a stopping host still takes connections, so that
 	// the balancer notices two failed checks, a second apart.
 	noticeTime = 2600 * time.Millisecond
@@ -71,10 +73,11 @@
 	return s.lifecycle.Run(ctx, func(ctx context.Context) error {
 		checks := chi.NewRouter()
 		checks.Get("/readyz", s.ready)
+		unused := &idleLimit{limit: s.unusedLimit}
 		front := &http.Server{
 			Handler:           http.HandlerFunc(s.serve),
 			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
+			ConnState:         unused.changed,
 			MaxHeaderBytes:    headerLimit,
 			ErrorLog:          log.New(io.Discard, "", 0),
 		}
