--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -95,6 +95,7 @@
 	"overloaded":       "no server could take it in time",
 	"deadline":         "its time was up",
 	"not-owner":        "nobody gives orders to the engines that could load its adapter",
+	"no-grant":         "the owner of the engine gave no turn in time",
 	"load-failed":      "its adapter was not loaded",
 	"unknown-instance": "the engine did not hold its adapter after all",
 	"backend-refused":  "the server refused it, or left while it waited",
