lease: later candidates ask a table that is away less often

Change: after a failure the pause grows with the rank, as it does otherwise. TestLaterCandidatesAskLessOften was seen to fail first.

--- a/coordination/lease/keeper_test.go
+++ b/coordination/lease/keeper_test.go
@@ -77,6 +77,38 @@
 	}
 }
 
+// countedAway refuses everything and counts the calls.
+type countedAway struct{ calls atomic.Int64 }
+
+func (a *countedAway) Read(context.Context, []table.Key) ([]table.Record, error) {
+	a.calls.Add(1)
+	return nil, table.ErrUnavailable
+}
+
+func (a *countedAway) Commit(context.Context, table.Transaction) ([]table.WriteResult, error) {
+	a.calls.Add(1)
+	return nil, table.ErrUnavailable
+}
+
+// TestLaterCandidatesAskLessOften guards against calls to a table that is away by
+// all candidates of a lease, as often as by the first one.
+func TestLaterCandidatesAskLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		var calls [4]int64
+		for rank := range calls {
+			away := &countedAway{}
+			h := startHost(away, "a", 1)
+			h.Want("zone", rank)
+			advance(time.Minute)
+			calls[rank] = away.calls.Load()
+			c.Assert(h.Close(), quicktest.IsNil)
+		}
+		c.Check(calls[0] >= 20, quicktest.IsTrue, quicktest.Commentf("%v", calls))
+		c.Check(calls[3]*3 <= calls[0], quicktest.IsTrue, quicktest.Commentf("%v", calls))
+	})
+}
+
 // advance lets virtual time pass and waits until all goroutines are blocked.
 func advance(d time.Duration) {
 	time.Sleep(d)
--- a/coordination/lease/round.go
+++ b/coordination/lease/round.go
@@ -169,7 +169,9 @@
 func (k *Keeper) dueAfter(l *lease, failed bool, now time.Time) time.Time {
 	wait := k.jitter(k.Renewal) * time.Duration(1+l.rank)
 	if failed {
-		return now.Add(k.jitter(k.Renewal / 2))
+		// Of the candidates of one lease, those that would not take it first also
+		// ask a table that is away less often.
+		return now.Add(wait / 2)
 	}
 	if l.known && !l.malformed && k.mine(l.record) {
 		// The record names this process but the lease is not held yet.
