--- a/coordination/watch/reader.go
+++ b/coordination/watch/reader.go
@@ -38,11 +38,18 @@
 	failurePause = 350 * time.Millisecond
 	ownerRetry   = 700 * time.Millisecond
 	spareRetry   = 2 * time.Second
+	// bulkyPause is how often a starting host looks whether it needs the bulky table.
+	bulkyPause = 25 * time.Millisecond
+	// nearLimit is the time of a first read that shows that the store stands in
+	// this host's region: a connection and a call over the link between regions
+	// take 24 ms each at least.
+	nearLimit = 45 * time.Millisecond
 	// firstPause is the pause of a host that has no desired state yet.
 	firstPause = 250 * time.Millisecond
 	// startPatience is how long a host that has just started waits for an owner's
-	// word of the bulky table. When all hosts start together, their reads of a large
-	// desired state fill the link between the regions for seconds.
+	// word of the bulky table, unless the store is near. When all hosts start
+	// together, their reads of a large desired state fill the link between the
+	// regions for seconds.
 	startPatience = 2 * time.Second
 	// StaleLimit is the age of the last word of the store from which a host reads
 	// the store itself. It leaves a second of the 2.5 s in which a change is to
@@ -68,6 +75,8 @@
 	lifecycle duty.Lifecycle
 	started   time.Time
 	lost      atomic.Bool
+	// near says that the store's first answer came as fast as within a region.
+	near atomic.Bool
 }
 
 // Run reads until ctx ends or Close is called.
@@ -89,7 +98,7 @@
 
 // needed says whether this host has to read the table itself.
 func (r *Reader) needed(table site.Table) bool {
-	if table == r.Bulky && !r.Owner() && r.Watcher.Position(table) == 0 && time.Since(r.started) < startPatience {
+	if table == r.Bulky && r.Watcher.Position(table) == 0 && !r.Owner() && !r.near.Load() && time.Since(r.started) < startPatience {
 		return false
 	}
 	return r.Owner() || r.Watcher.Age() > StaleLimit || !r.Watcher.Complete()
@@ -101,9 +110,14 @@
 	for ctx.Err() == nil {
 		// While the store is lost, one table shows when it is back.
 		if !r.needed(table) || r.lost.Load() && table != r.Lively {
-			duty.Pause(ctx, idlePause)
+			pause := idlePause
+			if table == r.Bulky && r.Watcher.Position(table) == 0 {
+				pause = bulkyPause
+			}
+			duty.Pause(ctx, pause)
 			continue
 		}
+		began := time.Now()
 		changes, err := r.read(ctx, table, reread)
 		if errors.Is(err, r.Gone) {
 			reread = true
@@ -117,6 +131,9 @@
 			continue
 		}
 		failures = 0
+		if r.Watcher.Position(table) == 0 && time.Since(began) < nearLimit {
+			r.near.Store(true)
+		}
 		if r.lost.Swap(false) {
 			r.Log.Info().Msg("store regained")
 		}
--- a/coordination/watch/reader_test.go
+++ b/coordination/watch/reader_test.go
@@ -15,13 +15,15 @@
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
-// A countedStore counts the reads of whole tables.
+// A countedStore counts the reads of whole tables, which take the delay.
 type countedStore struct {
+	delay time.Duration
 	mutex sync.Mutex
 	reads map[site.Table]int
 }
 
 func (s *countedStore) Rows(_ context.Context, table site.Table) (site.Changes, error) {
+	time.Sleep(s.delay)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.reads[table]++
@@ -110,17 +112,19 @@
 	for _, test := range []struct {
 		name  string
 		owner bool
+		delay time.Duration
 		after time.Duration
 		reads int
 	}{
-		{"owner", true, startPatience / 2, 1},
-		{"other host", false, startPatience / 2, 0},
-		{"other host that no owner tells", false, startPatience + 2*idlePause, 1},
+		{"owner", true, 2 * nearLimit, startPatience / 2, 1},
+		{"other host", false, 2 * nearLimit, startPatience / 2, 0},
+		{"other host near the store", false, nearLimit / 2, startPatience / 2, 1},
+		{"other host that no owner tells", false, 2 * nearLimit, startPatience + 2*idlePause, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := quicktest.New(t)
-				w, s := newWatcher(), &countedStore{reads: map[site.Table]int{}}
+				w, s := newWatcher(), &countedStore{delay: test.delay, reads: map[site.Table]int{}}
 				r := &Reader{Store: s, Watcher: w, Gone: errors.New("history dropped"), Owner: func() bool { return test.owner }, Lively: "servers", Bulky: "op", Log: zerolog.Nop()}
 				go w.Run(context.Background())
 				go r.Run(context.Background())
--- a/coordination/zone/tenant.go
+++ b/coordination/zone/tenant.go
@@ -67,9 +67,11 @@
 type Tenant struct {
 	Host   site.Host
 	Leases Leases
-	Views  Views
-	Owners Owners
-	Table  Table
+	// Changes tells of gained leases and of who held them before.
+	Changes *ring.Ring[lease.Event]
+	Views   Views
+	Owners  Owners
+	Table   Table
 	// Quarantine is how long a new owner waits before its first order, so that
 	// its orders and those of its predecessor do not alternate.
 	Quarantine time.Duration
@@ -81,7 +83,9 @@
 	once      sync.Once
 	stopping  atomic.Bool
 	// held has the zones whose leases were gained and when; it is replaced, not modified.
-	held       atomic.Pointer[map[string]tenure]
+	held atomic.Pointer[map[string]tenure]
+	// gained has the event of each lease that was gained last.
+	gained     map[lease.Name]lease.Event
 	wanted     map[string]bool
 	ownerless  map[string]time.Time
 	registered string
@@ -104,6 +108,7 @@
 
 func (t *Tenant) prepare() {
 	t.once.Do(func() {
+		t.gained = make(map[lease.Name]lease.Event)
 		t.wanted = make(map[string]bool)
 		t.ownerless = make(map[string]time.Time)
 		t.written = ring.New[string](1)
@@ -170,6 +175,10 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case event := <-t.Changes.Messages():
+			if event.Change == lease.Gained {
+				t.gained[event.Name] = event
+			}
 		case value := <-t.written.Messages():
 			t.writing = false
 			if value != "" {
@@ -193,13 +202,14 @@
 	held := make(map[string]tenure)
 	for zone := range t.wanted {
 		epoch, valid := t.Leases.Valid(Name(zone))
-		if !valid {
+		event, told := t.gained[Name(zone)]
+		if !valid || !told || event.Epoch != epoch {
 			continue
 		}
 		before, ok := (*t.held.Load())[zone]
 		if !ok || before.epoch != uint64(epoch) {
 			before = tenure{epoch: uint64(epoch), from: now}
-			if t.strange(zone) {
+			if event.Former != "" && string(event.Former) != t.Host.Name {
 				before.from = now.Add(t.Quarantine)
 			}
 			t.Log.Info().Str("zone", zone).Uint64("epoch", uint64(epoch)).Msg("zone taken over")
@@ -221,12 +231,6 @@
 	}
 }
 
-// strange says whether another host was the last known owner of the zone.
-func (t *Tenant) strange(zone string) bool {
-	owner := t.Views.View().Owners[zone]
-	return owner != nil && owner.Name != t.Host.Name
-}
-
 // consider wants a zone's lease if its owner does not answer, and gives the wish
 // up if another owner does.
 func (t *Tenant) consider(view *site.View, zone string, held map[string]tenure, patience time.Duration, now time.Time) {
--- a/coordination/zone/tenant_test.go
+++ b/coordination/zone/tenant_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmonmux/persimmonmux/coordination/lease"
+	"github.com/persimmonmux/persimmonmux/coordination/ring"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/table"
@@ -22,6 +23,8 @@
 	view  *site.View
 	alive bool
 
+	changes *ring.Ring[lease.Event]
+
 	mutex  sync.Mutex
 	ranks  map[lease.Name]int
 	epochs map[lease.Name]fleet.Epoch
@@ -35,7 +38,7 @@
 }
 
 func (f *fakeStore) Release(name lease.Name) bool {
-	f.grant(name, 0)
+	f.grant(name, 0, "")
 	return true
 }
 
@@ -46,8 +49,11 @@
 	return epoch, ok
 }
 
-// grant gives the lease an epoch, or ends it with epoch 0.
-func (f *fakeStore) grant(name lease.Name, epoch fleet.Epoch) {
+// grant gives the lease an epoch after a former holder, or ends it with epoch 0.
+func (f *fakeStore) grant(name lease.Name, epoch fleet.Epoch, former fleet.HostName) {
+	if epoch > 0 {
+		f.changes.Offer(lease.Event{Name: name, Change: lease.Gained, Epoch: epoch, Former: former})
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if epoch == 0 {
@@ -73,8 +79,9 @@
 func with(t *testing.T, f *fakeStore, link float64, test func(c *quicktest.C, tenant *Tenant)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
+		f.changes = ring.New[lease.Event](4)
 		tenant := &Tenant{
-			Host: site.Host{Name: "host", Zone: "east"}, Leases: f, Views: f, Owners: f, Table: f,
+			Host: site.Host{Name: "host", Zone: "east"}, Leases: f, Changes: f.changes, Views: f, Owners: f, Table: f,
 			Quarantine: 3 * time.Second, LinkMegabits: link, Log: zerolog.Nop(),
 		}
 		done := make(chan error, 1)
@@ -104,7 +111,7 @@
 	f.view = &site.View{Hosts: map[string]*site.Host{"former": {Name: "former", Owns: map[string]uint64{"east": 1}}}}
 	f.view.Index()
 	with(t, f, 200, func(c *quicktest.C, tenant *Tenant) {
-		f.grant(Name("east"), 2)
+		f.grant(Name("east"), 2, "former")
 		time.Sleep(2 * lookPause)
 		_, ordering := tenant.Epoch("east")
 		c.Assert(ordering, quicktest.IsFalse)
@@ -112,12 +119,31 @@
 		epoch, ordering := tenant.Epoch("east")
 		c.Assert(ordering, quicktest.IsTrue)
 		c.Assert(epoch, quicktest.Equals, uint64(2))
-		f.grant(Name("east"), 0)
+		f.grant(Name("east"), 0, "")
 		_, ordering = tenant.Epoch("east")
 		c.Assert(ordering, quicktest.IsFalse)
 	})
 }
 
+// TestRestartedOwnerOrdersAtOnce guards against a restarted owner that waits for
+// its next look, or for a former owner that it was itself, before its first order.
+func TestRestartedOwnerOrdersAtOnce(t *testing.T) {
+	f := newFakeStore()
+	with(t, f, 200, func(c *quicktest.C, tenant *Tenant) {
+		time.Sleep(lookPause / 4)
+		f.mutex.Lock()
+		f.epochs[Name("east")] = 2
+		f.mutex.Unlock()
+		time.Sleep(time.Millisecond)
+		_, ordering := tenant.Epoch("east")
+		c.Check(ordering, quicktest.IsFalse, quicktest.Commentf("the former holder is not known yet"))
+		f.grant(Name("east"), 2, "host")
+		time.Sleep(time.Millisecond)
+		_, ordering = tenant.Epoch("east")
+		c.Check(ordering, quicktest.IsTrue)
+	})
+}
+
 // TestLivingOwnerIsLeftAlone guards against hosts that want a zone whose owner
 // answers.
 func TestLivingOwnerIsLeftAlone(t *testing.T) {
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -12,6 +12,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
 	"github.com/persimmonmux/persimmonmux/coordination/lease"
 	"github.com/persimmonmux/persimmonmux/coordination/retry"
+	"github.com/persimmonmux/persimmonmux/coordination/ring"
 	"github.com/persimmonmux/persimmonmux/coordination/watch"
 	"github.com/persimmonmux/persimmonmux/coordination/zone"
 	"github.com/persimmonmux/persimmonmux/platform"
@@ -30,6 +31,8 @@
 	leaseDuration = 12 * time.Second
 	leaseRenewal  = 2500 * time.Millisecond
 	leaseMargin   = 500 * time.Millisecond
+	// leaseEvents is the room for changes of leases; a host has a few at once.
+	leaseEvents = 64
 	// storeTimeout bounds one read or write of a lease.
 	storeTimeout = 1300 * time.Millisecond
 	// stopMargin is the part of the grace time that is kept for closing.
@@ -122,6 +125,7 @@
 				Margin:    leaseMargin,
 				Timeout:   storeTimeout,
 				Suspended: newSuspension().Total,
+				Events:    ring.New[lease.Event](leaseEvents),
 				Logger:    h.Log,
 			}
 		},
@@ -199,6 +203,7 @@
 			Region:  h.Settings.Regions[h.Settings.FailureDomain],
 		},
 		Leases:       k,
+		Changes:      k.Events,
 		Views:        w,
 		Owners:       a,
 		Table:        s,
