--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -44,9 +44,10 @@
 
 // A Recorder counts how requests end.
 type Recorder interface {
-	// Finished is called once for each request with a route. stalled is how long
-	// it waited for its turn. failure is nil for an answer that was passed on.
-	Finished(route *site.Route, service site.ServiceName, arrived time.Time, stalled time.Duration, failure *verdict.Error)
+	// Finished is called once for each request with a route. sends is how often
+	// it was passed on, and stalled how long it waited for its turns. failure is
+	// nil for an answer that was passed on.
+	Finished(route *site.Route, service site.ServiceName, arrived time.Time, sends int, stalled time.Duration, failure *verdict.Error)
 }
 
 // Repeats bounds the sends of a service beyond the first of each request.
@@ -125,7 +126,7 @@
 	limited, cancel := context.WithDeadline(ctx, a.ends.Add(-endMargin))
 	defer cancel()
 	err := f.run(limited, a)
-	f.Recorder.Finished(route, a.service, request.Arrived, a.stalled, verdict.From(err))
+	f.Recorder.Finished(route, a.service, request.Arrived, a.sends, a.stalled, verdict.From(err))
 	if err != nil && ctx.Err() != nil {
 		f.Log.Info().Str("request", request.Attempt).Str("route", route.Name).Str("service", string(a.service)).
 			Int("sends", a.sends).Bool("started", client.Started()).Str("waits", string(a.waits)).Str("server", string(a.server)).
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -63,7 +63,7 @@
 func (r *rig) First(string)                           {}
 func (r *rig) Started() bool                          { return false }
 func (r *rig) Again(string) bool                      { r.budget--; return r.budget >= 0 }
-func (r *rig) Finished(*site.Route, site.ServiceName, time.Time, time.Duration, *verdict.Error) {
+func (r *rig) Finished(*site.Route, site.ServiceName, time.Time, int, time.Duration, *verdict.Error) {
 }
 
 func (r *rig) Place(ctx context.Context, _ *site.Server, request site.PlaceRequest) (site.Placement, error) {
--- a/internal/cmd/pages_test.go
+++ b/internal/cmd/pages_test.go
@@ -94,3 +94,22 @@
 		}
 	}
 }
+
+// Guards against a page of metrics that differs from the instruments in the code.
+func TestMetricsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/reference/metrics.md")
+	qt.Assert(t, err, qt.IsNil)
+	documented := make(map[string]bool)
+	for _, row := range regexp.MustCompile("(?m)^\\| `(persimmonmux[a-z._]+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		documented[row[1]] = true
+	}
+	declared := make(map[string]bool)
+	for _, file := range []string{"../../transport/metrics/recorder.go", "../fronthost/figures.go"} {
+		content, err := os.ReadFile(file)
+		qt.Assert(t, err, qt.IsNil)
+		for _, name := range regexp.MustCompile(`"(persimmonmux\.[a-z._]+)"`).FindAllStringSubmatch(string(content), -1) {
+			declared[name[1]] = true
+		}
+	}
+	qt.Check(t, documented, qt.DeepEquals, declared)
+}
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -154,9 +154,12 @@
 			}
 		},
 		func() *backend.Pool { return &backend.Pool{} },
-		func() (*metrics.Recorder, error) {
+		func(w *watch.Watcher, t *zone.Tenant) (*metrics.Recorder, error) {
 			r := &metrics.Recorder{}
-			return r, r.Start()
+			if err := r.Start(); err != nil {
+				return nil, err
+			}
+			return r, registerBeliefs(r.Meter(), w, t)
 		},
 		func(w *watch.Watcher, b *balance.Balancer, o *adapter.Owner, c *peer.Client, r *retry.Window, a *aliveness, m *metrics.Recorder) *forward.Forwarder {
 			region := h.Settings.Regions[h.Settings.FailureDomain]
--- a/internal/fronthost/recorder.go
+++ b/internal/fronthost/recorder.go
@@ -16,11 +16,12 @@
 }
 
 // Finished counts one request.
-func (r *recorder) Finished(route *site.Route, service site.ServiceName, arrived time.Time, stalled time.Duration, failure *verdict.Error) {
+func (r *recorder) Finished(route *site.Route, service site.ServiceName, arrived time.Time, sends int, stalled time.Duration, failure *verdict.Error) {
 	ended := &request.Request{
 		Application: configuration.ApplicationName(service),
 		Kind:        configuration.Kind{Name: configuration.KindName(route.Name)},
 		Arrived:     arrived,
 	}
 	r.figures.Finished(ended, request.Answer{Stalled: stalled}, failure)
+	r.figures.SentAgain(ended.Application, sends-1)
 }
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -149,17 +149,7 @@
 	t.mutex.Lock()
 	delay := t.faults.Delay
 	t.mutex.Unlock()
-	if delay == 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return sleep(ctx, delay)
 }
 
 func (t *Table) apply(transaction table.Transaction) {
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -107,7 +107,8 @@
 
 type noRecorder struct{}
 
-func (noRecorder) Finished(*site.Route, site.ServiceName, time.Time, time.Duration, *verdict.Error) {}
+func (noRecorder) Finished(*site.Route, site.ServiceName, time.Time, int, time.Duration, *verdict.Error) {
+}
 
 // unusedLimit is the desired state's limit on unused connections.
 const unusedLimit = 300 * time.Millisecond
--- a/transport/metrics/recorder.go
+++ b/transport/metrics/recorder.go
@@ -41,6 +41,7 @@
 	finished metric.Int64Counter
 	duration metric.Float64Histogram
 	stall    metric.Float64Histogram
+	repeated metric.Int64Counter
 	// options holds a *labels for each key; sets of attributes are costly to make.
 	options sync.Map
 }
@@ -94,6 +95,10 @@
 		metric.WithExplicitBucketBoundaries(boundaries...)); err != nil {
 		return err
 	}
+	if r.repeated, err = meter.Int64Counter("persimmonmux.repeated_sends",
+		metric.WithDescription("Sends beyond the first of a request, by application.")); err != nil {
+		return err
+	}
 	if r.InFlight == nil {
 		return nil
 	}
@@ -131,6 +136,14 @@
 	}
 }
 
+// SentAgain counts the sends of a request beyond its first one; less than one
+// counts as none.
+func (r *Recorder) SentAgain(application configuration.ApplicationName, sends int) {
+	if sends > 0 {
+		r.repeated.Add(context.Background(), int64(sends), metric.WithAttributes(attribute.String("application", string(application))))
+	}
+}
+
 // Close ends the provider.
 func (r *Recorder) Close() error {
 	return r.provider.Shutdown(context.Background())
--- a/transport/metrics/recorder_test.go
+++ b/transport/metrics/recorder_test.go
@@ -28,6 +28,8 @@
 		r.Finished(ended, request.Answer{Stalled: 300 * time.Millisecond}, nil)
 	}
 	r.Finished(ended, request.Answer{}, verdict.Refuse(verdict.CodeOverloaded, "full"))
+	r.SentAgain("chat", 2)
+	r.SentAgain("chat", -1)
 	recorder := httptest.NewRecorder()
 	r.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 	text := recorder.Body.String()
@@ -37,6 +39,7 @@
 		`persimmonmux_requests_total{application="chat",code="overloaded",kind="quote",`,
 		`verdict="not-run"} 1`,
 		`persimmonmux_requests_in_flight`,
+		`persimmonmux_repeated_sends_total{application="chat",`,
 		`persimmonmux_load_stall_seconds_bucket{application="chat",kind="quote",`,
 		`persimmonmux_request_duration_seconds_count{application="chat",kind="quote",`,
 	} {
