--- a/coordination/lease/keeper.go
+++ b/coordination/lease/keeper.go
@@ -101,10 +101,12 @@
 	valid atomic.Pointer[map[Name]tenure]
 
 	// The fields below belong to the goroutine of Run.
-	leases     map[Name]*lease
-	writes     uint64
-	sent       map[uint64]time.Time
-	renewAt    time.Time
+	leases  map[Name]*lease
+	writes  uint64
+	sent    map[uint64]time.Time
+	renewAt time.Time
+	// failures counts the failed rounds in a row.
+	failures   int
 	inRound    bool
 	operations int
 	queue      []operation
--- a/coordination/lease/keeper_test.go
+++ b/coordination/lease/keeper_test.go
@@ -90,6 +90,39 @@
 	return nil, table.ErrUnavailable
 }
 
+// silentTable answers nothing until it is back.
+type silentTable struct {
+	Table
+
+	back atomic.Bool
+}
+
+func (s *silentTable) Read(ctx context.Context, keys []table.Key) ([]table.Record, error) {
+	if !s.back.Load() {
+		<-ctx.Done()
+		return nil, fmt.Errorf("%w: %w", table.ErrUnavailable, ctx.Err())
+	}
+	return s.Table.Read(ctx, keys)
+}
+
+// TestStartBesideAnOutage guards against a host that starts while the table is
+// silent and takes its lease only seconds after the table is back.
+func TestStartBesideAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		away := &silentTable{Table: platform.NewTable(1)}
+		h := &testHost{table: &hostTable{Table: away}}
+		h.Keeper = &Keeper{Host: "a", Start: 1, Table: h.table, Timeout: time.Second, Renewal: 2 * time.Second, Duration: 10 * time.Second}
+		go h.Run(context.Background())
+		h.Want("zone", 0)
+		advance(600 * time.Millisecond)
+		away.back.Store(true)
+		advance(700 * time.Millisecond)
+		c.Check(valid(h, "zone"), quicktest.IsTrue)
+		c.Assert(h.Close(), quicktest.IsNil)
+	})
+}
+
 // TestLaterCandidatesAskLessOften guards against calls to a table that is away by
 // all candidates of a lease, as often as by the first one.
 func TestLaterCandidatesAskLessOften(t *testing.T) {
--- a/coordination/lease/round.go
+++ b/coordination/lease/round.go
@@ -138,8 +138,10 @@
 	return k.Table.Commit(ctx, transaction)
 }
 
+// read reads records. It has half of the time of a write, because it can be
+// repeated at once when the table was away for a moment.
 func (k *Keeper) read(ctx context.Context, keys []table.Key) ([]table.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, k.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, k.Timeout/2)
 	defer cancel()
 	return k.Table.Read(ctx, keys)
 }
@@ -151,7 +153,10 @@
 	if r.renewal {
 		k.renewAt = now.Add(k.jitter(k.Renewal))
 	}
+	failures := k.failures
+	k.failures = 0
 	if r.failed {
+		k.failures = failures + 1
 		// A lease of 10 s with renewals every 3 s leaves room for two tries; the
 		// shorter pause after a failure makes it four.
 		k.renewAt = now.Add(k.jitter(k.Renewal / 2))
@@ -167,11 +172,13 @@
 
 // dueAfter returns when a lease that is not held is read or written next.
 func (k *Keeper) dueAfter(l *lease, failed bool, now time.Time) time.Time {
-	wait := k.jitter(k.Renewal) * time.Duration(1+l.rank)
+	rank := time.Duration(1 + l.rank)
+	wait := k.jitter(k.Renewal) * rank
 	if failed {
-		// Of the candidates of one lease, those that would not take it first also
-		// ask a table that is away less often.
-		return now.Add(wait / 2)
+		// The first failures may be those of a start beside an outage. Of the
+		// candidates of one lease, those that would not take it first also ask a
+		// table that is away less often.
+		return now.Add(k.jitter(min(k.Renewal/8<<min(k.failures-1, 2), k.Renewal/2)) * rank)
 	}
 	if l.known && !l.malformed && k.mine(l.record) {
 		// The record names this process but the lease is not held yet.
--- a/coordination/watch/reader.go
+++ b/coordination/watch/reader.go
@@ -38,6 +38,9 @@
 	failurePause = 350 * time.Millisecond
 	ownerRetry   = 700 * time.Millisecond
 	spareRetry   = 2 * time.Second
+	// firstLimit bounds the first read of a starting host, and doubles with each
+	// failure: a store that was silent at the start may be back at once.
+	firstLimit = 600 * time.Millisecond
 	// bulkyPause is how often a starting host looks whether it needs the bulky table.
 	bulkyPause = 25 * time.Millisecond
 	// nearLimit is the time of a first read that shows that the store stands in
@@ -118,7 +121,7 @@
 			continue
 		}
 		began := time.Now()
-		changes, err := r.read(ctx, table, reread)
+		changes, err := r.read(ctx, table, reread, failures)
 		if errors.Is(err, r.Gone) {
 			reread = true
 			continue
@@ -156,10 +159,16 @@
 	return min(failurePause<<min(failures, 4), longest)
 }
 
-// read reads the whole table, or what changed.
-func (r *Reader) read(ctx context.Context, table site.Table, whole bool) (site.Changes, error) {
+// read reads the whole table, or what changed. failures are the failed reads
+// before it.
+func (r *Reader) read(ctx context.Context, table site.Table, whole bool, failures int) (site.Changes, error) {
 	after := r.Watcher.Position(table)
 	if whole || after == 0 {
+		if !r.Watcher.Complete() {
+			bounded, cancel := context.WithTimeout(ctx, firstLimit<<min(failures, 4))
+			defer cancel()
+			ctx = bounded
+		}
 		return r.Store.Rows(ctx, table)
 	}
 	wait := feedWait
--- a/coordination/watch/reader_test.go
+++ b/coordination/watch/reader_test.go
@@ -105,6 +105,39 @@
 	}
 }
 
+// A silentStore answers no reading of a whole table until it is back.
+type silentStore struct {
+	countedStore
+
+	back atomic.Bool
+}
+
+func (s *silentStore) Rows(ctx context.Context, table site.Table) (site.Changes, error) {
+	if !s.back.Load() {
+		<-ctx.Done()
+		return site.Changes{}, ctx.Err()
+	}
+	return s.countedStore.Rows(ctx, table)
+}
+
+// TestStartBesideAnOutage guards against a host that starts while the store is
+// silent and goes on waiting for its first answer after the store is back.
+func TestStartBesideAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		w, s := newWatcher(), &silentStore{countedStore: countedStore{reads: map[site.Table]int{}}}
+		r := &Reader{Store: s, Watcher: w, Gone: errors.New("history dropped"), Owner: func() bool { return true }, Lively: "servers", Bulky: "op", Log: zerolog.Nop()}
+		go w.Run(context.Background())
+		go r.Run(context.Background())
+		time.Sleep(firstLimit / 2)
+		s.back.Store(true)
+		time.Sleep(firstLimit/2 + 2*failurePause + idlePause)
+		c.Check(w.Complete(), quicktest.IsTrue)
+		c.Assert(r.Close(), quicktest.IsNil)
+		c.Assert(w.Close(), quicktest.IsNil)
+	})
+}
+
 // TestStartingHostLeavesTheBulkyTableToOwners guards against a link between regions
 // that all hosts fill with reads of a large desired state when they start
 // together, and against a host that never reads it because no owner answers.
