--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -35,11 +35,12 @@
 	Chaos  time.Duration `long:"chaos" default:"10s" description:"length of the faults of a run"`
 	Calm   time.Duration `long:"calm" default:"12s" description:"length of the planned work after them"`
 	Output string        `long:"output" description:"directory that keeps the logs and records of failed runs"`
+	Port   int           `long:"first-port" default:"24000" description:"first port on loopback; runs beside each other need ports 3000 apart"`
 	size
 }
 
-// firstPort is below the kernel's own range; each run takes the next ports.
-const firstPort = 24000
+// portRange is the number of ports that the runs of one command take in turn.
+const portRange = 2500
 
 func main() {
 	var o options
@@ -71,7 +72,7 @@
 	if err := build(programs); err != nil {
 		return 0, err
 	}
-	port := firstPort
+	port := o.Port
 	for i := 0; i < o.Seeds && ctx.Err() == nil; i++ {
 		seed := o.Seed + uint64(i)
 		directory, err := o.directory(seed)
@@ -80,8 +81,8 @@
 		}
 		d := &deployment{directory: directory, programs: programs, nextPort: port}
 		broken, summary, err := o.run(ctx, d, seed)
-		if port = d.nextPort; port > firstPort+6000 {
-			port = firstPort
+		if port = d.nextPort; port > o.Port+portRange {
+			port = o.Port
 		}
 		if err != nil {
 			return failed, fmt.Errorf("seed %d: %w", seed, err)
