--- a/coordination/watch/reader.go
+++ b/coordination/watch/reader.go
@@ -38,8 +38,9 @@
 	failurePause = 350 * time.Millisecond
 	ownerRetry   = 700 * time.Millisecond
 	spareRetry   = 2 * time.Second
-	// firstLimit bounds the first read of a starting host, and doubles with each
-	// failure: a store that was silent at the start may be back at once.
+	// firstLimit bounds the first read of a starting host, because a store that was
+	// silent at the start may be back at once. Further reads have the time that a
+	// large table needs.
 	firstLimit = 600 * time.Millisecond
 	// bulkyPause is how often a starting host looks whether it needs the bulky table.
 	bulkyPause = 25 * time.Millisecond
@@ -164,8 +165,8 @@
 func (r *Reader) read(ctx context.Context, table site.Table, whole bool, failures int) (site.Changes, error) {
 	after := r.Watcher.Position(table)
 	if whole || after == 0 {
-		if !r.Watcher.Complete() {
-			bounded, cancel := context.WithTimeout(ctx, firstLimit<<min(failures, 4))
+		if failures == 0 && !r.Watcher.Complete() {
+			bounded, cancel := context.WithTimeout(ctx, firstLimit)
 			defer cancel()
 			ctx = bounded
 		}
