--- a/coordination/watch/reader.go
+++ b/coordination/watch/reader.go
@@ -108,17 +108,26 @@
 	return r.Owner() || r.Watcher.Age() > StaleLimit || !r.Watcher.Complete()
 }
 
+// due says whether to read the table now. While the store is lost, one table shows
+// when it is back.
+func (r *Reader) due(table site.Table) bool {
+	return r.needed(table) && (table == r.Lively || !r.lost.Load())
+}
+
+// lookPause is how long a table that is not due is left alone.
+func (r *Reader) lookPause(table site.Table) time.Duration {
+	if table == r.Bulky && r.Watcher.Position(table) == 0 {
+		return bulkyPause
+	}
+	return idlePause
+}
+
 func (r *Reader) follow(ctx context.Context, table site.Table) {
 	reread := r.Watcher.Position(table) == 0
 	failures := 0
 	for ctx.Err() == nil {
-		// While the store is lost, one table shows when it is back.
-		if !r.needed(table) || r.lost.Load() && table != r.Lively {
-			pause := idlePause
-			if table == r.Bulky && r.Watcher.Position(table) == 0 {
-				pause = bulkyPause
-			}
-			duty.Pause(ctx, pause)
+		if !r.due(table) {
+			duty.Pause(ctx, r.lookPause(table))
 			continue
 		}
 		began := time.Now()
