tests: two checks that raced with what they check

It now asks that all five chunks were passed on by then, which fails without the wait. TestSettingsAreFollowedWithoutASignal read the log while it was written; the log has a lock now.

--- a/internal/cmd/frontcmd_test.go
+++ b/internal/cmd/frontcmd_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,13 +17,31 @@
 	"github.com/persimmonmux/persimmonmux/internal/fronthost"
 )
 
+// A lockedLog is a log that is read while others write it.
+type lockedLog struct {
+	mutex sync.Mutex
+	lines bytes.Buffer
+}
+
+func (l *lockedLog) Write(line []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.lines.Write(line)
+}
+
+func (l *lockedLog) String() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.lines.String()
+}
+
 // Guards against settings that change without a signal and are never looked at,
 // and against a file that did not change and is read again and again.
 func TestSettingsAreFollowedWithoutASignal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		file := filepath.Join(t.TempDir(), "front.jsonc")
 		qt.Assert(t, os.WriteFile(file, []byte("{}"), 0o600), qt.IsNil)
-		var log bytes.Buffer
+		var log lockedLog
 		host := &fronthost.Host{Log: zerolog.New(&log)}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
@@ -36,6 +56,6 @@
 		time.Sleep(3 * settingsCheck)
 		cancel()
 		<-ended
-		qt.Check(t, bytes.Count(log.Bytes(), []byte("settings were not reloaded")), qt.Equals, 1)
+		qt.Check(t, strings.Count(log.String(), "settings were not reloaded"), qt.Equals, 1)
 	})
 }
--- a/transport/engine/client_test.go
+++ b/transport/engine/client_test.go
@@ -393,16 +393,20 @@
 	f.engine = fleet.Engine{Address: server.Listener.Addr().String()}
 	c.Assert(f.client.Load(context.Background(), f.engine, f.instance, 7), quicktest.IsNil)
 	ended := make(chan error, 1)
+	sink := &recorder{}
 	go func() {
-		_, err := f.client.Complete(context.Background(), f.grant(), f.request("a", true), 0, &recorder{})
+		_, err := f.client.Complete(context.Background(), f.grant(), f.request("a", true), 0, sink)
 		ended <- err
 	}()
 	for engine.Runs("a") == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	c.Assert(f.client.Close(), quicktest.IsNil)
-	c.Assert(len(ended), quicktest.Equals, 1, quicktest.Commentf("Close did not wait for the call"))
+	// The call counts as ended just before it returns, so that only what it did
+	// can be looked at now.
+	passed := len(sink.chunks)
 	c.Assert(<-ended, quicktest.IsNil)
+	c.Assert(passed, quicktest.Equals, 5, quicktest.Commentf("Close did not wait for the call"))
 	f.assertVerdict(f.client.Cancel(context.Background(), f.engine, "a"), verdict.NotRun, verdict.CodeStopping)
 	server.Close()
 	c.Assert(engine.Close(), quicktest.IsNil)
