watch: record and report how old each table is

The logs could not tell why a host has an old desired state: "desired state in force" shows the one store age, after the read that brought the change has reset it.

Each table now has the time at which the store confirmed it, in its reply to this host or to the owner that sent the changes. Owners report the age of each table, also of those without changes. The log line names the source of the change and the age of the table before it, and the gauge persimmonmux.table.age has the age of each table. No decision uses these ages yet.

--- a/coordination/watch/cache.go
+++ b/coordination/watch/cache.go
@@ -62,7 +62,7 @@
 
 	lifecycle duty.Lifecycle
 	once      sync.Once
-	arrivals  *ring.Ring[site.Changes]
+	arrivals  *ring.Ring[arrival]
 	view      atomic.Pointer[site.View]
 	// synced is closed when isSynced becomes true.
 	synced chan struct{}
@@ -81,8 +81,24 @@
 	tables map[site.Table]*tableState
 }
 
+// An arrival carries changes to the goroutine of Run.
+type arrival struct {
+	changes site.Changes
+	// source is the host that sent the changes, or StoreSource.
+	source string
+	// confirmedAt is when the store confirmed that the changes are complete.
+	confirmedAt time.Time
+}
+
+// StoreSource is the source of changes that this host read from the store itself.
+const StoreSource = "store"
+
 // A tableState holds the known rows of one table, including tombstones.
 type tableState struct {
+	// confirmedAt is the latest time at which the store is known to have confirmed
+	// that there were no changes after completeThrough, in its reply to this host or
+	// to the host that sent the changes.
+	confirmedAt time.Time
 	// completeThrough is the position up to which all changes are known.
 	completeThrough site.Position
 	rows            map[string]*rowEntry
@@ -107,10 +123,10 @@
 	w.once.Do(func() {
 		w.started = time.Now()
 		w.synced = make(chan struct{})
-		w.arrivals = ring.New[site.Changes](arrivalCapacity)
+		w.arrivals = ring.New[arrival](arrivalCapacity)
 		w.tables = make(map[site.Table]*tableState)
 		for _, table := range w.Tables {
-			w.tables[table] = &tableState{rows: make(map[string]*rowEntry)}
+			w.tables[table] = &tableState{rows: make(map[string]*rowEntry), confirmedAt: w.started.Add(-time.Hour)}
 		}
 		empty := &site.View{}
 		empty.BuildIndex()
@@ -139,10 +155,20 @@
 }
 
 // Enqueue passes changes to the goroutine of Run and reports whether the ring had
-// room. Refused changes have to be read again.
-func (w *Cache) Enqueue(changes site.Changes) bool {
+// room. Refused changes have to be read again. source is the host that sent the
+// changes, or StoreSource.
+func (w *Cache) Enqueue(changes site.Changes, source string) bool {
 	w.prepare()
-	return w.arrivals.Offer(changes)
+	return w.arrivals.Offer(arrival{changes: changes, source: source, confirmedAt: time.Now().Add(-changes.Age)})
+}
+
+// TableAge returns the time since the store is known to have confirmed that this
+// host has all changes of the table. It is an hour or more if it never did.
+func (w *Cache) TableAge(table site.Table) time.Duration {
+	w.prepare()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return time.Since(w.tables[table].confirmedAt)
 }
 
 // RecordContact records that the store answered, here or at a followed host, the
@@ -206,9 +232,9 @@
 }
 
 // ChangesSince returns the changes of each table after the given positions, and
-// the whole table where a tombstone that is needed was dropped. Tables without
-// changes and tables that were never fully read are left out. It returns nil if no
-// positions are given.
+// the whole table where a tombstone that is needed was dropped. For a table without
+// changes it returns only how far and how recently the table is known. Tables that
+// were never fully read are left out. It returns nil if no positions are given.
 func (w *Cache) ChangesSince(positions map[site.Table]site.Position) []site.Changes {
 	w.prepare()
 	w.mutex.Lock()
@@ -219,10 +245,11 @@
 	var all []site.Changes
 	for name, c := range w.tables {
 		after, completeThrough := positions[name], c.completeThrough
-		if !c.wasFullyRead || completeThrough <= after {
+		if !c.wasFullyRead {
 			continue
 		}
-		changes := site.Changes{Table: name, CompleteThrough: completeThrough, FullTable: after < c.tombstonesDroppedThrough || after == 0}
+		changes := site.Changes{Table: name, CompleteThrough: completeThrough, Age: time.Since(c.confirmedAt)}
+		changes.FullTable = completeThrough > after && (after < c.tombstonesDroppedThrough || after == 0)
 		for _, e := range c.rows {
 			if e.row.Position > after && (!changes.FullTable || !e.row.Deleted) {
 				changes.Rows = append(changes.Rows, e.row)
@@ -240,10 +267,10 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case changes := <-w.arrivals.Messages():
-			w.apply(changes, time.Now())
+		case a := <-w.arrivals.Messages():
+			w.apply(a, time.Now())
 		case <-timer.C:
-			w.publish()
+			w.logChanges(w.publish())
 		}
 		timer.Reset(w.dropTombstones(time.Now()))
 	}
@@ -251,7 +278,8 @@
 
 // apply applies the rows that are newer than the known ones. Rows may arrive
 // twice and out of order, because the store and several hosts send them.
-func (w *Cache) apply(changes site.Changes, now time.Time) {
+func (w *Cache) apply(a arrival, now time.Time) {
+	changes := a.changes
 	w.mutex.Lock()
 	c := w.tables[changes.Table]
 	if c == nil || changes.FullTable && changes.CompleteThrough < c.completeThrough {
@@ -273,6 +301,10 @@
 		}
 		c.wasFullyRead = true
 	}
+	age := now.Sub(c.confirmedAt)
+	if changes.CompleteThrough >= c.completeThrough && a.confirmedAt.After(c.confirmedAt) {
+		c.confirmedAt = a.confirmedAt
+	}
 	c.completeThrough = max(c.completeThrough, changes.CompleteThrough)
 	allRead := true
 	for _, table := range w.tables {
@@ -280,7 +312,9 @@
 	}
 	w.mutex.Unlock()
 	if changed {
-		w.publish()
+		before, next := w.publish()
+		w.logDesired(before, next, a.source, age)
+		w.logChanges(before, next)
 	}
 	if allRead && w.View().Desired != nil && !w.isSynced.Swap(true) {
 		close(w.synced)
@@ -342,12 +376,12 @@
 	return max(wait, time.Millisecond)
 }
 
-// publish builds a view from the rows, replaces the published one and logs the
-// differences. The version of the desired state never decreases.
-func (w *Cache) publish() {
+// publish builds a view from the rows and replaces the published one. It returns
+// both. The version of the desired state never decreases.
+func (w *Cache) publish() (before, next *site.View) {
 	now := time.Now()
-	before := w.view.Load()
-	next := &site.View{
+	before = w.view.Load()
+	next = &site.View{
 		Servers:  make(map[site.ServerID]*site.Server),
 		Versions: make(map[site.Adapter]int),
 		Hosts:    make(map[string]*site.Host),
@@ -367,7 +401,7 @@
 	}
 	next.BuildIndex()
 	w.view.Store(next)
-	w.logChanges(before, next)
+	return before, next
 }
 
 // addDecodedRow adds a decoded row to a view that is not yet published.
@@ -384,12 +418,19 @@
 	}
 }
 
-// logChanges logs the differences between two successive views.
-func (w *Cache) logChanges(before, next *site.View) {
-	if next.Desired != nil && (before.Desired == nil || before.Desired.Version != next.Desired.Version) {
-		w.Log.Info().Int64("version", next.Desired.Version).Int("routes", len(next.Desired.Routes)).
-			Dur("store-age", w.StoreAge()).Msg("desired state in force")
+// logDesired logs a new desired state, the host it came from and how old the table
+// had become before it came.
+func (w *Cache) logDesired(before, next *site.View, source string, age time.Duration) {
+	if next.Desired == nil || before.Desired != nil && before.Desired.Version == next.Desired.Version {
+		return
 	}
+	w.Log.Info().Int64("version", next.Desired.Version).Int("routes", len(next.Desired.Routes)).
+		Str("source", source).Dur("table-age", age).Dur("store-age", w.StoreAge()).Msg("desired state in force")
+}
+
+// logChanges logs how the servers, owners and adapter versions of two successive
+// views differ.
+func (w *Cache) logChanges(before, next *site.View) {
 	for id, server := range next.Servers {
 		known := before.Servers[id]
 		if known == nil || known.State != server.State || known.StartUnixMilli != server.StartUnixMilli {
--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -297,7 +297,7 @@
 		f.Cache.RecordContact(r.reply.StoreAge)
 	}
 	for _, changes := range r.reply.Changes {
-		f.Cache.Enqueue(changes)
+		f.Cache.Enqueue(changes, r.host)
 	}
 	f.Residencies.UpdateRunningCounts(r.reply.RunningRequests)
 	known := true
--- a/coordination/watch/storereader.go
+++ b/coordination/watch/storereader.go
@@ -164,8 +164,11 @@
 		if r.storeLost.Swap(false) {
 			r.Log.Info().Msg("store regained")
 		}
+		if changes.FullTable {
+			changes.Age = time.Since(began)
+		}
 		r.Cache.RecordContact(0)
-		reread = !r.Cache.Enqueue(changes)
+		reread = !r.Cache.Enqueue(changes, StoreSource)
 		pause := readDelay
 		if r.Cache.View().Desired == nil {
 			pause = initialReadDelay
--- a/internal/fronthost/gauges.go
+++ b/internal/fronthost/gauges.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/persimmonmux/persimmonmux/coordination/watch"
@@ -18,6 +19,11 @@
 	if err != nil {
 		return err
 	}
+	tableAge, err := meter.Float64ObservableGauge("persimmonmux.table.age", metric.WithUnit("s"),
+		metric.WithDescription("Time since the platform's store confirmed that the host has all changes of a table."))
+	if err != nil {
+		return err
+	}
 	version, err := meter.Int64ObservableGauge("persimmonmux.desired.version",
 		metric.WithDescription("Version of the desired state in force; 0 before one is known."))
 	if err != nil {
@@ -39,9 +45,12 @@
 			o.ObserveInt64(version, view.Desired.Version)
 		}
 		o.ObserveFloat64(age, cache.StoreAge().Seconds())
+		for _, table := range cache.Tables {
+			o.ObserveFloat64(tableAge, cache.TableAge(table).Seconds(), metric.WithAttributes(attribute.String("table", string(table))))
+		}
 		o.ObserveInt64(servers, int64(len(view.Servers)))
 		o.ObserveInt64(zones, int64(len(elector.OrderingZones())))
 		return nil
-	}, age, version, servers, zones)
+	}, age, tableAge, version, servers, zones)
 	return err
 }
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -51,7 +51,7 @@
 		message.Running[string(id)] = int32(count)
 	}
 	for _, changes := range r.Changes {
-		encoded := &Changes{Table: string(changes.Table), Whole: changes.FullTable, Upto: uint64(changes.CompleteThrough)}
+		encoded := &Changes{Table: string(changes.Table), Whole: changes.FullTable, Upto: uint64(changes.CompleteThrough), AgeNanoseconds: int64(changes.Age)}
 		for _, row := range changes.Rows {
 			value, compressed := compressValue(row)
 			encoded.Rows = append(encoded.Rows, &Row{Key: row.Key, Value: value, Position: uint64(row.Position), Deleted: row.Deleted, Packed: compressed})
@@ -82,7 +82,12 @@
 		r.RunningRequests[site.ServerID(id)] = int(count)
 	}
 	for _, encoded := range message.GetChanges() {
-		changes := site.Changes{Table: site.Table(encoded.GetTable()), FullTable: encoded.GetWhole(), CompleteThrough: site.Position(encoded.GetUpto())}
+		changes := site.Changes{
+			Table:           site.Table(encoded.GetTable()),
+			FullTable:       encoded.GetWhole(),
+			CompleteThrough: site.Position(encoded.GetUpto()),
+			Age:             time.Duration(encoded.GetAgeNanoseconds()),
+		}
 		for _, row := range encoded.GetRows() {
 			value, err := decompressValue(row)
 			if err != nil {
--- a/state/site/row.go
+++ b/state/site/row.go
@@ -1,5 +1,7 @@
 package site
 
+import "time"
+
 // A Table names a table of the platform's store.
 type Table string
 
@@ -30,4 +32,7 @@
 	Rows []Row
 	// CompleteThrough is the position up to which Rows has every change.
 	CompleteThrough Position
+	// Age is the time since the store confirmed that there were no changes after
+	// CompleteThrough.
+	Age time.Duration
 }
