watch: judge each table by its own age

Cause: one store age stood for three tables. A reply about any table reset it, so that a host whose owners could not reach the store skipped the desired state for several turns of 1.5 s when the table of servers was read first: the logged age of the table was 4.0 s in the late cases. Owners passed the same age on, so that their followers stayed with an owner whose own reads of the desired state hung, and a reply that left a table out counted as contact.

Now each table has the time at which the store confirmed it, which advances only with changes that were applied and that are not behind what is known. Replies of owners carry the age of each table. A host reads the table that is too old, and follows other owners while its own one is silent or stale. During an outage the one table that is tried stands for all that are due, and its first answer is not held back.

--- a/coordination/watch/cache.go
+++ b/coordination/watch/cache.go
@@ -58,7 +58,10 @@
 	Decoder Decoder
 	// Tables lists the tables from which the view is built.
 	Tables []site.Table
-	Log    zerolog.Logger
+	// SlowTable is a table whose changes need not be known as soon as those of the
+	// other tables; empty if there is none.
+	SlowTable site.Table
+	Log       zerolog.Logger
 
 	lifecycle duty.Lifecycle
 	once      sync.Once
@@ -69,11 +72,10 @@
 	// isSynced means that every table was read at least once and a desired state is
 	// known. It stays true from then on.
 	isSynced atomic.Bool
-	// lastContact and lastOutage are the times of the last known reply of the
-	// store and of the last failure to reach it, in nanoseconds since started.
-	started     time.Time
-	lastContact atomic.Int64
-	lastOutage  atomic.Int64
+	// lastOutage is the time of the last failure to reach the store, in nanoseconds
+	// since started.
+	started    time.Time
+	lastOutage atomic.Int64
 
 	// mutex guards tables. Only the goroutine of Run changes them; the goroutines
 	// that answer other hosts and the store reader read them.
@@ -126,12 +128,11 @@
 		w.arrivals = ring.New[arrival](arrivalCapacity)
 		w.tables = make(map[site.Table]*tableState)
 		for _, table := range w.Tables {
-			w.tables[table] = &tableState{rows: make(map[string]*rowEntry), confirmedAt: w.started.Add(-time.Hour)}
+			w.tables[table] = &tableState{rows: make(map[string]*rowEntry), confirmedAt: w.started.Add(-unknownAge)}
 		}
 		empty := &site.View{}
 		empty.BuildIndex()
 		w.view.Store(empty)
-		w.lastContact.Store(int64(-time.Hour))
 		w.lastOutage.Store(int64(-time.Hour))
 	})
 }
@@ -162,35 +163,6 @@
 	return w.arrivals.Offer(arrival{changes: changes, source: source, confirmedAt: time.Now().Add(-changes.Age)})
 }
 
-// TableAge returns the time since the store is known to have confirmed that this
-// host has all changes of the table. It is an hour or more if it never did.
-func (w *Cache) TableAge(table site.Table) time.Duration {
-	w.prepare()
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return time.Since(w.tables[table].confirmedAt)
-}
-
-// RecordContact records that the store answered, here or at a followed host, the
-// given time ago. An older contact than the recorded one is ignored.
-func (w *Cache) RecordContact(age time.Duration) {
-	w.prepare()
-	at := int64(time.Since(w.started) - age)
-	for {
-		known := w.lastContact.Load()
-		if known >= at || w.lastContact.CompareAndSwap(known, at) {
-			return
-		}
-	}
-}
-
-// StoreAge returns the time since the last known reply of the store, to this
-// host or to a host that it follows. It is an hour or more if there was none.
-func (w *Cache) StoreAge() time.Duration {
-	w.prepare()
-	return time.Since(w.started) - time.Duration(w.lastContact.Load())
-}
-
 // RecordOutage records that the store could not be reached just now.
 func (w *Cache) RecordOutage() {
 	w.prepare()
@@ -302,6 +274,7 @@
 		c.wasFullyRead = true
 	}
 	age := now.Sub(c.confirmedAt)
+	// A source that is behind the known rows does not confirm them.
 	if changes.CompleteThrough >= c.completeThrough && a.confirmedAt.After(c.confirmedAt) {
 		c.confirmedAt = a.confirmedAt
 	}
@@ -425,7 +398,7 @@
 		return
 	}
 	w.Log.Info().Int64("version", next.Desired.Version).Int("routes", len(next.Desired.Routes)).
-		Str("source", source).Dur("table-age", age).Dur("store-age", w.StoreAge()).Msg("desired state in force")
+		Str("source", source).Dur("table-age", age).Msg("desired state in force")
 }
 
 // logChanges logs how the servers, owners and adapter versions of two successive
--- a/coordination/watch/cache_test.go
+++ b/coordination/watch/cache_test.go
@@ -80,6 +80,7 @@
 		w.Enqueue(site.Changes{Table: "op", FullTable: true, CompleteThrough: 1, Rows: []site.Row{{Key: "config", Value: []byte{1}, Position: 1}}}, StoreSource)
 		time.Sleep(3 * time.Second)
 		w.Enqueue(site.Changes{Table: "servers", CompleteThrough: 2}, StoreSource)
+		synctest.Wait()
 		output.Reset()
 		w.Enqueue(site.Changes{Table: "op", CompleteThrough: 2, Rows: []site.Row{{Key: "config", Value: []byte{2}, Position: 2}}, Age: time.Second}, "owner")
 		synctest.Wait()
--- a/coordination/watch/changebound_test.go
+++ b/coordination/watch/changebound_test.go
@@ -123,7 +123,7 @@
 type ownerPeer struct{ cache *Cache }
 
 func (o ownerPeer) Follow(_ context.Context, _ string, request site.FollowRequest) (site.FollowReply, error) {
-	return site.FollowReply{Changes: o.cache.ChangesSince(request.Positions), StoreAge: o.cache.StoreAge()}, nil
+	return site.FollowReply{Changes: o.cache.ChangesSince(request.Positions)}, nil
 }
 
 func newTestReader(store Store, cache *Cache, isOwner bool) *StoreReader {
--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -47,10 +47,12 @@
 	// fallbackPollInterval is the mean interval for an owner whose engines are used
 	// only when those of this host's own region are full or lost.
 	fallbackPollInterval = 1200 * time.Millisecond
-	// freshStoreAge is the store age up to which this host requests changes only
-	// from the owner of its own zone. A desired state may be large, and an owner's
-	// link narrow.
-	freshStoreAge = time.Second
+	// freshReplyAge is the time since the last reply of the owner of this host's
+	// zone up to which this host requests changes only from that owner. A desired
+	// state may be large, and an owner's link narrow. A host that has not synced
+	// requests changes from owners of other regions when the last known reply of the
+	// store is older.
+	freshReplyAge = time.Second
 	// followTimeout bounds one follow request. An owner that takes longer counts as
 	// silent for this request.
 	followTimeout = 1200 * time.Millisecond
@@ -103,6 +105,9 @@
 	lastReply      time.Time
 	isLeaving      bool
 	isLost         bool
+	// isStale means that the last reply to a request for changes came from an owner
+	// whose own tables are too old.
+	isStale bool
 	// orderingZones lists the zones in which the owner sends orders.
 	orderingZones []string
 	// isFallbackOnly means that the owner's engines are used only when those of
@@ -120,6 +125,7 @@
 	start int64
 	// requestedChanges reports whether the request included changes of the tables.
 	requestedChanges bool
+	sentAt           time.Time
 	reply            site.FollowReply
 	err              error
 }
@@ -245,7 +251,7 @@
 		OmitResidencies: l.isFallbackOnly,
 		InFlight:        f.Residencies.InFlight(l.zones),
 	}
-	if l.zones[f.Zone] || f.Cache.StoreAge() > freshStoreAge || f.replacesOwnZoneOwner(l) {
+	if l.zones[f.Zone] || f.replacesOwnZoneOwner(l, now) {
 		request.Positions = f.Cache.Positions()
 	}
 	host := l.host
@@ -254,26 +260,35 @@
 		defer cancel()
 		reply, err := f.Peers.Follow(limited, host.Address, request)
 		select {
-		case f.results <- followResult{host: host.Name, start: host.Start, requestedChanges: len(request.Positions) > 0, reply: reply, err: err}:
+		case f.results <- followResult{host: host.Name, start: host.Start, requestedChanges: len(request.Positions) > 0, sentAt: now, reply: reply, err: err}:
 		case <-ctx.Done():
 		}
 	})
 }
 
 // replacesOwnZoneOwner reports whether this host requests changes from the
-// given owner in place of the owner of its own zone. It does so while it has
-// not synced and its own zone has no owner that replies, from owners of its own
-// region only.
-func (f *Follower) replacesOwnZoneOwner(l *ownerState) bool {
-	if f.Cache.HasSynced() || l.host.Region != f.Region {
+// given owner in place of the owner of its own zone. It does so while that one does
+// not reply or is stale; before this host has synced, from owners of its own region
+// only, unless the store does not reply either.
+func (f *Follower) replacesOwnZoneOwner(l *ownerState, now time.Time) bool {
+	if f.isOwnZoneOwnerCurrent(now) {
 		return false
 	}
-	for _, other := range f.owners {
-		if other.zones[f.Zone] && !other.isLost {
-			return false
+	return f.Cache.HasSynced() || l.host.Region == f.Region || f.Cache.StoreAge() > freshReplyAge
+}
+
+// isOwnZoneOwnerCurrent reports whether the owner of this host's zone, which may be
+// this host, replies and is not stale.
+func (f *Follower) isOwnZoneOwnerCurrent(now time.Time) bool {
+	if host := f.Cache.View().Owners[f.Zone]; host != nil && host.Name == f.Self {
+		return !f.Cache.isStaleOwner(f.Cache.tableAges())
+	}
+	for _, l := range f.owners {
+		if l.zones[f.Zone] && !l.isStale && now.Sub(l.lastReply) <= freshReplyAge {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // handleResult applies the reply to a follow request.
@@ -292,12 +307,7 @@
 	l.lastReply, l.isLeaving, l.isLost, l.orderingZones = now, r.reply.Leaving, false, r.reply.OrderingZones
 	f.publishLiveOwners()
 	if r.requestedChanges {
-		// Only the reply to a request for the changes of all tables shows that this
-		// host is up to date.
-		f.Cache.RecordContact(r.reply.StoreAge)
-	}
-	for _, changes := range r.reply.Changes {
-		f.Cache.Enqueue(changes, r.host)
+		f.applyChanges(l, r, now)
 	}
 	f.Residencies.UpdateRunningCounts(r.reply.RunningRequests)
 	known := true
@@ -309,6 +319,19 @@
 	}
 }
 
+// applyChanges passes the changes of a reply to the cache and records whether the
+// owner is stale.
+func (f *Follower) applyChanges(l *ownerState, r followResult, now time.Time) {
+	ages := make(map[site.Table]time.Duration, len(r.reply.Changes))
+	for _, changes := range r.reply.Changes {
+		ages[changes.Table] = changes.Age
+		// The owner wrote the reply after the request was sent.
+		changes.Age += now.Sub(r.sentAt)
+		f.Cache.Enqueue(changes, r.host)
+	}
+	l.isStale = f.Cache.isStaleOwner(ages)
+}
+
 // publishLiveOwners replaces the map that Alive and GivesOrders read.
 func (f *Follower) publishLiveOwners() {
 	alive := make(map[string]liveOwner, len(f.owners))
--- a/coordination/watch/follower_test.go
+++ b/coordination/watch/follower_test.go
@@ -38,19 +38,23 @@
 	return &Cache{Decoder: testDecoder{}, Tables: []site.Table{"op", "hosts", "servers"}, Log: zerolog.Nop()}
 }
 
-// fakePeers answers follow requests for all owners. An owner replies with its
-// entry in storeAges and does not reply while isSilent is set for it.
-// changeRequests counts the requests for changes by owner.
+// fakePeers answers follow requests for all owners. An owner replies that its tables
+// have the age of its entry in tableAges and does not reply while isSilent is set for
+// it. changeRequests counts the requests for changes by owner.
 type fakePeers struct {
 	mutex          sync.Mutex
-	storeAges      map[string]time.Duration
+	tableAges      map[string]time.Duration
 	isSilent       map[string]bool
 	changeRequests map[string]int
-	// changes is the reply of an owner whose store age is 0 to a request for
+	// changes is the reply of an owner whose tables have the age 0 to a request for
 	// changes.
 	changes []site.Changes
 }
 
+func newFakePeers() *fakePeers {
+	return &fakePeers{tableAges: make(map[string]time.Duration), isSilent: make(map[string]bool), changeRequests: make(map[string]int)}
+}
+
 func (o *fakePeers) Follow(ctx context.Context, address string, request site.FollowRequest) (site.FollowReply, error) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -60,12 +64,17 @@
 		o.mutex.Lock()
 		return site.FollowReply{}, ctx.Err()
 	}
-	reply := site.FollowReply{StoreAge: o.storeAges[address]}
-	if len(request.Positions) > 0 {
-		o.changeRequests[address]++
-		if o.storeAges[address] == 0 {
-			reply.Changes = o.changes
-		}
+	if len(request.Positions) == 0 {
+		return site.FollowReply{}, nil
+	}
+	o.changeRequests[address]++
+	age := o.tableAges[address]
+	var reply site.FollowReply
+	for table, position := range request.Positions {
+		reply.Changes = append(reply.Changes, site.Changes{Table: table, CompleteThrough: position, Age: age})
+	}
+	if age == 0 {
+		reply.Changes = append(reply.Changes, o.changes...)
 	}
 	return reply, nil
 }
@@ -89,7 +98,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := quicktest.New(t)
 				w := newTestCache()
-				o := &fakePeers{storeAges: map[string]time.Duration{}, isSilent: map[string]bool{}, changeRequests: map[string]int{}}
+				o := newFakePeers()
 				f := &Follower{Self: "self", Zone: "here", Cache: w, Peers: o, Residencies: noResidencies{}, Log: zerolog.Nop()}
 				go w.Run(context.Background())
 				go f.Run(context.Background())
@@ -97,15 +106,15 @@
 					{Key: "near", Value: []byte("here"), Position: 1}, {Key: "far", Value: []byte("there"), Position: 2},
 				}}, StoreSource)
 				w.Enqueue(site.Changes{Table: "servers", FullTable: true, CompleteThrough: 2, Rows: []site.Row{{Key: "server", Value: []byte("ready"), Position: 1}}}, StoreSource)
-				w.RecordContact(0)
+				w.Enqueue(site.Changes{Table: "op", FullTable: true, CompleteThrough: 2, Rows: []site.Row{{Key: "config", Value: []byte{1}, Position: 1}}}, StoreSource)
 				time.Sleep(3 * time.Second)
 				o.mutex.Lock()
 				c.Assert(o.changeRequests["near"] > 5, quicktest.IsTrue)
 				c.Assert(o.changeRequests["far"], quicktest.Equals, 0)
-				o.storeAges["near"], o.isSilent["near"] = time.Hour, test.silent
+				o.tableAges["near"], o.isSilent["near"] = time.Hour, test.silent
 				o.changes = []site.Changes{{Table: "servers", CompleteThrough: 9, Rows: []site.Row{{Key: "server", Value: []byte("draining"), Position: 9}}}}
 				o.mutex.Unlock()
-				time.Sleep(freshStoreAge + 2*otherZonePollInterval)
+				time.Sleep(freshReplyAge + 2*otherZonePollInterval)
 				c.Assert(w.View().Servers["server"].State, quicktest.Equals, site.Draining)
 				c.Assert(f.Close(), quicktest.IsNil)
 				c.Assert(w.Close(), quicktest.IsNil)
--- a/coordination/watch/storereader.go
+++ b/coordination/watch/storereader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,12 +27,14 @@
 	// readDelay is the pause between two reads of one table. It lets one call carry
 	// the changes of many servers, because each call is paid for.
 	readDelay = 700 * time.Millisecond
-	// watchWait is how long the store holds a read of a table that seldom changes;
-	// a connection that went silent is noticed a little later. livenessWatchWait is
-	// the shorter wait for LivenessTable, whose replies show that the store is
-	// alive. It is also used for all tables on a host that owns no zone.
-	watchWait         = 3 * time.Second
-	livenessWatchWait = 900 * time.Millisecond
+	// ownerWatchWait is how long the store holds a read of a table by an owner if
+	// nothing changed. Until the reply the owner cannot tell that its rows are
+	// complete, so a longer wait makes them look older to the hosts that follow it.
+	// slowWatchWait is the wait for SlowTable.
+	ownerWatchWait = 500 * time.Millisecond
+	slowWatchWait  = 3 * time.Second
+	// watchWait is the wait on a host that owns no zone. Each read is paid for.
+	watchWait = 900 * time.Millisecond
 	// idleCheckInterval is the time between two checks of whether a table that this
 	// host does not read at present has to be read.
 	idleCheckInterval = 150 * time.Millisecond
@@ -61,10 +64,6 @@
 	// together, their reads of a large desired state fill the link between the
 	// regions for seconds.
 	ownerReplyWindow = 2 * time.Second
-	// MaxStoreAge is the store age from which a host that owns no zone reads the
-	// store itself. It leaves one second of the 2.5 s within which a change has to
-	// take effect.
-	MaxStoreAge = 1500 * time.Millisecond
 )
 
 // A StoreReader is the duty that reads the store for this host and, on an owner
@@ -79,8 +78,8 @@
 	// IsZoneOwner reports whether this host owns a zone and therefore reads for
 	// other hosts.
 	IsZoneOwner func() bool
-	// LivenessTable is the table that is watched with short waits and is the only
-	// one read during an outage, in order to notice when the store is back.
+	// LivenessTable is the only table that is read during an outage, in order to
+	// notice when the store is back.
 	LivenessTable site.Table
 	// LargeTable is the table that a starting host gets from an owner if it can.
 	LargeTable site.Table
@@ -118,13 +117,21 @@
 	if table == r.LargeTable && r.Cache.Position(table) == 0 && !r.IsZoneOwner() && !r.storeInRegion.Load() && time.Since(r.started) < ownerReplyWindow {
 		return false
 	}
-	return r.IsZoneOwner() || r.Cache.StoreAge() > MaxStoreAge || !r.Cache.HasSynced()
+	outdated, _ := r.Cache.isOutdated(table)
+	return outdated || r.IsZoneOwner() || !r.Cache.HasSynced()
 }
 
 // isReadDue reports whether to read the table now. During an outage only
-// LivenessTable is read, to notice when the store is back.
+// LivenessTable is read, for all tables, to notice when the store is back.
 func (r *StoreReader) isReadDue(table site.Table) bool {
-	return r.isReadNeeded(table) && (table == r.LivenessTable || !r.storeLost.Load())
+	switch {
+	case !r.storeLost.Load():
+		return r.isReadNeeded(table)
+	case table == r.LivenessTable:
+		return slices.ContainsFunc(r.Cache.Tables, r.isReadNeeded)
+	default:
+		return false
+	}
 }
 
 // checkInterval returns the pause until a table that is not due is checked again.
@@ -132,6 +139,9 @@
 	if table == r.LargeTable && r.Cache.Position(table) == 0 {
 		return largeTableCheckInterval
 	}
+	if outdated, remaining := r.Cache.isOutdated(table); !outdated {
+		return min(remaining, idleCheckInterval)
+	}
 	return idleCheckInterval
 }
 
@@ -167,7 +177,6 @@
 		if changes.FullTable {
 			changes.Age = time.Since(began)
 		}
-		r.Cache.RecordContact(0)
 		reread = !r.Cache.Enqueue(changes, StoreSource)
 		pause := readDelay
 		if r.Cache.View().Desired == nil {
@@ -200,11 +209,23 @@
 		}
 		return r.Store.ReadTable(ctx, table)
 	}
-	wait := watchWait
-	if table == r.LivenessTable || !r.IsZoneOwner() {
-		wait = livenessWatchWait
+	return r.Store.WatchTable(ctx, table, after, r.watchWait(table))
+}
+
+// watchWait returns how long the store is to hold a read of the table if nothing
+// changed.
+func (r *StoreReader) watchWait(table site.Table) time.Duration {
+	switch {
+	case r.storeLost.Load():
+		// The other tables wait for the reply.
+		return 0
+	case !r.IsZoneOwner():
+		return watchWait
+	case table == r.Cache.SlowTable:
+		return slowWatchWait
+	default:
+		return ownerWatchWait
 	}
-	return r.Store.WatchTable(ctx, table, after, wait)
 }
 
 // recordFailure records an outage, and logs it if no outage was recorded before.
--- a/coordination/watch/storereader_test.go
+++ b/coordination/watch/storereader_test.go
@@ -98,7 +98,9 @@
 				c.Check(s.calls.Load()-before <= test.most, quicktest.IsTrue, quicktest.Commentf("%d calls", s.calls.Load()-before))
 				s.isUnavailable.Store(false)
 				time.Sleep(noticeTime)
-				c.Check(w.StoreAge() < noticeTime, quicktest.IsTrue)
+				for _, table := range w.Tables {
+					c.Check(w.TableAge(table) < noticeTime, quicktest.IsTrue, quicktest.Commentf("table %s", table))
+				}
 				c.Assert(r.Close(), quicktest.IsNil)
 				c.Assert(w.Close(), quicktest.IsNil)
 			})
@@ -181,18 +183,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
 		w := newTestCache()
-		o := &fakePeers{storeAges: map[string]time.Duration{}, isSilent: map[string]bool{}, changeRequests: map[string]int{}}
+		o := newFakePeers()
 		f := &Follower{Self: "self", Zone: "here", Region: "", Cache: w, Peers: o, Residencies: noResidencies{}, Log: zerolog.Nop()}
 		distant := &Follower{Self: "self", Zone: "here", Region: "elsewhere", Cache: w, Peers: o, Residencies: noResidencies{}, Log: zerolog.Nop()}
 		go w.Run(context.Background())
 		w.Enqueue(site.Changes{Table: "hosts", FullTable: true, CompleteThrough: 2, Rows: []site.Row{{Key: "beside", Value: []byte("there"), Position: 1}}}, StoreSource)
-		w.RecordContact(0)
 		go distant.Run(context.Background())
-		time.Sleep(freshStoreAge / 2)
+		time.Sleep(freshReplyAge / 2)
 		c.Assert(distant.Close(), quicktest.IsNil)
 		c.Assert(o.changeRequests["beside"], quicktest.Equals, 0)
 		go f.Run(context.Background())
-		time.Sleep(freshStoreAge / 2)
+		time.Sleep(freshReplyAge / 2)
 		c.Assert(f.Close(), quicktest.IsNil)
 		c.Assert(o.changeRequests["beside"] > 0, quicktest.IsTrue)
 		c.Assert(w.Close(), quicktest.IsNil)
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -118,9 +118,10 @@
 		},
 		func() *watch.Cache {
 			return &watch.Cache{
-				Decoder: platform.Decoder{},
-				Tables:  []site.Table{platform.OperatorTable, zone.HostTable, platform.ServerTable},
-				Log:     h.Log,
+				Decoder:   platform.Decoder{},
+				Tables:    []site.Table{platform.OperatorTable, zone.HostTable, platform.ServerTable},
+				SlowTable: zone.HostTable,
+				Log:       h.Log,
 			}
 		},
 		h.newStoreReader,
--- a/internal/fronthost/zonehandler.go
+++ b/internal/fronthost/zonehandler.go
@@ -28,7 +28,6 @@
 	}
 	return site.FollowReply{
 		Changes:         z.cache.ChangesSince(request.Positions),
-		StoreAge:        z.cache.StoreAge(),
 		Leaving:         z.elector.SteppingDown(),
 		OrderingZones:   z.elector.OrderingZones(),
 		RunningRequests: z.controller.RunningCounts(),
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -46,7 +46,7 @@
 // FromFollowReply converts a follow reply to its message. Large values of rows are
 // compressed.
 func FromFollowReply(r site.FollowReply) *FollowReply {
-	message := &FollowReply{AgeNanoseconds: int64(r.StoreAge), Leaving: r.Leaving, Ordering: r.OrderingZones, Running: make(map[string]int32), Sequence: r.Sequence}
+	message := &FollowReply{AgeNanoseconds: int64(largestAge(r.Changes)), Leaving: r.Leaving, Ordering: r.OrderingZones, Running: make(map[string]int32), Sequence: r.Sequence}
 	for id, count := range r.RunningRequests {
 		message.Running[string(id)] = int32(count)
 	}
@@ -68,11 +68,20 @@
 	return message
 }
 
+// largestAge returns the age of the oldest table. Hosts of earlier versions, which
+// know only one age for all tables, then take no table for younger than it is.
+func largestAge(all []site.Changes) time.Duration {
+	var age time.Duration
+	for _, changes := range all {
+		age = max(age, changes.Age)
+	}
+	return age
+}
+
 // ToFollowReply converts a message to a follow reply. It returns an error if the value
 // of a row cannot be decompressed.
 func ToFollowReply(message *FollowReply) (site.FollowReply, error) {
 	r := site.FollowReply{
-		StoreAge:        time.Duration(message.GetAgeNanoseconds()),
 		Leaving:         message.GetLeaving(),
 		OrderingZones:   message.GetOrdering(),
 		Sequence:        message.GetSequence(),
--- a/state/site/peermessage.go
+++ b/state/site/peermessage.go
@@ -44,11 +44,10 @@
 
 // A FollowReply is the answer of a zone owner to a FollowRequest.
 type FollowReply struct {
-	// Changes are the changes of each table after the position in the request.
+	// Changes are the changes of each table after the position in the request. A
+	// table without changes has no rows; a table that the replying host never read
+	// in full is missing.
 	Changes []Changes
-	// StoreAge is the time since the replying host last had an answer of the
-	// store, directly or through another host.
-	StoreAge time.Duration
 	// Leaving says that the replying host is stopping and releases its leases.
 	Leaving bool
 	// OrderingZones are the zones in which the replying host may send orders now.
