backend: bound the header of a response

A server that sends a status line, a header line or header lines without end filled the memory of the host until the time of the request was up: 67 to 598 MB within 1.5 s on loopback, and the caller got 504.

Cause: http.ReadResponse sets no limit on the header, unlike the transport of net/http. The connection now refuses to read more than 64 KiB for the header, informational responses included; the caller gets 502 or another server gets the request.

--- a/transport/backend/connectionpool.go
+++ b/transport/backend/connectionpool.go
@@ -51,12 +51,35 @@
 type pooledConn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	// reader reads from Read of this connection.
+	reader *bufio.Reader
+	// headerBytesLeft is how much more may be read for the header of a response.
+	// It does not apply unless readsHeader is set.
+	headerBytesLeft int
+	readsHeader     bool
 	// expiresAt is when the pool stops using the connection, because the server may close
 	// it.
 	expiresAt time.Time
 }
 
+// errHeaderTooLarge means that the header of a response is larger than
+// maxResponseHeaderBytes.
+var errHeaderTooLarge = errors.New("response header exceeds the size limit of 64 KiB")
+
+// Read reads from the server. While the header of a response is read, it returns
+// errHeaderTooLarge at the limit, because net/http sets none.
+func (c *pooledConn) Read(buffer []byte) (int, error) {
+	if !c.readsHeader {
+		return c.Conn.Read(buffer)
+	}
+	if c.headerBytesLeft <= 0 {
+		return 0, errHeaderTooLarge
+	}
+	n, err := c.Conn.Read(buffer[:min(len(buffer), c.headerBytesLeft)])
+	c.headerBytesLeft -= n
+	return n, err
+}
+
 // A RawRequest is a request whose target and header are written as they are given.
 type RawRequest struct {
 	// Address is the HOST:PORT that is dialed.
@@ -88,7 +111,7 @@
 		in.discard()
 		return nil, true, fmt.Errorf("server %s: write request: %w", out.Address, contextErrorOr(ctx, err))
 	}
-	in.Response, err = readHead(conn.reader, out.Method)
+	in.Response, err = readHead(conn, out.Method)
 	if err != nil {
 		in.discard()
 		return nil, true, fmt.Errorf("server %s: read response: %w", out.Address, contextErrorOr(ctx, err))
@@ -124,7 +147,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pooledConn{Conn: raw, address: out.Address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	conn := &pooledConn{Conn: raw, address: out.Address}
+	conn.reader = bufio.NewReaderSize(conn, readBufferBytes)
+	return conn, nil
 }
 
 // popIdle removes the most recently used idle connection to the address and returns it,
--- a/transport/backend/rawresponse.go
+++ b/transport/backend/rawresponse.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net/http"
@@ -34,9 +33,12 @@
 }
 
 // readHead reads the header of the final response and skips informational responses.
-func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
+// All of them together have at most maxResponseHeaderBytes.
+func readHead(conn *pooledConn, method string) (*http.Response, error) {
+	conn.headerBytesLeft, conn.readsHeader = maxResponseHeaderBytes, true
+	defer func() { conn.readsHeader = false }()
 	for range maxResponsesPerRequest {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/transport/front/endless_test.go
@@ -0,0 +1,64 @@
+package front
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+const (
+	// socketSlackBytes is what the sockets between a server and this host may hold
+	// beyond what the host has read.
+	socketSlackBytes = 16 << 20
+	// endlessPieceBytes is about the size of one write of an endless response.
+	endlessPieceBytes = 32 << 10
+)
+
+// respondWithoutEnd writes the prefix and then the piece again and again until the
+// host closes the connection. It returns the number of bytes written.
+func respondWithoutEnd(conn net.Conn, prefix, piece string) int64 {
+	written, err := io.WriteString(conn, prefix)
+	total := int64(written)
+	pieces := strings.Repeat(piece, endlessPieceBytes/len(piece)+1)
+	for err == nil {
+		written, err = io.WriteString(conn, pieces)
+		total += int64(written)
+	}
+	return total
+}
+
+// TestEndlessResponseIsCutOff guards against a server that sends bytes without end,
+// in the header of a response: such bytes must not fill the memory of the
+// host, and the host must not read them until the time of the request is up.
+func TestEndlessResponseIsCutOff(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Signature: s\r\n"
+	for _, test := range []struct {
+		name, target, prefix, piece string
+		limit                       int64
+	}{
+		{"status line", "/unsafe/x", "HTTP/1.1 200 ", "a", 64 << 10},
+		{"header line", "/unsafe/x", head + "X-Long: ", "a", 64 << 10},
+		{"header lines", "/unsafe/x", head, "X-Many: a\r\n", 64 << 10},
+		{"informational responses", "/unsafe/x", "", "HTTP/1.1 100 Continue\r\n\r\n", 64 << 10},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			sent := make(chan int64, 1)
+			b := startBackend(c, func(_ int, conn net.Conn, _ *http.Request) bool {
+				sent <- respondWithoutEnd(conn, test.prefix, test.piece)
+				return false
+			})
+			front := startFront(c, syncedViews(), b)
+			answer, _, err := sendRequest(front, "POST", test.target, "body")
+			if err == nil {
+				c.Check(answer.StatusCode, quicktest.Equals, http.StatusBadGateway)
+			}
+			n := <-sent
+			c.Check(n <= test.limit+socketSlackBytes, quicktest.IsTrue, quicktest.Commentf("the server could send %d bytes", n))
+		})
+	}
+}
