backend: stop reading a refusal whose body does not end

A request that a server had refused did not go to another server if the body of the refusal came slowly and did not end: the caller got 503 after 1.5 s, when its time was up, although another server was free.

Cause: before the next send, up to 16 KiB of the refusal are read so that its connection can be used again, without a limit in time. The rest is now read for at most 50 ms, and the connection is closed otherwise. TestEndlessRefusalDoesNotHoldTheRequest fails before; after, all four requests are answered within 0.5 s.

--- a/transport/backend/connectionpool.go
+++ b/transport/backend/connectionpool.go
@@ -26,6 +26,10 @@
 	// header before the response is read. A longer body is written while the response is
 	// read, because a server may respond before it has read the whole body.
 	maxCombinedBodyBytes = 8 << 10
+	// maxDiscardBytes and discardTimeout bound how much of an unwanted body is read, and
+	// for how long, so that its connection can be used again.
+	maxDiscardBytes = 16 << 10
+	discardTimeout  = 50 * time.Millisecond
 	// readBufferBytes is the size of the read buffer of a connection.
 	readBufferBytes = 4 << 10
 	// maxResponsesPerRequest is the most responses that are read for one request: those
--- a/transport/backend/rawresponse.go
+++ b/transport/backend/rawresponse.go
@@ -89,6 +89,14 @@
 	in.pool.putIdle(in.conn)
 }
 
+// DiscardBody reads a short rest of the body, so that the connection can be used again,
+// and finishes the response. If the body does not end soon, the connection is closed.
+func (in *RawResponse) DiscardBody() {
+	_ = in.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(in.Body, maxDiscardBytes))
+	in.Finish(err == nil && n < maxDiscardBytes)
+}
+
 // isReusable reports whether the connection can carry another request: request and
 // response are complete, and the context of the request has not interrupted the
 // connection. It sets when the connection expires.
--- a/transport/front/endless_test.go
+++ b/transport/front/endless_test.go
@@ -1,11 +1,14 @@
 package front
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 )
@@ -62,3 +65,33 @@
 		})
 	}
 }
+
+// TestEndlessRefusalDoesNotHoldTheRequest guards against a refused request that does
+// not go to another server, because the body of the refusal comes slowly and does not
+// end.
+func TestEndlessRefusalDoesNotHoldTheRequest(t *testing.T) {
+	c := quicktest.New(t)
+	const limit = 500 * time.Millisecond
+	var ended atomic.Bool
+	defer ended.Store(true)
+	refusing := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n\r\n", r.Header.Get("X-Attempt-Id"))
+		for !ended.Load() {
+			if _, err := io.WriteString(conn, "a"); err != nil {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		return false
+	})
+	sound := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool { return success(conn, r, "answer") })
+	front := startFront(c, syncedViews(), refusing, sound)
+	for range 4 {
+		began := time.Now()
+		answer, _, err := sendRequest(front, "GET", "/safe/x", "")
+		c.Assert(err, quicktest.IsNil)
+		c.Check(answer.StatusCode, quicktest.Equals, http.StatusOK)
+		c.Check(time.Since(began) < limit, quicktest.IsTrue, quicktest.Commentf("after %s", time.Since(began)))
+	}
+	c.Check(refusing.count() > 0, quicktest.IsTrue)
+}
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -163,15 +163,9 @@
 	return head
 }
 
-// maxDiscardBytes bounds how much of an unwanted response is read so that its
-// connection can be used again. If the response has at least this size, the connection
-// is closed.
-const maxDiscardBytes = 16 << 10
-
 // Discard drops the response without sending any of it to the caller.
 func (r *response) Discard() {
-	n, err := io.Copy(io.Discard, io.LimitReader(r.incoming.Body, maxDiscardBytes))
-	r.incoming.Finish(err == nil && n < maxDiscardBytes)
+	r.incoming.DiscardBody()
 }
 
 // errNoSignature means that a successful response lacks the header
