front: bound the body of a response and each event of a stream

A server that sends a stream line, or a body without a declared length, that does not end had the host read 723 to 1,317 MB within the 5 s of a test: the stream line was kept in memory whole, the body was passed on to the caller.

Cause: the limit of 1 MiB for an event was checked only after a whole line had been read, and a body whose length is not declared had no limit. A line is now read in parts up to the limit of an event, and such a body fails after 32 MiB; the caller sees that the response is not complete. Bodies with a Content-Length are passed on whole, as before. TestEndlessResponseIsCutOff fails before for the line and the body.

--- a/transport/front/endless_test.go
+++ b/transport/front/endless_test.go
@@ -35,10 +35,11 @@
 }
 
 // TestEndlessResponseIsCutOff guards against a server that sends bytes without end,
-// in the header of a response: such bytes must not fill the memory of the
-// host, and the host must not read them until the time of the request is up.
+// in the header or the body of a response: the host must neither keep such
+// bytes in memory nor pass them on beyond a limit.
 func TestEndlessResponseIsCutOff(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Signature: s\r\n"
+	const streamHead = head + "Content-Type: text/event-stream\r\n"
 	for _, test := range []struct {
 		name, target, prefix, piece string
 		limit                       int64
@@ -47,6 +48,12 @@
 		{"header line", "/unsafe/x", head + "X-Long: ", "a", 64 << 10},
 		{"header lines", "/unsafe/x", head, "X-Many: a\r\n", 64 << 10},
 		{"informational responses", "/unsafe/x", "", "HTTP/1.1 100 Continue\r\n\r\n", 64 << 10},
+		{"body until the connection ends", "/unsafe/x", head + "\r\n", "a", maxUndeclaredBodyBytes},
+		{"chunked body", "/unsafe/x", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n", 6 * maxUndeclaredBodyBytes},
+		{"stream line", "/once/x", streamHead + "\r\n", "a", maxEventBytes},
+		{"stream event", "/once/x", streamHead + "\r\n", "data: a\n", maxEventBytes},
+		{"stream events", "/once/x", streamHead + "\r\n", "data: a\n\n", maxUndeclaredBodyBytes},
+		{"empty stream lines", "/once/x", streamHead + "\r\n", "\n", maxUndeclaredBodyBytes},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := quicktest.New(t)
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -202,8 +202,8 @@
 
 // deliverWhole sends a response that is not a stream.
 func (r *response) deliverWhole() error {
-	in := r.incoming
-	body, err := io.ReadAll(io.LimitReader(in.Body, maxBufferedBytes))
+	in, source := r.incoming, r.body()
+	body, err := io.ReadAll(io.LimitReader(source, maxBufferedBytes))
 	if err != nil {
 		return &forward.IncompleteError{Cause: err}
 	}
@@ -219,7 +219,7 @@
 	}
 	buffer := make([]byte, 32<<10)
 	for {
-		n, err := in.Body.Read(buffer)
+		n, err := source.Read(buffer)
 		if n > 0 {
 			if err := r.write(buffer[:n]); err != nil {
 				return err
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -21,15 +21,13 @@
 // resumed after the last complete one.
 func (r *response) deliverStream() error {
 	r.writeHeader(-1)
-	reader := bufio.NewReader(r.incoming.Body)
+	reader := bufio.NewReader(r.body())
 	var event []byte
 	for {
-		line, err := reader.ReadBytes('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			return &forward.IncompleteError{Cause: errEventTooLarge}
-		}
-		blank := len(bytes.TrimRight(line, "\r\n")) == 0
+		lineStart := len(event)
+		var err error
+		event, err = appendLine(event, reader)
+		blank := len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0
 		if err == nil && blank {
 			if err := r.deliverEvent(event, reader.Buffered() == 0); err != nil {
 				return err
@@ -46,6 +44,21 @@
 	}
 }
 
+// appendLine appends the next line of a stream to the event. The error is
+// errEventTooLarge if the event then exceeds maxEventBytes.
+func appendLine(event []byte, reader *bufio.Reader) ([]byte, error) {
+	for {
+		part, err := reader.ReadSlice('\n')
+		event = append(event, part...)
+		if len(event) > maxEventBytes {
+			return event, errEventTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return event, err
+		}
+	}
+}
+
 // deliverEvent sends one event to the caller and records its id. flush is false while
 // more data of the stream is already buffered.
 func (r *response) deliverEvent(event []byte, flush bool) error {
