engineapi, chat: bound the data of one event

An engine that sends data lines without the empty line that ends an event filled the memory of the host: 8 GB within 12 s in a test with a limit of that size.

Cause: only a single line was bounded. The data of an event now has the same limit as a line, 1 MiB for engines and the limit of the reader elsewhere.

--- a/protocol/chat/chat_test.go
+++ b/protocol/chat/chat_test.go
@@ -41,7 +41,8 @@
 }
 
 // Guards against event data that is changed by encoding and decoding, for example at
-// line feeds, and against returning an event whose end is missing as complete.
+// line feeds, against returning an event whose end is missing as complete, and against
+// an event that fills the memory with one long line or with many lines.
 func TestEventRoundTrip(t *testing.T) {
 	c := qt.New(t)
 	var stream []byte
@@ -59,4 +60,6 @@
 	c.Assert(err, qt.Equals, io.EOF)
 	_, err = chat.NewEventReader(strings.NewReader("data: "+strings.Repeat("x", 100)+"\n\n"), 64).Next()
 	c.Assert(err, qt.Equals, chat.ErrEventTooLong)
+	_, err = chat.NewEventReader(strings.NewReader(strings.Repeat("data: x\n", 100)+"\n"), 64).Next()
+	c.Assert(err, qt.Equals, chat.ErrEventTooLong)
 }
--- a/protocol/chat/event.go
+++ b/protocol/chat/event.go
@@ -13,9 +13,9 @@
 // EventStreamType is the media type of server-sent events.
 const EventStreamType = "text/event-stream"
 
-// ErrEventTooLong is returned by EventReader.Next for a line that is longer than the
-// limit given to NewEventReader.
-var ErrEventTooLong = errors.New("chat: line of the event stream too long")
+// ErrEventTooLong is returned by EventReader.Next for a line, or the data of an event,
+// that is longer than the limit given to NewEventReader.
+var ErrEventTooLong = errors.New("chat: event too long")
 
 // initialBufferBytes is the initial size of the line buffer of an EventReader.
 const initialBufferBytes = 4096
@@ -43,16 +43,18 @@
 // names, ids and comments. It must not be used by several goroutines at a time.
 type EventReader struct {
 	scanner *bufio.Scanner
+	// limit is the most bytes of data of one event.
+	limit int
 	// data is the data of the current event; each call of Next reuses it.
 	data []byte
 }
 
-// NewEventReader returns an EventReader that reads from r and accepts lines of up to
-// limit bytes.
+// NewEventReader returns an EventReader that reads from r and accepts lines, and data of
+// one event, of up to limit bytes.
 func NewEventReader(r io.Reader, limit int) *EventReader {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, 0, min(limit, initialBufferBytes)), limit)
-	return &EventReader{scanner: scanner}
+	return &EventReader{scanner: scanner, limit: limit}
 }
 
 // Next returns the data of the next event, which is valid until the next call. At the
@@ -77,6 +79,9 @@
 			r.data = append(r.data, '\n')
 		}
 		r.data = append(r.data, bytes.TrimPrefix(value, []byte(" "))...)
+		if len(r.data) > r.limit {
+			return nil, ErrEventTooLong
+		}
 		found = true
 	}
 	if err := r.scanner.Err(); errors.Is(err, bufio.ErrTooLong) {
--- a/protocol/engineapi/eventreader.go
+++ b/protocol/engineapi/eventreader.go
@@ -9,11 +9,15 @@
 	"strconv"
 )
 
-// maxLineBytes bounds one line of a stream.
-const maxLineBytes = 1 << 20
+// maxEventBytes bounds one line of a stream and the data of one event.
+const maxEventBytes = 1 << 20
 
-// errTruncatedEvent means that a stream ended within an event.
-var errTruncatedEvent = errors.New("stream ended within an event")
+var (
+	// errTruncatedEvent means that a stream ended within an event.
+	errTruncatedEvent = errors.New("stream ended within an event")
+	// errEventTooLarge means that the data of an event exceeds maxEventBytes.
+	errEventTooLarge = errors.New("event data exceeds the size limit of 1 MiB")
+)
 
 // An Event is one server-sent event of a streamed completion.
 type Event struct {
@@ -33,10 +37,11 @@
 	scanner *bufio.Scanner
 }
 
-// NewEventReader returns an EventReader that reads from r. Lines may have up to 1 MiB.
+// NewEventReader returns an EventReader that reads from r. Lines, and the data of one
+// event, may have up to 1 MiB.
 func NewEventReader(r io.Reader) *EventReader {
 	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLineBytes)
+	scanner.Buffer(nil, maxEventBytes)
 	return &EventReader{scanner: scanner}
 }
 
@@ -64,6 +69,9 @@
 				event.Data = append(event.Data, '\n')
 			}
 			event.Data = append(event.Data, value...)
+			if len(event.Data) > maxEventBytes {
+				return Event{}, errEventTooLarge
+			}
 			started = true
 		case "id":
 			position, err := strconv.Atoi(string(value))
