lease: make an accepted lease valid before its caller gets the reply

Cause: the reply was sent while the outcome was handled; the map that Valid reads was replaced only later in the same turn of the duty. It is now replaced before each reply, and a transferred lease stops being valid before its new holder is written. TestAcceptedLeaseIsValidWithTheReply fails before. 360 repeats of TestTransfer, six processes at a time with the race detector, pass.

--- a/coordination/lease/manager_test.go
+++ b/coordination/lease/manager_test.go
@@ -273,6 +273,32 @@
 	}
 }
 
+// TestAcceptedLeaseIsValidWithTheReply guards against a caller of AcceptTransfer that
+// gets its reply before the lease is valid.
+func TestAcceptedLeaseIsValidWithTheReply(t *testing.T) {
+	c := quicktest.New(t)
+	k := &Manager{Host: "b", Start: 7}
+	k.setup()
+	l := k.markWanted("e", 0)
+	k.pendingOperations++
+	record := Record{Holder: "b", Start: 7, Epoch: 2, DurationMilliseconds: k.Duration.Milliseconds(), WriteNumber: k.nextWriteNumber()}
+	// The channel has no room, so that nothing after the reply runs before the check.
+	reply := make(chan operationReply)
+	result := operationResult{
+		operation:   operation{name: "e", acceptedEpoch: 2, reply: reply},
+		lease:       l,
+		observation: &observation{record: table.Record{Key: Name("e").Key(), Version: 2, Value: record.encode()}, at: time.Now()},
+	}
+	valid := make(chan bool)
+	go func() {
+		r := <-reply
+		_, isValid := k.Valid("e")
+		valid <- isValid && r.err == nil
+	}()
+	result.handle(context.Background(), k)
+	c.Assert(<-valid, quicktest.IsTrue)
+}
+
 // TestExpiredLeaseIsRegainedWithItsEpoch guards against a new epoch, and so new
 // names for all instances, after an outage of the table in which no other host
 // took the lease.
--- a/coordination/lease/operation.go
+++ b/coordination/lease/operation.go
@@ -76,6 +76,7 @@
 	number := k.nextWriteNumber()
 	renewed := l.record
 	renewed.WriteNumber = number
+	k.publishValidLeases()
 	k.startWorker(l, func() operationResult {
 		r := operationResult{operation: o, lease: l}
 		r.observation, r.err = k.replaceRecord(ctx, o.name, version, transfer)
@@ -96,6 +97,7 @@
 func (k *Manager) startAccept(ctx context.Context, o operation) {
 	l := k.markWanted(o.name, 0)
 	if l.held && l.reportedEpoch == o.acceptedEpoch {
+		k.publishValidLeases()
 		o.reply <- operationReply{epoch: o.acceptedEpoch}
 		return
 	}
@@ -177,7 +179,10 @@
 		k.applyObservation(l, r.observation.record, r.observation.at, now)
 	}
 	l.nextAccess, k.publishPending = now, true
-	o.reply <- k.replyTo(o, l, epoch, r.err)
+	reply := k.replyTo(o, l, epoch, r.err)
+	// The caller may ask Valid as soon as it has the reply.
+	k.publishValidLeases()
+	o.reply <- reply
 }
 
 // replyTo returns the reply to an operation according to the record. epoch is the
