rpc: tell the end of a connection from a cancellation

A call to a restarted peer failed with "context canceled" and was not made again, and a demand whose owner had gone was reported as canceled by its caller.

Cause, traced: if the connection ends while a call waits for its reply, drpc returns context.Canceled in place of io.EOF, whether or not the context of the call has ended. ReplyConn now returns ErrConnectionEnded in this case; the client of peers makes idempotent calls again, and the client of operators, which had this distinction for itself, uses the same.

TestEndOfConnectionIsNoCancellation fails before.

--- a/transport/operator/client.go
+++ b/transport/operator/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"time"
 
@@ -66,7 +65,7 @@
 	if err != nil {
 		return none, &verdict.Error{
 			Verdict: lostVerdict, Code: verdict.CodeHostUnreachable, Message: "answer of the entry host at " + c.Address + " was lost",
-			Cause: lossCause(ctx, err),
+			Cause: err,
 		}
 	}
 	if failure := reply.GetFailure(); failure != nil {
@@ -75,18 +74,6 @@
 	return reply, nil
 }
 
-// errConnectionEnded replaces the error context.Canceled that drpc returns when a
-// connection has ended.
-var errConnectionEnded = errors.New("the connection ended")
-
-// lossCause returns the reason why a reply did not arrive.
-func lossCause(ctx context.Context, err error) error {
-	if ctx.Err() == nil && errors.Is(err, context.Canceled) {
-		return errConnectionEnded
-	}
-	return err
-}
-
 // Change applies an edit to the configuration. After an error with verdict MayHaveRun,
 // the same request can be sent again to learn its outcome.
 func (c *Client) Change(ctx context.Context, request operation.EditRequest) (operation.EditResult, error) {
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -409,6 +409,6 @@
 
 // isConnectionClosed reports whether a call failed because its connection had ended.
 func isConnectionClosed(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) ||
+	return errors.Is(err, rpc.ErrConnectionEnded) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) ||
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || drpc.ClosedError.Has(err)
 }
--- a/transport/rpc/replyconn_test.go
+++ b/transport/rpc/replyconn_test.go
@@ -9,12 +9,13 @@
 	"storj.io/drpc"
 )
 
-// A closingConnection is a drpc connection whose calls fail with errEnded. If replies
-// is true, a reply is decoded before.
+// A closingConnection is a drpc connection whose calls fail with the given error. If
+// replies is true, a reply is decoded before.
 type closingConnection struct {
 	drpc.Conn
 
 	replies bool
+	err     error
 }
 
 var errEnded = errors.New("connection ended")
@@ -25,7 +26,7 @@
 			return err
 		}
 	}
-	return errEnded
+	return c.err
 }
 
 // A textEncoding decodes into a string and returns err from Unmarshal.
@@ -55,8 +56,20 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var reply string
-			err := ReplyConn{closingConnection{replies: test.replies}}.Invoke(context.Background(), "call", test.encoding, nil, &reply)
+			err := ReplyConn{closingConnection{replies: test.replies, err: errEnded}}.Invoke(context.Background(), "call", test.encoding, nil, &reply)
 			qt.Check(t, errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
 		})
 	}
 }
+
+// TestEndOfConnectionIsNoCancellation guards against a call that is taken for canceled
+// by its caller, and therefore not made again, although its connection ended.
+func TestEndOfConnectionIsNoCancellation(t *testing.T) {
+	connection := ReplyConn{closingConnection{err: context.Canceled}}
+	err := connection.Invoke(context.Background(), "call", textEncoding{}, nil, nil)
+	qt.Check(t, err, qt.ErrorIs, ErrConnectionEnded)
+	qt.Check(t, errors.Is(err, context.Canceled), qt.IsFalse)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	qt.Check(t, connection.Invoke(ctx, "call", textEncoding{}, nil, nil), qt.ErrorIs, context.Canceled)
+}
