--- a/coordination/watch/cache.go
+++ b/coordination/watch/cache.go
@@ -240,7 +240,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case a := <-w.arrivals.Messages():
-			w.apply(a, time.Now())
+			if !w.apply(a, time.Now()) {
+				continue
+			}
 		case <-timer.C:
 			w.logChanges(w.publish())
 		}
@@ -248,17 +250,17 @@
 	}
 }
 
-// apply applies the rows that are newer than the known ones. Rows may arrive
-// twice and out of order, because the store and several hosts send them.
-func (w *Cache) apply(a arrival, now time.Time) {
+// apply applies the rows that are newer than the known ones and reports whether there
+// were any. Rows may arrive twice and out of order, because the store and several
+// hosts send them.
+func (w *Cache) apply(a arrival, now time.Time) (changed bool) {
 	changes := a.changes
 	w.mutex.Lock()
 	c := w.tables[changes.Table]
 	if c == nil || changes.FullTable && changes.CompleteThrough < c.completeThrough {
 		w.mutex.Unlock()
-		return
+		return false
 	}
-	changed := false
 	listed := make(map[string]bool, len(changes.Rows))
 	for _, row := range changes.Rows {
 		listed[row.Key] = true
@@ -292,6 +294,7 @@
 	if allRead && w.View().Desired != nil && !w.isSynced.Swap(true) {
 		close(w.synced)
 	}
+	return changed
 }
 
 // applyRow stores a row that is newer than the known one and reports whether it
@@ -326,8 +329,8 @@
 }
 
 // dropTombstones deletes tombstones past their retention time and returns the
-// time until the next grace period of an expired server ends, or an hour if there
-// is none.
+// time until the next grace period of an expired server or the next retention time
+// ends, or an hour if there is none.
 func (w *Cache) dropTombstones(now time.Time) time.Duration {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -340,10 +343,13 @@
 			if !e.usableUntil.IsZero() && now.Before(e.usableUntil) {
 				wait = min(wait, e.usableUntil.Sub(now))
 			}
-			if now.Sub(e.deletedAt) > tombstoneRetentionTime {
-				c.tombstonesDroppedThrough = max(c.tombstonesDroppedThrough, e.row.Position)
-				delete(c.rows, key)
+			retention := tombstoneRetentionTime - now.Sub(e.deletedAt)
+			if retention > 0 {
+				wait = min(wait, retention)
+				continue
 			}
+			c.tombstonesDroppedThrough = max(c.tombstonesDroppedThrough, e.row.Position)
+			delete(c.rows, key)
 		}
 	}
 	return max(wait, time.Millisecond)
--- a/coordination/watch/cache_test.go
+++ b/coordination/watch/cache_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"runtime"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,6 +93,26 @@
 	})
 }
 
+// BenchmarkReplyWithoutChanges measures what a reply without changes costs a host that
+// knows 12,000 servers. A host gets about ten such changes a second.
+func BenchmarkReplyWithoutChanges(b *testing.B) {
+	w := newTestCache()
+	servers := site.Changes{Table: "servers", FullTable: true, CompleteThrough: 1}
+	for i := range 12_000 {
+		servers.Rows = append(servers.Rows, site.Row{Key: strconv.Itoa(i), Value: []byte("ready"), Position: 1})
+	}
+	w.Enqueue(servers, StoreSource)
+	ctx, cancel := context.WithCancel(context.Background())
+	go w.Run(ctx)
+	for b.Loop() {
+		for !w.Enqueue(site.Changes{Table: "servers", CompleteThrough: 1}, StoreSource) {
+			runtime.Gosched()
+		}
+	}
+	cancel()
+	_ = w.Close()
+}
+
 // TestFollowerLearnsAgeOfUnchangedTables guards against a host that takes a table
 // for stale, or for fresh, because the reply of an owner only lists tables with
 // changes.
