watch: split the state of a table and the log of a view from the cache

The rows of one table with their positions and ages go to tablestate.go, the log of differences between views to viewlog.go. No behaviour changes; the tests of the package pass.

--- a/coordination/watch/cache.go
+++ b/coordination/watch/cache.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,10 +28,6 @@
 	// postOutageWindow is the time after an outage of the store during which the
 	// deletion of a server's row counts as its expiry.
 	postOutageWindow = 3 * time.Second
-	// tombstoneRetentionTime is how long deleted rows are kept for the hosts that
-	// follow this one. A host whose position is older than a dropped tombstone gets
-	// the whole table.
-	tombstoneRetentionTime = time.Minute
 )
 
 // A Decoder decodes the rows of the platform's tables.
@@ -95,32 +90,6 @@
 // StoreSource is the source of changes that this host read from the store itself.
 const StoreSource = "store"
 
-// A tableState holds the known rows of one table, including tombstones.
-type tableState struct {
-	// confirmedAt is the latest time at which the store is known to have confirmed
-	// that there were no changes after completeThrough, in its reply to this host or
-	// to the host that sent the changes.
-	confirmedAt time.Time
-	// completeThrough is the position up to which all changes are known.
-	completeThrough site.Position
-	rows            map[string]*rowEntry
-	// wasFullyRead means that the whole table was received at least once.
-	wasFullyRead bool
-	// tombstonesDroppedThrough is the highest position of a dropped tombstone.
-	tombstonesDroppedThrough site.Position
-}
-
-// A rowEntry is a row with its decoded value.
-type rowEntry struct {
-	row     site.Row
-	decoded DecodedRow
-	// usableUntil is the end of the grace period of a server whose row expired
-	// around an outage of the store. It is zero for all other rows.
-	usableUntil time.Time
-	// deletedAt is when the deletion was applied here.
-	deletedAt time.Time
-}
-
 func (w *Cache) prepare() {
 	w.once.Do(func() {
 		w.started = time.Now()
@@ -216,18 +185,9 @@
 	}
 	var all []site.Changes
 	for name, c := range w.tables {
-		after, completeThrough := positions[name], c.completeThrough
-		if !c.wasFullyRead {
-			continue
-		}
-		changes := site.Changes{Table: name, CompleteThrough: completeThrough, Age: time.Since(c.confirmedAt)}
-		changes.FullTable = completeThrough > after && (after < c.tombstonesDroppedThrough || after == 0)
-		for _, e := range c.rows {
-			if e.row.Position > after && (!changes.FullTable || !e.row.Deleted) {
-				changes.Rows = append(changes.Rows, e.row)
-			}
+		if c.wasFullyRead {
+			all = append(all, c.changesSince(name, positions[name]))
 		}
-		all = append(all, changes)
 	}
 	return all
 }
@@ -261,26 +221,17 @@
 		w.mutex.Unlock()
 		return false
 	}
-	listed := make(map[string]bool, len(changes.Rows))
 	for _, row := range changes.Rows {
-		listed[row.Key] = true
 		changed = w.applyRow(c, changes.Table, row, now) || changed
 	}
 	if changes.FullTable {
-		for key, e := range c.rows {
-			if !listed[key] && !e.row.Deleted && e.row.Position <= changes.CompleteThrough {
-				deletion := site.Row{Key: key, Position: max(e.row.Position+1, c.completeThrough), Deleted: true}
-				changed = w.applyRow(c, changes.Table, deletion, now) || changed
-			}
+		for _, deletion := range c.deletionsIn(changes) {
+			changed = w.applyRow(c, changes.Table, deletion, now) || changed
 		}
 		c.wasFullyRead = true
 	}
 	age := now.Sub(c.confirmedAt)
-	// A source that is behind the known rows does not confirm them.
-	if changes.CompleteThrough >= c.completeThrough && a.confirmedAt.After(c.confirmedAt) {
-		c.confirmedAt = a.confirmedAt
-	}
-	c.completeThrough = max(c.completeThrough, changes.CompleteThrough)
+	c.confirm(changes.CompleteThrough, a.confirmedAt)
 	allRead := true
 	for _, table := range w.tables {
 		allRead = allRead && table.completeThrough > 0
@@ -328,29 +279,15 @@
 	return true
 }
 
-// dropTombstones deletes tombstones past their retention time and returns the
-// time until the next grace period of an expired server or the next retention time
-// ends, or an hour if there is none.
+// dropTombstones deletes tombstones past their retention time and returns the time
+// until the next grace period of an expired server or the next retention time ends, or
+// an hour if there is none.
 func (w *Cache) dropTombstones(now time.Time) time.Duration {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	wait := time.Hour
 	for _, c := range w.tables {
-		for key, e := range c.rows {
-			if !e.row.Deleted {
-				continue
-			}
-			if !e.usableUntil.IsZero() && now.Before(e.usableUntil) {
-				wait = min(wait, e.usableUntil.Sub(now))
-			}
-			retention := tombstoneRetentionTime - now.Sub(e.deletedAt)
-			if retention > 0 {
-				wait = min(wait, retention)
-				continue
-			}
-			c.tombstonesDroppedThrough = max(c.tombstonesDroppedThrough, e.row.Position)
-			delete(c.rows, key)
-		}
+		wait = min(wait, c.dropTombstones(now))
 	}
 	return max(wait, time.Millisecond)
 }
@@ -396,38 +333,3 @@
 		view.Versions[decoded.Adapter] = decoded.Version
 	}
 }
-
-// logDesired logs a new desired state, the host it came from and how old the table
-// had become before it came.
-func (w *Cache) logDesired(before, next *site.View, source string, age time.Duration) {
-	if next.Desired == nil || before.Desired != nil && before.Desired.Version == next.Desired.Version {
-		return
-	}
-	w.Log.Info().Int64("version", next.Desired.Version).Int("routes", len(next.Desired.Routes)).
-		Str("source", source).Dur("table-age", age).Msg("desired state in force")
-}
-
-// logChanges logs how the servers, owners and adapter versions of two successive
-// views differ.
-func (w *Cache) logChanges(before, next *site.View) {
-	for id, server := range next.Servers {
-		known := before.Servers[id]
-		if known == nil || known.State != server.State || known.StartUnixMilli != server.StartUnixMilli {
-			w.Log.Info().Str("server", string(id)).Str("service", string(server.Service)).
-				Str("state", string(server.State)).Int64("born", server.StartUnixMilli).Msg("server announced")
-		}
-	}
-	for id := range before.Servers {
-		if next.Servers[id] == nil {
-			w.Log.Info().Str("server", string(id)).Msg("server is gone")
-		}
-	}
-	for zone, host := range next.Owners {
-		if known := before.Owners[zone]; known == nil || known.Name != host.Name || known.Start != host.Start {
-			w.Log.Info().Str("zone", zone).Str("owner", host.Name).Uint64("epoch", host.OwnedZones[zone]).Msg("zone has a new owner")
-		}
-	}
-	if len(before.Versions) != len(next.Versions) || !maps.Equal(before.Versions, next.Versions) {
-		w.Log.Info().Int("declared", len(next.Versions)).Msg("adapter versions changed")
-	}
-}
