watch, backend: name how long a table stays current; file of its own for a connection

The reader asks for the time until a table is outdated instead of a pair of results. pooledConn moves to a file of its own, with its limit on the header beside it.

--- a/coordination/watch/storereader.go
+++ b/coordination/watch/storereader.go
@@ -117,8 +117,7 @@
 	if table == r.LargeTable && r.Cache.Position(table) == 0 && !r.IsZoneOwner() && !r.storeInRegion.Load() && time.Since(r.started) < ownerReplyWindow {
 		return false
 	}
-	outdated, _ := r.Cache.isOutdated(table)
-	return outdated || r.IsZoneOwner() || !r.Cache.HasSynced()
+	return r.Cache.timeUntilOutdated(table) <= 0 || r.IsZoneOwner() || !r.Cache.HasSynced()
 }
 
 // isReadDue reports whether to read the table now. During an outage only
@@ -139,7 +138,7 @@
 	if table == r.LargeTable && r.Cache.Position(table) == 0 {
 		return largeTableCheckInterval
 	}
-	if outdated, remaining := r.Cache.isOutdated(table); !outdated {
+	if remaining := r.Cache.timeUntilOutdated(table); remaining > 0 {
 		return min(remaining, idleCheckInterval)
 	}
 	return idleCheckInterval
@@ -217,7 +216,7 @@
 func (r *StoreReader) watchWait(table site.Table) time.Duration {
 	switch {
 	case r.storeLost.Load():
-		// The other tables wait for the reply.
+		// All tables that have to be read wait for this reply.
 		return 0
 	case !r.IsZoneOwner():
 		return watchWait
--- a/coordination/watch/tableage.go
+++ b/coordination/watch/tableage.go
@@ -50,15 +50,13 @@
 	return age
 }
 
-// isOutdated reports whether a host that owns no zone has to read the table itself,
-// and otherwise the time until it has to.
-func (w *Cache) isOutdated(table site.Table) (outdated bool, remaining time.Duration) {
-	limit := maxTableAge
+// timeUntilOutdated returns the time until a host that owns no zone has to read the
+// table itself. It is 0 or less if the host has to read it now.
+func (w *Cache) timeUntilOutdated(table site.Table) time.Duration {
 	if table == w.SlowTable {
-		limit = maxSlowTableAge
+		return maxSlowTableAge - w.TableAge(table)
 	}
-	remaining = limit - w.TableAge(table)
-	return remaining <= 0, remaining
+	return maxTableAge - w.TableAge(table)
 }
 
 // isStaleOwner reports whether an owner is stale whose tables have the given ages. A
--- a/transport/backend/connectionpool.go
+++ b/transport/backend/connectionpool.go
@@ -1,14 +1,11 @@
 package backend
 
 import (
-	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -30,8 +27,6 @@
 	// for how long, so that its connection can be used again.
 	maxDiscardBytes = 16 << 10
 	discardTimeout  = 50 * time.Millisecond
-	// readBufferBytes is the size of the read buffer of a connection.
-	readBufferBytes = 4 << 10
 	// maxResponsesPerRequest is the most responses that are read for one request: those
 	// with status 1xx and the final one.
 	maxResponsesPerRequest = 8
@@ -50,40 +45,6 @@
 	lastSweep time.Time
 }
 
-// A pooledConn is a connection to a server. It belongs to one request or, while unused,
-// to the pool.
-type pooledConn struct {
-	net.Conn
-	address string
-	// reader reads from Read of this connection.
-	reader *bufio.Reader
-	// headerBytesLeft is how much more may be read for the header of a response.
-	// It does not apply unless readsHeader is set.
-	headerBytesLeft int
-	readsHeader     bool
-	// expiresAt is when the pool stops using the connection, because the server may close
-	// it.
-	expiresAt time.Time
-}
-
-// errHeaderTooLarge means that the header of a response is larger than
-// maxResponseHeaderBytes.
-var errHeaderTooLarge = errors.New("response header exceeds the size limit of 64 KiB")
-
-// Read reads from the server. While the header of a response is read, it returns
-// errHeaderTooLarge at the limit, because net/http sets none.
-func (c *pooledConn) Read(buffer []byte) (int, error) {
-	if !c.readsHeader {
-		return c.Conn.Read(buffer)
-	}
-	if c.headerBytesLeft <= 0 {
-		return 0, errHeaderTooLarge
-	}
-	n, err := c.Conn.Read(buffer[:min(len(buffer), c.headerBytesLeft)])
-	c.headerBytesLeft -= n
-	return n, err
-}
-
 // A RawRequest is a request whose target and header are written as they are given.
 type RawRequest struct {
 	// Address is the HOST:PORT that is dialed.
@@ -140,7 +101,7 @@
 		if conn == nil {
 			break
 		}
-		if time.Now().Before(conn.expiresAt) && hasNoInput(conn.Conn) {
+		if time.Now().Before(conn.expiresAt) && conn.hasNoInput() {
 			_ = conn.SetDeadline(time.Time{})
 			return conn, nil
 		}
@@ -151,9 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &pooledConn{Conn: raw, address: out.Address}
-	conn.reader = bufio.NewReaderSize(conn, readBufferBytes)
-	return conn, nil
+	return newPooledConn(raw, out.Address), nil
 }
 
 // popIdle removes the most recently used idle connection to the address and returns it,
@@ -236,24 +195,3 @@
 	}
 	return nil
 }
-
-// hasNoInput reports whether nothing has arrived on an unused connection: neither its
-// end nor bytes that belong to no request. It does not consume input.
-func hasNoInput(conn net.Conn) bool {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	clean := false
-	err = control.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		clean = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && clean
-}
--- /dev/null
+++ b/transport/backend/pooledconn.go
@@ -0,0 +1,84 @@
+package backend
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+// readBufferBytes is the size of the read buffer of a connection.
+const readBufferBytes = 4 << 10
+
+// errHeaderTooLarge means that the header of a response is larger than
+// maxResponseHeaderBytes.
+var errHeaderTooLarge = errors.New("response header exceeds the size limit of 64 KiB")
+
+// A pooledConn is a connection to a server. It belongs to one request or, while unused,
+// to the pool.
+type pooledConn struct {
+	net.Conn
+	address string
+	// reader reads from Read of this connection.
+	reader *bufio.Reader
+	// headerBytesLeft is how much more may be read for the header of a response.
+	// It does not apply unless readsHeader is set.
+	headerBytesLeft int
+	readsHeader     bool
+	// expiresAt is when the pool stops using the connection, because the server may close
+	// it.
+	expiresAt time.Time
+}
+
+// newPooledConn returns a pooledConn for an open connection to the address.
+func newPooledConn(conn net.Conn, address string) *pooledConn {
+	c := &pooledConn{Conn: conn, address: address}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c
+}
+
+// startHeader limits what is read until endHeader to maxResponseHeaderBytes.
+func (c *pooledConn) startHeader() {
+	c.headerBytesLeft, c.readsHeader = maxResponseHeaderBytes, true
+}
+
+// endHeader ends the limit that startHeader set.
+func (c *pooledConn) endHeader() {
+	c.readsHeader = false
+}
+
+// Read reads from the server. While the header of a response is read, it returns
+// errHeaderTooLarge at the limit, because net/http sets none.
+func (c *pooledConn) Read(buffer []byte) (int, error) {
+	if !c.readsHeader {
+		return c.Conn.Read(buffer)
+	}
+	if c.headerBytesLeft <= 0 {
+		return 0, errHeaderTooLarge
+	}
+	n, err := c.Conn.Read(buffer[:min(len(buffer), c.headerBytesLeft)])
+	c.headerBytesLeft -= n
+	return n, err
+}
+
+// hasNoInput reports whether nothing has arrived on an unused connection: neither its
+// end nor bytes that belong to no request. It does not consume input.
+func (c *pooledConn) hasNoInput() bool {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	clean := false
+	err = control.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		clean = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && clean
+}
--- a/transport/backend/rawresponse.go
+++ b/transport/backend/rawresponse.go
@@ -35,8 +35,8 @@
 // readHead reads the header of the final response and skips informational responses.
 // All of them together have at most maxResponseHeaderBytes.
 func readHead(conn *pooledConn, method string) (*http.Response, error) {
-	conn.headerBytesLeft, conn.readsHeader = maxResponseHeaderBytes, true
-	defer func() { conn.readsHeader = false }()
+	conn.startHeader()
+	defer conn.endHeader()
 	for range maxResponsesPerRequest {
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		if err != nil {
