standin: send the first half of a stream before its connection is lost

TestResume/closed failed in 3 of 100 repeats, ten processes at a time: the request had run twice.

Cause: the stand-in engine closes the connection in the middle of a stream without a flush. Beside load it had written all chunks of the first half in one turn, so that none of them reached the host; the host then rightly began at the first chunk, which is a second run of a repeatable request. The stand-in now flushes the first half before it closes the connection or falls silent. 300 repeats of the same kind pass.

--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -150,10 +150,11 @@
 		}
 		chunks := current.chunks
 		for ; position < len(chunks); position++ {
-			if position == middle && planned.closeInStream {
-				panic(http.ErrAbortHandler)
-			}
-			if position == middle && planned.silentInStream {
+			if position == middle && (planned.closeInStream || planned.silentInStream) {
+				// The chunks before the middle reach the caller.
+				if control.Flush() != nil || planned.closeInStream {
+					panic(http.ErrAbortHandler)
+				}
 				<-r.Context().Done()
 				return
 			}
