watch: run the tests with a slow table, as hosts do

The test cache had no SlowTable, so that the longer wait and age of the registrations ran only on the bench. The tests of the package pass with it, five repeats with the race detector. A comment says what unknownAge is.

--- a/coordination/watch/follower_test.go
+++ b/coordination/watch/follower_test.go
@@ -35,7 +35,7 @@
 }
 
 func newTestCache() *Cache {
-	return &Cache{Decoder: testDecoder{}, Tables: []site.Table{"op", "hosts", "servers"}, Log: zerolog.Nop()}
+	return &Cache{Decoder: testDecoder{}, Tables: []site.Table{"op", "hosts", "servers"}, SlowTable: "hosts", Log: zerolog.Nop()}
 }
 
 // fakePeers answers follow requests for all owners. An owner replies that its tables
--- a/coordination/watch/tableage.go
+++ b/coordination/watch/tableage.go
@@ -25,7 +25,8 @@
 	// as stale. maxOwnerSlowTableAge is the same for SlowTable.
 	maxOwnerTableAge     = 1400 * time.Millisecond
 	maxOwnerSlowTableAge = 4 * time.Second
-	// unknownAge is at most the age of a table that the store never confirmed.
+	// unknownAge is the age that a table has at the start, before the store confirmed
+	// it.
 	unknownAge = time.Hour
 )
 
