forward, front: log the prompt parts and events of interrupted requests

The logs could not tell which request was on an engine when it ended, nor whether its answer had begun. The lines "send failed" and "answer broke off" now name the shared parts of the prompt, the sends so far and the events that the caller has received.

--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -25,6 +25,9 @@
 	Adapter site.Adapter
 	// PromptTokens is the length of the prompt, or 0 if it is unknown.
 	PromptTokens int
+	// PromptParts are the ids of those parts of the prompt that other requests may
+	// share, in their order.
+	PromptParts []string
 	// Arrived is when the request was read. MaxWait is how long the client waits
 	// from then on, or 0 if it did not say.
 	Arrived time.Time
@@ -77,6 +80,9 @@
 	// ResponseStarted reports whether the client has received any part of a
 	// response.
 	ResponseStarted() bool
+	// EventsDelivered returns the number of events of a stream that the client has
+	// received, over all sends.
+	EventsDelivered() int
 }
 
 // An IncompleteError means that a response ended before it was complete.
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -63,6 +63,7 @@
 func (r *fakeSystem) Prefetch(*site.Server, site.PlaceRequest)                    {}
 func (r *fakeSystem) CountRequest(string)                                         {}
 func (r *fakeSystem) ResponseStarted() bool                                       { return false }
+func (r *fakeSystem) EventsDelivered() int                                        { return 0 }
 func (r *fakeSystem) AllowRetry(string) bool                                      { r.retriesLeft--; return r.retriesLeft >= 0 }
 func (r *fakeSystem) RecordRequest(*site.Route, site.ServiceName, time.Time, int, time.Duration, *verdict.Error) {
 }
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -61,7 +61,7 @@
 		f.Balancer.RecordFailure(server)
 		p.tried = append(p.tried, server.ID)
 		f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Str("verdict", string(failure.Verdict)).
-			Err(failure).Msg("send failed")
+			Strs("prompt-parts", p.request.PromptParts).Int("sends", p.sends).Int("events", p.client.EventsDelivered()).Err(failure).Msg("send failed")
 	}
 	return failure
 }
@@ -99,6 +99,7 @@
 		f.Balancer.RecordFailure(server)
 		p.tried = append(p.tried, server.ID)
 	}
-	f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Err(err).Msg("answer broke off")
+	f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Strs("prompt-parts", p.request.PromptParts).
+		Int("sends", p.sends).Int("events", p.client.EventsDelivered()).Err(err).Msg("answer broke off")
 	return verdict.NewMayHaveRun(verdict.CodeIncomplete, err, "response of server %s ended early", server.ID)
 }
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -32,11 +32,16 @@
 	// lastEventID is the id of the last event that was sent to the caller. A server
 	// that resumes the stream continues after it.
 	lastEventID string
+	// eventsDelivered is the number of events that were sent to the caller.
+	eventsDelivered int
 }
 
 // ResponseStarted reports whether the caller has got a part of a response.
 func (e *exchange) ResponseStarted() bool { return e.responseStarted }
 
+// EventsDelivered returns the number of events that were sent to the caller.
+func (e *exchange) EventsDelivered() int { return e.eventsDelivered }
+
 // Send forwards the request to a server once and reads the status and headers of
 // the response. The error is a *verdict.Error; its verdict is NotRun if certainly no
 // byte of the request was written. A response with another attempt id belongs to another
@@ -116,7 +121,7 @@
 func mustForward(name string) bool {
 	switch name {
 	case textproto.CanonicalMIMEHeaderKey(platform.HeaderAttemptID), textproto.CanonicalMIMEHeaderKey(platform.HeaderModel),
-		textproto.CanonicalMIMEHeaderKey(platform.HeaderTokenCounts), "X-Prompt-Prefix":
+		textproto.CanonicalMIMEHeaderKey(platform.HeaderTokenCounts), textproto.CanonicalMIMEHeaderKey(platform.HeaderPromptPrefix):
 		return true
 	}
 	return false
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -39,6 +39,7 @@
 		Arrived:   arrived,
 	}
 	request.PromptTokens = platform.DecodePromptTokens(r.Header.Get(platform.HeaderTokenCounts))
+	request.PromptParts = platform.DecodeSharedPromptParts(r.Header.Get(platform.HeaderPromptPrefix))
 	if text := r.Header.Get(platform.HeaderRemainingTime); text != "" {
 		milliseconds, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || milliseconds < 0 {
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -66,6 +66,7 @@
 		if err := r.write(event); err != nil {
 			return err
 		}
+		r.exchange.eventsDelivered++
 		if id, ok := eventID(event); ok {
 			r.exchange.lastEventID = id
 		}
