--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -120,6 +120,16 @@
 // testIdleTimeout is the idle timeout in the desired state of the tests.
 const testIdleTimeout = 300 * time.Millisecond
 
+// startFronts starts hosts of one site in front of the same backend servers and returns
+// their addresses.
+func startFronts(c *quicktest.C, count int, servers ...*backendServer) []string {
+	var addresses []string
+	for range count {
+		addresses = append(addresses, startFront(c, syncedViews(), servers...))
+	}
+	return addresses
+}
+
 // startFront starts a Server that forwards to the given backend servers and returns
 // its address. Each prefix of the desired state stands for one kind of route.
 func startFront(c *quicktest.C, views *fixedViews, servers ...*backendServer) string {
