quarantine: refuse prompts that crash engines

Cause: no host remembered which requests were on an engine when it ended, so each such request was sent, at times to two engines.

Each host now records the prompt parts of requests that were interrupted before their answers had begun, if the engine's port then refuses connections, and of the requests whose answers have begun. Hosts exchange this evidence with two others at a time and decide alike: parts under which three engines ended, not all at the same moment, are refused at once, unless an answer has begun on them since. The narrowest set of parts that explains the ends is refused, so that sound requests with the other parts pass.

--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -64,13 +64,19 @@
 // Exactly one of Deliver and Discard is called.
 type Response interface {
 	Head() ResponseHead
-	// Deliver passes the response on to the client. Its error is an
-	// *IncompleteError.
-	Deliver(ctx context.Context) error
+	// Deliver passes the response on to the client and tells the observer of each
+	// event of a stream. Its error is an *IncompleteError.
+	Deliver(ctx context.Context, observer DeliveryObserver) error
 	// Discard drops the response.
 	Discard()
 }
 
+// A DeliveryObserver is told of what the client of a request has received.
+type DeliveryObserver interface {
+	// EventDelivered is called after each event of a stream.
+	EventDelivered()
+}
+
 // An Exchange connects one client request with the servers it is sent to. Only
 // the request's goroutine uses it.
 type Exchange interface {
@@ -80,9 +86,6 @@
 	// ResponseStarted reports whether the client has received any part of a
 	// response.
 	ResponseStarted() bool
-	// EventsDelivered returns the number of events of a stream that the client has
-	// received, over all sends.
-	EventsDelivered() int
 }
 
 // An IncompleteError means that a response ended before it was complete.
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -59,6 +59,14 @@
 	AllowRetry(service string) bool
 }
 
+// Quarantine knows the parts of prompts that crash servers. Its methods are described at
+// quarantine.Quarantine.
+type Quarantine interface {
+	BlockedFor(service site.ServiceName, parts []string) time.Duration
+	RecordInterruption(ctx context.Context, server *site.Server, parts []string)
+	RecordSound(service site.ServiceName, parts []string)
+}
+
 const (
 	// unavailableRetryDelay is the time after which a client should retry at a
 	// host that has not received a desired state yet.
@@ -104,6 +112,7 @@
 	Balancer    Balancer
 	Placer      Placer
 	RetryBudget RetryBudget
+	Quarantine  Quarantine
 	Recorder    Recorder
 	Log         zerolog.Logger
 }
@@ -124,7 +133,7 @@
 	if route == nil || len(route.WeightedServices) == 0 {
 		return verdict.NewNotRun(verdict.CodeUnknownName, "no route for %s%s", request.Host, request.Path)
 	}
-	p := &progress{request: request, client: client, route: route, service: pickWeightedService(route)}
+	p := &progress{request: request, client: client, route: route, service: pickWeightedService(route), quarantine: f.Quarantine}
 	limit := route.Timeout
 	if request.MaxWait > 0 && request.MaxWait < limit {
 		limit = request.MaxWait
@@ -214,7 +223,7 @@
 		if failure.Verdict != verdict.NotRun {
 			p.mayHaveRun = true
 		}
-		if ctx.Err() != nil || !f.mayRetry(p) {
+		if ctx.Err() != nil || failure.Code == verdict.CodePromptBlocked || !f.mayRetry(p) {
 			return f.finalFailure(ctx, p, failure)
 		}
 		if p.sends > sends && !f.RetryBudget.AllowRetry(string(p.service)) {
@@ -257,6 +266,9 @@
 // attemptOnce chooses a server, has the adapter loaded there and sends the request
 // once.
 func (f *Forwarder) attemptOnce(ctx context.Context, p *progress) *verdict.Error {
+	if failure := f.checkQuarantine(p); failure != nil {
+		return failure
+	}
 	view := f.Views.View()
 	version := view.Versions[p.request.Adapter]
 	p.waitingFor, p.server = waitingForServer, ""
@@ -282,12 +294,25 @@
 		if failure := f.recheckAfterWait(ctx, p, pick.Server); failure != nil {
 			return failure
 		}
+		if failure := f.checkQuarantine(p); failure != nil {
+			return failure
+		}
 	}
 	forwarded = true
 	f.Balancer.RecordForward(pick.Server, want.Adapter)
 	return f.send(ctx, p, pick.Server, want)
 }
 
+// checkQuarantine refuses a request with prompt parts that crash servers. The caller is
+// told when the block ends, because the request fails at any host until then.
+func (f *Forwarder) checkQuarantine(p *progress) *verdict.Error {
+	blockedFor := f.Quarantine.BlockedFor(p.service, p.request.PromptParts)
+	if blockedFor <= 0 {
+		return nil
+	}
+	return newRefusal(verdict.CodePromptBlocked, blockedFor, "servers ended under requests with these parts of the prompt")
+}
+
 // recheckAfterWait checks, after a wait, that the caller is still there and that
 // the engine is the same instance and takes requests.
 func (f *Forwarder) recheckAfterWait(ctx context.Context, p *progress, server *site.Server) *verdict.Error {
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -47,4 +47,29 @@
 	refusedPlacements int
 	// mayHaveRun means that an earlier send may have been executed by its server.
 	mayHaveRun bool
+	quarantine Quarantine
+	// events is the number of events of a stream that the client has received, over all
+	// sends. answerBegun means that the request is known not to crash its server.
+	events      int
+	answerBegun bool
+}
+
+// begunEvents is the number of events from which an answer counts as begun. A server that
+// ends at the first one may have ended because of the request.
+const begunEvents = 2
+
+// EventDelivered counts an event of a stream that the client has received.
+func (p *progress) EventDelivered() {
+	p.events++
+	if p.events >= begunEvents {
+		p.recordBegun()
+	}
+}
+
+// recordBegun records once that the answer has begun.
+func (p *progress) recordBegun() {
+	if !p.answerBegun {
+		p.answerBegun = true
+		p.quarantine.RecordSound(p.service, p.request.PromptParts)
+	}
 }
--- /dev/null
+++ b/internal/coordination/quarantine/quarantine.go
@@ -0,0 +1,306 @@
+// Package quarantine finds the parts of prompts that crash engines and blocks the
+// requests that have them. All hosts of a site exchange what they have seen, so that
+// each blocks the same requests.
+package quarantine
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/coordination/duty"
+	"github.com/persimmonmux/persimmonmux/coordination/ring"
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+// EngineProber checks engines that have closed a connection.
+type EngineProber interface {
+	// HasEnded reports whether certainly no process listens at the address. It returns
+	// false if ctx ends first.
+	HasEnded(ctx context.Context, address string) bool
+}
+
+// Peers sends reports to other hosts.
+type Peers interface {
+	// ExchangeQuarantine sends the report to the host at the address and returns the
+	// report of that host.
+	ExchangeQuarantine(ctx context.Context, address string, report site.QuarantineReport) (site.QuarantineReport, error)
+}
+
+// ViewSource returns the newest view of the site.
+type ViewSource interface {
+	View() *site.View
+}
+
+const (
+	// messageCapacity is the number of messages that may wait for the duty. A message
+	// that does not fit is dropped; its request is then no evidence.
+	messageCapacity = 1024
+	// probeTimeout bounds the check whether an engine has ended. The request that was
+	// interrupted waits for it.
+	probeTimeout = 100 * time.Millisecond
+)
+
+// A Quarantine is the duty that collects the evidence and decides on the blocks. Its
+// exported fields are set before Run.
+type Quarantine struct {
+	// Self is the name of this host.
+	Self   string
+	Views  ViewSource
+	Prober EngineProber
+	// Peers is nil for a host without others.
+	Peers Peers
+	Log   zerolog.Logger
+
+	lifecycle duty.Lifecycle
+	once      sync.Once
+	messages  *ring.Ring[message]
+	// published is what other goroutines read of the evidence. It is replaced on each
+	// change and never modified.
+	published atomic.Pointer[snapshot]
+	// The fields below belong to the goroutine of Run.
+	evidence *evidence
+	// changedAt is when the evidence last changed, or the start of Run.
+	changedAt                  time.Time
+	lastExchange, nextExchange time.Time
+}
+
+// A snapshot is the evidence at one time, with what follows from it.
+type snapshot struct {
+	blocks []block
+	// suspects has the time of the newest end of each suspect part on which no answer
+	// has begun since.
+	suspects map[promptPart]time.Time
+	// ended has the engines that are known to have ended.
+	ended  map[site.Incarnation]bool
+	report site.QuarantineReport
+	at     time.Time
+}
+
+// A message is an input of the duty, handled on the goroutine of Run. It reports
+// whether the evidence has changed.
+type message interface {
+	apply(e *evidence, now time.Time) bool
+}
+
+func (q *Quarantine) prepare() {
+	q.once.Do(func() {
+		q.messages = ring.New[message](messageCapacity)
+		q.evidence = newEvidence()
+		q.published.Store(&snapshot{})
+	})
+}
+
+// Run collects evidence and exchanges it with other hosts until ctx ends or Close is
+// called.
+func (q *Quarantine) Run(ctx context.Context) error {
+	q.prepare()
+	return q.lifecycle.Run(ctx, q.loop)
+}
+
+// Close ends the duty and waits until it has ended.
+func (q *Quarantine) Close() error {
+	return q.lifecycle.Close()
+}
+
+// BlockedFor returns how long requests of the service with these prompt parts remain
+// refused, or 0 if they are not refused.
+func (q *Quarantine) BlockedFor(service site.ServiceName, parts []string) time.Duration {
+	q.prepare()
+	for _, b := range q.published.Load().blocks {
+		if b.service == service && b.matches(parts) {
+			return max(time.Until(b.until), 0)
+		}
+	}
+	return 0
+}
+
+// BlockCount returns the number of blocks in force.
+func (q *Quarantine) BlockCount() int {
+	q.prepare()
+	count := 0
+	for _, b := range q.published.Load().blocks {
+		if time.Now().Before(b.until) {
+			count++
+		}
+	}
+	return count
+}
+
+// RecordInterruption records that a server closed the connection of a request before
+// its answer had begun. The request is evidence if the server's process has ended. It
+// returns when later calls of BlockedFor take the evidence into account.
+func (q *Quarantine) RecordInterruption(ctx context.Context, server *site.Server, parts []string) {
+	q.prepare()
+	if len(parts) == 0 {
+		return
+	}
+	if !q.published.Load().ended[server.Incarnation] && !q.hasEnded(ctx, server) {
+		return
+	}
+	m := &interruption{engine: server.Incarnation, service: server.Service, parts: parts, done: make(chan struct{})}
+	if !q.messages.Offer(m) {
+		return
+	}
+	select {
+	case <-m.done:
+	case <-ctx.Done():
+	}
+}
+
+// hasEnded checks whether the server's process has ended. A server that has closed only
+// a connection still accepts others.
+func (q *Quarantine) hasEnded(ctx context.Context, server *site.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return q.Prober.HasEnded(ctx, server.Address)
+}
+
+// RecordSound records that the answer to a request with these prompt parts has begun.
+func (q *Quarantine) RecordSound(service site.ServiceName, parts []string) {
+	q.prepare()
+	suspects := q.published.Load().suspects
+	if len(suspects) == 0 {
+		return
+	}
+	for _, id := range parts {
+		if _, ok := suspects[promptPart{service, id}]; ok {
+			q.messages.Offer(soundAnswer{service: service, parts: parts})
+			return
+		}
+	}
+}
+
+// Receive records the report of another host and returns the report of this host.
+func (q *Quarantine) Receive(report site.QuarantineReport) site.QuarantineReport {
+	q.prepare()
+	if len(report.Ends) > 0 {
+		q.messages.Offer(peerReport(report))
+	}
+	return q.report()
+}
+
+// report returns the published report with the present ages.
+func (q *Quarantine) report() site.QuarantineReport {
+	s := q.published.Load()
+	passed := time.Since(s.at)
+	var r site.QuarantineReport
+	for _, known := range s.report.Ends {
+		known.Age += passed
+		r.Ends = append(r.Ends, known)
+	}
+	for _, sound := range s.report.SoundParts {
+		sound.Age += passed
+		r.SoundParts = append(r.SoundParts, sound)
+	}
+	return r
+}
+
+// An interruption is a request whose server ended before the answer had begun.
+type interruption struct {
+	engine  site.Incarnation
+	service site.ServiceName
+	parts   []string
+	// done is closed when the evidence is published.
+	done chan struct{}
+}
+
+func (i *interruption) apply(e *evidence, now time.Time) bool {
+	return e.addEnd(i.engine, i.service, now, [][]string{i.parts})
+}
+
+// A soundAnswer is an answer that has begun.
+type soundAnswer struct {
+	service site.ServiceName
+	parts   []string
+}
+
+func (s soundAnswer) apply(e *evidence, now time.Time) bool {
+	changed := false
+	for _, id := range s.parts {
+		if e.addSound(promptPart{s.service, id}, now) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// A peerReport is the report of another host.
+type peerReport site.QuarantineReport
+
+func (p peerReport) apply(e *evidence, now time.Time) bool {
+	return e.merge(site.QuarantineReport(p), now)
+}
+
+func (q *Quarantine) loop(ctx context.Context) error {
+	q.changedAt = time.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-q.messages.Messages():
+			q.handle(m)
+		case <-timer.C:
+			q.exchange(ctx, time.Now())
+		}
+		timer.Reset(time.Until(q.nextExchange))
+	}
+}
+
+// handle applies a message and publishes the evidence if it has changed.
+func (q *Quarantine) handle(m message) {
+	now := time.Now()
+	if m.apply(q.evidence, now) {
+		q.changedAt = now
+		q.publish(now)
+		// Engines end until all hosts know, so a change is passed on at once.
+		if soon := q.lastExchange.Add(minExchangeInterval); soon.Before(q.nextExchange) {
+			q.nextExchange = soon
+		}
+	}
+	if i, ok := m.(*interruption); ok {
+		close(i.done)
+	}
+}
+
+// publish decides on the blocks, logs those that begin or end, and publishes a snapshot.
+func (q *Quarantine) publish(now time.Time) {
+	blocks := q.evidence.blocks(now)
+	q.evidence.prune(blocks, now)
+	q.logChanges(q.published.Load().blocks, blocks)
+	s := &snapshot{blocks: blocks, suspects: make(map[promptPart]time.Time), ended: make(map[site.Incarnation]bool), report: q.evidence.report(now), at: now}
+	for part, at := range q.evidence.newestEnds() {
+		if !q.evidence.soundAt[part].After(at) {
+			s.suspects[part] = at
+		}
+	}
+	for engine := range q.evidence.ends {
+		s.ended[engine] = true
+	}
+	q.published.Store(s)
+}
+
+// logChanges logs the blocks that have begun and those that have ended.
+func (q *Quarantine) logChanges(before, after []block) {
+	known := make(map[string]block)
+	for _, b := range before {
+		known[b.key()] = b
+	}
+	for _, b := range after {
+		if _, ok := known[b.key()]; !ok {
+			q.Log.Warn().Str("service", string(b.service)).Str("prompt-parts", strings.Join(b.parts, ",")).Int("ended-engines", b.ends).
+				Dur("for", time.Until(b.until)).Msg("requests with these prompt parts are refused: engines ended under them")
+		}
+		delete(known, b.key())
+	}
+	for _, b := range known {
+		q.Log.Info().Str("service", string(b.service)).Str("prompt-parts", strings.Join(b.parts, ",")).
+			Msg("requests with these prompt parts are no longer refused")
+	}
+}
--- /dev/null
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -0,0 +1,209 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+// touchTime is how long after the fifth end of an engine hosts may take to refuse the
+// requests that cause it.
+const touchTime = 4 * time.Second
+
+// A fakeSite stands in for the view, the engines and the other hosts of a Quarantine.
+type fakeSite struct {
+	view *site.View
+	// mutex guards hosts, which has the running process of each host.
+	mutex sync.Mutex
+	hosts map[string]*Quarantine
+	// silent has the hosts that do not reply.
+	silent map[string]bool
+	// listening means that the engines still accept connections.
+	listening bool
+}
+
+// startSite starts hosts that exchange reports; the last ones are silent.
+func startSite(c *quicktest.C, count, silent int) *fakeSite {
+	s := &fakeSite{view: &site.View{Hosts: make(map[string]*site.Host)}, hosts: make(map[string]*Quarantine), silent: make(map[string]bool)}
+	for n := range count {
+		name := hostName(n)
+		s.view.Hosts[name] = &site.Host{Name: name, Address: name}
+	}
+	for n := range silent {
+		s.silent[hostName(count-1-n)] = true
+	}
+	for n := range count {
+		s.start(c, hostName(n))
+	}
+	return s
+}
+
+// start starts the host with the name, in place of an earlier process.
+func (s *fakeSite) start(c *quicktest.C, name string) {
+	if earlier := s.host(name); earlier != nil {
+		c.Assert(earlier.Close(), quicktest.IsNil)
+	}
+	q := &Quarantine{Self: name, Views: s, Prober: s, Peers: s, Log: zerolog.Nop()}
+	s.mutex.Lock()
+	s.hosts[name] = q
+	s.mutex.Unlock()
+	go q.Run(context.Background())
+	synctest.Wait()
+}
+
+// host returns the running process of a host, or nil.
+func (s *fakeSite) host(name string) *Quarantine {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.hosts[name]
+}
+
+// close closes all hosts.
+func (s *fakeSite) close() {
+	for _, q := range s.hosts {
+		q.Close()
+	}
+}
+
+func hostName(n int) string { return fmt.Sprintf("host-%d", n) }
+
+func (s *fakeSite) View() *site.View                      { return s.view }
+func (s *fakeSite) HasEnded(context.Context, string) bool { return !s.listening }
+func (s *fakeSite) end(host, engine int, parts ...string) {
+	server := &site.Server{Incarnation: testEngine(engine), Service: testService}
+	s.host(hostName(host)).RecordInterruption(context.Background(), server, parts)
+}
+
+func (s *fakeSite) ExchangeQuarantine(ctx context.Context, address string, report site.QuarantineReport) (site.QuarantineReport, error) {
+	time.Sleep(12 * time.Millisecond)
+	if s.silent[address] {
+		<-ctx.Done()
+		return site.QuarantineReport{}, errors.New("host is silent")
+	}
+	return s.host(address).Receive(report), nil
+}
+
+// countBlocking returns the number of hosts that refuse a request with the parts.
+func (s *fakeSite) countBlocking(parts ...string) int {
+	count := 0
+	for _, q := range s.hosts {
+		if q.BlockedFor(testService, parts) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// TestAllHostsLearnInTime guards against a part that crashes engines being refused by the
+// hosts only that saw the ends, also while a third of the hosts is silent.
+func TestAllHostsLearnInTime(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		count, silent int
+	}{{"9 hosts", 9, 0}, {"9 hosts, 3 of them silent", 9, 3}, {"300 hosts", 300, 0}, {"300 hosts, 100 of them silent", 300, 100}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				s := startSite(c, test.count, test.silent)
+				defer s.close()
+				time.Sleep(time.Minute)
+				for n := range 5 {
+					s.end(n, n, "system", "bad")
+					time.Sleep(150 * time.Millisecond)
+				}
+				time.Sleep(touchTime)
+				c.Check(s.countBlocking("system", "bad") >= test.count-test.silent, quicktest.IsTrue, quicktest.Commentf("%d hosts", s.countBlocking("system", "bad")))
+				c.Check(s.countBlocking("system"), quicktest.Equals, 0)
+			})
+		})
+	}
+}
+
+// TestRestartedHostLearnsInTime guards against a host that sends requests which all others
+// refuse, because it forgot them with its process, and against a site that forgets them
+// because its hosts restart one after the other.
+func TestRestartedHostLearnsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		s := startSite(c, 9, 0)
+		defer s.close()
+		for n := range 3 {
+			s.end(0, n, "bad")
+			time.Sleep(150 * time.Millisecond)
+		}
+		time.Sleep(time.Minute)
+		for n := range 9 {
+			s.start(c, hostName(n))
+			time.Sleep(touchTime)
+			c.Check(s.countBlocking("bad"), quicktest.Equals, 9, quicktest.Commentf("after the restart of host %d", n))
+		}
+	})
+}
+
+// TestInterruptionAtLiveEngineTeachesNothing guards against blocks because of engines that
+// close connections and go on.
+func TestInterruptionAtLiveEngineTeachesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		s := startSite(c, 2, 0)
+		defer s.close()
+		s.listening = true
+		for n := range 10 {
+			s.end(0, n, "system")
+			time.Sleep(time.Second)
+		}
+		c.Check(s.countBlocking("system"), quicktest.Equals, 0)
+	})
+}
+
+// TestEvidenceIsInForceAtOnce guards against a host that repeats a request at another
+// engine before it has taken the last end into account.
+func TestEvidenceIsInForceAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		s := startSite(c, 1, 0)
+		defer s.close()
+		for n := range minEnds {
+			c.Check(s.countBlocking("bad"), quicktest.Equals, 0)
+			time.Sleep(sameMomentWindow)
+			s.end(0, n, "bad")
+		}
+		c.Check(s.countBlocking("bad"), quicktest.Equals, 1)
+		c.Check(s.host(hostName(0)).BlockCount(), quicktest.Equals, 1)
+	})
+}
+
+// TestQuietSiteSendsNothing guards against messages between hosts that know of no end.
+func TestQuietSiteSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		counted := &countingPeers{}
+		view := &site.View{Hosts: map[string]*site.Host{"a": {Name: "a"}, "b": {Name: "b"}}}
+		q := &Quarantine{Self: "a", Views: &fakeSite{view: view}, Prober: &fakeSite{}, Peers: counted, Log: zerolog.Nop()}
+		go q.Run(context.Background())
+		time.Sleep(2 * activeDuration)
+		c.Check(counted.calls.Load() > 0, quicktest.IsTrue)
+		before := counted.calls.Load()
+		time.Sleep(time.Hour)
+		c.Check(counted.calls.Load(), quicktest.Equals, before)
+		c.Assert(q.Close(), quicktest.IsNil)
+	})
+}
+
+// countingPeers counts the exchanges.
+type countingPeers struct{ calls atomic.Int32 }
+
+func (p *countingPeers) ExchangeQuarantine(context.Context, string, site.QuarantineReport) (site.QuarantineReport, error) {
+	p.calls.Add(1)
+	return site.QuarantineReport{}, nil
+}
--- a/internal/fronthost/gauges.go
+++ b/internal/fronthost/gauges.go
@@ -8,12 +8,14 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/watch"
 	"github.com/persimmonmux/persimmonmux/coordination/zone"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
 )
 
 // registerGauges adds gauges to the meter that show the state on which the host
 // bases its decisions: the age of its data, the version of the desired state,
-// the servers it knows and the zones in which it sends orders.
-func registerGauges(meter metric.Meter, cache *watch.Cache, elector *zone.Elector) error {
+// the servers it knows, the zones in which it sends orders and the sets of prompt parts
+// that it refuses.
+func registerGauges(meter metric.Meter, cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine) error {
 	age, err := meter.Float64ObservableGauge("persimmonmux.store.age", metric.WithUnit("s"),
 		metric.WithDescription("Time since the platform's store was heard of, directly or by way of an owner."))
 	if err != nil {
@@ -39,6 +41,11 @@
 	if err != nil {
 		return err
 	}
+	blocks, err := meter.Int64ObservableGauge("persimmonmux.prompt.blocks",
+		metric.WithDescription("Sets of prompt parts whose requests are refused because engines ended under them."))
+	if err != nil {
+		return err
+	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		view := cache.View()
 		if view.Desired != nil {
@@ -50,7 +57,8 @@
 		}
 		o.ObserveInt64(servers, int64(len(view.Servers)))
 		o.ObserveInt64(zones, int64(len(elector.OrderingZones())))
+		o.ObserveInt64(blocks, int64(blocked.BlockCount()))
 		return nil
-	}, age, tableAge, version, servers, zones)
+	}, age, tableAge, version, servers, zones, blocks)
 	return err
 }
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -15,6 +15,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
 	"github.com/persimmonmux/persimmonmux/coordination/watch"
 	"github.com/persimmonmux/persimmonmux/coordination/zone"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -66,6 +67,7 @@
 	Leases         *lease.Manager
 	Elector        *zone.Elector
 	Controller     *adapter.Controller
+	Quarantine     *quarantine.Quarantine
 	PeerServer     *peer.Server
 	Recorder       *metrics.Recorder
 	Server         *front.Server
@@ -87,6 +89,7 @@
 		{"tenant", p.Elector},
 		{"follower", p.Follower},
 		{"owner", p.Controller},
+		{"quarantine", p.Quarantine},
 		{"peer-server", p.PeerServer},
 		{"front", p.Server},
 	}
@@ -167,18 +170,21 @@
 				HostCount:  func() int { return len(cache.View().Hosts) },
 			}
 		},
+		func(cache *watch.Cache, client *peer.Client) *quarantine.Quarantine {
+			return &quarantine.Quarantine{Self: h.Settings.HostName, Views: cache, Prober: backend.Prober{}, Peers: client, Log: h.Log}
+		},
 		func() *backend.ConnectionPool { return &backend.ConnectionPool{} },
-		func(cache *watch.Cache, elector *zone.Elector) (*metrics.Recorder, error) {
+		func(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine) (*metrics.Recorder, error) {
 			recorder := &metrics.Recorder{}
 			if err := recorder.Start(); err != nil {
 				return nil, err
 			}
-			return recorder, registerGauges(recorder.Meter(), cache, elector)
+			return recorder, registerGauges(recorder.Meter(), cache, elector, blocked)
 		},
-		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
+		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, blocked *quarantine.Quarantine, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
 			region := h.Settings.Regions[h.Settings.FailureDomain]
 			placer := &placer{self: h.Settings.HostName, region: region, cache: cache, controller: controller, client: client, owners: owners}
-			return &forward.Forwarder{Views: cache, Balancer: balancer, Placer: placer, RetryBudget: retries, Recorder: &recorder{metricsRecorder: metricsRecorder}, Log: h.Log}
+			return &forward.Forwarder{Views: cache, Balancer: balancer, Placer: placer, RetryBudget: retries, Quarantine: blocked, Recorder: &recorder{metricsRecorder: metricsRecorder}, Log: h.Log}
 		},
 		h.newPeerServer,
 		h.newServer,
@@ -231,12 +237,16 @@
 	return owners.elector
 }
 
-func (h *Host) newPeerServer(cache *watch.Cache, controller *adapter.Controller, elector *zone.Elector) (*peer.Server, error) {
+func (h *Host) newPeerServer(cache *watch.Cache, controller *adapter.Controller, elector *zone.Elector, blocked *quarantine.Quarantine) (*peer.Server, error) {
 	listener, err := net.Listen("tcp", h.Settings.PeerAddress.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for entry hosts")
 	}
-	return &peer.Server{Listener: listener, ZoneHandler: &zoneHandler{cache: cache, controller: controller, elector: elector}}, nil
+	return &peer.Server{
+		Listener:          listener,
+		ZoneHandler:       &zoneHandler{cache: cache, controller: controller, elector: elector},
+		QuarantineHandler: blocked,
+	}, nil
 }
 
 func (h *Host) newServer(forwarder *forward.Forwarder, cache *watch.Cache, pool *backend.ConnectionPool, recorder *metrics.Recorder) (*front.Server, error) {
--- a/protocol/refusal/refusal.go
+++ b/protocol/refusal/refusal.go
@@ -66,6 +66,7 @@
 	verdict.CodeApplicationLimits: {http.StatusTooManyRequests, typeRateLimit},
 	verdict.CodeUnknownName:       {http.StatusNotFound, typeRequest},
 	verdict.CodeHostUnreachable:   {http.StatusServiceUnavailable, typeServer},
+	verdict.CodePromptBlocked:     {http.StatusServiceUnavailable, typeServer},
 }
 
 // An ErrorBody is the JSON body of an error response.
--- a/state/verdict/error.go
+++ b/state/verdict/error.go
@@ -42,6 +42,7 @@
 	CodeApplicationLimits Code = "application-limits"
 	CodeUnknownName       Code = "unknown-name"
 	CodeHostUnreachable   Code = "host-unreachable"
+	CodePromptBlocked     Code = "prompt-blocked"
 )
 
 // An Error is the failure of a request, with the verdict on whether the request ran.
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -32,16 +32,11 @@
 	// lastEventID is the id of the last event that was sent to the caller. A server
 	// that resumes the stream continues after it.
 	lastEventID string
-	// eventsDelivered is the number of events that were sent to the caller.
-	eventsDelivered int
 }
 
 // ResponseStarted reports whether the caller has got a part of a response.
 func (e *exchange) ResponseStarted() bool { return e.responseStarted }
 
-// EventsDelivered returns the number of events that were sent to the caller.
-func (e *exchange) EventsDelivered() int { return e.eventsDelivered }
-
 // Send forwards the request to a server once and reads the status and headers of
 // the response. The error is a *verdict.Error; its verdict is NotRun if certainly no
 // byte of the request was written. A response with another attempt id belongs to another
@@ -178,7 +173,7 @@
 var errNoSignature = errors.New("successful response has no X-Response-Signature header")
 
 // Deliver sends the response to the caller. The error is a *forward.IncompleteError.
-func (r *response) Deliver(_ context.Context) error {
+func (r *response) Deliver(_ context.Context, observer forward.DeliveryObserver) error {
 	e, in := r.exchange, r.incoming
 	success := in.StatusCode < http.StatusMultipleChoices
 	if success && in.Header.Get(platform.HeaderResponseSignature) == "" {
@@ -192,7 +187,7 @@
 	stream := success && strings.HasPrefix(in.Header.Get("Content-Type"), "text/event-stream")
 	var err error
 	if stream {
-		err = r.deliverStream()
+		err = r.deliverStream(observer)
 	} else {
 		err = r.deliverWhole()
 	}
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -19,7 +19,7 @@
 // deliverStream sends the events of a stream to the caller as they arrive. Only
 // complete events are sent, so that a stream that breaks off within an event can be
 // resumed after the last complete one.
-func (r *response) deliverStream() error {
+func (r *response) deliverStream(observer forward.DeliveryObserver) error {
 	r.writeHeader(-1)
 	reader := bufio.NewReader(r.body())
 	var event []byte
@@ -32,6 +32,9 @@
 			if err := r.deliverEvent(event, reader.Buffered() == 0); err != nil {
 				return err
 			}
+			if _, ok := eventField(event, "data"); ok {
+				observer.EventDelivered()
+			}
 			event = nil
 			continue
 		}
@@ -66,8 +69,7 @@
 		if err := r.write(event); err != nil {
 			return err
 		}
-		r.exchange.eventsDelivered++
-		if id, ok := eventID(event); ok {
+		if id, ok := eventField(event, "id"); ok {
 			r.exchange.lastEventID = id
 		}
 	}
@@ -80,11 +82,12 @@
 	return nil
 }
 
-// eventID returns the value of the id field of an event, and false if the event has none.
-func eventID(event []byte) (string, bool) {
+// eventField returns the value of the first field of an event with the name, and false if
+// the event has none.
+func eventField(event []byte, name string) (string, bool) {
 	for line := range bytes.Lines(event) {
-		name, value, ok := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-		if ok && string(name) == "id" {
+		field, value, ok := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if ok && string(field) == name {
 			return string(bytes.TrimSpace(value)), true
 		}
 	}
--- /dev/null
+++ b/transport/peer/quarantine_test.go
@@ -0,0 +1,39 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+// echoReports is a QuarantineHandler that returns each report to its sender.
+type echoReports struct{}
+
+func (echoReports) Receive(report site.QuarantineReport) site.QuarantineReport { return report }
+
+// TestQuarantineReportKeepsEveryField guards against evidence that is lost on the way to
+// another host.
+func TestQuarantineReportKeepsEveryField(t *testing.T) {
+	c := quicktest.New(t)
+	server, address := startServer(c, newFakeHandlers(), "127.0.0.1:0")
+	client := newClient(c)
+	_, err := client.ExchangeQuarantine(context.Background(), address, site.QuarantineReport{})
+	c.Assert(err, quicktest.IsNotNil)
+	c.Assert(server.Close(), quicktest.IsNil)
+
+	server, address = startServerWith(c, &Server{QuarantineHandler: echoReports{}}, "127.0.0.1:0")
+	report := site.QuarantineReport{
+		Ends: []site.EngineEnd{{
+			Engine: site.Incarnation{ID: "e", StartUnixMilli: 7}, Service: "s", Age: time.Second, Suspects: [][]string{{"a", "b"}, {"c"}},
+		}},
+		SoundParts: []site.SoundPart{{Service: "s", Part: "a", Age: time.Millisecond}},
+	}
+	reply, err := client.ExchangeQuarantine(context.Background(), address, report)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(reply, quicktest.DeepEquals, report)
+	c.Assert(server.Close(), quicktest.IsNil)
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -110,6 +110,7 @@
 	ClaimHandler         ClaimHandler
 	LoadRateHandler      LoadRateHandler
 	ZoneHandler          ZoneHandler
+	QuarantineHandler    QuarantineHandler
 	// Log is called with errors of single connections; it may be nil.
 	Log func(error)
 
