forward, balance: log and count the request limits of servers

The logs did not show which host has passed on which Server-Limit, nor how many requests are sent without a turn. Both are logged now, and a gauge counts the limited servers.

--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -116,6 +116,7 @@
 	// list is due when they have ended.
 	running         map[site.Adapter]int
 	reportedRunning bool
+	limit           rateLimit
 }
 
 // stateOf returns the state of a server. It starts with an empty one if the
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -58,6 +58,9 @@
 	FromExpectedServer bool
 	// Load is the load stated by the server, or nil.
 	Load *balance.LoadReport
+	// RateLimit is the number of requests a second that the server takes from all hosts
+	// together, or 0 if it states none.
+	RateLimit float64
 }
 
 // A Response is a server's response that has not been passed to the client yet.
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -32,6 +32,7 @@
 	RecordFailure(server *site.Server)
 	RecordLoaded(server *site.Server, adapter site.Adapter, version int)
 	RecordNotLoaded(server *site.Server, adapter site.Adapter)
+	RecordRateLimit(server *site.Server, perSecond float64) bool
 }
 
 // Placer has adapters loaded on engines and requests admitted there.
@@ -364,6 +365,7 @@
 		if failure.Code == verdict.CodeBackendRefused {
 			f.Balancer.RecordFailure(server)
 		} else if pick.Loaded && failure.Code != verdict.CodeOverloaded {
+			f.Log.Info().Str("request", p.request.AttemptID).Str("engine", string(server.ID)).Err(err).Msg("request is sent without a turn")
 			return nil
 		}
 		p.refusedPlacements++
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -60,6 +60,7 @@
 func (r *fakeSystem) RecordResponse(*site.Server, *balance.LoadReport)            {}
 func (r *fakeSystem) RecordFailure(*site.Server)                                  { r.failures++ }
 func (r *fakeSystem) RecordLoaded(*site.Server, site.Adapter, int)                {}
+func (r *fakeSystem) RecordRateLimit(*site.Server, float64) bool                  { return false }
 func (r *fakeSystem) RecordNotLoaded(*site.Server, site.Adapter)                  { r.loaded = false }
 func (r *fakeSystem) Prefetch(*site.Server, site.PlaceRequest)                    {}
 func (r *fakeSystem) CountRequest(string)                                         {}
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -29,6 +29,9 @@
 		return f.recordSendFailure(p, server, verdict.FromError(err), ctx)
 	}
 	head := response.Head()
+	if !head.Misdirected || head.FromExpectedServer {
+		f.recordRateLimit(server, head.RateLimit)
+	}
 	if head.Misdirected || head.NotRun {
 		response.Discard()
 		return f.recordRejection(p, server, want, head)
@@ -45,6 +48,13 @@
 	return f.deliver(ctx, p, server, response, head)
 }
 
+// recordRateLimit records the limit that a response of the server states, 0 if none.
+func (f *Forwarder) recordRateLimit(server *site.Server, perSecond float64) {
+	if f.Balancer.RecordRateLimit(server, perSecond) {
+		f.Log.Info().Str("server", string(server.ID)).Float64("requests-per-second", perSecond).Msg("server states another request limit")
+	}
+}
+
 // resend makes another attempt after a server error. send has already taken the
 // attempt from the retry budget.
 func (f *Forwarder) resend(ctx context.Context, p *progress) *verdict.Error {
--- a/internal/fronthost/gauges.go
+++ b/internal/fronthost/gauges.go
@@ -6,6 +6,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/persimmonmux/persimmonmux/coordination/balance"
 	"github.com/persimmonmux/persimmonmux/coordination/watch"
 	"github.com/persimmonmux/persimmonmux/coordination/zone"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
@@ -14,8 +15,8 @@
 // registerGauges adds gauges to the meter that show the state on which the host
 // bases its decisions: the age of its data, the version of the desired state,
 // the servers it knows, the zones in which it sends orders and the sets of prompt parts
-// that it refuses.
-func registerGauges(meter metric.Meter, cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine) error {
+// that it refuses, and the servers that state a request limit.
+func registerGauges(meter metric.Meter, cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer) error {
 	age, err := meter.Float64ObservableGauge("persimmonmux.store.age", metric.WithUnit("s"),
 		metric.WithDescription("Time since the platform's store was heard of, directly or by way of an owner."))
 	if err != nil {
@@ -46,6 +47,11 @@
 	if err != nil {
 		return err
 	}
+	limited, err := meter.Int64ObservableGauge("persimmonmux.servers.limited",
+		metric.WithDescription("Servers that state a limit of requests a second in their answers to this host."))
+	if err != nil {
+		return err
+	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		view := cache.View()
 		if view.Desired != nil {
@@ -58,7 +64,8 @@
 		o.ObserveInt64(servers, int64(len(view.Servers)))
 		o.ObserveInt64(zones, int64(len(elector.OrderingZones())))
 		o.ObserveInt64(blocks, int64(blocked.BlockCount()))
+		o.ObserveInt64(limited, int64(balancer.LimitedServers()))
 		return nil
-	}, age, tableAge, version, servers, zones, blocks)
+	}, age, tableAge, version, servers, zones, blocks, limited)
 	return err
 }
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -174,12 +174,12 @@
 			return &quarantine.Quarantine{Self: h.Settings.HostName, Views: cache, Prober: backend.Prober{}, Peers: client, Log: h.Log}
 		},
 		func() *backend.ConnectionPool { return &backend.ConnectionPool{} },
-		func(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine) (*metrics.Recorder, error) {
+		func(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer) (*metrics.Recorder, error) {
 			recorder := &metrics.Recorder{}
 			if err := recorder.Start(); err != nil {
 				return nil, err
 			}
-			return recorder, registerGauges(recorder.Meter(), cache, elector, blocked)
+			return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer)
 		},
 		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, blocked *quarantine.Quarantine, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
 			region := h.Settings.Regions[h.Settings.FailureDomain]
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -160,6 +160,7 @@
 	if running, waiting, slots, ok := platform.DecodeServerLoad(r.incoming.Header.Get(platform.HeaderServerLoad)); ok {
 		head.Load = &balance.LoadReport{Running: running, Waiting: waiting, Slots: slots}
 	}
+	head.RateLimit = platform.DecodeServerLimit(r.incoming.Header.Get(platform.HeaderServerLimit))
 	return head
 }
 
