adapter, balance: keep to the request limits that servers state

Cause: nothing followed from the limit. The hosts that hear it in answers are not the one that gives the turns, fixed shares of limits of 3 to 8 a second would be less than one request a second a host, and requests to plain services and those sent while an owner does not answer need no turn.

Each host now tells the owner of the server's zone what the server has stated to it, with its requests for turns, and the owner gives turns at the newest stated rate, urgent requests first. Requests whose turn would come too late are refused at once. Plain servers need turns while they state a limit, and while an owner does not answer each host uses an equal share.

--- a/coordination/adapter/admission.go
+++ b/coordination/adapter/admission.go
@@ -66,11 +66,17 @@
 	e.admissions = e.admissions[first:]
 }
 
-// nextAdmissionDelay returns the time until the oldest admission leaves the
-// window, when a pending request may be admitted, but at most loopInterval.
+// nextAdmissionDelay returns the time until a pending request may be admitted, because
+// the oldest admission leaves the window or the next turn comes, but at most
+// loopInterval.
 func (e *engine) nextAdmissionDelay(now time.Time) time.Duration {
 	e.dropOldAdmissions(now)
-	if len(e.pending) == 0 || len(e.admissions) == 0 {
+	switch {
+	case len(e.pending) == 0:
+		return loopInterval
+	case !e.limit.hasTurn(e.pending[0].request.Priority, now):
+		return min(loopInterval, e.limit.turnWait(0, e.pending[0].request.Priority, now))
+	case len(e.admissions) == 0:
 		return loopInterval
 	}
 	return min(loopInterval, e.admissions[0].at.Add(admissionWindow).Sub(now))
--- a/coordination/adapter/controller.go
+++ b/coordination/adapter/controller.go
@@ -87,6 +87,8 @@
 	messages  *ring.Ring[message]
 	results   chan message
 	engines   map[site.ServerID]*engine
+	// plainServers are the servers of plain services that have stated a limit.
+	plainServers map[site.ServerID]*engine
 	// residencies is the last published state of each owned engine. The map is
 	// replaced on each change and never modified.
 	residencies atomic.Pointer[map[site.ServerID]site.Residency]
@@ -112,6 +114,9 @@
 	// latencyDeadline is the latest time of admission at which the request can
 	// still meet its latency target. At deadline it is refused.
 	latencyDeadline, deadline time.Time
+	// turnDeadline is the latest useful time of admission to a server that states a
+	// limit.
+	turnDeadline time.Time
 	// canceled is closed when the caller of Place no longer waits.
 	canceled <-chan struct{}
 	reply    chan placeResult
@@ -145,6 +150,7 @@
 		o.messages = ring.New[message](messageCapacity)
 		o.results = make(chan message, 256)
 		o.engines = make(map[site.ServerID]*engine)
+		o.plainServers = make(map[site.ServerID]*engine)
 		o.residencies.Store(&map[site.ServerID]site.Residency{})
 		o.runningByEngine.Store(&map[site.ServerID]int{})
 	})
@@ -174,6 +180,7 @@
 	o.prepare()
 	now := time.Now()
 	d := &pendingRequest{request: request, latencyDeadline: now.Add(request.SlackTime), deadline: now.Add(request.MaxWait - refusalMargin), canceled: ctx.Done(), reply: make(chan placeResult, 1)}
+	d.turnDeadline = latestTurn(request, now, d.latencyDeadline, d.deadline)
 	if !o.messages.Offer(d) {
 		return site.Placement{}, verdict.NewNotRun(verdict.CodeOverloaded, "too many requests wait for adapters")
 	}
@@ -235,6 +242,9 @@
 		for _, e := range o.engines {
 			wait = min(wait, o.advance(ctx, e))
 		}
+		for _, e := range o.plainServers {
+			wait = min(wait, e.servePending(time.Now()))
+		}
 		timer.Reset(max(wait, time.Millisecond))
 	}
 }
@@ -245,6 +255,9 @@
 	for _, e := range o.engines {
 		e.refuseAll(stopped)
 	}
+	for _, e := range o.plainServers {
+		e.refuseAll(stopped)
+	}
 	for {
 		select {
 		case m := <-o.messages.Messages():
@@ -287,6 +300,7 @@
 			o.engines[id] = newEngine(server, o.Regions[server.Zone], epoch)
 		}
 	}
+	o.dropPlainServers(view)
 	if changed {
 		o.publishResidencies(nil)
 	}
@@ -331,11 +345,7 @@
 }
 
 func (d *pendingRequest) handle(_ context.Context, o *Controller) {
-	e := o.engines[d.request.Server.ID]
-	if e == nil || e.server.Incarnation != d.request.Server {
-		o.refreshEngines()
-		e = o.engines[d.request.Server.ID]
-	}
+	e := o.engineFor(d.request)
 	if e == nil || e.server.Incarnation != d.request.Server || o.ordersStopped.Load() {
 		d.reply <- placeResult{err: verdict.NewNotRun(verdict.CodeNotOwner, "engine %s is not owned by this host", d.request.Server.ID)}
 		return
@@ -349,6 +359,20 @@
 	e.handleRequest(d, capacity, time.Now())
 }
 
+// engineFor returns the record of the server that the request is for, or nil if this host
+// does not own the server's zone.
+func (o *Controller) engineFor(r site.PlaceRequest) *engine {
+	if isForPlainServer(r) {
+		return o.plainServer(r.Server)
+	}
+	e := o.engines[r.Server.ID]
+	if e == nil || e.server.Incarnation != r.Server {
+		o.refreshEngines()
+		e = o.engines[r.Server.ID]
+	}
+	return e
+}
+
 func (n inFlightReport) handle(_ context.Context, o *Controller) {
 	o.applyInFlightReport(n, time.Now())
 }
--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -83,6 +83,8 @@
 	running *runningCounts
 	// uses counts the uses of adapters by region, to decide on replicas.
 	uses map[adapterUse]int
+	// limit admits requests at the rate that the engine states.
+	limit requestLimit
 	// admissions are the prompts admitted within the last admissionWindow.
 	admissions []admission
 	// unansweredOrders counts the consecutive orders without an answer, and
@@ -182,6 +184,7 @@
 		return
 	}
 	e.lastUsed[d.request.Adapter] = now
+	e.limit.observe(d.request.StatedLimit, now)
 	if !d.request.MayQueue && !d.request.Prefetch && e.stateKnown && e.isFull() {
 		d.reply <- placeResult{err: verdict.NewNotRun(verdict.CodeOverloaded, "engine %s is full", e.server.ID)}
 		return
@@ -191,8 +194,17 @@
 		return
 	}
 	e.pending = append(e.pending, d)
+	e.servePending(now)
+}
+
+// servePending replies to the pending requests that can be admitted or whose wait is of
+// no use, and returns the time until it should be called again.
+func (e *engine) servePending(now time.Time) time.Duration {
+	e.dropAbandoned(now)
 	e.sortPending(now)
 	e.admitPending(now)
+	e.refuseHopeless(now)
+	return e.nextAdmissionDelay(now)
 }
 
 // sortPending sorts the pending requests by priority and, within a priority, puts
@@ -239,13 +251,16 @@
 			d.reply <- placeResult{}
 			return true
 		}
-		if e.isFull() || !e.admitPrompt(d.request.PromptTokens, now) {
+		if e.isFull() || !e.limit.hasTurn(d.request.Priority, now) || !e.admitPrompt(d.request.PromptTokens, now) {
 			full = true
 			return false
 		}
+		e.limit.take(now)
 		e.lastUsed[d.request.Adapter] = now
-		e.running.recordAdmission(d.request.Host, d.request.Adapter, now)
-		d.reply <- placeResult{placement: site.Placement{ReplicaWanted: e.recordUse(d.request)}}
+		if !isForPlainServer(d.request) {
+			e.running.recordAdmission(d.request.Host, d.request.Adapter, now)
+		}
+		d.reply <- placeResult{placement: site.Placement{ReplicaWanted: e.recordUse(d.request), Limited: e.limit.isActive()}}
 		return true
 	})
 }
@@ -272,6 +287,8 @@
 		return "the engine's state is unknown"
 	case e.hasAdapter(r) && e.isFull():
 		return "the engine is full"
+	case e.hasAdapter(r) && !e.limit.hasTurn(r.Priority, now):
+		return "the server takes no more requests a second"
 	case e.hasAdapter(r):
 		return "the engine reads the prompts of other requests"
 	case l != nil:
--- a/coordination/adapter/orders.go
+++ b/coordination/adapter/orders.go
@@ -11,10 +11,7 @@
 // report if one is due. It returns the time until it should be called again.
 func (o *Controller) advance(ctx context.Context, e *engine) time.Duration {
 	now := time.Now()
-	e.dropAbandoned(now)
-	e.sortPending(now)
-	e.admitPending(now)
-	admissionDelay := e.nextAdmissionDelay(now)
+	admissionDelay := e.servePending(now)
 	if e.callInFlight || o.ordersStopped.Load() {
 		return admissionDelay
 	}
--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -34,6 +34,8 @@
 	// Loaded means that the server is believed to hold the adapter in the
 	// required version. It is true for requests without an adapter.
 	Loaded bool
+	// Limited means that the owners of all servers left have no turn for now.
+	Limited bool
 }
 
 // A LoadReport is the load that a server states in a response: the numbers of
@@ -158,7 +160,7 @@
 		return Pick{}, verdict.NewNotRun(verdict.CodeNotOwner, "adapter %s is not loaded and no engine left to try has an owner", w.Adapter.Name)
 	}
 	chosen.state.inFlight++
-	return Pick{Server: chosen.server, Loaded: chosen.loaded}, nil
+	return Pick{Server: chosen.server, Loaded: chosen.loaded, Limited: now.Before(chosen.state.limit.refusedUntil)}, nil
 }
 
 // A candidate is a server that a request may be sent to.
@@ -171,10 +173,11 @@
 	load, cost float64
 }
 
-// candidates lists the servers to choose from. Servers that are avoided after
-// failures are left out unless there are no others.
+// candidates lists the servers to choose from. Servers that have no turn for now are left
+// out unless there are no others, and servers that are avoided after failures unless
+// there are no others either.
 func (b *Balancer) candidates(view *site.View, w ServerRequirements, now time.Time) []candidate {
-	var healthy, avoided []candidate
+	var healthy, limited, avoided []candidate
 	for _, server := range view.ServersOf(w.Service) {
 		if server.State != site.Ready || containsServer(w.Tried, server.ID) {
 			continue
@@ -183,16 +186,23 @@
 		c := candidate{server: server, state: s, load: s.estimatedRequests(now) / float64(server.MaxConcurrency)}
 		c.cost = c.load + b.distanceCost(server.Zone)
 		c.loaded = s.hasAdapter(server, w)
-		if now.Before(s.avoidUntil) {
+		switch {
+		case now.Before(s.avoidUntil):
 			avoided = append(avoided, c)
-		} else {
+		case now.Before(s.limit.refusedUntil):
+			limited = append(limited, c)
+		default:
 			healthy = append(healthy, c)
 		}
 	}
-	if len(healthy) == 0 {
+	switch {
+	case len(healthy) > 0:
+		return healthy
+	case len(limited) > 0:
+		return limited
+	default:
 		return avoided
 	}
-	return healthy
 }
 
 func containsServer(list []site.ServerID, id site.ServerID) bool {
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -33,6 +33,10 @@
 	RecordLoaded(server *site.Server, adapter site.Adapter, version int)
 	RecordNotLoaded(server *site.Server, adapter site.Adapter)
 	RecordRateLimit(server *site.Server, perSecond float64) bool
+	RecordTurn(server *site.Server, limited bool)
+	RecordTurnRefused(server *site.Server, wait time.Duration)
+	StatedLimit(server *site.Server) site.StatedLimit
+	TakeShare(server *site.Server) bool
 }
 
 // Placer has adapters loaded on engines and requests admitted there.
@@ -224,13 +228,13 @@
 		if failure.Verdict != verdict.NotRun {
 			p.mayHaveRun = true
 		}
-		if ctx.Err() != nil || failure.Code == verdict.CodePromptBlocked || !f.mayRetry(p) {
+		if ctx.Err() != nil || p.turnDenied || failure.Code == verdict.CodePromptBlocked || !f.mayRetry(p) {
 			return f.finalFailure(ctx, p, failure)
 		}
 		if p.sends > sends && !f.RetryBudget.AllowRetry(string(p.service)) {
 			return f.finalFailure(ctx, p, failure)
 		}
-		if p.sends == sends && !duty.Sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay)) {
+		if p.sends == sends && failure.Code != verdict.CodeRateLimited && !duty.Sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay)) {
 			return f.finalFailure(ctx, p, failure)
 		}
 	}
@@ -280,6 +284,10 @@
 	pick, err := f.Balancer.Choose(want)
 	if err != nil {
 		failure := verdict.FromError(err)
+		if p.limitedBy != nil {
+			p.turnDenied = true
+			failure = p.limitedBy
+		}
 		// If every server was tried, the next attempt may use them again.
 		if len(p.tried) > 0 {
 			p.tried = nil
@@ -288,7 +296,7 @@
 	}
 	forwarded := false
 	defer func() { f.Balancer.Done(pick.Server, want.Adapter, forwarded) }()
-	if want.Adapter.Model != "" {
+	if want.Adapter.Model != "" || f.Balancer.StatedLimit(pick.Server).Known {
 		if failure := f.place(ctx, p, pick, want); failure != nil {
 			return failure
 		}
@@ -354,19 +362,28 @@
 		PromptTokens:   p.request.PromptTokens,
 		SlackTime:      time.Until(p.request.Arrived.Add(p.route.TargetLatency)),
 		MaxWait:        time.Until(until),
-		MayQueue:       p.refusedPlacements >= maxRefusedPlacements,
+		MayQueue:       p.refusedPlacements >= maxRefusedPlacements || pick.Limited,
 		AdapterMissing: p.adapterMissingAt == server.ID,
+		StatedLimit:    f.Balancer.StatedLimit(server),
 	}
 	began := time.Now()
 	placement, err := f.Placer.Place(ctx, server, request)
 	p.placementWait += time.Since(began)
 	if err != nil {
 		failure := verdict.FromError(err)
-		if failure.Code == verdict.CodeBackendRefused {
+		switch {
+		case failure.Code == verdict.CodeBackendRefused:
 			f.Balancer.RecordFailure(server)
-		} else if pick.Loaded && failure.Code != verdict.CodeOverloaded {
+		case failure.Code == verdict.CodeRateLimited:
+			f.Balancer.RecordTurnRefused(server, failure.RetryAfter)
+			p.limitedBy = failure
+			p.turnDenied = p.refusedPlacements >= maxRefusedPlacements
+		case pick.Loaded && f.maySendWithoutTurn(server, request, failure):
 			f.Log.Info().Str("request", p.request.AttemptID).Str("engine", string(server.ID)).Err(err).Msg("request is sent without a turn")
+			f.Balancer.RecordTurn(server, false)
 			return nil
+		case request.StatedLimit.PerSecond > 0:
+			p.turnDenied = p.refusedPlacements >= maxRefusedPlacements
 		}
 		p.refusedPlacements++
 		p.tried = append(p.tried, server.ID)
@@ -374,6 +391,7 @@
 			Int("version", want.MinVersion).Dur("waited", time.Since(began)).Err(err).Msg("engine gave no turn")
 		return failure
 	}
+	f.Balancer.RecordTurn(server, placement.Limited)
 	f.Balancer.RecordLoaded(server, want.Adapter, want.MinVersion)
 	if placement.ReplicaWanted {
 		if target := f.Balancer.ChooseReplicaTarget(want); target != nil {
@@ -383,3 +401,16 @@
 	}
 	return nil
 }
+
+// maySendWithoutTurn reports whether a request for a loaded adapter may be sent although
+// its owner gave no turn. A server that states a limit gets only this host's share of it,
+// and nothing if its owner answers.
+func (f *Forwarder) maySendWithoutTurn(server *site.Server, request site.PlaceRequest, failure *verdict.Error) bool {
+	if failure.Code == verdict.CodeOverloaded {
+		return false
+	}
+	if request.StatedLimit.PerSecond <= 0 {
+		return true
+	}
+	return failure.Code != verdict.CodeDeadline && f.Balancer.TakeShare(server)
+}
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -61,6 +61,10 @@
 func (r *fakeSystem) RecordFailure(*site.Server)                                  { r.failures++ }
 func (r *fakeSystem) RecordLoaded(*site.Server, site.Adapter, int)                {}
 func (r *fakeSystem) RecordRateLimit(*site.Server, float64) bool                  { return false }
+func (r *fakeSystem) RecordTurn(*site.Server, bool)                               {}
+func (r *fakeSystem) RecordTurnRefused(*site.Server, time.Duration)               {}
+func (r *fakeSystem) StatedLimit(*site.Server) site.StatedLimit                   { return site.StatedLimit{} }
+func (r *fakeSystem) TakeShare(*site.Server) bool                                 { return true }
 func (r *fakeSystem) RecordNotLoaded(*site.Server, site.Adapter)                  { r.loaded = false }
 func (r *fakeSystem) Prefetch(*site.Server, site.PlaceRequest)                    {}
 func (r *fakeSystem) CountRequest(string)                                         {}
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
 // A waitStage names what a request waits for. It is logged when the client
@@ -45,6 +46,10 @@
 	// refusedPlacements counts the engines that refused to admit the request, or
 	// did not do so in time.
 	refusedPlacements int
+	// limitedBy is the last refusal of a server that states a limit, or nil. turnDenied means
+	// that no further server is tried after it.
+	limitedBy  *verdict.Error
+	turnDenied bool
 	// mayHaveRun means that an earlier send may have been executed by its server.
 	mayHaveRun bool
 	quarantine Quarantine
--- a/coordination/forward/ratelimit_test.go
+++ b/coordination/forward/ratelimit_test.go
@@ -85,8 +85,9 @@
 	for n := range 3 {
 		for _, service := range []site.ServiceName{"writers", "ledger"} {
 			id := site.ServerID(fmt.Sprintf("%s-%d", service, n))
-			server := &site.Server{Incarnation: site.Incarnation{ID: id, StartUnixMilli: 1}, Service: service, Zone: "z", State: site.Ready, MaxConcurrency: 64}
+			server := &site.Server{Incarnation: site.Incarnation{ID: id, StartUnixMilli: 1}, Service: service, Zone: "z", State: site.Ready, MaxConcurrency: 6}
 			if service == "writers" {
+				server.MaxConcurrency = 64
 				server.LoadedModels = []site.LoadedModel{{Name: "base", Version: 1, Adapters: map[string]int{"a": 1}}}
 			}
 			s.view.Servers[id] = server
@@ -123,7 +124,7 @@
 func (s *limitedSite) newHost(name string) *limitedHost {
 	h := &limitedHost{site: s, name: name}
 	h.balancer = &balance.Balancer{Zone: "z", Regions: map[string]string{"z": "r"}, Views: s, HasOwner: func(string) bool { return true }}
-	h.forwarder = &Forwarder{Views: s, Balancer: h.balancer, Placer: h, RetryBudget: newFakeSystem(chatRoute), Quarantine: &fakeQuarantine{}, Recorder: newFakeSystem(chatRoute), Log: zerolog.Nop()}
+	h.forwarder = &Forwarder{Views: s, Balancer: h.balancer, Placer: h, RetryBudget: s, Quarantine: s, Recorder: s, Log: zerolog.Nop()}
 	return h
 }
 
@@ -159,6 +160,14 @@
 	return synced
 }
 
+func (s *limitedSite) CountRequest(string)                                        {}
+func (s *limitedSite) AllowRetry(string) bool                                     { return false }
+func (s *limitedSite) BlockedFor(site.ServiceName, []string) time.Duration        { return 0 }
+func (s *limitedSite) RecordInterruption(context.Context, *site.Server, []string) {}
+func (s *limitedSite) RecordSound(site.ServiceName, []string)                     {}
+func (s *limitedSite) RecordRequest(*site.Route, site.ServiceName, time.Time, int, time.Duration, *verdict.Error) {
+}
+
 func (s *limitedSite) SendOrder(context.Context, *site.Server, site.Order) (site.OrderOutcome, error) {
 	return site.OrderAlreadySatisfied, nil
 }
@@ -281,3 +290,65 @@
 		})
 	}
 }
+
+// start starts a load in the background and returns a function that waits for its end.
+func (s *limitedSite) start(ctx context.Context, route string, perSecond float64, duration time.Duration) (wait func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.load(ctx, route, perSecond, duration)
+	}()
+	return func() { <-done }
+}
+
+// setLimited sets whether the servers state their limit.
+func (s *limitedSite) setLimited(limited bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.limited = limited
+}
+
+// TestExcessIsRefusedAtOnce guards against requests beyond the limits of all servers that
+// wait although no turn comes in time, and against less urgent requests that take the
+// turns of urgent ones.
+func TestExcessIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		s := newLimitedSite(ctx, 9)
+		s.setLimited(true)
+		s.load(ctx, "chat", 10, 2*time.Second)
+		wait := s.start(ctx, "batch", 20, 20*time.Second)
+		s.load(ctx, "chat", 10, 20*time.Second)
+		wait()
+		chat, batch := s.outcomes["chat"], s.outcomes["batch"]
+		c.Check(chat.answered >= 190, quicktest.IsTrue, quicktest.Commentf("%+v", *chat))
+		c.Check(batch.refused > 300, quicktest.IsTrue, quicktest.Commentf("%+v", *batch))
+		c.Check(batch.longestRefusal <= chatRoute.TargetLatency, quicktest.IsTrue, quicktest.Commentf("%+v", *batch))
+		cancel()
+		c.Assert(s.owner.Close(), quicktest.IsNil)
+	})
+}
+
+// TestLimitEnds guards against a limit that stays in force after the servers have stopped
+// to state it, at hosts that have never seen it too.
+func TestLimitEnds(t *testing.T) {
+	for _, route := range []string{"chat", "read"} {
+		t.Run(route, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				s := newLimitedSite(ctx, 60)
+				s.setLimited(true)
+				s.load(ctx, route, 30, 5*time.Second)
+				s.setLimited(false)
+				s.load(ctx, route, 30, 3*time.Second)
+				s.load(ctx, route, 45, 5*time.Second)
+				o := s.outcomes[route]
+				c.Check(o.answered, quicktest.Equals, 225, quicktest.Commentf("%+v", *o))
+				cancel()
+				c.Assert(s.owner.Close(), quicktest.IsNil)
+			})
+		})
+	}
+}
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -130,6 +131,7 @@
 // MinVersion as the version of the adapter.
 func FromPlaceRequest(r site.PlaceRequest) *PlaceRequest {
 	return &PlaceRequest{
+		Limit:               fromStatedLimit(r.StatedLimit),
 		Host:                r.Host,
 		Region:              r.Region,
 		Server:              fromIncarnation(r.Server),
@@ -159,9 +161,28 @@
 		MayQueue:       message.GetQueue(),
 		Prefetch:       message.GetAhead(),
 		AdapterMissing: message.GetMissing(),
+		StatedLimit:    toStatedLimit(message.GetLimit()),
 	}
 }
 
+// fromStatedLimit converts a statement to its message, nil if it is not known.
+func fromStatedLimit(l site.StatedLimit) *StatedLimit {
+	if !l.Known {
+		return nil
+	}
+	return &StatedLimit{RequestsPerSecond: l.PerSecond, AgeNanoseconds: int64(l.Age)}
+}
+
+// toStatedLimit converts a message, which may be nil, to a statement. A message with a
+// value out of range is not known.
+func toStatedLimit(message *StatedLimit) site.StatedLimit {
+	perSecond, age := message.GetRequestsPerSecond(), message.GetAgeNanoseconds()
+	if message == nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) || age < 0 {
+		return site.StatedLimit{}
+	}
+	return site.StatedLimit{Known: true, PerSecond: perSecond, Age: time.Duration(age)}
+}
+
 func fromIncarnation(i site.Incarnation) *Incarnation {
 	return &Incarnation{Id: string(i.ID), BornMilliseconds: i.StartUnixMilli}
 }
--- a/protocol/refusal/refusal.go
+++ b/protocol/refusal/refusal.go
@@ -67,6 +67,7 @@
 	verdict.CodeUnknownName:       {http.StatusNotFound, typeRequest},
 	verdict.CodeHostUnreachable:   {http.StatusServiceUnavailable, typeServer},
 	verdict.CodePromptBlocked:     {http.StatusServiceUnavailable, typeServer},
+	verdict.CodeRateLimited:       {http.StatusServiceUnavailable, typeServer},
 }
 
 // An ErrorBody is the JSON body of an error response.
--- a/state/site/peermessage.go
+++ b/state/site/peermessage.go
@@ -69,7 +69,8 @@
 	Host, Region string
 	// Server is the engine on which the adapter is to be loaded.
 	Server Incarnation
-	// Adapter is the adapter that the request runs on.
+	// Adapter is the adapter that the request runs on. It is empty for a server of a
+	// plain service, at which the request only needs a turn.
 	Adapter Adapter
 	// MinVersion is the lowest acceptable version of the adapter; 0 means any.
 	MinVersion int
@@ -91,6 +92,19 @@
 	// AdapterMissing says that the engine rejected the request because it did not
 	// have the adapter, although the owner's residency lists it.
 	AdapterMissing bool
+	// StatedLimit is what the server has stated to the entry host.
+	StatedLimit StatedLimit
+}
+
+// A StatedLimit is what a server has stated about the requests that it takes.
+type StatedLimit struct {
+	// Known says that there is a statement, with or without a limit.
+	Known bool
+	// PerSecond is the number of requests a second that the server takes from all hosts
+	// together, or 0 if it takes any number.
+	PerSecond float64
+	// Age is the time since the statement was received.
+	Age time.Duration
 }
 
 // A Placement is the answer to a PlaceRequest that the owner granted.
@@ -98,4 +112,7 @@
 	// ReplicaWanted says that the adapter should be loaded on a second engine,
 	// because it is often used from another region or its engine is busy.
 	ReplicaWanted bool
+	// Limited says that the server states a limit, so that the entry host reports in its
+	// next requests what the server states.
+	Limited bool
 }
--- a/state/verdict/error.go
+++ b/state/verdict/error.go
@@ -43,6 +43,7 @@
 	CodeUnknownName       Code = "unknown-name"
 	CodeHostUnreachable   Code = "host-unreachable"
 	CodePromptBlocked     Code = "prompt-blocked"
+	CodeRateLimited       Code = "rate-limited"
 )
 
 // An Error is the failure of a request, with the verdict on whether the request ran.
--- a/transport/peer/zone.go
+++ b/transport/peer/zone.go
@@ -45,7 +45,7 @@
 	if refusal := reply.GetRefusal(); refusal != nil {
 		return site.Placement{}, peer.ToRefusal(refusal)
 	}
-	return site.Placement{ReplicaWanted: reply.GetCopy()}, nil
+	return site.Placement{ReplicaWanted: reply.GetCopy(), Limited: reply.GetLimited()}, nil
 }
 
 // Follow answers with the changes that the ZoneHandler returns.
@@ -68,5 +68,5 @@
 	if err != nil {
 		return &peer.PlaceReply{Refusal: peer.FromRefusal(err)}, nil
 	}
-	return &peer.PlaceReply{Copy: placement.ReplicaWanted}, nil
+	return &peer.PlaceReply{Copy: placement.ReplicaWanted, Limited: placement.Limited}, nil
 }
