front: do not believe refusals that belong to another request

Refusals need the id of the request as well; one without an id is believed on a new connection only. A second send to a server that has refused the request takes a new connection, because a repeated refusal has the same id as a new one.

--- a/transport/backend/connectionpool.go
+++ b/transport/backend/connectionpool.go
@@ -57,6 +57,8 @@
 	// Header must not contain Host or Content-Length, which are written apart.
 	Header http.Header
 	Body   []byte
+	// NewConnection says that no kept connection is used.
+	NewConnection bool
 }
 
 // Do sends the request and reads the header of the response. With an error, wrote says
@@ -96,13 +98,14 @@
 
 // acquire returns an unused connection without unread input, or dials a new one.
 func (p *ConnectionPool) acquire(ctx context.Context, out *RawRequest) (*pooledConn, error) {
-	for {
+	for !out.NewConnection {
 		conn := p.popIdle(out.Address)
 		if conn == nil {
 			break
 		}
 		if time.Now().Before(conn.expiresAt) && conn.hasNoInput() {
 			_ = conn.SetDeadline(time.Time{})
+			conn.isReused = true
 			return conn, nil
 		}
 		p.closeConn(conn)
--- a/transport/backend/pooledconn.go
+++ b/transport/backend/pooledconn.go
@@ -26,6 +26,8 @@
 	// It does not apply unless readsHeader is set.
 	headerBytesLeft int
 	readsHeader     bool
+	// isReused says that the connection has carried an earlier request.
+	isReused bool
 	// expiresAt is when the pool stops using the connection, because the server may close
 	// it.
 	expiresAt time.Time
--- a/transport/backend/rawresponse.go
+++ b/transport/backend/rawresponse.go
@@ -24,6 +24,12 @@
 	bodyWritten chan error
 }
 
+// OnReusedConnection reports whether the connection carried an earlier request, to which a
+// response without an id may belong.
+func (in *RawResponse) OnReusedConnection() bool {
+	return in.conn.isReused
+}
+
 // responseStarted waits for input and reports whether a byte of the response has
 // arrived. A server may respond and close the connection before it has read the whole
 // request.
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -32,6 +32,8 @@
 	// lastEventID is the id of the last event that was sent to the caller. A server
 	// that resumes the stream continues after it.
 	lastEventID string
+	// refusedBy lists the servers that have refused the request.
+	refusedBy []site.ServerID
 }
 
 // ResponseStarted reports whether the caller has got a part of a response.
@@ -40,7 +42,7 @@
 // Send forwards the request to a server once and reads the status and headers of
 // the response. The error is a *verdict.Error; its verdict is NotRun if certainly no
 // byte of the request was written. A response with another attempt id belongs to another
-// request and is an error.
+// request and is an error, also if it states that the request did not run.
 func (e *exchange) Send(ctx context.Context, server *site.Server, options forward.SendOptions) (forward.Response, error) {
 	out := &backend.RawRequest{
 		Address: server.Address,
@@ -49,6 +51,9 @@
 		Host:    e.request.Host,
 		Header:  e.requestHeader(server, options),
 		Body:    e.body,
+		// A server that repeats its refusal on a kept connection cannot be told from one
+		// that refuses the request again.
+		NewConnection: slices.Contains(e.refusedBy, server.ID),
 	}
 	in, wrote, err := e.server.ConnectionPool.Do(ctx, out)
 	if err != nil {
@@ -59,10 +64,13 @@
 		return nil, failure
 	}
 	r := &response{exchange: e, incoming: in}
-	if id := in.Header.Get(platform.HeaderAttemptID); id != e.request.Header.Get(platform.HeaderAttemptID) && !r.statesNotRun() {
+	if id := in.Header.Get(platform.HeaderAttemptID); !r.belongsTo(e.request) {
 		in.Finish(false)
 		return nil, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil, "server %s: attempt id of the response is %q, not that of the request", server.ID, id)
 	}
+	if r.statesNotRun() {
+		e.refusedBy = append(e.refusedBy, server.ID)
+	}
 	r.expectedServer = string(server.ID)
 	return r, nil
 }
@@ -141,6 +149,16 @@
 	expectedServer string
 }
 
+// belongsTo reports whether the response has the attempt id of the request. A refusal may
+// lack an id if no earlier request can be meant.
+func (r *response) belongsTo(request *http.Request) bool {
+	id := r.incoming.Header.Get(platform.HeaderAttemptID)
+	if id == "" && r.statesNotRun() {
+		return !r.incoming.OnReusedConnection()
+	}
+	return id == request.Header.Get(platform.HeaderAttemptID)
+}
+
 // statesNotRun reports whether the response states that the server did not run the
 // request.
 func (r *response) statesNotRun() bool {
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -207,14 +207,19 @@
 
 // sendRequest sends one request on a new connection and reads the whole response.
 func sendRequest(address, method, target, body string, header ...string) (*http.Response, string, error) {
+	return sendRequestAs("id-1", address, method, target, body, header...)
+}
+
+// sendRequestAs does the same with another attempt id.
+func sendRequestAs(id, address, method, target, body string, header ...string) (*http.Response, string, error) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return nil, "", err
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id-1\r\nX-Deadline-Ms: 1500\r\nContent-Length: %d\r\n%s\r\n%s",
-		method, target, len(body), strings.Join(append(header, ""), "\r\n"), body)
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1500\r\nContent-Length: %d\r\n%s\r\n%s",
+		method, target, id, len(body), strings.Join(append(header, ""), "\r\n"), body)
 	answer, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
 	if err != nil {
 		return nil, "", err
