front: pass on an event before the rest of the next one arrives

Found while testing broken streams: an event was flushed only if nothing more had arrived, so that an event that came together with a part of the next one waited for the rest of it, and was lost to the caller if the stream broke off there. It is flushed now unless another whole event is buffered. TestEventIsNotHeldBack failed before (no event within 1 s) and passes.

--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -29,7 +29,7 @@
 		event, err = appendLine(event, reader)
 		blank := len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0
 		if err == nil && blank {
-			if err := r.deliverEvent(event, reader.Buffered() == 0); err != nil {
+			if err := r.deliverEvent(event, !hasWholeEvent(reader)); err != nil {
 				return err
 			}
 			if _, ok := eventField(event, "data"); ok {
@@ -47,6 +47,14 @@
 	}
 }
 
+// hasWholeEvent reports whether the end of an event is buffered, so that reading on does not
+// wait for the server.
+func hasWholeEvent(reader *bufio.Reader) bool {
+	// Peek returns what is buffered and cannot fail.
+	buffered, _ := reader.Peek(reader.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
+
 // appendLine appends the next line of a stream to the event. The error is
 // errEventTooLarge if the event then exceeds maxEventBytes.
 func appendLine(event []byte, reader *bufio.Reader) ([]byte, error) {
@@ -63,7 +71,7 @@
 }
 
 // deliverEvent sends one event to the caller and records its id. flush is false while
-// more data of the stream is already buffered.
+// another whole event is already buffered.
 func (r *response) deliverEvent(event []byte, flush bool) error {
 	if len(event) > 0 {
 		if err := r.write(event); err != nil {
