front: never write another kind of answer into a response that has begun

Only a stream continues a response that has begun now. TestOtherAnswerDoesNotContinueStream failed before in three of seven parts and passes; the other four were right.

--- a/transport/front/brokenstream_test.go
+++ b/transport/front/brokenstream_test.go
@@ -48,3 +48,43 @@
 		})
 	}
 }
+
+// TestOtherAnswerDoesNotContinueStream guards against the answer of a second server that
+// is written into a stream that had begun, and against a stream that then ends as if it
+// were complete.
+func TestOtherAnswerDoesNotContinueStream(t *testing.T) {
+	for _, test := range []struct{ name, status, contentType string }{
+		{"an answer of another kind", "200 OK", "application/json"},
+		{"an answer without a kind", "200 OK", ""},
+		{"an error", "500 Internal Server Error", "text/plain"},
+		{"an error that looks like a stream", "500 Internal Server Error", "text/event-stream"},
+		{"a refusal without the mark", "503 Service Unavailable", ""},
+		{"no content", "204 No Content", ""},
+		{"a redirect", "302 Found", "text/event-stream"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			b := startBackend(c, func(n int, conn net.Conn, r *http.Request) bool {
+				if n == 1 {
+					fmt.Fprint(conn, streamHead(r)+"id: 1\ndata: a\n\nid: 2\nda")
+					return false
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\nX-Response-Signature: t\r\n", test.status, r.Header.Get("X-Attempt-Id"))
+				if test.contentType != "" {
+					fmt.Fprintf(conn, "Content-Type: %s\r\n", test.contentType)
+				}
+				if n > 1 && test.status != "204 No Content" {
+					fmt.Fprint(conn, "Content-Length: 5\r\n\r\nerror")
+				} else {
+					fmt.Fprint(conn, "\r\n")
+				}
+				return true
+			})
+			front := startFront(c, syncedViews(), b)
+			answer, body, err := sendRequest(front, "POST", "/stream/x", "")
+			c.Check(errors.Is(err, io.ErrUnexpectedEOF), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			c.Check(body, quicktest.Equals, "id: 1\ndata: a\n\n")
+			c.Check(answer.Header.Get("X-Response-Signature"), quicktest.Equals, "s")
+		})
+	}
+}
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -199,11 +200,14 @@
 		in.Finish(false)
 		return &forward.IncompleteError{Cause: errNoSignature}
 	}
-	if e.responseStarted && !success {
+	contentType := in.Header.Get("Content-Type")
+	stream := success && strings.HasPrefix(contentType, "text/event-stream")
+	// Only a stream can continue a response that has begun: any other body would follow the
+	// bytes of the first one.
+	if e.responseStarted && !stream {
 		r.Discard()
-		return &forward.IncompleteError{Cause: errors.New("stream could not be resumed: server returned status " + strconv.Itoa(in.StatusCode))}
+		return &forward.IncompleteError{Cause: fmt.Errorf("response could not be resumed: server returned status %d with content type %q", in.StatusCode, contentType)}
 	}
-	stream := success && strings.HasPrefix(in.Header.Get("Content-Type"), "text/event-stream")
 	var err error
 	if stream {
 		err = r.deliverStream(observer)
