--- a/internal/explain/explanation.go
+++ b/internal/explain/explanation.go
@@ -110,6 +110,7 @@
 	"incomplete":       "the answer broke off",
 	"wrong-instance":   "the answer belonged to another request",
 	"canceled":         "its caller left",
+	"prompt-blocked":   "engines ended under requests with the same prompt parts",
 }
 
 // outcome returns a sentence on how the request ended, by its last line.
