--- a/internal/explain/explanation.go
+++ b/internal/explain/explanation.go
@@ -111,6 +111,7 @@
 	"wrong-instance":   "the answer belonged to another request",
 	"canceled":         "its caller left",
 	"prompt-blocked":   "engines ended under requests with the same prompt parts",
+	"rate-limited":     "the servers state limits of requests a second, and no turn came in time",
 }
 
 // outcome returns a sentence on how the request ended, by its last line.
