quarantine: find requests that crash engines by pairs of traits

Cause: each part of a prompt was judged by itself and the adapter not at all.

Change: a request has traits (parts, adapter, hash of its content), which are judged alone and in pairs. A block ends the sends of such requests whose answers have not begun.

--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -28,6 +28,9 @@
 	// PromptParts are the ids of those parts of the prompt that other requests may
 	// share, in their order.
 	PromptParts []string
+	// ContentID identifies the method, target and body. Requests that are alike have the
+	// same one.
+	ContentID string
 	// Arrived is when the request was read. MaxWait is how long the client waits
 	// from then on, or 0 if it did not say.
 	Arrived time.Time
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -64,12 +64,13 @@
 	AllowRetry(service string) bool
 }
 
-// Quarantine knows the parts of prompts that crash servers. Its methods are described at
-// quarantine.Quarantine.
+// Quarantine knows the requests that crash servers by their traits. Its methods are
+// described at quarantine.Quarantine.
 type Quarantine interface {
-	BlockedFor(service site.ServiceName, parts []string) time.Duration
-	RecordInterruption(ctx context.Context, server *site.Server, parts []string)
-	RecordSound(service site.ServiceName, parts []string)
+	BlockedFor(service site.ServiceName, traits []string) time.Duration
+	Watch(service site.ServiceName, traits []string, onBlock func()) (stop func())
+	RecordInterruption(ctx context.Context, server *site.Server, traits []string)
+	RecordSound(service site.ServiceName, traits []string)
 }
 
 const (
@@ -138,7 +139,7 @@
 	if route == nil || len(route.WeightedServices) == 0 {
 		return verdict.NewNotRun(verdict.CodeUnknownName, "no route for %s%s", request.Host, request.Path)
 	}
-	p := &progress{request: request, client: client, route: route, service: pickWeightedService(route), quarantine: f.Quarantine}
+	p := &progress{request: request, client: client, route: route, service: pickWeightedService(route), quarantine: f.Quarantine, traits: request.traits()}
 	limit := route.Timeout
 	if request.MaxWait > 0 && request.MaxWait < limit {
 		limit = request.MaxWait
@@ -312,12 +313,12 @@
 	return f.send(ctx, p, pick.Server, want)
 }
 
-// checkQuarantine refuses a request with prompt parts that crash servers. The caller is
+// checkQuarantine refuses a request with traits that crash servers. The caller is
 // told when the block ends, because the request fails at any host until then.
 func (f *Forwarder) checkQuarantine(p *progress) *verdict.Error {
-	blockedFor := f.Quarantine.BlockedFor(p.service, p.request.PromptParts)
+	blockedFor := f.Quarantine.BlockedFor(p.service, p.traits)
 	if blockedFor <= 0 {
 		return nil
 	}
-	return newRefusal(verdict.CodePromptBlocked, blockedFor, "servers ended under requests with these parts of the prompt")
+	return newRefusal(verdict.CodePromptBlocked, blockedFor, errBlocked.Error())
 }
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -22,9 +22,11 @@
 	synced chan struct{}
 	loaded bool
 	// onPlace handles requests for admission, and onSend the n-th send.
-	onPlace     func(ctx context.Context, request site.PlaceRequest) error
-	onSend      func(n int) (Response, error)
-	retriesLeft int
+	onPlace func(ctx context.Context, request site.PlaceRequest) error
+	onSend  func(n int) (Response, error)
+	// onSendContext replaces onSend if it is set.
+	onSendContext func(ctx context.Context) (Response, error)
+	retriesLeft   int
 
 	placed   []site.PlaceRequest
 	sent     []SendOptions
@@ -69,6 +71,7 @@
 func (r *fakeSystem) Prefetch(*site.Server, site.PlaceRequest)                    {}
 func (r *fakeSystem) CountRequest(string)                                         {}
 func (r *fakeSystem) ResponseStarted() bool                                       { return false }
+func (r *fakeSystem) Watch(site.ServiceName, []string, func()) func()             { return func() {} }
 func (r *fakeSystem) BlockedFor(site.ServiceName, []string) time.Duration         { return 0 }
 func (r *fakeSystem) RecordInterruption(context.Context, *site.Server, []string)  {}
 func (r *fakeSystem) RecordSound(site.ServiceName, []string)                      {}
@@ -81,8 +84,11 @@
 	return site.Placement{}, r.onPlace(ctx, request)
 }
 
-func (r *fakeSystem) Send(_ context.Context, _ *site.Server, options SendOptions) (Response, error) {
+func (r *fakeSystem) Send(ctx context.Context, _ *site.Server, options SendOptions) (Response, error) {
 	r.sent = append(r.sent, options)
+	if r.onSendContext != nil {
+		return r.onSendContext(ctx)
+	}
 	return r.onSend(len(r.sent))
 }
 
@@ -286,8 +292,16 @@
 	blockedFor           time.Duration
 	interrupted, sound   int
 	blockAfterInterrupts int
+	// onWatch is called with the function to call on a block.
+	onWatch func(onBlock func())
 }
 
+func (q *fakeQuarantine) Watch(_ site.ServiceName, _ []string, onBlock func()) func() {
+	if q.onWatch != nil {
+		q.onWatch(onBlock)
+	}
+	return func() {}
+}
 func (q *fakeQuarantine) BlockedFor(site.ServiceName, []string) time.Duration { return q.blockedFor }
 func (q *fakeQuarantine) RecordSound(site.ServiceName, []string)              { q.sound++ }
 func (q *fakeQuarantine) RecordInterruption(context.Context, *site.Server, []string) {
@@ -325,6 +339,28 @@
 	})
 }
 
+// TestBlockEndsSend guards against a request that stays at a server, or goes to another one,
+// after its traits have become blocked, and against a caller that is told that it did not run.
+func TestBlockEndsSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		r := newFakeSystem(chatRoute)
+		r.onSendContext = func(ctx context.Context) (Response, error) {
+			<-ctx.Done()
+			return nil, verdict.NewMayHaveRun(verdict.CodeBackendLost, ctx.Err(), "connection closed")
+		}
+		q := &fakeQuarantine{}
+		q.onWatch = func(onBlock func()) { time.AfterFunc(time.Second, onBlock) }
+		failure, took := r.forwardWith(q)
+		c.Check(failure.Verdict, quicktest.Equals, verdict.MayHaveRun)
+		c.Check(failure.Code, quicktest.Equals, verdict.CodePromptBlocked)
+		c.Check(took, quicktest.Equals, time.Second)
+		c.Check(r.sent, quicktest.HasLen, 1)
+		c.Check(q.interrupted, quicktest.Equals, 0)
+		c.Check(r.failures, quicktest.Equals, 0)
+	})
+}
+
 // TestInterruptedRequestIsEvidenceOnce guards against sound streams that count as evidence
 // because their server ended, and against a request that goes to the next server although
 // the last end made its prompt blocked.
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -53,6 +53,10 @@
 	// mayHaveRun means that an earlier send may have been executed by its server.
 	mayHaveRun bool
 	quarantine Quarantine
+	// traits are those of the request by which the quarantine knows it. stopWatch ends the
+	// watch of the present send for a block.
+	traits    []string
+	stopWatch func()
 	// events is the number of events of a stream that the client has received, over all
 	// sends. answerBegun means that the request is known not to crash its server.
 	events      int
@@ -75,6 +79,7 @@
 func (p *progress) recordBegun() {
 	if !p.answerBegun {
 		p.answerBegun = true
-		p.quarantine.RecordSound(p.service, p.request.PromptParts)
+		p.stopWatch()
+		p.quarantine.RecordSound(p.service, p.traits)
 	}
 }
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -24,9 +24,11 @@
 	}
 	p.sends++
 	p.waitingFor, p.server = waitingForResponse, server.ID
-	response, err := p.client.Send(ctx, server, options)
+	sendContext, endSend := f.watchBlocks(ctx, p)
+	defer endSend()
+	response, err := p.client.Send(sendContext, server, options)
 	if err != nil {
-		return f.recordSendFailure(p, server, verdict.FromError(err), ctx)
+		return f.recordSendFailure(sendContext, p, server, verdict.FromError(err))
 	}
 	head := response.Head()
 	if !head.Misdirected || head.FromExpectedServer {
@@ -45,7 +47,7 @@
 		f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Int("status", head.Status).Msg("server responded with an error; retrying at another server")
 		return f.resend(ctx, p)
 	}
-	return f.deliver(ctx, p, server, response, head)
+	return f.deliver(sendContext, p, server, response, head)
 }
 
 // recordRateLimit records the limit that a response of the server states, 0 if none.
@@ -63,7 +65,7 @@
 }
 
 // recordSendFailure records a send that got no response.
-func (f *Forwarder) recordSendFailure(p *progress, server *site.Server, failure *verdict.Error, ctx context.Context) *verdict.Error {
+func (f *Forwarder) recordSendFailure(ctx context.Context, p *progress, server *site.Server, failure *verdict.Error) *verdict.Error {
 	if failure.Verdict != verdict.NotRun {
 		p.runs++
 		f.recordInterruption(ctx, p, server)
@@ -74,14 +76,14 @@
 		f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Str("verdict", string(failure.Verdict)).
 			Strs("prompt-parts", p.request.PromptParts).Int("sends", p.sends).Int("events", p.events).Err(failure).Msg("send failed")
 	}
-	return failure
+	return blockedFailure(ctx, server, failure)
 }
 
 // recordInterruption tells the quarantine of a request whose connection ended, unless
 // its answer had begun: then the request has shown that it does not crash servers.
 func (f *Forwarder) recordInterruption(ctx context.Context, p *progress, server *site.Server) {
 	if ctx.Err() == nil && !p.answerBegun {
-		f.Quarantine.RecordInterruption(ctx, server, p.request.PromptParts)
+		f.Quarantine.RecordInterruption(ctx, server, p.traits)
 	}
 }
 
@@ -124,5 +126,5 @@
 	}
 	f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Strs("prompt-parts", p.request.PromptParts).
 		Int("sends", p.sends).Int("events", p.events).Err(err).Msg("answer broke off")
-	return verdict.NewMayHaveRun(verdict.CodeIncomplete, err, "response of server %s ended early", server.ID)
+	return blockedFailure(ctx, server, verdict.NewMayHaveRun(verdict.CodeIncomplete, err, "response of server %s ended early", server.ID))
 }
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -11,78 +11,78 @@
 )
 
 const (
-	// minEnds is the number of ended engines from which a prompt part is blocked. With
-	// fewer, a part that happened to be on engines that ended for other reasons would
-	// be blocked.
+	// minEnds is the number of ended engines from which requests with a set of traits
+	// are blocked. With fewer, traits that happened to be on engines that ended for
+	// other reasons would be blocked.
 	minEnds = 3
 	// sameMomentWindow is the time within which several ends count as one. Engines
 	// that lose power together end together, with sound requests on all of them.
 	sameMomentWindow = 100 * time.Millisecond
-	// blockDuration is how long a part stays blocked after the last end of an engine.
-	// After it, one more end blocks the part again.
+	// blockDuration is how long traits stay blocked after the last end of an engine.
+	// After it, one more end blocks them again.
 	blockDuration = 10 * time.Minute
 	// maxEndAge is the age at which an end that a block depends on is forgotten, and
 	// unusedEndAge the age for other ends.
 	maxEndAge    = time.Hour
 	unusedEndAge = 2 * time.Minute
-	// maxEnds, maxSuspectsPerEnd and maxPartsPerSuspect bound the memory for evidence
-	// to about 4 MB with ids of 16 bytes.
-	maxEnds            = 256
-	maxSuspectsPerEnd  = 64
-	maxPartsPerSuspect = 16
+	// maxEnds, maxSuspectsPerEnd and maxTraitsPerSuspect bound the memory for evidence
+	// to about 4 MB with traits of 16 bytes.
+	maxEnds             = 256
+	maxSuspectsPerEnd   = 64
+	maxTraitsPerSuspect = 16
+	// maxPairedTraits bounds the traits of one request that are also judged in pairs.
+	maxPairedTraits = 8
 )
 
-// A promptPart identifies a part of the prompts of one service.
-type promptPart struct {
-	service site.ServiceName
-	id      string
-}
-
 // evidence is what is known of engines that ended and of the requests on them. The
 // goroutine of Quarantine.Run owns it.
 type evidence struct {
 	ends map[site.Incarnation]*end
-	// soundAt is when an answer last began on a part that is among the suspects of an
-	// end.
-	soundAt map[promptPart]time.Time
+	// soundAt is when an answer last began to a request with the traits, for those that
+	// are among the suspects of an end.
+	soundAt map[traitSet]time.Time
+	// newest has, for each set of suspect traits, the time of the newest end with them. It
+	// is nil if it has to be computed again.
+	newest map[traitSet]time.Time
 }
 
 // An end is the end of one engine process.
 type end struct {
 	service site.ServiceName
 	at      time.Time
-	// suspects has the sorted prompt parts of each request whose answer had not begun.
+	// suspects has the sorted traits of each request whose answer had not begun.
 	suspects [][]string
 }
 
-// A block is a set of prompt parts. Requests that have all of them are refused.
+// A block is a set of traits. Requests that have all of them are refused.
 type block struct {
 	service site.ServiceName
-	// parts is sorted and not empty.
-	parts []string
+	// traits is sorted and not empty.
+	traits []string
 	// ends is the number of engines that ended under such requests.
 	ends int
 	// until is when the block ends unless another engine ends.
 	until time.Time
 }
 
-// key identifies the parts of the block.
+// key identifies the traits of the block.
 func (b *block) key() string {
-	return string(b.service) + "\x00" + strings.Join(b.parts, "\x00")
+	return string(b.service) + "\x00" + strings.Join(b.traits, "\x00")
 }
 
-// A suspicion is what speaks against one prompt part.
+// A suspicion is what speaks against one set of traits.
 type suspicion struct {
-	// ends are the ends with the part among the suspects and no answer on the part
+	set traitSet
+	// ends are the ends with such a request among the suspects and no answer to one
 	// since, by ascending time.
 	ends []*end
-	// common has those parts that are in each suspect request with this part and on
-	// which no answer has begun since. It includes the part itself.
+	// common has the set, and those other traits that all these suspect requests share and
+	// that no answer has cleared since.
 	common []string
 }
 
 func newEvidence() *evidence {
-	return &evidence{ends: make(map[site.Incarnation]*end), soundAt: make(map[promptPart]time.Time)}
+	return &evidence{ends: make(map[site.Incarnation]*end), soundAt: make(map[traitSet]time.Time)}
 }
 
 // addEnd records suspects of the end of an engine and reports whether anything is new.
@@ -97,70 +97,74 @@
 	}
 	if at.Before(known.at) {
 		known.at = at
+		e.newest = nil
 	}
-	for _, parts := range suspects {
-		parts = slices.Compact(slices.Sorted(slices.Values(parts[:min(len(parts), maxPartsPerSuspect)])))
-		isKnown := slices.ContainsFunc(known.suspects, func(other []string) bool { return slices.Equal(other, parts) })
-		if len(parts) > 0 && !isKnown && len(known.suspects) < maxSuspectsPerEnd {
-			known.suspects = append(known.suspects, parts)
+	for _, traits := range suspects {
+		traits = slices.Compact(slices.Sorted(slices.Values(traits[:min(len(traits), maxTraitsPerSuspect)])))
+		isKnown := slices.ContainsFunc(known.suspects, func(other []string) bool { return slices.Equal(other, traits) })
+		if len(traits) > 0 && !isKnown && len(known.suspects) < maxSuspectsPerEnd {
+			known.suspects = append(known.suspects, traits)
 			changed = true
 		}
 	}
+	if changed {
+		e.newest = nil
+	}
 	return changed
 }
 
-// addSound records an answer that began on a part and reports whether it clears the
-// part of an end. Other answers are not kept, so that their times do not grow while
-// hosts exchange them.
-func (e *evidence) addSound(part promptPart, at time.Time) bool {
-	last, ok := e.newestEnds()[part]
-	if !ok || !at.After(last) || e.soundAt[part].After(last) {
+// addSound records an answer that began to a request with the traits and reports whether
+// it clears them of an end. Other answers are not kept, so that their times do not grow
+// while hosts exchange them.
+func (e *evidence) addSound(set traitSet, at time.Time) bool {
+	last, ok := e.newestEnds()[set]
+	if !ok || !at.After(last) || e.soundAt[set].After(last) {
 		return false
 	}
-	e.soundAt[part] = at
+	e.soundAt[set] = at
 	return true
 }
 
-// newestEnds returns, for each suspect part, the time of the newest end with it.
-func (e *evidence) newestEnds() map[promptPart]time.Time {
-	newest := make(map[promptPart]time.Time)
+// newestEnds returns, for each set of suspect traits, the time of the newest end with it.
+func (e *evidence) newestEnds() map[traitSet]time.Time {
+	if e.newest != nil {
+		return e.newest
+	}
+	e.newest = make(map[traitSet]time.Time)
 	for _, known := range e.ends {
-		for _, parts := range known.suspects {
-			for _, id := range parts {
-				part := promptPart{known.service, id}
-				if known.at.After(newest[part]) {
-					newest[part] = known.at
+		for _, traits := range known.suspects {
+			for set := range traitSets(known.service, traits) {
+				if known.at.After(e.newest[set]) {
+					e.newest[set] = known.at
 				}
 			}
 		}
 	}
-	return newest
+	return e.newest
 }
 
-// isSuspect reports whether no answer has begun on the part since the end.
-func (e *evidence) isSuspect(part promptPart, known *end) bool {
-	return !e.soundAt[part].After(known.at)
+// isSuspect reports whether no answer has begun to a request with the traits since the end.
+func (e *evidence) isSuspect(set traitSet, known *end) bool {
+	return !e.soundAt[set].After(known.at)
 }
 
-// suspicions collects what speaks against each part.
-func (e *evidence) suspicions() map[promptPart]*suspicion {
-	all := make(map[promptPart]*suspicion)
+// suspicions collects what speaks against each set of traits.
+func (e *evidence) suspicions() map[traitSet]*suspicion {
+	all := make(map[traitSet]*suspicion)
 	for _, known := range e.ends {
-		for _, parts := range known.suspects {
-			var open []string
-			for _, id := range parts {
-				if e.isSuspect(promptPart{known.service, id}, known) {
-					open = append(open, id)
+		for _, traits := range known.suspects {
+			open := e.openTraits(traits, known)
+			for set := range traitSets(known.service, traits) {
+				if !e.isSuspect(set, known) {
+					continue
 				}
-			}
-			for _, id := range open {
-				part := promptPart{known.service, id}
-				s := all[part]
+				blamed := set.union(open)
+				s := all[set]
 				if s == nil {
-					s = &suspicion{common: open}
-					all[part] = s
+					s = &suspicion{set: set, common: blamed}
+					all[set] = s
 				}
-				s.common = intersect(s.common, open)
+				s.common = intersect(s.common, blamed)
 				if !slices.Contains(s.ends, known) {
 					s.ends = append(s.ends, known)
 				}
@@ -173,6 +177,18 @@
 	return all
 }
 
+// openTraits returns those traits of a suspect request that no answer has cleared since the
+// end.
+func (e *evidence) openTraits(traits []string, known *end) []string {
+	var open []string
+	for _, trait := range traits {
+		if e.isSuspect(traitSet{service: known.service, first: trait}, known) {
+			open = append(open, trait)
+		}
+	}
+	return open
+}
+
 // intersect returns the strings that are in both sorted lists.
 func intersect(a, b []string) []string {
 	var both []string
@@ -198,9 +214,10 @@
 	return count
 }
 
-// blocks returns the blocks that follow from the evidence, sorted by their keys. Narrow
-// sets of parts come first, and a wider one is blocked only for ends that they do not
-// explain: parts that the requests share with sound ones stay in use.
+// blocks returns the blocks that follow from the evidence, sorted by their keys. A pair of
+// traits is blocked only for ends that no single trait explains, and a wider set only for
+// ends that narrower ones do not explain: traits that the requests share with sound ones
+// stay in use.
 func (e *evidence) blocks(now time.Time) []block {
 	candidates := e.candidates()
 	explained := make(map[*end]bool)
@@ -214,7 +231,7 @@
 			explained[known] = true
 		}
 		newest := s.ends[len(s.ends)-1]
-		b := block{service: newest.service, parts: s.common, ends: len(s.ends), until: newest.at.Add(blockDuration)}
+		b := block{service: newest.service, traits: s.common, ends: len(s.ends), until: newest.at.Add(blockDuration)}
 		if now.Before(b.until) {
 			byKey[b.key()] = b
 		}
@@ -222,8 +239,9 @@
 	return slices.SortedFunc(maps.Values(byKey), func(a, b block) int { return strings.Compare(a.key(), b.key()) })
 }
 
-// candidates returns the suspicions with at least minEnds ends: those against the most
-// parts together first, then those with the most ends.
+// candidates returns the suspicions with at least minEnds ends: those against one trait
+// before those against pairs, then those against the most traits together, then those with
+// the most ends.
 func (e *evidence) candidates() []*suspicion {
 	var list []*suspicion
 	for _, s := range e.suspicions() {
@@ -232,19 +250,20 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *suspicion) int {
-		return cmp.Or(len(b.common)-len(a.common), len(b.ends)-len(a.ends), slices.Compare(a.common, b.common))
+		return cmp.Or(a.set.size()-b.set.size(), len(b.common)-len(a.common), len(b.ends)-len(a.ends), slices.Compare(a.common, b.common))
 	})
 	return list
 }
 
 // prune forgets old evidence: ends that no block depends on after unusedEndAge, all ends
-// after maxEndAge, the oldest ends beyond maxEnds, and answers on parts that are no
-// longer among the suspects.
+// after maxEndAge, the oldest ends beyond maxEnds, and answers to requests with traits that
+// are no longer among the suspects.
 func (e *evidence) prune(blocks []block, now time.Time) {
 	for engine, known := range e.ends {
 		age := now.Sub(known.at)
 		if age >= maxEndAge || age >= unusedEndAge && !slices.ContainsFunc(blocks, func(b block) bool { return b.dependsOn(known) }) {
 			delete(e.ends, engine)
+			e.newest = nil
 		}
 	}
 	for len(e.ends) > maxEnds {
@@ -255,11 +274,12 @@
 			}
 		}
 		delete(e.ends, oldest)
+		e.newest = nil
 	}
 	newest := e.newestEnds()
-	for part := range e.soundAt {
-		if _, ok := newest[part]; !ok {
-			delete(e.soundAt, part)
+	for set := range e.soundAt {
+		if _, ok := newest[set]; !ok {
+			delete(e.soundAt, set)
 		}
 	}
 }
@@ -270,10 +290,10 @@
 	return known.service == b.service && slices.ContainsFunc(known.suspects, b.matches)
 }
 
-// matches reports whether a request with the parts is refused.
-func (b *block) matches(parts []string) bool {
-	for _, id := range b.parts {
-		if !slices.Contains(parts, id) {
+// matches reports whether a request with the traits is refused.
+func (b *block) matches(traits []string) bool {
+	for _, trait := range b.traits {
+		if !slices.Contains(traits, trait) {
 			return false
 		}
 	}
@@ -286,8 +306,8 @@
 	for engine, known := range e.ends {
 		r.Ends = append(r.Ends, site.EngineEnd{Engine: engine, Service: known.service, Age: now.Sub(known.at), Suspects: slices.Clone(known.suspects)})
 	}
-	for part, at := range e.soundAt {
-		r.SoundParts = append(r.SoundParts, site.SoundPart{Service: part.service, Part: part.id, Age: now.Sub(at)})
+	for set, at := range e.soundAt {
+		r.SoundTraits = append(r.SoundTraits, site.SoundTraits{Service: set.service, Traits: set.traits(), Age: now.Sub(at)})
 	}
 	return r
 }
@@ -303,8 +323,9 @@
 			changed = true
 		}
 	}
-	for _, sound := range r.SoundParts {
-		if sound.Age >= 0 && e.addSound(promptPart{sound.Service, sound.Part}, now.Add(-sound.Age)) {
+	for _, sound := range r.SoundTraits {
+		set, ok := newTraitSet(sound.Service, sound.Traits)
+		if ok && sound.Age >= 0 && e.addSound(set, now.Add(-sound.Age)) {
 			changed = true
 		}
 	}
--- a/internal/coordination/quarantine/evidence_test.go
+++ b/internal/coordination/quarantine/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,9 +35,7 @@
 // apply adds the observation to the evidence.
 func (o observation) apply(e *evidence, start time.Time) {
 	at := start.Add(o.after)
-	for _, id := range o.sound {
-		e.addSound(promptPart{testService, id}, at)
-	}
+	soundAnswer{service: testService, traits: slices.Sorted(slices.Values(o.sound))}.apply(e, at)
 	if len(o.suspects) > 0 {
 		e.addEnd(testEngine(o.engine), testService, at, o.suspects)
 	}
@@ -46,11 +45,11 @@
 	return site.Incarnation{ID: site.ServerID(fmt.Sprintf("engine-%d", n)), StartUnixMilli: 1}
 }
 
-// blockedParts returns the parts of each block.
-func blockedParts(blocks []block) [][]string {
+// blockedTraits returns the traits of each block.
+func blockedTraits(blocks []block) [][]string {
 	var list [][]string
 	for _, b := range blocks {
-		list = append(list, b.parts)
+		list = append(list, b.traits)
 	}
 	return list
 }
@@ -122,6 +121,25 @@
 			6 * time.Second,
 			[][]string{{"bad"}, {"worse"}},
 		},
+		{
+			"a part that crashes engines with one adapter only is blocked with that adapter",
+			[]observation{
+				ended(0, 1, []string{"adapter", "part", "system"}), began(300*time.Millisecond, "adapter", "other"), began(400*time.Millisecond, "part", "system"),
+				ended(time.Second, 2, []string{"adapter", "part", "system"}), began(1300*time.Millisecond, "adapter", "other"), began(1400*time.Millisecond, "part", "system"),
+				ended(2*time.Second, 3, []string{"adapter", "part", "system"}), began(2300*time.Millisecond, "adapter", "system"), began(2400*time.Millisecond, "part", "system"),
+			},
+			3 * time.Second,
+			[][]string{{"adapter", "part"}},
+		},
+		{
+			"a pair of traits with sound answers is not blocked",
+			[]observation{
+				ended(0, 1, []string{"adapter", "part"}), ended(time.Second, 2, []string{"adapter", "part"}), began(1500*time.Millisecond, "adapter", "part", "other"),
+				ended(2*time.Second, 3, []string{"adapter", "part"}),
+			},
+			3 * time.Second,
+			nil,
+		},
 		{
 			"a block ends",
 			[]observation{ended(0, 1, []string{"bad"}), ended(time.Second, 2, []string{"bad"}), ended(2*time.Second, 3, []string{"bad"})},
@@ -144,7 +162,7 @@
 			for _, o := range test.observations {
 				o.apply(e, start)
 			}
-			c.Assert(blockedParts(e.blocks(start.Add(test.after))), quicktest.DeepEquals, test.want)
+			c.Assert(blockedTraits(e.blocks(start.Add(test.after))), quicktest.DeepEquals, test.want)
 		})
 	}
 }
@@ -167,9 +185,9 @@
 				hosts[pair[0]].merge(hosts[pair[1]].report(now), now)
 			}
 		}
-		want := blockedParts(hosts[0].blocks(now))
+		want := blockedTraits(hosts[0].blocks(now))
 		for _, host := range hosts[1:] {
-			if got := blockedParts(host.blocks(now)); fmt.Sprint(got) != fmt.Sprint(want) {
+			if got := blockedTraits(host.blocks(now)); fmt.Sprint(got) != fmt.Sprint(want) {
 				r.Fatalf("blocks %v and %v", want, got)
 			}
 		}
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -1,10 +1,11 @@
-// Package quarantine finds the parts of prompts that crash engines and blocks the
-// requests that have them. All hosts of a site exchange what they have seen, so that
-// each blocks the same requests.
+// Package quarantine finds requests that crash engines by the traits that they share, such
+// as an adapter or a part of a prompt, and blocks the requests that have these traits. All
+// hosts of a site exchange what they have seen, so that each blocks the same requests.
 package quarantine
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -62,6 +63,7 @@
 	// published is what other goroutines read of the evidence. It is replaced on each
 	// change and never modified.
 	published atomic.Pointer[snapshot]
+	watches   watchList
 	// The fields below belong to the goroutine of Run.
 	evidence *evidence
 	// changedAt is when the evidence last changed, or the start of Run.
@@ -72,9 +74,9 @@
 // A snapshot is the evidence at one time, with what follows from it.
 type snapshot struct {
 	blocks []block
-	// suspects has the time of the newest end of each suspect part on which no answer
-	// has begun since.
-	suspects map[promptPart]time.Time
+	// suspects has the time of the newest end of each set of suspect traits without an
+	// answer since.
+	suspects map[traitSet]time.Time
 	// ended has the engines that are known to have ended.
 	ended  map[site.Incarnation]bool
 	report site.QuarantineReport
@@ -107,12 +109,12 @@
 	return q.lifecycle.Close()
 }
 
-// BlockedFor returns how long requests of the service with these prompt parts remain
-// refused, or 0 if they are not refused.
-func (q *Quarantine) BlockedFor(service site.ServiceName, parts []string) time.Duration {
+// BlockedFor returns how long requests of the service with these traits remain refused,
+// or 0 if they are not refused.
+func (q *Quarantine) BlockedFor(service site.ServiceName, traits []string) time.Duration {
 	q.prepare()
 	for _, b := range q.published.Load().blocks {
-		if b.service == service && b.matches(parts) {
+		if b.service == service && b.matches(traits) {
 			return max(time.Until(b.until), 0)
 		}
 	}
@@ -134,15 +136,15 @@
 // RecordInterruption records that a server closed the connection of a request before
 // its answer had begun. The request is evidence if the server's process has ended. It
 // returns when later calls of BlockedFor take the evidence into account.
-func (q *Quarantine) RecordInterruption(ctx context.Context, server *site.Server, parts []string) {
+func (q *Quarantine) RecordInterruption(ctx context.Context, server *site.Server, traits []string) {
 	q.prepare()
-	if len(parts) == 0 {
+	if len(traits) == 0 {
 		return
 	}
 	if !q.published.Load().ended[server.Incarnation] && !q.hasEnded(ctx, server) {
 		return
 	}
-	m := &interruption{engine: server.Incarnation, service: server.Service, parts: parts, done: make(chan struct{})}
+	m := &interruption{engine: server.Incarnation, service: server.Service, traits: traits, done: make(chan struct{})}
 	if !q.messages.Offer(m) {
 		return
 	}
@@ -160,16 +162,17 @@
 	return q.Prober.HasEnded(ctx, server.Address)
 }
 
-// RecordSound records that the answer to a request with these prompt parts has begun.
-func (q *Quarantine) RecordSound(service site.ServiceName, parts []string) {
+// RecordSound records that the answer to a request with these traits has begun.
+func (q *Quarantine) RecordSound(service site.ServiceName, traits []string) {
 	q.prepare()
 	suspects := q.published.Load().suspects
 	if len(suspects) == 0 {
 		return
 	}
-	for _, id := range parts {
-		if _, ok := suspects[promptPart{service, id}]; ok {
-			q.messages.Offer(soundAnswer{service: service, parts: parts})
+	traits = slices.Sorted(slices.Values(traits))
+	for set := range traitSets(service, traits) {
+		if _, ok := suspects[set]; ok {
+			q.messages.Offer(soundAnswer{service: service, traits: traits})
 			return
 		}
 	}
@@ -193,9 +196,9 @@
 		known.Age += passed
 		r.Ends = append(r.Ends, known)
 	}
-	for _, sound := range s.report.SoundParts {
+	for _, sound := range s.report.SoundTraits {
 		sound.Age += passed
-		r.SoundParts = append(r.SoundParts, sound)
+		r.SoundTraits = append(r.SoundTraits, sound)
 	}
 	return r
 }
@@ -204,25 +207,25 @@
 type interruption struct {
 	engine  site.Incarnation
 	service site.ServiceName
-	parts   []string
+	traits  []string
 	// done is closed when the evidence is published.
 	done chan struct{}
 }
 
 func (i *interruption) apply(e *evidence, now time.Time) bool {
-	return e.addEnd(i.engine, i.service, now, [][]string{i.parts})
+	return e.addEnd(i.engine, i.service, now, [][]string{i.traits})
 }
 
-// A soundAnswer is an answer that has begun.
+// A soundAnswer is an answer that has begun. traits is sorted.
 type soundAnswer struct {
 	service site.ServiceName
-	parts   []string
+	traits  []string
 }
 
 func (s soundAnswer) apply(e *evidence, now time.Time) bool {
 	changed := false
-	for _, id := range s.parts {
-		if e.addSound(promptPart{s.service, id}, now) {
+	for set := range traitSets(s.service, s.traits) {
+		if e.addSound(set, now) {
 			changed = true
 		}
 	}
@@ -274,16 +277,17 @@
 	blocks := q.evidence.blocks(now)
 	q.evidence.prune(blocks, now)
 	q.logChanges(q.published.Load().blocks, blocks)
-	s := &snapshot{blocks: blocks, suspects: make(map[promptPart]time.Time), ended: make(map[site.Incarnation]bool), report: q.evidence.report(now), at: now}
-	for part, at := range q.evidence.newestEnds() {
-		if !q.evidence.soundAt[part].After(at) {
-			s.suspects[part] = at
+	s := &snapshot{blocks: blocks, suspects: make(map[traitSet]time.Time), ended: make(map[site.Incarnation]bool), report: q.evidence.report(now), at: now}
+	for set, at := range q.evidence.newestEnds() {
+		if !q.evidence.soundAt[set].After(at) {
+			s.suspects[set] = at
 		}
 	}
 	for engine := range q.evidence.ends {
 		s.ended[engine] = true
 	}
 	q.published.Store(s)
+	q.watches.notify(blocks)
 }
 
 // logChanges logs the blocks that have begun and those that have ended.
@@ -294,13 +298,13 @@
 	}
 	for _, b := range after {
 		if _, ok := known[b.key()]; !ok {
-			q.Log.Warn().Str("service", string(b.service)).Str("prompt-parts", strings.Join(b.parts, ",")).Int("ended-engines", b.ends).
-				Dur("for", time.Until(b.until)).Msg("requests with these prompt parts are refused: engines ended under them")
+			q.Log.Warn().Str("service", string(b.service)).Str("traits", strings.Join(b.traits, ",")).Int("ended-engines", b.ends).
+				Dur("for", time.Until(b.until)).Msg("requests with these traits are refused: engines ended under them")
 		}
 		delete(known, b.key())
 	}
 	for _, b := range known {
-		q.Log.Info().Str("service", string(b.service)).Str("prompt-parts", strings.Join(b.parts, ",")).
-			Msg("requests with these prompt parts are no longer refused")
+		q.Log.Info().Str("service", string(b.service)).Str("traits", strings.Join(b.traits, ",")).
+			Msg("requests with these traits are no longer refused")
 	}
 }
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -183,6 +183,31 @@
 	})
 }
 
+// TestBlockEndsSendsUnderWay guards against requests that wait at an engine when their
+// traits become blocked, and end that engine as well.
+func TestBlockEndsSendsUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		s := startSite(c, 2, 0)
+		defer s.close()
+		var blocked, sound, begun atomic.Int32
+		watched := s.host(hostName(1))
+		defer watched.Watch(testService, []string{"bad", "own"}, func() { blocked.Add(1) })()
+		defer watched.Watch(testService, []string{"own"}, func() { sound.Add(1) })()
+		watched.Watch(testService, []string{"bad"}, func() { begun.Add(1) })()
+		for n := range minEnds {
+			s.end(0, n, "bad")
+			time.Sleep(150 * time.Millisecond)
+		}
+		time.Sleep(touchTime)
+		c.Check(blocked.Load(), quicktest.Equals, int32(1))
+		c.Check(sound.Load(), quicktest.Equals, int32(0))
+		c.Check(begun.Load(), quicktest.Equals, int32(0))
+		watched.Watch(testService, []string{"bad"}, func() { blocked.Add(1) })()
+		c.Check(blocked.Load(), quicktest.Equals, int32(2))
+	})
+}
+
 // TestQuietSiteSendsNothing guards against messages between hosts that know of no end.
 func TestQuietSiteSendsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/explain/explanation.go
+++ b/internal/explain/explanation.go
@@ -110,7 +110,7 @@
 	"incomplete":       "the answer broke off",
 	"wrong-instance":   "the answer belonged to another request",
 	"canceled":         "its caller left",
-	"prompt-blocked":   "engines ended under requests with the same prompt parts",
+	"prompt-blocked":   "engines ended under requests with the same traits",
 	"rate-limited":     "the servers state limits of requests a second, and no turn came in time",
 }
 
--- a/protocol/peer/convertquarantine.go
+++ b/protocol/peer/convertquarantine.go
@@ -11,13 +11,13 @@
 	message := &QuarantineReport{}
 	for _, end := range r.Ends {
 		encoded := &EngineEnd{Engine: fromIncarnation(end.Engine), Service: string(end.Service), AgeNanoseconds: int64(end.Age)}
-		for _, parts := range end.Suspects {
-			encoded.Suspects = append(encoded.Suspects, &Suspect{Parts: parts})
+		for _, traits := range end.Suspects {
+			encoded.Suspects = append(encoded.Suspects, &Suspect{Traits: traits})
 		}
 		message.Ends = append(message.Ends, encoded)
 	}
-	for _, sound := range r.SoundParts {
-		message.SoundParts = append(message.SoundParts, &SoundPart{Service: string(sound.Service), Part: sound.Part, AgeNanoseconds: int64(sound.Age)})
+	for _, sound := range r.SoundTraits {
+		message.SoundTraits = append(message.SoundTraits, &SoundTraits{Service: string(sound.Service), Traits: sound.Traits, AgeNanoseconds: int64(sound.Age)})
 	}
 	return message
 }
@@ -32,14 +32,14 @@
 			Age:     time.Duration(encoded.GetAgeNanoseconds()),
 		}
 		for _, suspect := range encoded.GetSuspects() {
-			end.Suspects = append(end.Suspects, suspect.GetParts())
+			end.Suspects = append(end.Suspects, suspect.GetTraits())
 		}
 		r.Ends = append(r.Ends, end)
 	}
-	for _, encoded := range message.GetSoundParts() {
-		r.SoundParts = append(r.SoundParts, site.SoundPart{
+	for _, encoded := range message.GetSoundTraits() {
+		r.SoundTraits = append(r.SoundTraits, site.SoundTraits{
 			Service: site.ServiceName(encoded.GetService()),
-			Part:    encoded.GetPart(),
+			Traits:  encoded.GetTraits(),
 			Age:     time.Duration(encoded.GetAgeNanoseconds()),
 		})
 	}
--- a/state/site/quarantine.go
+++ b/state/site/quarantine.go
@@ -10,25 +10,27 @@
 	Service ServiceName
 	// Age is the time since the end was noticed.
 	Age time.Duration
-	// Suspects has the prompt parts of each request whose answer had not begun when
-	// the engine ended.
+	// Suspects has the traits of each request whose answer had not begun when the
+	// engine ended: its adapter, the parts of its prompt and others that requests may
+	// share.
 	Suspects [][]string
 }
 
-// A SoundPart is a prompt part of a request whose answer an engine has begun.
-type SoundPart struct {
-	// Service is the service of the engine, and Part the id of the prompt part.
+// SoundTraits are traits of a request whose answer an engine has begun.
+type SoundTraits struct {
+	// Service is the service of the engine.
 	Service ServiceName
-	Part    string
+	// Traits has one or two sorted traits.
+	Traits []string
 	// Age is the time since the answer had begun.
 	Age time.Duration
 }
 
-// A QuarantineReport is the evidence from which a host decides which prompt parts crash
+// A QuarantineReport is the evidence from which a host decides which requests crash
 // engines. Hosts exchange it.
 type QuarantineReport struct {
-	// Ends are the known ends of engines, and SoundParts the parts that they do not
-	// make suspect, because an answer has begun on them since.
-	Ends       []EngineEnd
-	SoundParts []SoundPart
+	// Ends are the known ends of engines, and SoundTraits the traits that they do not
+	// make suspect, because an answer to such a request has begun since.
+	Ends        []EngineEnd
+	SoundTraits []SoundTraits
 }
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
@@ -39,6 +41,7 @@
 		Arrived:   arrived,
 	}
 	request.PromptTokens = platform.DecodePromptTokens(r.Header.Get(platform.HeaderTokenCounts))
+	request.ContentID = contentID(r, body)
 	request.PromptParts = platform.DecodeSharedPromptParts(r.Header.Get(platform.HeaderPromptPrefix))
 	if text := r.Header.Get(platform.HeaderRemainingTime); text != "" {
 		milliseconds, err := strconv.ParseInt(text, 10, 64)
@@ -112,6 +115,14 @@
 	w.WriteHeader(status)
 }
 
+// contentID returns a hash of what is the same in all copies of a request.
+func contentID(r *http.Request, body []byte) string {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(r.Method + " " + r.RequestURI + "\x00" + r.Header.Get(platform.HeaderPromptPrefix) + "\x00")
+	_, _ = digest.Write(body)
+	return strconv.FormatUint(digest.Sum64(), 16)
+}
+
 // hostOf returns the value of a Host header in lower case and without the port.
 func hostOf(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/transport/peer/quarantine.go
+++ b/transport/peer/quarantine.go
@@ -7,7 +7,7 @@
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
-// QuarantineHandler receives what other hosts know of prompt parts that crash engines.
+// QuarantineHandler receives what other hosts know of requests that crash engines.
 type QuarantineHandler interface {
 	// Receive records the report of another host and returns the report of this host.
 	Receive(report site.QuarantineReport) site.QuarantineReport
--- a/transport/peer/quarantine_test.go
+++ b/transport/peer/quarantine_test.go
@@ -30,7 +30,7 @@
 		Ends: []site.EngineEnd{{
 			Engine: site.Incarnation{ID: "e", StartUnixMilli: 7}, Service: "s", Age: time.Second, Suspects: [][]string{{"a", "b"}, {"c"}},
 		}},
-		SoundParts: []site.SoundPart{{Service: "s", Part: "a", Age: time.Millisecond}},
+		SoundTraits: []site.SoundTraits{{Service: "s", Traits: []string{"a", "b"}, Age: time.Millisecond}},
 	}
 	reply, err := client.ExchangeQuarantine(context.Background(), address, report)
 	c.Assert(err, quicktest.IsNil)
