adapter: give engines prompts at the rate at which they read them

Cause: the owner admitted 25 prompt tokens a millisecond to each engine, and a request that was not admitted within 400 ms was sent nevertheless. An engine that reads fewer got more than it can read: its streams stalled until their deadlines, while other engines were free, because load counts running requests only.

Change: hosts report how long after their sends answers begin. The owner lowers or raises the rate of each engine by it, and counts an engine that reads all the time as loaded. A request that the owner refuses because the engine reads all the time is not sent.

--- a/coordination/adapter/admission.go
+++ b/coordination/adapter/admission.go
@@ -7,14 +7,11 @@
 )
 
 const (
-	// admissionWindow is the time span over which admitted prompt tokens are
-	// summed. It is shorter than 250 ms, the shortest pause between stream events
-	// that callers accept.
+	// admissionWindow is the time whose share of the read rate may be admitted at once. It
+	// is shorter than 250 ms, the shortest pause between stream events that callers accept.
 	admissionWindow = 220 * time.Millisecond
-	// maxTokensPerWindow is the number of prompt tokens that one engine may be
-	// given per admissionWindow. Engines read about 38 prompt tokens per
-	// millisecond, in between the tokens that they generate for other requests.
-	maxTokensPerWindow = 5500
+	// minAdmissionDelay bounds how often pending requests are considered.
+	minAdmissionDelay = 2 * time.Millisecond
 	// maxRequestsPerSlot is the ratio of running requests to concurrency slots at
 	// which an engine counts as full. It is more than 1 because hosts report the
 	// end of their requests up to half a second late.
@@ -35,6 +32,15 @@
 	region  string
 }
 
+const (
+	// loadWindow is the time over which the share of an engine's time that goes into
+	// reading prompts is measured.
+	loadWindow = time.Second
+	// readingLoad is the load, as a ratio of requests to concurrency slots, that an engine
+	// has when it reads prompts all the time. From this load on, hosts use other engines.
+	readingLoad = 0.8
+)
+
 // An admission records a prompt that was admitted to an engine.
 type admission struct {
 	at     time.Time
@@ -42,44 +48,48 @@
 }
 
 // admitPrompt records and admits a prompt if the engine can read it without
-// stalling its running streams for too long. A prompt that alone exceeds
-// maxTokensPerWindow is admitted when no other prompt is in the window.
+// stalling its running streams for too long.
 func (e *engine) admitPrompt(tokens int, now time.Time) bool {
 	e.dropOldAdmissions(now)
-	sum := 0
-	for _, t := range e.admissions {
-		sum += t.tokens
-	}
-	if sum > 0 && sum+tokens > maxTokensPerWindow {
+	if !e.readRate.take(tokens, now) {
 		return false
 	}
 	e.admissions = append(e.admissions, admission{at: now, tokens: tokens})
 	return true
 }
 
-// dropOldAdmissions removes the admissions that have left the window.
+// dropOldAdmissions removes the admissions that have left loadWindow.
 func (e *engine) dropOldAdmissions(now time.Time) {
 	first := 0
-	for first < len(e.admissions) && now.Sub(e.admissions[first].at) >= admissionWindow {
+	for first < len(e.admissions) && now.Sub(e.admissions[first].at) >= loadWindow {
 		first++
 	}
 	e.admissions = e.admissions[first:]
 }
 
+// equivalentRequests returns the number of running requests that stands for the engine's load
+// towards other hosts. An engine that reads prompts all the time is loaded although it runs
+// few requests.
+func (e *engine) equivalentRequests(now time.Time) int {
+	e.dropOldAdmissions(now)
+	admitted := 0
+	for _, a := range e.admissions {
+		admitted += a.tokens
+	}
+	reading := float64(admitted) / e.readRate.tokensIn(loadWindow)
+	return max(e.running.total, int(readingLoad*reading*float64(e.server.MaxConcurrency)))
+}
+
 // nextAdmissionDelay returns the time until a pending request may be admitted, because
-// the oldest admission leaves the window or the next turn comes, but at most
-// loopInterval.
+// the engine has read others or the next turn comes, but at most loopInterval.
 func (e *engine) nextAdmissionDelay(now time.Time) time.Duration {
-	e.dropOldAdmissions(now)
 	switch {
 	case len(e.pending) == 0:
 		return loopInterval
 	case !e.limit.hasTurn(e.pending[0].request.Priority, now):
 		return min(loopInterval, e.limit.turnWait(0, e.pending[0].request.Priority, now))
-	case len(e.admissions) == 0:
-		return loopInterval
 	}
-	return min(loopInterval, e.admissions[0].at.Add(admissionWindow).Sub(now))
+	return min(loopInterval, max(e.readRate.wait(e.pending[0].request.PromptTokens, now), minAdmissionDelay))
 }
 
 // isFull reports whether the engine runs as many requests as it should.
@@ -90,7 +100,7 @@
 // recordUse counts a use of the adapter and reports whether loading another copy
 // of it is worthwhile: on every usesPerReplica-th use from a region, if that is
 // another region or this engine is busy.
-func (e *engine) recordUse(r site.PlaceRequest) bool {
+func (e *engine) recordUse(r site.PlaceRequest, now time.Time) bool {
 	if r.Adapter.Name == "" {
 		return false
 	}
@@ -100,5 +110,5 @@
 	if uses%usesPerReplica != 0 {
 		return false
 	}
-	return r.Region != e.region || float64(e.running.total) >= replicaLoadThreshold*float64(e.server.MaxConcurrency)
+	return r.Region != e.region || float64(e.equivalentRequests(now)) >= replicaLoadThreshold*float64(e.server.MaxConcurrency)
 }
--- a/coordination/adapter/controller.go
+++ b/coordination/adapter/controller.go
@@ -92,7 +92,7 @@
 	// residencies is the last published state of each owned engine. The map is
 	// replaced on each change and never modified.
 	residencies atomic.Pointer[map[site.ServerID]site.Residency]
-	// runningByEngine is the number of running requests on each owned engine. The
+	// runningByEngine is the load of each owned engine as a number of requests. The
 	// map is replaced on each change and never modified.
 	runningByEngine atomic.Pointer[map[site.ServerID]int]
 	ordersStopped   atomic.Bool
@@ -200,7 +200,7 @@
 	o.messages.Offer(inFlightReport{host: host, requests: list})
 }
 
-// RunningCounts returns the number of running requests on each owned engine. The
+// RunningCounts returns the load of each owned engine as a number of running requests. The
 // map must not be modified.
 func (o *Controller) RunningCounts() map[site.ServerID]int {
 	o.prepare()
@@ -319,7 +319,7 @@
 	running := make(map[site.ServerID]int, len(o.engines))
 	for id, e := range o.engines {
 		e.running.dropSilentHosts(now)
-		running[id] = e.running.total
+		running[id] = e.equivalentRequests(now)
 	}
 	o.runningByEngine.Store(&running)
 	o.Balancer.UpdateRunningCounts(running)
@@ -383,6 +383,9 @@
 	reported := make(map[site.ServerID]map[site.Adapter]int, len(n.requests))
 	for _, sent := range n.requests {
 		reported[sent.Server] = sent.Adapters
+		if e := o.engines[sent.Server]; e != nil && e.readRate.observe(sent.Begun, now) {
+			o.Log.Info().Str("engine", string(sent.Server)).Float64("tokens-per-ms", e.readRate.tokensPerMilli).Msg("rate of admitted prompt tokens changed")
+		}
 	}
 	for id, e := range o.engines {
 		e.running.lastHeard[n.host] = now
--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -85,8 +85,9 @@
 	uses map[adapterUse]int
 	// limit admits requests at the rate that the engine states.
 	limit requestLimit
-	// admissions are the prompts admitted within the last admissionWindow.
+	// admissions are the prompts admitted within the last loadWindow, by ascending time.
 	admissions []admission
+	readRate   readRate
 	// unansweredOrders counts the consecutive orders without an answer, and
 	// failedReports the consecutive failed reports.
 	unansweredOrders, failedReports int
@@ -118,6 +119,7 @@
 		unconfirmedLoads: make(map[site.Adapter]bool),
 		running:          newRunningCounts(),
 		uses:             make(map[adapterUse]int),
+		readRate:         readRate{tokensPerMilli: initialReadRate},
 	}
 }
 
@@ -260,7 +262,7 @@
 		if !isForPlainServer(d.request) {
 			e.running.recordAdmission(d.request.Host, d.request.Adapter, now)
 		}
-		d.reply <- placeResult{placement: site.Placement{ReplicaWanted: e.recordUse(d.request), Limited: e.limit.isActive()}}
+		d.reply <- placeResult{placement: site.Placement{ReplicaWanted: e.recordUse(d.request, now), Limited: e.limit.isActive()}}
 		return true
 	})
 }
@@ -272,7 +274,12 @@
 		if !d.isAbandoned(now) {
 			return false
 		}
-		d.reply <- placeResult{err: verdict.NewNotRun(verdict.CodeDeadline, "engine %s did not admit the request for adapter %s in time: %s", e.server.ID, d.request.Adapter.Name, e.waitReason(d.request, now))}
+		code := verdict.CodeDeadline
+		if e.stateKnown && e.hasAdapter(d.request) && !e.isFull() {
+			// The request must not be sent nevertheless: the engine reads all the time.
+			code = verdict.CodeOverloaded
+		}
+		d.reply <- placeResult{err: verdict.NewNotRun(code, "engine %s did not admit the request for adapter %s in time: %s", e.server.ID, d.request.Adapter.Name, e.waitReason(d.request, now))}
 		return true
 	})
 }
--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -118,7 +118,9 @@
 	// list is due when they have ended.
 	running         map[site.Adapter]int
 	reportedRunning bool
-	limit           rateLimit
+	// begun are the answers that have begun since the last list for the owner.
+	begun site.BegunAnswers
+	limit rateLimit
 }
 
 // stateOf returns the state of a server. It starts with an empty one if the
@@ -326,6 +328,16 @@
 	b.stateOf(server).running[adapter]++
 }
 
+// RecordBegun records that the answer to a request has begun, and how long after its send.
+func (b *Balancer) RecordBegun(server *site.Server, promptTokens int, delay time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	begun := &b.stateOf(server).begun
+	begun.Count++
+	begun.PromptTokens += promptTokens
+	begun.Delay += delay
+}
+
 // Done stops counting a request that Choose assigned to the server. forwarded
 // states whether RecordForward was called for the request.
 func (b *Balancer) Done(server *site.Server, adapter site.Adapter, forwarded bool) {
--- a/coordination/balance/residency.go
+++ b/coordination/balance/residency.go
@@ -75,14 +75,15 @@
 
 // InFlight returns the requests of this host that run on the engines of the
 // zones. Running requests are in every list, so that the next list makes up for a
-// lost one.
+// lost one; begun answers are in one list only.
 func (b *Balancer) InFlight(zones map[string]bool) []site.InFlight {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var list []site.InFlight
 	for id, s := range b.states {
 		if (len(s.running) > 0 || s.reportedRunning) && zones[s.zone] {
-			list = append(list, site.InFlight{Server: id, Adapters: maps.Clone(s.running)})
+			list = append(list, site.InFlight{Server: id, Adapters: maps.Clone(s.running), Begun: s.begun})
+			s.begun = site.BegunAnswers{}
 			s.reportedRunning = len(s.running) > 0
 		}
 	}
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -26,6 +26,7 @@
 type Balancer interface {
 	Choose(w balance.ServerRequirements) (balance.Pick, error)
 	RecordForward(server *site.Server, adapter site.Adapter)
+	RecordBegun(server *site.Server, promptTokens int, delay time.Duration)
 	Done(server *site.Server, adapter site.Adapter, forwarded bool)
 	ChooseReplicaTarget(w balance.ServerRequirements) *site.Server
 	RecordResponse(server *site.Server, load *balance.LoadReport)
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -59,6 +59,7 @@
 func (r *fakeSystem) RecordForward(*site.Server, site.Adapter)                    {}
 func (r *fakeSystem) Done(*site.Server, site.Adapter, bool)                       {}
 func (r *fakeSystem) ChooseReplicaTarget(balance.ServerRequirements) *site.Server { return nil }
+func (r *fakeSystem) RecordBegun(*site.Server, int, time.Duration)                {}
 func (r *fakeSystem) RecordResponse(*site.Server, *balance.LoadReport)            {}
 func (r *fakeSystem) RecordFailure(*site.Server)                                  { r.failures++ }
 func (r *fakeSystem) RecordLoaded(*site.Server, site.Adapter, int)                {}
@@ -203,6 +204,22 @@
 	})
 }
 
+// TestBusyEngineGetsNoRequestWithoutTurn guards against requests that are sent to an engine
+// although its owner says that it has more prompts than it can read.
+func TestBusyEngineGetsNoRequestWithoutTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		r := newFakeSystem(chatRoute)
+		r.onPlace = func(ctx context.Context, _ site.PlaceRequest) error {
+			time.Sleep(admissionTimeout / 2)
+			return verdict.NewNotRun(verdict.CodeOverloaded, "the engine reads the prompts of other requests")
+		}
+		failure, _ := r.forward()
+		c.Assert(failure.Verdict, quicktest.Equals, verdict.NotRun)
+		c.Assert(r.sent, quicktest.HasLen, 0)
+	})
+}
+
 // TestLateAdmissionLeavesTimeToAnswer guards against a request that waits for its
 // admission until its caller is about to leave, and is then sent although nobody
 // waits for the response.
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -57,6 +57,8 @@
 	// watch of the present send for a block.
 	traits    []string
 	stopWatch func()
+	// onFirstEvent is called with the first event of the present send, if it is set.
+	onFirstEvent func()
 	// events is the number of events of a stream that the client has received, over all
 	// sends. answerBegun means that the request is known not to crash its server.
 	events      int
@@ -70,6 +72,10 @@
 // EventDelivered counts an event of a stream that the client has received.
 func (p *progress) EventDelivered() {
 	p.events++
+	if p.onFirstEvent != nil {
+		p.onFirstEvent()
+		p.onFirstEvent = nil
+	}
 	if p.events >= begunEvents {
 		p.recordBegun()
 	}
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -24,6 +24,11 @@
 	}
 	p.sends++
 	p.waitingFor, p.server = waitingForResponse, server.ID
+	p.onFirstEvent = nil
+	if p.request.PromptTokens > 0 {
+		sentAt := time.Now()
+		p.onFirstEvent = func() { f.Balancer.RecordBegun(server, p.request.PromptTokens, time.Since(sentAt)) }
+	}
 	sendContext, endSend := f.watchBlocks(ctx, p)
 	defer endSend()
 	response, err := p.client.Send(sendContext, server, options)
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -14,7 +14,8 @@
 		message.Positions[string(table)] = uint64(position)
 	}
 	for _, inFlight := range r.InFlight {
-		encoded := &InFlight{Server: string(inFlight.Server)}
+		begun := inFlight.Begun
+		encoded := &InFlight{Server: string(inFlight.Server), BegunCount: int32(begun.Count), BegunTokens: int64(begun.PromptTokens), BegunNanoseconds: int64(begun.Delay)}
 		for adapter, count := range inFlight.Adapters {
 			encoded.Runs = append(encoded.Runs, &Run{Model: adapter.Model, Name: adapter.Name, Count: int32(count)})
 		}
@@ -39,6 +40,11 @@
 		for _, run := range inFlight.GetRuns() {
 			decoded.Adapters[site.Adapter{Model: run.GetModel(), Name: run.GetName()}] = int(run.GetCount())
 		}
+		decoded.Begun = site.BegunAnswers{
+			Count:        int(inFlight.GetBegunCount()),
+			PromptTokens: int(inFlight.GetBegunTokens()),
+			Delay:        time.Duration(inFlight.GetBegunNanoseconds()),
+		}
 		r.InFlight = append(r.InFlight, decoded)
 	}
 	return r
--- a/state/site/peermessage.go
+++ b/state/site/peermessage.go
@@ -10,6 +10,16 @@
 	// Adapters has the number of running requests for each adapter. It is empty
 	// in the message that follows the end of the last request.
 	Adapters map[Adapter]int
+	// Begun are the answers that have begun since the message before.
+	Begun BegunAnswers
+}
+
+// BegunAnswers sums up answers of one engine that have begun.
+type BegunAnswers struct {
+	// Count is the number of answers, and PromptTokens the length of all their prompts.
+	Count, PromptTokens int
+	// Delay is the sum of the times from the send of a request to the begin of its answer.
+	Delay time.Duration
 }
 
 // A FollowRequest requests from a zone owner what changed since the last FollowReply:
