balance: send nothing to servers that leave or want a pause

Cause: Server-Leaving in answers of servers, and Retry-After in their refusals with 503, were not read. A server that said that it leaves got requests until the store said so too, and one that asked for a pause got the next request at once.

Change: the statements are read from every answer, also to orders and reports, and kept by process. Hosts tell each other of servers that leave through the owners of zones. After a pause a server gets one request first. If all servers want a pause, callers are refused at once with the least remaining time.

--- a/coordination/adapter/controller.go
+++ b/coordination/adapter/controller.go
@@ -46,6 +46,8 @@
 	UpdateResidency(residency site.Residency) bool
 	UpdateRunningCounts(running map[site.ServerID]int)
 	InFlight(zones map[string]bool) []site.InFlight
+	// IsAvailable reports whether a server may get requests and orders of this host.
+	IsAvailable(server *site.Server) bool
 }
 
 const (
--- a/coordination/adapter/fake_test.go
+++ b/coordination/adapter/fake_test.go
@@ -163,6 +163,7 @@
 
 func (f *fakeSite) UpdateRunningCounts(map[site.ServerID]int) {}
 
+func (f *fakeSite) IsAvailable(*site.Server) bool            { return true }
 func (f *fakeSite) InFlight(map[string]bool) []site.InFlight { return nil }
 
 func (f *fakeSite) UpdateResidency(r site.Residency) bool {
--- a/coordination/adapter/orders.go
+++ b/coordination/adapter/orders.go
@@ -12,7 +12,7 @@
 func (o *Controller) advance(ctx context.Context, e *engine) time.Duration {
 	now := time.Now()
 	admissionDelay := e.servePending(now)
-	if e.callInFlight || o.ordersStopped.Load() {
+	if e.callInFlight || o.ordersStopped.Load() || !o.Balancer.IsAvailable(e.server) {
 		return admissionDelay
 	}
 	if now.Before(e.nextOrderAt) {
--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -119,8 +119,9 @@
 	running         map[site.Adapter]int
 	reportedRunning bool
 	// begun are the answers that have begun since the last list for the owner.
-	begun site.BegunAnswers
-	limit rateLimit
+	begun        site.BegunAnswers
+	limit        rateLimit
+	availability availability
 }
 
 // stateOf returns the state of a server. It starts with an empty one if the
@@ -146,7 +147,9 @@
 	b.dropRemovedServers(view, now)
 	candidates := b.candidates(view, w, now)
 	if len(candidates) == 0 {
-		return Pick{}, verdict.NewNotRun(verdict.CodeOverloaded, "service %s has no server left to try", w.Service)
+		failure := verdict.NewNotRun(verdict.CodeOverloaded, "service %s has no server left to try", w.Service)
+		failure.RetryAfter = b.leastPause(view, w.Service, now)
+		return Pick{}, failure
 	}
 	chosen := cheapest(candidates, func(candidate) bool { return true })
 	if w.Adapter.Model != "" {
@@ -176,19 +179,25 @@
 }
 
 // candidates lists the servers to choose from. Servers that have no turn for now are left
-// out unless there are no others, and servers that are avoided after failures unless
-// there are no others either.
+// out unless there are no others, servers that are avoided after failures unless there are
+// no others either, and servers that leave unless there is nothing else. Servers that want
+// no requests are not listed.
 func (b *Balancer) candidates(view *site.View, w ServerRequirements, now time.Time) []candidate {
-	var healthy, limited, avoided []candidate
+	var healthy, limited, avoided, leaving []candidate
 	for _, server := range view.ServersOf(w.Service) {
 		if server.State != site.Ready || containsServer(w.Tried, server.ID) {
 			continue
 		}
 		s := b.stateOf(server)
+		if s.availability.isOut(now) || s.availability.isResuming(now) && s.inFlight > 0 {
+			continue
+		}
 		c := candidate{server: server, state: s, load: s.estimatedRequests(now) / float64(server.MaxConcurrency)}
 		c.cost = c.load + b.distanceCost(server.Zone)
 		c.loaded = s.hasAdapter(server, w)
 		switch {
+		case !s.availability.leavingSince.IsZero():
+			leaving = append(leaving, c)
 		case now.Before(s.avoidUntil):
 			avoided = append(avoided, c)
 		case now.Before(s.limit.refusedUntil):
@@ -202,8 +211,10 @@
 		return healthy
 	case len(limited) > 0:
 		return limited
-	default:
+	case len(avoided) > 0:
 		return avoided
+	default:
+		return leaving
 	}
 }
 
@@ -396,6 +407,9 @@
 	s := b.stateOf(server)
 	s.consecutiveFailures = 0
 	s.avoidUntil = time.Time{}
+	if !time.Now().Before(s.availability.pausedUntil) {
+		s.availability.pausedUntil = time.Time{}
+	}
 	if load != nil {
 		s.load, s.reportedAt, s.inFlightAtReport = *load, time.Now(), s.inFlight
 	}
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -64,6 +64,10 @@
 	// RateLimit is the number of requests a second that the server takes from all hosts
 	// together, or 0 if it states none.
 	RateLimit float64
+	// Leaving means that the server states that it leaves.
+	Leaving bool
+	// Pause is how long the server wants nothing from this host, or 0 if it states no pause.
+	Pause time.Duration
 }
 
 // A Response is a server's response that has not been passed to the client yet.
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -37,6 +37,9 @@
 	RecordTurn(server *site.Server, limited bool)
 	RecordTurnRefused(server *site.Server, wait time.Duration)
 	StatedLimit(server *site.Server) site.StatedLimit
+	RecordLeaving(server *site.Server) bool
+	RecordPause(server *site.Server, pause time.Duration)
+	IsAvailable(server *site.Server) bool
 	TakeShare(server *site.Server) bool
 }
 
@@ -84,6 +87,8 @@
 	// overloadRetryDelay is the time after which a client should retry if no
 	// server accepts its request.
 	overloadRetryDelay = 250 * time.Millisecond
+	// maxPauseWait is how long a request waits for the end of a pause of all servers.
+	maxPauseWait = 250 * time.Millisecond
 	// maxRejectedSends is the number of sends of one request that servers may
 	// reject without running it.
 	maxRejectedSends = 4
@@ -289,6 +294,9 @@
 		if p.limitedBy != nil {
 			p.turnDenied = true
 			failure = p.limitedBy
+		} else if len(p.tried) == 0 && failure.RetryAfter > maxPauseWait {
+			// All servers want a pause, so that waiting here is of no use.
+			p.turnDenied = true
 		}
 		// If every server was tried, the next attempt may use them again.
 		if len(p.tried) > 0 {
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -64,6 +64,9 @@
 func (r *fakeSystem) RecordFailure(*site.Server)                                  { r.failures++ }
 func (r *fakeSystem) RecordLoaded(*site.Server, site.Adapter, int)                {}
 func (r *fakeSystem) RecordRateLimit(*site.Server, float64) bool                  { return false }
+func (r *fakeSystem) RecordLeaving(*site.Server) bool                             { return true }
+func (r *fakeSystem) RecordPause(*site.Server, time.Duration)                     {}
+func (r *fakeSystem) IsAvailable(*site.Server) bool                               { return true }
 func (r *fakeSystem) RecordTurn(*site.Server, bool)                               {}
 func (r *fakeSystem) RecordTurnRefused(*site.Server, time.Duration)               {}
 func (r *fakeSystem) StatedLimit(*site.Server) site.StatedLimit                   { return site.StatedLimit{} }
--- a/coordination/forward/placement.go
+++ b/coordination/forward/placement.go
@@ -111,7 +111,7 @@
 		return verdict.NewNotRun(verdict.CodeCanceled, "the request ended before engine %s admitted it", server.ID)
 	}
 	now := f.Views.View().Servers[server.ID]
-	if now != nil && now.State == site.Ready && now.Incarnation == server.Incarnation {
+	if now != nil && now.State == site.Ready && now.Incarnation == server.Incarnation && f.Balancer.IsAvailable(server) {
 		return nil
 	}
 	p.tried = append(p.tried, server.ID)
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -37,7 +37,7 @@
 	}
 	head := response.Head()
 	if !head.Misdirected || head.FromExpectedServer {
-		f.recordRateLimit(server, head.RateLimit)
+		f.recordStatements(server, head)
 	}
 	if head.Misdirected || head.NotRun {
 		response.Discard()
@@ -55,10 +55,18 @@
 	return f.deliver(sendContext, p, server, response, head)
 }
 
-// recordRateLimit records the limit that a response of the server states, 0 if none.
-func (f *Forwarder) recordRateLimit(server *site.Server, perSecond float64) {
-	if f.Balancer.RecordRateLimit(server, perSecond) {
-		f.Log.Info().Str("server", string(server.ID)).Float64("requests-per-second", perSecond).Msg("server states another request limit")
+// recordStatements records what a response of the server states about the requests that it
+// takes.
+func (f *Forwarder) recordStatements(server *site.Server, head ResponseHead) {
+	if f.Balancer.RecordRateLimit(server, head.RateLimit) {
+		f.Log.Info().Str("server", string(server.ID)).Float64("requests-per-second", head.RateLimit).Msg("server states another request limit")
+	}
+	if head.Leaving && f.Balancer.RecordLeaving(server) {
+		f.Log.Info().Str("server", string(server.ID)).Msg("server states that it leaves")
+	}
+	if head.Pause > 0 {
+		f.Balancer.RecordPause(server, head.Pause)
+		f.Log.Info().Str("server", string(server.ID)).Dur("pause", head.Pause).Msg("server wants no requests")
 	}
 }
 
--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -36,6 +36,10 @@
 	InFlight(zones map[string]bool) []site.InFlight
 	// UpdateRunningCounts applies the number of requests that run on each engine.
 	UpdateRunningCounts(running map[site.ServerID]int)
+	// LeavingServers returns the servers that are known to leave, and UpdateLeaving
+	// applies those that another host knows.
+	LeavingServers() []site.Incarnation
+	UpdateLeaving(list []site.Incarnation)
 }
 
 const (
@@ -250,6 +254,7 @@
 		KnownSequence:   l.knownSequence,
 		OmitResidencies: l.isFallbackOnly,
 		InFlight:        f.Residencies.InFlight(l.zones),
+		LeavingServers:  f.Residencies.LeavingServers(),
 	}
 	if l.zones[f.Zone] || f.replacesOwnZoneOwner(l, now) {
 		request.Positions = f.Cache.Positions()
@@ -310,6 +315,7 @@
 		f.applyChanges(l, r, now)
 	}
 	f.Residencies.UpdateRunningCounts(r.reply.RunningRequests)
+	f.Residencies.UpdateLeaving(r.reply.LeavingServers)
 	known := true
 	for _, residency := range r.reply.Residencies {
 		known = f.Residencies.UpdateResidency(residency) && known
--- a/coordination/watch/follower_test.go
+++ b/coordination/watch/follower_test.go
@@ -85,6 +85,8 @@
 func (noResidencies) UpdateResidency(site.Residency) bool       { return true }
 func (noResidencies) InFlight(map[string]bool) []site.InFlight  { return nil }
 func (noResidencies) UpdateRunningCounts(map[site.ServerID]int) {}
+func (noResidencies) LeavingServers() []site.Incarnation        { return nil }
+func (noResidencies) UpdateLeaving([]site.Incarnation)          {}
 
 // TestStaleOwnerIsReplacedByOtherOwners guards against a host that misses changes
 // because the owner of its zone cannot reach the store or does not reply, while
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -113,8 +113,8 @@
 				Client:  &backend.Client{DialTimeout: dialTimeout},
 			}
 		},
-		func() *platform.EngineClient {
-			return &platform.EngineClient{Client: &backend.Client{DialTimeout: dialTimeout}}
+		func(balancer *balance.Balancer) *platform.EngineClient {
+			return &platform.EngineClient{Client: &backend.Client{DialTimeout: dialTimeout}, Recorder: balancer}
 		},
 		func() *peer.Client {
 			return &peer.Client{FailureDomain: fleet.FailureDomainName(h.Settings.FailureDomain)}
@@ -237,14 +237,14 @@
 	return owners.elector
 }
 
-func (h *Host) newPeerServer(cache *watch.Cache, controller *adapter.Controller, elector *zone.Elector, blocked *quarantine.Quarantine) (*peer.Server, error) {
+func (h *Host) newPeerServer(cache *watch.Cache, controller *adapter.Controller, elector *zone.Elector, balancer *balance.Balancer, blocked *quarantine.Quarantine) (*peer.Server, error) {
 	listener, err := net.Listen("tcp", h.Settings.PeerAddress.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for entry hosts")
 	}
 	return &peer.Server{
 		Listener:          listener,
-		ZoneHandler:       &zoneHandler{cache: cache, controller: controller, elector: elector},
+		ZoneHandler:       &zoneHandler{cache: cache, controller: controller, elector: elector, balancer: balancer},
 		QuarantineHandler: blocked,
 	}, nil
 }
--- a/internal/fronthost/zonehandler.go
+++ b/internal/fronthost/zonehandler.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/persimmonmux/persimmonmux/coordination/adapter"
+	"github.com/persimmonmux/persimmonmux/coordination/balance"
 	"github.com/persimmonmux/persimmonmux/coordination/watch"
 	"github.com/persimmonmux/persimmonmux/coordination/zone"
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -15,12 +16,14 @@
 	cache      *watch.Cache
 	controller *adapter.Controller
 	elector    *zone.Elector
+	balancer   *balance.Balancer
 }
 
 // Follow records the requests in flight that the calling host reports and returns what
 // has changed since the positions and the sequence that it already knows.
 func (z *zoneHandler) Follow(request site.FollowRequest) site.FollowReply {
 	z.controller.UpdateInFlight(request.Host, request.InFlight)
+	z.balancer.UpdateLeaving(request.LeavingServers)
 	var residencies []site.Residency
 	sequence := request.KnownSequence
 	if !request.OmitResidencies {
@@ -33,6 +36,7 @@
 		RunningRequests: z.controller.RunningCounts(),
 		Residencies:     residencies,
 		Sequence:        sequence,
+		LeavingServers:  z.balancer.LeavingServers(),
 	}
 }
 
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -9,7 +9,7 @@
 
 // FromFollowRequest converts a follow request to its message.
 func FromFollowRequest(r site.FollowRequest) *FollowRequest {
-	message := &FollowRequest{Host: r.Host, Positions: make(map[string]uint64), Known: r.KnownSequence, Brief: r.OmitResidencies}
+	message := &FollowRequest{Host: r.Host, Positions: make(map[string]uint64), Known: r.KnownSequence, Brief: r.OmitResidencies, LeavingServers: fromIncarnations(r.LeavingServers)}
 	for table, position := range r.Positions {
 		message.Positions[string(table)] = uint64(position)
 	}
@@ -31,6 +31,7 @@
 		Positions:       make(map[site.Table]site.Position),
 		KnownSequence:   message.GetKnown(),
 		OmitResidencies: message.GetBrief(),
+		LeavingServers:  toIncarnations(message.GetLeavingServers()),
 	}
 	for table, position := range message.GetPositions() {
 		r.Positions[site.Table(table)] = site.Position(position)
@@ -53,7 +54,7 @@
 // FromFollowReply converts a follow reply to its message. Large values of rows are
 // compressed.
 func FromFollowReply(r site.FollowReply) *FollowReply {
-	message := &FollowReply{AgeNanoseconds: int64(largestAge(r.Changes)), Leaving: r.Leaving, Ordering: r.OrderingZones, Running: make(map[string]int32), Sequence: r.Sequence}
+	message := &FollowReply{AgeNanoseconds: int64(largestAge(r.Changes)), Leaving: r.Leaving, Ordering: r.OrderingZones, Running: make(map[string]int32), Sequence: r.Sequence, LeavingServers: fromIncarnations(r.LeavingServers)}
 	for id, count := range r.RunningRequests {
 		message.Running[string(id)] = int32(count)
 	}
@@ -92,6 +93,7 @@
 		Leaving:         message.GetLeaving(),
 		OrderingZones:   message.GetOrdering(),
 		Sequence:        message.GetSequence(),
+		LeavingServers:  toIncarnations(message.GetLeavingServers()),
 		RunningRequests: make(map[site.ServerID]int, len(message.GetRunning())),
 	}
 	for id, count := range message.GetRunning() {
@@ -189,6 +191,22 @@
 	return site.StatedLimit{Known: true, PerSecond: perSecond, Age: time.Duration(age)}
 }
 
+func fromIncarnations(list []site.Incarnation) []*Incarnation {
+	var messages []*Incarnation
+	for _, i := range list {
+		messages = append(messages, fromIncarnation(i))
+	}
+	return messages
+}
+
+func toIncarnations(messages []*Incarnation) []site.Incarnation {
+	var list []site.Incarnation
+	for _, message := range messages {
+		list = append(list, toIncarnation(message))
+	}
+	return list
+}
+
 func fromIncarnation(i site.Incarnation) *Incarnation {
 	return &Incarnation{Id: string(i.ID), BornMilliseconds: i.StartUnixMilli}
 }
--- a/state/site/peermessage.go
+++ b/state/site/peermessage.go
@@ -37,6 +37,8 @@
 	OmitResidencies bool
 	// InFlight has the sender's requests on engines that the receiver owns.
 	InFlight []InFlight
+	// LeavingServers are the servers that have told the requesting host that they leave.
+	LeavingServers []Incarnation
 }
 
 // A Residency says which adapters are loaded on an engine, as its owner knows.
@@ -68,6 +70,8 @@
 	// Residencies are the residencies that changed after KnownSequence of the
 	// request, complete up to Sequence.
 	Residencies []Residency
+	// LeavingServers are the servers that the replying host knows to leave.
+	LeavingServers []Incarnation
 	// Sequence is the value for KnownSequence in the next request.
 	Sequence uint64
 }
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -179,6 +179,8 @@
 	if running, waiting, slots, ok := platform.DecodeServerLoad(r.incoming.Header.Get(platform.HeaderServerLoad)); ok {
 		head.Load = &balance.LoadReport{Running: running, Waiting: waiting, Slots: slots}
 	}
+	head.Leaving = platform.DecodeServerLeaving(r.incoming.Header)
+	head.Pause = platform.DecodePause(r.incoming.StatusCode, r.incoming.Header, time.Now())
 	head.RateLimit = platform.DecodeServerLimit(r.incoming.Header.Get(platform.HeaderServerLimit))
 	return head
 }
