front: answer every request of a planned stop

Cause: a request whose body came late in a stop was passed on like any other one, and at the end of the stop the connections of all requests in flight were closed, those without an answer too.

Change: once the load balancer has had time to notice the stop, further requests are refused with 503 and Retry-After. Shortly before the end, requests in flight end and get their final answers: 503 if they have not run, 504 if they may have.

--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -136,6 +136,10 @@
 // Forward runs a request until its response is delivered or it has failed. The
 // error is ErrClientGone or a *verdict.Error. In the second case the client has
 // received no part of a response unless ResponseStarted reports true.
+// ErrHostStopping is the cause of the end of a request's context that is not due to its client:
+// the host stops, and the request gets its final answer.
+var ErrHostStopping = errors.New("host is stopping")
+
 func (f *Forwarder) Forward(ctx context.Context, request *Request, client Exchange) error {
 	if !f.awaitView(ctx, request) {
 		return newRefusal(verdict.CodeNoConfiguration, unavailableRetryDelay, "no desired state is known yet")
@@ -160,7 +164,7 @@
 	defer cancel()
 	err := f.run(limited, p)
 	f.Recorder.RecordRequest(route, p.service, request.Arrived, p.sends, p.placementWait, verdict.FromError(err))
-	if err != nil && ctx.Err() != nil {
+	if err != nil && ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrHostStopping) {
 		f.Log.Info().Str("request", request.AttemptID).Str("route", route.Name).Str("service", string(p.service)).
 			Int("sends", p.sends).Bool("started", client.ResponseStarted()).Str("waits", string(p.waitingFor)).Str("server", string(p.server)).
 			Dur("after", time.Since(request.Arrived)).Msg("client left")
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -183,6 +183,11 @@
 // startFrontWith starts a Server with the views and the quarantine, and runs the
 // quarantine.
 func startFrontWith(c *quicktest.C, views *fixedViews, blocked *quarantine.Quarantine) string {
+	return startServer(c, views, blocked).Listener.Addr().String()
+}
+
+// startServer does the same and returns the Server.
+func startServer(c *quicktest.C, views *fixedViews, blocked *quarantine.Quarantine) *Server {
 	go blocked.Run(context.Background())
 	balancer := &balance.Balancer{Views: views, HasOwner: func(string) bool { return true }}
 	window := &retry.WindowBudget{Window: 10 * time.Second, RetryRatio: 0.2, MinRetries: 100, HostCount: func() int { return 1 }}
@@ -195,7 +200,7 @@
 		Forwarder: &forward.Forwarder{Views: views, Balancer: balancer, Placer: noPlacer{}, RetryBudget: window, Quarantine: blocked, Recorder: noRecorder{}, Log: zerolog.Nop()},
 	}
 	go s.Run(context.Background())
-	return callers.Addr().String()
+	return s
 }
 
 // syncedViews returns views that are synced from the start.
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -33,6 +33,11 @@
 		writeStatus(w, status, 0)
 		return
 	}
+	if s.refusing.Load() {
+		// Too little time may be left for an answer.
+		writeStatus(w, http.StatusServiceUnavailable, stopRetryDelay)
+		return
+	}
 	request := &forward.Request{
 		AttemptID: r.Header.Get(platform.HeaderAttemptID),
 		Host:      hostOf(r.Host),
--- a/transport/front/server.go
+++ b/transport/front/server.go
@@ -52,6 +52,11 @@
 	// stopNoticeDelay is how long a stopping host still accepts connections. The
 	// load balancer removes a host after two failed checks, a second apart.
 	stopNoticeDelay = 2600 * time.Millisecond
+	// finalAnswerTime is how long before the end of a stop the requests in flight get their
+	// final answers, so that they are written before the connections are closed.
+	finalAnswerTime = 300 * time.Millisecond
+	// stopRetryDelay is the time after which a caller should retry at another host.
+	stopRetryDelay = 50 * time.Millisecond
 )
 
 // A Server is the duty that serves callers. Its exported fields are set before Run
@@ -77,14 +82,19 @@
 	Log zerolog.Logger
 
 	lifecycle duty.Lifecycle
-	stopping  atomic.Bool
-	inFlight  atomic.Int64
+	// stopping means that the server is stopping, and refusing that it takes no more
+	// requests.
+	stopping atomic.Bool
+	refusing atomic.Bool
+	inFlight atomic.Int64
 }
 
 // Run serves until ctx ends or Close is called, and returns the error of a listener
 // that failed.
 func (s *Server) Run(ctx context.Context) error {
 	return s.lifecycle.Run(ctx, func(ctx context.Context) error {
+		requests, endRequests := context.WithCancelCause(context.Background())
+		defer endRequests(nil)
 		checks := chi.NewRouter()
 		checks.Get("/readyz", s.ready)
 		idleConnections := &idleConnectionCloser{idleTimeout: s.currentIdleTimeout}
@@ -93,6 +103,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			ConnState:         idleConnections.connStateChanged,
 			MaxHeaderBytes:    maxHeaderBytes,
+			BaseContext:       func(net.Listener) context.Context { return requests },
 			ErrorLog:          log.New(io.Discard, "", 0),
 		}
 		ready := &http.Server{Handler: checks, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout, ErrorLog: front.ErrorLog}
@@ -108,7 +119,7 @@
 		case <-ctx.Done():
 		case err = <-failed:
 		}
-		s.stop(front)
+		s.stop(front, endRequests)
 		_ = ready.Close()
 		_ = metrics.Close()
 		if errors.Is(err, http.ErrServerClosed) {
@@ -133,13 +144,17 @@
 }
 
 // stop fails the readiness check, waits until the load balancer has noticed, closes
-// idle connections and waits for the requests in flight.
-func (s *Server) stop(front *http.Server) {
+// idle connections, refuses further requests and waits for those in flight. It ends the last
+// ones by endRequests, early enough for their answers.
+func (s *Server) stop(front *http.Server, endRequests context.CancelCauseFunc) {
 	s.stopping.Store(true)
 	s.Log.Info().Int64("in-flight", s.inFlight.Load()).Msg("front server is stopping: connections are accepted until the load balancer has noticed")
 	duty.Sleep(context.Background(), stopNoticeDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), s.ShutdownTimeout-stopNoticeDelay)
+	s.refusing.Store(true)
+	drainTime := s.ShutdownTimeout - stopNoticeDelay
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
 	defer cancel()
+	defer time.AfterFunc(drainTime-finalAnswerTime, func() { endRequests(forward.ErrHostStopping) }).Stop()
 	if err := front.Shutdown(ctx); err != nil {
 		s.Log.Warn().Err(err).Int64("in-flight", s.inFlight.Load()).Msg("front server stopped before all requests had ended: their connections were closed")
 		_ = front.Close()
