completion: tell owners of engines at once which requests have ended

Cause: the owner of an engine learned that an adapter is no longer used from the polls of hosts, 0.35 to 0.6 s later, and kept its slot for at least 0.8 s after an admission.

When the ends of all admissions for an adapter are known, its slot is free.

--- a/coordination/adapter/controller.go
+++ b/coordination/adapter/controller.go
@@ -141,6 +141,17 @@
 	}
 }
 
+// An endedRunsReport lists requests of one host that have ended.
+type endedRunsReport struct{ runs []site.EndedRuns }
+
+func (n endedRunsReport) handle(_ context.Context, o *Controller) {
+	for _, run := range n.runs {
+		if e := o.engines[run.Server]; e != nil {
+			e.running.recordEnds(run.Adapter, run.Count)
+		}
+	}
+}
+
 // An inFlightReport lists the requests that one host has in flight on engines.
 type inFlightReport struct {
 	host     string
@@ -202,6 +213,12 @@
 	o.messages.Offer(inFlightReport{host: host, requests: list})
 }
 
+// UpdateEndedRuns records requests that have ended on the engines of this host.
+func (o *Controller) UpdateEndedRuns(runs []site.EndedRuns) {
+	o.prepare()
+	o.messages.Offer(endedRunsReport{runs: runs})
+}
+
 // RunningCounts returns the load of each owned engine as a number of running requests. The
 // map must not be modified.
 func (o *Controller) RunningCounts() map[site.ServerID]int {
--- a/coordination/adapter/running.go
+++ b/coordination/adapter/running.go
@@ -33,6 +33,9 @@
 	// host.
 	lastAdmitted     map[site.Adapter]time.Time
 	lastAdmittedFrom map[string]time.Time
+	// open is the number of admissions for each adapter whose ends have not been reported.
+	// A lost report leaves it too high until the adapter has not been used for a while.
+	open map[site.Adapter]int
 }
 
 func newRunningCounts() *runningCounts {
@@ -42,6 +45,7 @@
 		byAdapter:        make(map[site.Adapter]int),
 		lastAdmitted:     make(map[site.Adapter]time.Time),
 		lastAdmittedFrom: make(map[string]time.Time),
+		open:             make(map[site.Adapter]int),
 	}
 }
 
@@ -50,6 +54,10 @@
 	if r.byHost[host] == nil {
 		r.byHost[host] = make(map[site.Adapter]int)
 	}
+	if !r.inUse(adapter, now) {
+		delete(r.open, adapter)
+	}
+	r.open[adapter]++
 	r.byHost[host][adapter]++
 	r.add(adapter, 1)
 	r.lastAdmitted[adapter] = now
@@ -60,6 +68,27 @@
 	}
 }
 
+// recordEnds records that requests for the adapter have ended. When the ends of all admissions
+// are known, the adapter is free without waiting for reports. Before that the counts are left
+// to the reports, which may include the same ends.
+func (r *runningCounts) recordEnds(adapter site.Adapter, count int) {
+	if _, ok := r.open[adapter]; !ok {
+		return
+	}
+	r.open[adapter] -= count
+	if r.open[adapter] > 0 {
+		return
+	}
+	delete(r.open, adapter)
+	delete(r.lastAdmitted, adapter)
+	for _, adapters := range r.byHost {
+		if known := adapters[adapter]; known > 0 {
+			delete(adapters, adapter)
+			r.add(adapter, -known)
+		}
+	}
+}
+
 // replaceHost replaces the running requests of a host.
 func (r *runningCounts) replaceHost(host string, adapters map[site.Adapter]int) {
 	for adapter, count := range r.byHost[host] {
--- a/coordination/adapter/running_test.go
+++ b/coordination/adapter/running_test.go
@@ -41,6 +41,36 @@
 	})
 }
 
+// TestSlotIsFreedAtOnceWhenEndsAreKnown guards against an adapter that keeps its slot after its
+// last request has ended until the next report of a host, and against one that loses it while
+// another request runs.
+func TestSlotIsFreedAtOnceWhenEndsAreKnown(t *testing.T) {
+	f := newFakeSite(1, 1)
+	runWithController(t, f, func(c *quicktest.C, o *Controller) {
+		server := f.View().Servers["engine-0"].Incarnation
+		request := site.PlaceRequest{Server: server, Host: "other", Adapter: lora(1), MaxWait: time.Second}
+		for range 2 {
+			_, err := o.Place(context.Background(), request)
+			c.Assert(err, quicktest.IsNil)
+		}
+		// The report already includes the first end.
+		o.UpdateInFlight("other", []site.InFlight{{Server: "engine-0", Adapters: map[site.Adapter]int{lora(1): 1}}})
+		ended := []site.EndedRuns{{Server: "engine-0", Adapter: lora(1), Count: 1}}
+		o.UpdateEndedRuns(ended)
+		other := request
+		other.Adapter = lora(2)
+		_, err := o.Place(context.Background(), other)
+		c.Check(verdict.FromError(err).Code, quicktest.Equals, verdict.CodeOverloaded)
+		o.UpdateEndedRuns(ended)
+		_, err = o.Place(context.Background(), other)
+		c.Check(err, quicktest.IsNil)
+		// A late second copy of the end frees nothing.
+		o.UpdateEndedRuns([]site.EndedRuns{{Server: "engine-0", Adapter: lora(1), Count: 5}})
+		_, err = o.Place(context.Background(), request)
+		c.Check(verdict.FromError(err).Code, quicktest.Equals, verdict.CodeOverloaded)
+	})
+}
+
 // TestLackOfSlotsRefusesImmediately guards against a request that waits for an
 // adapter slot on one engine although it could be tried on another engine with a
 // free slot.
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -62,6 +62,11 @@
 	RecordRequest(route *site.Route, service site.ServiceName, arrived time.Time, sends int, placementWait time.Duration, failure *verdict.Error)
 }
 
+// RunEnds learns which requests for adapters have ended on engines.
+type RunEnds interface {
+	RecordEnd(server *site.Server, adapter site.Adapter)
+}
+
 // RetryBudget limits the sends of a service beyond the first one of each request.
 type RetryBudget interface {
 	CountRequest(service string)
@@ -125,10 +130,16 @@
 	Placer      Placer
 	RetryBudget RetryBudget
 	Quarantine  Quarantine
-	Recorder    Recorder
-	Log         zerolog.Logger
+	// RunEnds may be nil.
+	RunEnds  RunEnds
+	Recorder Recorder
+	Log      zerolog.Logger
 }
 
+// ErrHostStopping is the cause of the end of a request's context that is not due to its client:
+// the host stops, and the request gets its final answer.
+var ErrHostStopping = errors.New("host is stopping")
+
 // ErrClientGone means that the client left before its response was complete, so
 // that there is nobody to answer.
 var ErrClientGone = errors.New("client left")
@@ -136,10 +147,6 @@
 // Forward runs a request until its response is delivered or it has failed. The
 // error is ErrClientGone or a *verdict.Error. In the second case the client has
 // received no part of a response unless ResponseStarted reports true.
-// ErrHostStopping is the cause of the end of a request's context that is not due to its client:
-// the host stops, and the request gets its final answer.
-var ErrHostStopping = errors.New("host is stopping")
-
 func (f *Forwarder) Forward(ctx context.Context, request *Request, client Exchange) error {
 	if !f.awaitView(ctx, request) {
 		return newRefusal(verdict.CodeNoConfiguration, unavailableRetryDelay, "no desired state is known yet")
@@ -309,7 +316,12 @@
 		return failure
 	}
 	forwarded := false
-	defer func() { f.Balancer.Done(pick.Server, want.Adapter, forwarded) }()
+	defer func() {
+		f.Balancer.Done(pick.Server, want.Adapter, forwarded)
+		if forwarded && want.Adapter.Name != "" && f.RunEnds != nil {
+			f.RunEnds.RecordEnd(pick.Server, want.Adapter)
+		}
+	}()
 	if want.Adapter.Model != "" || f.Balancer.StatedLimit(pick.Server).Known {
 		if failure := f.place(ctx, p, pick, want); failure != nil {
 			return failure
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -15,6 +15,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
 	"github.com/persimmonmux/persimmonmux/coordination/watch"
 	"github.com/persimmonmux/persimmonmux/coordination/zone"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/completion"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
@@ -68,6 +69,7 @@
 	Elector        *zone.Elector
 	Controller     *adapter.Controller
 	Quarantine     *quarantine.Quarantine
+	Completions    *completion.Notifier
 	PeerServer     *peer.Server
 	Recorder       *metrics.Recorder
 	Server         *front.Server
@@ -90,6 +92,7 @@
 		{"follower", p.Follower},
 		{"owner", p.Controller},
 		{"quarantine", p.Quarantine},
+		{"completions", p.Completions},
 		{"peer-server", p.PeerServer},
 		{"front", p.Server},
 	}
@@ -173,6 +176,9 @@
 		func(cache *watch.Cache, client *peer.Client) *quarantine.Quarantine {
 			return &quarantine.Quarantine{Self: h.Settings.HostName, Views: cache, Prober: backend.Prober{}, Peers: client, Log: h.Log}
 		},
+		func(cache *watch.Cache, controller *adapter.Controller, client *peer.Client) *completion.Notifier {
+			return &completion.Notifier{Self: h.Settings.HostName, Views: cache, Owner: controller, Peers: client}
+		},
 		func() *backend.ConnectionPool { return &backend.ConnectionPool{} },
 		func(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer) (*metrics.Recorder, error) {
 			recorder := &metrics.Recorder{}
@@ -181,10 +187,10 @@
 			}
 			return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer)
 		},
-		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, blocked *quarantine.Quarantine, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
+		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, blocked *quarantine.Quarantine, completions *completion.Notifier, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
 			region := h.Settings.Regions[h.Settings.FailureDomain]
 			placer := &placer{self: h.Settings.HostName, region: region, cache: cache, controller: controller, client: client, owners: owners}
-			return &forward.Forwarder{Views: cache, Balancer: balancer, Placer: placer, RetryBudget: retries, Quarantine: blocked, Recorder: &recorder{metricsRecorder: metricsRecorder}, Log: h.Log}
+			return &forward.Forwarder{Views: cache, Balancer: balancer, Placer: placer, RetryBudget: retries, Quarantine: blocked, RunEnds: completions, Recorder: &recorder{metricsRecorder: metricsRecorder}, Log: h.Log}
 		},
 		h.newPeerServer,
 		h.newServer,
--- a/internal/fronthost/zonehandler.go
+++ b/internal/fronthost/zonehandler.go
@@ -40,6 +40,11 @@
 	}
 }
 
+// UpdateEndedRuns records requests of another host that have ended on engines of this host.
+func (z *zoneHandler) UpdateEndedRuns(runs []site.EndedRuns) {
+	z.controller.UpdateEndedRuns(runs)
+}
+
 // Place waits for admission to an engine in one of this host's zones.
 func (z *zoneHandler) Place(ctx context.Context, request site.PlaceRequest) (site.Placement, error) {
 	return z.controller.Place(ctx, request)
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -24,6 +24,28 @@
 	return message
 }
 
+// FromEndedRuns converts ended requests to their message.
+func FromEndedRuns(runs []site.EndedRuns) *EndedRunsReport {
+	message := &EndedRunsReport{}
+	for _, run := range runs {
+		message.Runs = append(message.Runs, &EndedRuns{Server: string(run.Server), Model: run.Adapter.Model, Name: run.Adapter.Name, Count: int32(run.Count)})
+	}
+	return message
+}
+
+// ToEndedRuns converts a message to ended requests.
+func ToEndedRuns(message *EndedRunsReport) []site.EndedRuns {
+	var runs []site.EndedRuns
+	for _, run := range message.GetRuns() {
+		runs = append(runs, site.EndedRuns{
+			Server:  site.ServerID(run.GetServer()),
+			Adapter: site.Adapter{Model: run.GetModel(), Name: run.GetName()},
+			Count:   int(run.GetCount()),
+		})
+	}
+	return runs
+}
+
 // ToFollowRequest converts a message to a follow request.
 func ToFollowRequest(message *FollowRequest) site.FollowRequest {
 	r := site.FollowRequest{
--- a/state/site/peermessage.go
+++ b/state/site/peermessage.go
@@ -14,6 +14,14 @@
 	Begun BegunAnswers
 }
 
+// EndedRuns are requests for one adapter that have ended on an engine.
+type EndedRuns struct {
+	Server  ServerID
+	Adapter Adapter
+	// Count is the number of requests.
+	Count int
+}
+
 // BegunAnswers sums up answers of one engine that have begun.
 type BegunAnswers struct {
 	// Count is the number of answers, and PromptTokens the length of all their prompts.
--- a/transport/peer/zone.go
+++ b/transport/peer/zone.go
@@ -15,6 +15,8 @@
 	// Place waits until the request may use the engine, with its adapter loaded and its
 	// prompt read next. Its error is a *verdict.Error.
 	Place(ctx context.Context, request site.PlaceRequest) (site.Placement, error)
+	// UpdateEndedRuns records requests that have ended on engines of this host.
+	UpdateEndedRuns(runs []site.EndedRuns)
 }
 
 // Follow requests changes from the host at the address since the positions in the request.
@@ -48,6 +50,25 @@
 	return site.Placement{ReplicaWanted: reply.GetCopy(), Limited: reply.GetLimited()}, nil
 }
 
+// ReportEndedRuns tells the owner at the address which requests of this host have ended.
+func (c *Client) ReportEndedRuns(ctx context.Context, address string, runs []site.EndedRuns) error {
+	message := peer.FromEndedRuns(runs)
+	_, err := invoke(ctx, c, callOptions{name: "report ended runs", address: address, timeout: exchangeTimeout},
+		func(ctx context.Context, p peer.DRPCPeerClient) (*peer.EndedRunsReply, error) {
+			return p.ReportEndedRuns(ctx, message)
+		})
+	return err
+}
+
+// ReportEndedRuns passes ended requests on to the ZoneHandler.
+func (e *endpoint) ReportEndedRuns(_ context.Context, message *peer.EndedRunsReport) (*peer.EndedRunsReply, error) {
+	if e.server.ZoneHandler == nil {
+		return nil, errNotServed
+	}
+	e.server.ZoneHandler.UpdateEndedRuns(peer.ToEndedRuns(message))
+	return &peer.EndedRunsReply{}, nil
+}
+
 // Follow answers with the changes that the ZoneHandler returns.
 func (e *endpoint) Follow(_ context.Context, message *peer.FollowRequest) (*peer.FollowReply, error) {
 	if e.server.ZoneHandler == nil {
