adapter: refuse requests at once that get no adapter slot in time

Cause: a request that has been refused by two engines waits at the third one until its caller is about to leave, also if more adapters wait there than slots become free before that. It is refused when it is too late for another try.

Change: the owner measures how often slots become free and refuses, with that time as Retry-After, those at the end of the queue that would get theirs after their deadlines. The queue is in order of urgency.

--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -88,6 +88,10 @@
 	// admissions are the prompts admitted within the last loadWindow, by ascending time.
 	admissions []admission
 	readRate   readRate
+	// slots measures how long requests wait for an adapter slot. capacity is the number of
+	// adapters that fit, as of the last request.
+	slots    slotTurnover
+	capacity int
 	// unansweredOrders counts the consecutive orders without an answer, and
 	// failedReports the consecutive failed reports.
 	unansweredOrders, failedReports int
@@ -120,6 +124,7 @@
 		running:          newRunningCounts(),
 		uses:             make(map[adapterUse]int),
 		readRate:         readRate{tokensPerMilli: initialReadRate},
+		slots:            slotTurnover{interval: initialSlotInterval},
 	}
 }
 
@@ -186,6 +191,7 @@
 		return
 	}
 	e.lastUsed[d.request.Adapter] = now
+	e.capacity = capacity
 	e.limit.observe(d.request.StatedLimit, now)
 	if !d.request.MayQueue && !d.request.Prefetch && e.stateKnown && e.isFull() {
 		d.reply <- placeResult{err: verdict.NewNotRun(verdict.CodeOverloaded, "engine %s is full", e.server.ID)}
@@ -206,6 +212,7 @@
 	e.sortPending(now)
 	e.admitPending(now)
 	e.refuseHopeless(now)
+	e.refuseWithoutSlot(e.capacity, now)
 	return e.nextAdmissionDelay(now)
 }
 
--- a/coordination/adapter/orders.go
+++ b/coordination/adapter/orders.go
@@ -240,6 +240,7 @@
 		// It then refuses the next order, and the count is read from a report.
 		e.recordAcceptedOrder()
 		e.cached[r.order.Adapter] = true
+		e.slots.recordFreed(now)
 	case site.OrderAccepted:
 		// The engine unloads the adapter once its requests have ended; the report
 		// shows when that has happened.
--- a/coordination/forward/placement.go
+++ b/coordination/forward/placement.go
@@ -81,7 +81,7 @@
 		f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Err(failure).Msg("request is sent without a turn")
 		f.Balancer.RecordTurn(server, false)
 		return nil
-	case request.StatedLimit.PerSecond > 0:
+	case request.StatedLimit.PerSecond > 0, failure.RetryAfter > 0:
 		p.turnDenied = p.refusedPlacements >= maxRefusedPlacements
 	}
 	p.refusedPlacements++
