--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_LINT_VERSION = v2.15.0
 GO_TOOLS = $(shell go env GOPATH)/bin
 
-.PHONY: test test-processes soak soak-quick explore lint format bench bench-quick check-model generate build
+.PHONY: test test-processes fuzz-quick soak soak-quick explore lint format bench bench-quick check-model generate build
 
 # test runs all tests except test-processes. Only bench runs without the race
 # detector: its packages start no event loops.
@@ -13,6 +13,10 @@
 test-processes:
 	./.ci/test-processes
 
+# fuzz-quick runs each fuzz target of decoders for a few seconds.
+fuzz-quick:
+	./.ci/fuzz
+
 # soak runs real processes under injected faults for some minutes. Each run has a
 # new seed, which it prints; SEEDS is the number of runs.
 SEEDS = 6
--- /dev/null
+++ b/protocol/peer/fuzz_test.go
@@ -0,0 +1,43 @@
+package peer
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+// FuzzZoneMessages guards against a message of another host that ends this one.
+func FuzzZoneMessages(f *testing.F) {
+	for _, message := range []proto.Message{
+		FromFollowRequest(site.FollowRequest{Host: "h", InFlight: []site.InFlight{{Server: "e", Adapters: map[site.Adapter]int{{Model: "m", Name: "a"}: 1}}}}),
+		FromFollowReply(site.FollowReply{Changes: []site.Changes{{Table: "t", Rows: []site.Row{{Key: "k", Value: []byte("v")}}}}, Sequence: 3}),
+		FromPlaceRequest(site.PlaceRequest{Host: "h", PromptTokens: 5}),
+		FromQuarantineReport(site.QuarantineReport{Ends: []site.EngineEnd{{Service: "s", Suspects: [][]string{{"a"}}}}}),
+		FromEndedRuns([]site.EndedRuns{{Server: "e", Count: 2}}),
+	} {
+		encoded, err := proto.Marshal(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if m := (&FollowRequest{}); proto.Unmarshal(data, m) == nil {
+			ToFollowRequest(m)
+		}
+		if m := (&FollowReply{}); proto.Unmarshal(data, m) == nil {
+			_, _ = ToFollowReply(m)
+		}
+		if m := (&PlaceRequest{}); proto.Unmarshal(data, m) == nil {
+			ToPlaceRequest(m)
+		}
+		if m := (&QuarantineReport{}); proto.Unmarshal(data, m) == nil {
+			ToQuarantineReport(m)
+		}
+		if m := (&EndedRunsReport{}); proto.Unmarshal(data, m) == nil {
+			ToEndedRuns(m)
+		}
+	})
+}
