rpc: count calls between hosts and their bytes by method

Which messages carry the bytes between hosts at size was not visible: the capacity page names tables and reports without a trace. Both sides of each call now count calls and message bytes by method, as metrics of front hosts.

Result: the counts of both sides agree in TestQuarantineReportKeepsEveryField.

--- a/internal/cmd/pages_test.go
+++ b/internal/cmd/pages_test.go
@@ -106,7 +106,7 @@
 		documented[row[1]] = true
 	}
 	declared := make(map[string]bool)
-	for _, file := range []string{"../../transport/metrics/recorder.go", "../fronthost/gauges.go"} {
+	for _, file := range []string{"../../transport/metrics/recorder.go", "../fronthost/gauges.go", "../fronthost/traffic.go"} {
 		content, err := os.ReadFile(file)
 		qt.Assert(t, err, qt.IsNil)
 		for _, name := range regexp.MustCompile(`"(persimmonmux\.[a-z._]+)"`).FindAllStringSubmatch(string(content), -1) {
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -180,11 +180,14 @@
 			return &completion.Notifier{Self: h.Settings.HostName, Views: cache, Owner: controller, Peers: client}
 		},
 		func() *backend.ConnectionPool { return &backend.ConnectionPool{} },
-		func(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer) (*metrics.Recorder, error) {
+		func(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, client *peer.Client, server *peer.Server) (*metrics.Recorder, error) {
 			recorder := &metrics.Recorder{}
 			if err := recorder.Start(); err != nil {
 				return nil, err
 			}
+			if err := registerTraffic(recorder.Meter(), client, server); err != nil {
+				return nil, err
+			}
 			return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer)
 		},
 		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, blocked *quarantine.Quarantine, completions *completion.Notifier, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -65,6 +65,8 @@
 type Client struct {
 	// FailureDomain is the failure domain of this host; PushChanges sends it to the peer.
 	FailureDomain fleet.FailureDomainName
+	// Traffic counts the calls to other hosts.
+	Traffic rpc.Traffic
 
 	// idleTimeout replaces defaultIdleTimeout unless it is zero; tests set it.
 	idleTimeout time.Duration
@@ -393,7 +395,7 @@
 			dialed = true
 			return c.dial(ctx, address)
 		})
-		reply, err := call(ctx, peer.NewDRPCPeerClient(rpc.ReplyConn{Conn: connection}))
+		reply, err := call(ctx, peer.NewDRPCPeerClient(rpc.ReplyConn{Conn: connection, Traffic: &c.Traffic}))
 		if err == nil {
 			return reply, nil
 		}
--- a/transport/peer/quarantine_test.go
+++ b/transport/peer/quarantine_test.go
@@ -35,5 +35,12 @@
 	reply, err := client.ExchangeQuarantine(context.Background(), address, report)
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(reply, quicktest.DeepEquals, report)
+	// Both sides count the same bytes by method.
+	called, caller := server.Traffic.Counts()["ExchangeQuarantine"], client.Traffic.Counts()["ExchangeQuarantine"]
+	c.Check(called.Calls, quicktest.Equals, int64(1))
+	c.Check(called.ReceivedBytes > 0, quicktest.IsTrue)
+	c.Check(called.SentBytes, quicktest.Equals, called.ReceivedBytes)
+	c.Check(caller.Calls >= 2, quicktest.IsTrue)
+	c.Check(caller.ReceivedBytes, quicktest.Equals, called.SentBytes)
 	c.Assert(server.Close(), quicktest.IsNil)
 }
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -113,6 +113,8 @@
 	QuarantineHandler    QuarantineHandler
 	// Log is called with errors of single connections; it may be nil.
 	Log func(error)
+	// Traffic counts the calls of other hosts.
+	Traffic rpc.Traffic
 
 	lifecycle   duty.Lifecycle
 	activeCalls inFlightCounter
@@ -128,7 +130,7 @@
 		if err := peer.DRPCRegisterPeer(mux, &endpoint{server: s}); err != nil {
 			return fmt.Errorf("peer server: %w", err)
 		}
-		server := drpcserver.NewWithOptions(&countingHandler{handler: mux, calls: &s.activeCalls}, drpcserver.Options{
+		server := drpcserver.NewWithOptions(&countingHandler{handler: &rpc.CountingHandler{Handler: mux, Traffic: &s.Traffic}, calls: &s.activeCalls}, drpcserver.Options{
 			Log: s.Log,
 			Manager: drpcmanager.Options{
 				Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
--- a/transport/rpc/replyconn.go
+++ b/transport/rpc/replyconn.go
@@ -15,13 +15,18 @@
 // server, which happens when the server closes the connection after the reply.
 type ReplyConn struct {
 	drpc.Conn
+
+	// Traffic counts the calls; it may be nil.
+	Traffic *Traffic
 }
 
 // Invoke makes one call. It returns nil if a reply was decoded, and otherwise the
 // error of the underlying connection. drpc returns context.Canceled if the connection
 // ends during the call; Invoke then returns ErrConnectionEnded unless ctx has ended.
 func (c ReplyConn) Invoke(ctx context.Context, name string, encoding drpc.Encoding, in, out drpc.Message) error {
-	recorder := &replyRecorder{Encoding: encoding}
+	counted := &countingEncoding{Encoding: encoding}
+	defer c.Traffic.add(name, counted)
+	recorder := &replyRecorder{Encoding: counted}
 	err := c.Conn.Invoke(ctx, name, recorder, in, out)
 	switch {
 	case recorder.replyDecoded:
--- a/transport/rpc/replyconn_test.go
+++ b/transport/rpc/replyconn_test.go
@@ -56,7 +56,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var reply string
-			err := ReplyConn{closingConnection{replies: test.replies, err: errEnded}}.Invoke(context.Background(), "call", test.encoding, nil, &reply)
+			err := ReplyConn{Conn: closingConnection{replies: test.replies, err: errEnded}}.Invoke(context.Background(), "call", test.encoding, nil, &reply)
 			qt.Check(t, errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
 		})
 	}
@@ -65,7 +65,7 @@
 // TestEndOfConnectionIsNoCancellation guards against a call that is taken for canceled
 // by its caller, and therefore not made again, although its connection ended.
 func TestEndOfConnectionIsNoCancellation(t *testing.T) {
-	connection := ReplyConn{closingConnection{err: context.Canceled}}
+	connection := ReplyConn{Conn: closingConnection{err: context.Canceled}}
 	err := connection.Invoke(context.Background(), "call", textEncoding{}, nil, nil)
 	qt.Check(t, err, qt.ErrorIs, ErrConnectionEnded)
 	qt.Check(t, errors.Is(err, context.Canceled), qt.IsFalse)
