membership, ownership: split the roster, the residency and the manager by duty

Their functions move unchanged to one file a duty: heartbeats, relays and status of hosts; loads, unloads and reconciliation with an engine's report; hand-over of engines.

--- /dev/null
+++ b/coordination/ownership/managerhandover.go
@@ -0,0 +1,173 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/persimmonmux/persimmonmux/state/fleet"
+)
+
+// AcceptHandOver accepts the lease of a planned hand-over and adopts its instances
+// and grants. When it returns nil, this host owns the engine.
+func (g *Manager) AcceptHandOver(ctx context.Context, handOver fleet.HandOver) error {
+	g.setup()
+	engine, ok := g.findEngine(handOver.Engine)
+	if !ok {
+		return fmt.Errorf("hand-over of engine %s: the engine is not in the failure domain of this host", handOver.Engine)
+	}
+	if _, err := g.call(func(reply chan error) managerMessage { return expectLeaseMessage{engine: engine.Name, reply: reply} }); err != nil {
+		return fmt.Errorf("hand-over of engine %s: %w", engine.Name, err)
+	}
+	if err := g.Leases.AcceptTransfer(ctx, LeaseName(engine.Name), handOver.Epoch); err != nil {
+		return fmt.Errorf("hand-over of engine %s: %w", engine.Name, err)
+	}
+	_, err := g.call(func(reply chan error) managerMessage {
+		return managerAdoptMessage{engine: engine, handOver: handOver, reply: reply}
+	})
+	return err
+}
+
+// HandOverAll hands all engines over to their next candidates and stops competing
+// for leases. It returns when all hand-overs have ended, with the errors of those
+// that failed. An engine whose hand-over failed stays owned; another call retries
+// it.
+func (g *Manager) HandOverAll(ctx context.Context) error {
+	g.setup()
+	called, err := g.call(func(reply chan error) managerMessage {
+		return handOverAllMessage{ctx: ctx, reply: reply}
+	})
+	if !called {
+		return fmt.Errorf("hand over all engines: %w", err)
+	}
+	return err
+}
+
+// managerAdoptMessage is the message of AcceptHandOver, sent once the lease is
+// accepted.
+type managerAdoptMessage struct {
+	engine   fleet.Engine
+	handOver fleet.HandOver
+	reply    chan error
+}
+
+func (a managerAdoptMessage) handle(ctx context.Context, g *Manager) {
+	o := g.owners[a.engine.Name]
+	if o == nil || o.Epoch < a.handOver.Epoch {
+		if o != nil {
+			g.closeOwner(a.engine.Name, func() {})
+		}
+		o = g.startOwner(ctx, a.engine, a.handOver.Epoch, PreviousHolder{Host: a.handOver.From})
+	}
+	a.reply <- o.AcceptHandOver(a.handOver)
+}
+
+// handOverAllMessage is the message of HandOverAll.
+type handOverAllMessage struct {
+	ctx   context.Context
+	reply chan error
+}
+
+func (s handOverAllMessage) handle(ctx context.Context, g *Manager) {
+	g.stopping = true
+	for name := range g.requestedRanks {
+		if g.owners[name] == nil && g.Leases.Release(LeaseName(name)) {
+			delete(g.requestedRanks, name)
+		}
+	}
+	g.handOverAllReplies = append(g.handOverAllReplies, s.reply)
+	hosts := slices.DeleteFunc(slices.Clone(g.FailureDomain.Hosts()), func(h fleet.Host) bool { return h.Name == g.Host.Name })
+	for name, o := range g.owners {
+		if !o.handingOver.CompareAndSwap(false, true) {
+			continue
+		}
+		g.handOversInFlight++
+		candidates := CandidateHosts(name, hosts)
+		g.lifecycle.Go(func() {
+			r := g.handOverEngine(s.ctx, o, candidates)
+			select {
+			case g.results <- r:
+			case <-ctx.Done():
+			}
+		})
+	}
+	g.replyHandOverAll()
+}
+
+// handOverEngine hands an engine over to the first candidate. Without candidates it
+// closes the Owner and releases the lease. It runs on a worker goroutine.
+func (g *Manager) handOverEngine(ctx context.Context, o *Owner, candidates []fleet.Host) engineHandOverResult {
+	r := engineHandOverResult{owner: o}
+	name := LeaseName(o.Engine.Name)
+	if len(candidates) == 0 {
+		_ = o.Close()
+		g.Leases.Release(name)
+		return r
+	}
+	to := candidates[0]
+	handOver, err := o.HandOver(ctx, to.Name, func(ctx context.Context) (fleet.Epoch, error) {
+		return g.Leases.Transfer(ctx, name, to.Name, to.Start)
+	})
+	if err != nil {
+		r.err = err
+		return r
+	}
+	r.to = to.Name
+	// The lease has moved, so the next owner is sent the instances and grants even
+	// if HandOverAll stops waiting.
+	_, err = backoff.Retry(context.WithoutCancel(ctx), func() (struct{}, error) {
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), o.settings.OrderTimeout)
+		defer cancel()
+		return struct{}{}, g.HandOverSender.HandOver(bounded, to, handOver)
+	}, backoff.WithMaxTries(handOverTries))
+	if err != nil {
+		g.Logger.Warn().Err(err).Str("engine", string(o.Engine.Name)).Str("next owner", string(to.Name)).
+			Msg("the next owner did not confirm the hand-over; it will take the engine over without the lists of instances and grants")
+	}
+	_ = o.Close()
+	return r
+}
+
+// An engineHandOverResult is the result of handOverEngine.
+type engineHandOverResult struct {
+	owner *Owner
+	// to is the next owner; empty when there was none or after an error.
+	to  fleet.HostName
+	err error
+}
+
+func (r engineHandOverResult) handle(_ context.Context, g *Manager) {
+	g.handOversInFlight--
+	r.owner.handingOver.Store(false)
+	name := r.owner.Engine.Name
+	if r.err != nil {
+		g.handOverErrors = append(g.handOverErrors, r.err)
+		if r.owner.leaseLost && g.owners[name] == r.owner {
+			g.closeOwner(name, func() {})
+		}
+	} else {
+		if r.to != "" {
+			g.nextOwners[name] = r.to
+		}
+		if g.owners[name] == r.owner {
+			delete(g.owners, name)
+		}
+		delete(g.requestedRanks, name)
+		g.publishDirectory()
+	}
+	g.replyHandOverAll()
+}
+
+// replyHandOverAll ends the calls of HandOverAll when no hand-over is in flight.
+func (g *Manager) replyHandOverAll() {
+	if g.handOversInFlight > 0 {
+		return
+	}
+	for _, reply := range g.handOverAllReplies {
+		reply <- errors.Join(g.handOverErrors...)
+	}
+	g.handOverAllReplies, g.handOverErrors = nil, nil
+}
