--- a/coordination/adapter/requestlimit.go
+++ b/coordination/adapter/requestlimit.go
@@ -96,20 +96,16 @@
 	if !e.limit.isActive() {
 		return
 	}
-	kept := e.pending[:0]
-	for _, d := range e.pending {
-		wait := e.limit.turnWait(len(kept), d.request.Priority, now)
-		if d.request.Prefetch || !now.Add(wait).After(d.turnDeadline) {
-			kept = append(kept, d)
-			continue
+	e.refusePending(func(d *pendingRequest, kept int) *verdict.Error {
+		wait := e.limit.turnWait(kept, d.request.Priority, now)
+		if !now.Add(wait).After(d.turnDeadline) {
+			return nil
 		}
-		d.reply <- placeResult{err: &verdict.Error{
+		return &verdict.Error{
 			Verdict: verdict.NotRun, Code: verdict.CodeRateLimited, RetryAfter: wait,
 			Message: "server " + string(e.server.ID) + " takes no more requests a second",
-		}}
-	}
-	clear(e.pending[len(kept):])
-	e.pending = kept
+		}
+	})
 }
 
 // latestTurn returns the time after which a turn at a server that states a limit is of no
--- a/coordination/adapter/slotwait.go
+++ b/coordination/adapter/slotwait.go
@@ -44,17 +44,30 @@
 	}
 	free := max(capacity-e.occupiedSlots(), 0) + e.idleAdapters(now)
 	position := make(map[site.Adapter]int)
+	e.refusePending(func(d *pendingRequest, _ int) *verdict.Error {
+		wait := e.slotWait(d.request, free, position)
+		if !now.Add(wait).After(d.deadline) {
+			return nil
+		}
+		return &verdict.Error{
+			Verdict: verdict.NotRun, Code: verdict.CodeOverloaded, RetryAfter: wait,
+			Message: "engine " + string(e.server.ID) + " has no adapter slot in time",
+		}
+	})
+}
+
+// refusePending refuses those pending requests for which failure returns an error. failure is
+// called in the order of the queue, with the number of requests that were kept before. Loads for
+// later requests are always kept.
+func (e *engine) refusePending(failure func(d *pendingRequest, kept int) *verdict.Error) {
 	kept := e.pending[:0]
 	for _, d := range e.pending {
-		wait := e.slotWait(d.request, free, position)
-		if d.request.Prefetch || !now.Add(wait).After(d.deadline) {
+		refusal := failure(d, len(kept))
+		if refusal == nil || d.request.Prefetch {
 			kept = append(kept, d)
 			continue
 		}
-		d.reply <- placeResult{err: &verdict.Error{
-			Verdict: verdict.NotRun, Code: verdict.CodeOverloaded, RetryAfter: wait,
-			Message: "engine " + string(e.server.ID) + " has no adapter slot in time",
-		}}
+		d.reply <- placeResult{err: refusal}
 	}
 	clear(e.pending[len(kept):])
 	e.pending = kept
