adapter: lower the rate of prompts only when answers are far too late

Cause: the rate of an engine fell when answers began after twice the expected time, which two prompts at once already make, and then rose by 5 % each 0.6 s: engines were given a third of what they read.

Change: the rate falls from three times and rises up to twice the expected time.

--- a/coordination/adapter/readrate.go
+++ b/coordination/adapter/readrate.go
@@ -19,8 +19,8 @@
 	// The rate is lowered by readRateDecrease when answers begin after more than
 	// slowBegin times the expected time, and raised by readRateIncrease when they begin
 	// within fastBegin times that time although the rate keeps requests waiting.
-	slowBegin        = 2.0
-	fastBegin        = 1.3
+	slowBegin        = 3.0
+	fastBegin        = 2.0
 	readRateDecrease = 0.85
 	readRateIncrease = 1.05
 	// rateWindow is the time whose answers are judged together, and minAnswers the number
