adapter: do not look at all servers for each message to an owner

Cause: for each message, the owner of a zone asked for each of its engines how many adapters may be loaded at once, and each answer counted all servers of the site and the loads of all engines.

Change: engines without pending requests are not asked, and the limit is computed when the set of engines is refreshed, every 0.1 s.

--- a/coordination/adapter/controller.go
+++ b/coordination/adapter/controller.go
@@ -102,6 +102,10 @@
 	sequence uint64
 	// modelLoadCount is the number of base models that owned engines are loading.
 	modelLoadCount int
+	// coldLoadLimit is the number of adapters that owned engines may load from the weight
+	// store at once. It follows from the view and is updated with the set of engines, because
+	// it takes a look at all servers.
+	coldLoadLimit int
 }
 
 // A message is an input of the Controller, handled on the goroutine of Run.
@@ -319,6 +323,7 @@
 			o.engines[id] = newEngine(server, o.Regions[server.Zone], epoch)
 		}
 	}
+	o.updateColdLoadLimit(view)
 	o.dropPlainServers(view)
 	if changed {
 		o.publishResidencies(nil)
--- a/coordination/adapter/orders.go
+++ b/coordination/adapter/orders.go
@@ -87,9 +87,12 @@
 // nextAdapterOrder returns the order for the first pending request whose adapter
 // can be provided now: a load, or the unload of an unused adapter to free a slot.
 // Loads from the engine's own memory are always possible, loads from the weight
-// store only while this host is below maxColdLoads.
+// store only while this host is below coldLoadLimit.
 func (o *Controller) nextAdapterOrder(e *engine, view *site.View, engines *site.EngineSpec, now time.Time) (site.Order, bool) {
-	storeLimitReached := o.coldLoadCount() >= o.maxColdLoads(view)
+	if len(e.pending) == 0 {
+		return site.Order{}, false
+	}
+	storeLimitReached := o.coldLoadCount() >= o.coldLoadLimit
 	for _, d := range e.pending {
 		adapter := d.request.Adapter
 		if e.hasAdapter(d.request) || e.loads[adapter] != nil || adapter.Name == "" || storeLimitReached && !e.cached[adapter] {
@@ -120,11 +123,11 @@
 	return count
 }
 
-// maxColdLoads returns the number of adapters that owned engines may load from
+// updateColdLoadLimit sets the number of adapters that owned engines may load from
 // the weight store at once: this host's share of the site's limit by number of
 // engines, rounded up, plus one so that a busy zone can use what other zones
 // leave unused.
-func (o *Controller) maxColdLoads(view *site.View) int {
+func (o *Controller) updateColdLoadLimit(view *site.View) {
 	engineCount, loadsPerSecond := 0, 0.0
 	for _, server := range view.Servers {
 		if service := view.Service(server.Service); service != nil && service.Engines != nil {
@@ -133,7 +136,7 @@
 		}
 	}
 	total := maxLoadsPerRateUnit * max(int(loadsPerSecond/modelLoadRateUnit+0.5), 1)
-	return (total*len(o.engines)+engineCount-1)/max(engineCount, 1) + 1
+	o.coldLoadLimit = (total*len(o.engines)+engineCount-1)/max(engineCount, 1) + 1
 }
 
 // startReport reads the engine's report on a worker goroutine.
