balance: let long streams not keep a server out after its pause

Cause: after its pause a server gets one request first, and streams from before the pause counted as that request: the server got nothing until they had ended.

Change: the restriction lasts a second.

Result: the last part of TestPausedServerGetsNothing fails without it.

--- a/coordination/balance/availability.go
+++ b/coordination/balance/availability.go
@@ -6,9 +6,14 @@
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
-// leavingUseDuration is how long a server that leaves is still used if there is no other
-// one. It is shorter than the notice that servers give.
-const leavingUseDuration = time.Second
+const (
+	// leavingUseDuration is how long a server that leaves is still used if there is no other
+	// one. It is shorter than the notice that servers give.
+	leavingUseDuration = time.Second
+	// resumeDuration is how long after its pause a server gets one request at a time, unless
+	// it takes one before. Requests from before the pause may run for longer.
+	resumeDuration = time.Second
+)
 
 // An availability is what a server has stated about taking requests at all. The Balancer
 // guards it by its mutex.
@@ -26,10 +31,10 @@
 	return now.Before(a.pausedUntil) || !a.leavingSince.IsZero() && now.Sub(a.leavingSince) >= leavingUseDuration
 }
 
-// isResuming reports whether the server's pause has ended and it has taken no request since.
-// It then gets one request first.
+// isResuming reports whether the server's pause has ended within resumeDuration and it has
+// taken no request since. It then gets one request first.
 func (a *availability) isResuming(now time.Time) bool {
-	return !a.pausedUntil.IsZero() && !now.Before(a.pausedUntil)
+	return !a.pausedUntil.IsZero() && !now.Before(a.pausedUntil) && now.Sub(a.pausedUntil) < resumeDuration
 }
 
 // RecordLeaving records that a server has stated that it leaves, and reports whether that is
--- a/coordination/balance/availability_test.go
+++ b/coordination/balance/availability_test.go
@@ -79,5 +79,14 @@
 		b.RecordResponse(server, nil)
 		_, err = b.Choose(requirements("a"))
 		c.Check(err, quicktest.IsNil)
+
+		// A request from before the pause that runs on keeps others out for a while only.
+		b.RecordPause(server, time.Second)
+		time.Sleep(time.Second)
+		_, err = b.Choose(requirements("a"))
+		c.Check(err, quicktest.IsNotNil)
+		time.Sleep(resumeDuration)
+		_, err = b.Choose(requirements("a"))
+		c.Check(err, quicktest.IsNil)
 	})
 }
