--- a/internal/coordination/completion/notifier_test.go
+++ b/internal/coordination/completion/notifier_test.go
@@ -58,8 +58,8 @@
 		end("there", "e2", "a")
 		end("nowhere", "e3", "a")
 		time.Sleep(2 * collectDuration)
+		c.Assert(n.Close(), quicktest.IsNil)
 		slices.Sort(owner.told)
 		c.Check(owner.told, quicktest.DeepEquals, []string{"1.2.3.4:5: 2 of a ended on e2", "self: 1 of a ended on e1"})
-		c.Assert(n.Close(), quicktest.IsNil)
 	})
 }
