adapter: an engine that reads all the time has no more than its reading load

Cause: right after a burst the prompts admitted within a second exceed a second of the read rate, and the engine's load rose to 0.98. From 0.9 on, hosts use engines of other regions.

Change: the share of time that goes into reading is at most 1.

--- a/coordination/adapter/admission.go
+++ b/coordination/adapter/admission.go
@@ -76,7 +76,7 @@
 	for _, a := range e.admissions {
 		admitted += a.tokens
 	}
-	reading := float64(admitted) / e.readRate.tokensIn(loadWindow)
+	reading := min(float64(admitted)/e.readRate.tokensIn(loadWindow), 1)
 	return max(e.running.total, int(readingLoad*reading*float64(e.server.MaxConcurrency)))
 }
 
