review: requests that make engines fall silent are never refused

Cause: a crash is evidence only if the engine refuses connections; a silent one ends its requests with their callers' patience, which is dropped.

--- a/review/_harness/engine.go
+++ b/review/_harness/engine.go
@@ -25,6 +25,8 @@
 	// firstEvent is the time until the first event. If it is set, the head of the answer is
 	// sent at once.
 	firstEvent time.Duration
+	// pause waits while the engine is down and reports whether it was; it may be nil.
+	pause func(r *http.Request) bool
 	// onStream is called with each stream that begins; it may be nil.
 	onStream func(attempt string)
 
@@ -172,7 +174,9 @@
 	w.Header().Set("X-Weight-Versions", "1")
 	flusher := http.NewResponseController(w)
 	if g.firstEvent > 0 {
-		_ = flusher.Flush()
+		if g.pause == nil {
+			_ = flusher.Flush()
+		}
 		select {
 		case <-r.Context().Done():
 			return
@@ -181,6 +185,9 @@
 	}
 	for number := last + 1; number <= g.events; number++ {
 		text := eventText(attempt, number)
+		if g.pause != nil && g.pause(r) {
+			panic(http.ErrAbortHandler)
+		}
 		if truncateAfter > 0 && number > truncateAfter {
 			g.environment.note("engine %s ends the answer to %s inside event %d", g.id, attempt, number)
 			_, _ = w.Write([]byte(text[:len(text)/2]))
