--- a/review/_harness/engine.go
+++ b/review/_harness/engine.go
@@ -22,13 +22,11 @@
 	// spoil returns after how many events a stream is truncated inside the next one, or 0
 	// for a whole stream. number counts the streams of the engine.
 	spoil func(number int) int
-	// firstEvent is the time until the first event. If it is set, the head of the answer is
-	// sent at once.
+	// firstEvent is the time until the first event. If it is set and pause is not, the head of
+	// the answer is sent at once.
 	firstEvent time.Duration
 	// pause waits while the engine is down and reports whether it was; it may be nil.
 	pause func(r *http.Request) bool
-	// onStream is called with each stream that begins; it may be nil.
-	onStream func(attempt string)
 
 	// loadTime is how long the load of an adapter takes; 0 means that it is there at once.
 	loadTime time.Duration
@@ -164,9 +162,6 @@
 		truncateAfter = g.spoil(g.streams)
 	}
 	g.mutex.Unlock()
-	if g.onStream != nil {
-		g.onStream(attempt)
-	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	g.environment.note("engine %s runs %s after event %d", g.id, attempt, last)
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/review/_harness/environment.go
+++ b/review/_harness/environment.go
@@ -17,10 +17,8 @@
 
 // The bounds of the installations on which the scripts are based.
 const (
-	drainTime  = 2500 * time.Millisecond
-	configTime = 2500 * time.Millisecond
-	touchTime  = 4 * time.Second
-	graceTime  = 8 * time.Second
+	drainTime = 2500 * time.Millisecond
+	touchTime = 4 * time.Second
 )
 
 // An environment holds the processes, listeners and the record of one play.
