front: a stream that ends inside an event is incomplete in any framing

Cause: deliverStream looked for an end inside an event only if the body had neither a length nor chunks. Their end says where the body ends, not that the stream is whole.

Change: a stream that ends inside an event has broken off. It goes on at another server if it may, and the caller's connection is closed otherwise.

--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -39,7 +39,8 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
-			if len(bytes.TrimRight(event, "\r\n")) > 0 && !r.endIsDeclared() {
+			// The framing of the body shows where it ends, but not that the stream is whole.
+			if len(bytes.TrimRight(event, "\r\n")) > 0 {
 				return &forward.IncompleteError{Cause: io.ErrUnexpectedEOF}
 			}
 			return r.deliverEvent(event, true)
@@ -50,12 +51,6 @@
 	}
 }
 
-// endIsDeclared reports whether the end of the body shows that it is complete. Without a
-// length and chunks, the body ends with its connection, whatever the cause.
-func (r *response) endIsDeclared() bool {
-	return r.incoming.ContentLength >= 0 || len(r.incoming.TransferEncoding) > 0
-}
-
 // hasWholeEvent reports whether the end of an event is buffered, so that reading on does not
 // wait for the server.
 func hasWholeEvent(reader *bufio.Reader) bool {
