watch: a whole table for a host far behind lists its unchanged rows too

A host that was out of touch for longer than tombstones are kept dropped every server that had not changed in the meantime.

Cause: changesSince marked its reply as the whole table, but left out the rows up to the position of the host, which it then took for deleted.

Change: a whole table lists all rows. Rows that the host has are sent without their values.

--- a/coordination/watch/tablestate.go
+++ b/coordination/watch/tablestate.go
@@ -38,13 +38,18 @@
 }
 
 // changesSince returns the changes of the table after a position, and the whole table if
-// a tombstone that is needed was dropped.
+// a tombstone that is needed was dropped. Rows of a whole table that have not changed
+// since the position have no value, because the host that asks has it.
 func (c *tableState) changesSince(name site.Table, after site.Position) site.Changes {
 	changes := site.Changes{Table: name, CompleteThrough: c.completeThrough, Age: time.Since(c.confirmedAt)}
 	changes.FullTable = c.completeThrough > after && (after < c.tombstonesDroppedThrough || after == 0)
 	for _, e := range c.rows {
-		if e.row.Position > after && (!changes.FullTable || !e.row.Deleted) {
+		switch {
+		case e.row.Deleted && changes.FullTable:
+		case e.row.Position > after:
 			changes.Rows = append(changes.Rows, e.row)
+		case changes.FullTable:
+			changes.Rows = append(changes.Rows, site.Row{Key: e.row.Key, Position: e.row.Position})
 		}
 	}
 	return changes
--- a/state/site/row.go
+++ b/state/site/row.go
@@ -13,7 +13,8 @@
 type Row struct {
 	// Key is unique within the table.
 	Key string
-	// Value is empty in a deleted row.
+	// Value is empty in a deleted row, and in a row of a whole table that the receiver
+	// has already at this position.
 	Value []byte
 	// Position is the transaction that wrote or deleted the row last.
 	Position Position
