watch: hosts learn of deletions that their owner has not seen itself

Cause: a table that is received as a whole has no tombstones. An owner answered followers from any position as if it knew all deletions since, also those before its start or in a span without history. The follower took the owner's position over and kept the row for good.

Change: each table records the position after which all deletions are known. A host that asks from an earlier one gets the whole table once. Rows that it has come without their values.

--- a/coordination/watch/cache.go
+++ b/coordination/watch/cache.go
@@ -173,7 +173,7 @@
 }
 
 // ChangesSince returns the changes of each table after the given positions, and
-// the whole table where a tombstone that is needed was dropped. For a table without
+// the whole table where a tombstone that is needed may be missing. For a table without
 // changes it returns only how far and how recently the table is known. Tables that
 // were never fully read are left out. It returns nil if no positions are given.
 func (w *Cache) ChangesSince(positions map[site.Table]site.Position) []site.Changes {
@@ -229,6 +229,7 @@
 			changed = w.applyRow(c, changes.Table, deletion, now) || changed
 		}
 		c.wasFullyRead = true
+		c.deletionsKnownAfter = max(c.deletionsKnownAfter, changes.CompleteThrough)
 	}
 	age := now.Sub(c.confirmedAt)
 	c.confirm(changes.CompleteThrough, a.confirmedAt)
--- a/coordination/watch/tablestate.go
+++ b/coordination/watch/tablestate.go
@@ -22,8 +22,10 @@
 	rows            map[string]*rowEntry
 	// wasFullyRead means that the whole table was received at least once.
 	wasFullyRead bool
-	// tombstonesDroppedThrough is the highest position of a dropped tombstone.
-	tombstonesDroppedThrough site.Position
+	// deletionsKnownAfter is the position after which rows has a tombstone for every
+	// deleted row. Up to it tombstones may be missing: they were dropped, or the table
+	// was received as a whole, which does not list deleted rows.
+	deletionsKnownAfter site.Position
 }
 
 // A rowEntry is a row with its decoded value.
@@ -38,11 +40,11 @@
 }
 
 // changesSince returns the changes of the table after a position, and the whole table if
-// a tombstone that is needed was dropped. Rows of a whole table that have not changed
+// a tombstone that is needed may be missing. Rows of a whole table that have not changed
 // since the position have no value, because the host that asks has it.
 func (c *tableState) changesSince(name site.Table, after site.Position) site.Changes {
 	changes := site.Changes{Table: name, CompleteThrough: c.completeThrough, Age: time.Since(c.confirmedAt)}
-	changes.FullTable = c.completeThrough > after && (after < c.tombstonesDroppedThrough || after == 0)
+	changes.FullTable = c.completeThrough > after && (after < c.deletionsKnownAfter || after == 0)
 	for _, e := range c.rows {
 		switch {
 		case e.row.Deleted && changes.FullTable:
@@ -98,7 +100,7 @@
 			wait = min(wait, retention)
 			continue
 		}
-		c.tombstonesDroppedThrough = max(c.tombstonesDroppedThrough, e.row.Position)
+		c.deletionsKnownAfter = max(c.deletionsKnownAfter, e.row.Position)
 		delete(c.rows, key)
 	}
 	return wait
--- a/coordination/watch/tablestate_test.go
+++ b/coordination/watch/tablestate_test.go
@@ -54,6 +54,96 @@
 	}
 }
 
+// TestDeletionBeforeStartOfOwner guards against a host that goes on using a server whose
+// row was deleted before the owner that it follows read the table for the first time.
+func TestDeletionBeforeStartOfOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		caches, stop := startCaches(3)
+		defer stop()
+		follower, started, next := caches[0], caches[1], caches[2]
+		enqueue(follower, serverTable(5, serverRow("kept", 4), serverRow("deleted", 5)), StoreSource)
+		enqueue(started, serverTable(7, serverRow("kept", 4)), StoreSource)
+		follow(follower, started)
+		c.Check(follower.View().Servers, quicktest.HasLen, 1)
+		// The host knows the deletion now and passes it on as an owner itself.
+		enqueue(next, serverTable(6, serverRow("kept", 4), serverRow("deleted", 5)), StoreSource)
+		follow(next, follower)
+		c.Check(next.View().Servers, quicktest.HasLen, 1)
+	})
+}
+
+// TestDeletionWhileHistoryIsGone guards against a host that goes on using a server whose row
+// was deleted in a span for which the store discarded its history, so that its owner read
+// the whole table again.
+func TestDeletionWhileHistoryIsGone(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// known is the position of the host when the owner reads the table again.
+		known site.Position
+	}{
+		{"host is behind the owner", 5},
+		{"host is in step with the owner", 6},
+		{"host is ahead of the owner's last reading", 7},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				caches, stop := startCaches(2)
+				defer stop()
+				follower, owner := caches[0], caches[1]
+				rows := []site.Row{serverRow("kept", 4), serverRow("deleted", 5)}
+				enqueue(owner, serverTable(6, rows...), StoreSource)
+				enqueue(follower, serverTable(test.known, rows...), StoreSource)
+				enqueue(owner, serverTable(9, serverRow("kept", 4)), StoreSource)
+				follow(follower, owner)
+				c.Check(follower.View().Servers, quicktest.HasLen, 1)
+			})
+		})
+	}
+}
+
+// TestWholeTableHasNoValuesThatAreKnown guards against hosts that get all values of a large
+// table again when their owner restarts, and against values that are left out although they
+// are not known.
+func TestWholeTableHasNoValuesThatAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		caches, stop := startCaches(3)
+		defer stop()
+		follower, started, fresh := caches[0], caches[1], caches[2]
+		enqueue(follower, serverTable(5, serverRow("old", 4), serverRow("changed", 5)), StoreSource)
+		enqueue(started, serverTable(8, serverRow("old", 4), serverRow("changed", 7), serverRow("new", 8)), StoreSource)
+		for _, row := range follow(follower, started).Rows {
+			c.Check(len(row.Value) > 0, quicktest.Equals, row.Key != "old", quicktest.Commentf("%s", row.Key))
+		}
+		c.Check(follower.View().Servers, quicktest.HasLen, 3)
+		for _, row := range follow(fresh, started).Rows {
+			c.Check(len(row.Value) > 0, quicktest.IsTrue, quicktest.Commentf("%s", row.Key))
+		}
+		c.Check(fresh.View().Servers, quicktest.HasLen, 3)
+	})
+}
+
+// TestWholeTableIsSentOnce guards against an owner that sends the whole table with each
+// reply after its start.
+func TestWholeTableIsSentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		caches, stop := startCaches(2)
+		defer stop()
+		follower, started := caches[0], caches[1]
+		enqueue(follower, serverTable(5, serverRow("a", 4)), StoreSource)
+		enqueue(started, serverTable(7, serverRow("a", 4)), StoreSource)
+		c.Check(follow(follower, started).FullTable, quicktest.IsTrue)
+		c.Check(follow(follower, started).FullTable, quicktest.IsFalse)
+		enqueue(started, site.Changes{Table: "servers", CompleteThrough: 9, Rows: []site.Row{{Key: "a", Position: 8, Deleted: true}}}, StoreSource)
+		time.Sleep(time.Second)
+		c.Check(follow(follower, started).FullTable, quicktest.IsFalse)
+		c.Check(follower.View().Servers, quicktest.HasLen, 0)
+	})
+}
+
 // TestHostFarBehindKeepsUnchangedRows guards against a host that was out of touch for
 // longer than tombstones are kept and then drops every server that has not changed since.
 func TestHostFarBehindKeepsUnchangedRows(t *testing.T) {
