front: a stream without an event at its deadline gets a status

Cause: the head of the server's answer was written to the caller's response before the first event. It stayed in a buffer, but the answer counted as begun, so that no status could be given and no other server be asked.

Change: the head is written with the first event that has data. Comments before it are kept until then.

--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -10,80 +9,51 @@
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
-
-// errEventTooLarge means that an event of a stream is longer than maxEventBytes.
-var errEventTooLarge = errors.New("stream event exceeds the size limit of 1 MiB")
-
-// deliverStream sends the events of a stream to the caller as they arrive. Only
-// complete events are sent, so that a stream that breaks off within an event can be
-// resumed after the last complete one.
+// deliverStream sends the events of a stream to the caller as they arrive. Only complete
+// events are sent, so that a stream that breaks off within an event can be resumed after the
+// last complete one. The answer begins with the first event that has data: up to then the
+// request may still go to another server, or fail with a status.
 func (r *response) deliverStream(observer forward.DeliveryObserver) error {
-	r.writeHeader(-1)
-	reader := bufio.NewReader(r.body())
-	var event []byte
+	events := &eventReader{source: bufio.NewReader(r.body())}
+	// unsent holds the comments and empty lines before the first event.
+	var unsent []byte
 	for {
-		lineStart := len(event)
-		var err error
-		event, err = appendLine(event, reader)
-		blank := len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0
-		if err == nil && blank {
-			if err := r.deliverEvent(event, !hasWholeEvent(reader)); err != nil {
-				return err
-			}
-			if _, ok := eventField(event, "data"); ok {
-				observer.EventDelivered()
-			}
-			event = nil
-			continue
-		}
+		event, err := events.next()
 		if errors.Is(err, io.EOF) {
-			// The framing of the body shows where it ends, but not that the stream is whole.
-			if len(bytes.TrimRight(event, "\r\n")) > 0 {
-				return &forward.IncompleteError{Cause: io.ErrUnexpectedEOF}
-			}
-			return r.deliverEvent(event, true)
+			return r.deliverEvents(unsent, true)
 		}
 		if err != nil {
 			return &forward.IncompleteError{Cause: err}
 		}
-	}
-}
-
-// hasWholeEvent reports whether the end of an event is buffered, so that reading on does not
-// wait for the server.
-func hasWholeEvent(reader *bufio.Reader) bool {
-	// Peek returns what is buffered and cannot fail.
-	buffered, _ := reader.Peek(reader.Buffered())
-	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
-}
-
-// appendLine appends the next line of a stream to the event. The error is
-// errEventTooLarge if the event then exceeds maxEventBytes.
-func appendLine(event []byte, reader *bufio.Reader) ([]byte, error) {
-	for {
-		part, err := reader.ReadSlice('\n')
-		event = append(event, part...)
-		if len(event) > maxEventBytes {
-			return event, errEventTooLarge
+		_, hasData := eventField(event, "data")
+		unsent = append(unsent, event...)
+		if !hasData && !r.exchange.responseStarted {
+			if len(unsent) > maxEventBytes {
+				return &forward.IncompleteError{Cause: errEventTooLarge}
+			}
+			continue
 		}
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return event, err
+		if err := r.deliverEvents(unsent, !events.hasNext()); err != nil {
+			return err
+		}
+		unsent = nil
+		if id, ok := eventField(event, "id"); ok {
+			r.exchange.lastEventID = id
+		}
+		if hasData {
+			observer.EventDelivered()
 		}
 	}
 }
 
-// deliverEvent sends one event to the caller and records its id. flush is false while
-// another whole event is already buffered.
-func (r *response) deliverEvent(event []byte, flush bool) error {
-	if len(event) > 0 {
-		if err := r.write(event); err != nil {
+// deliverEvents sends events to the caller, with the head of the answer before the first
+// ones. flush is false while another whole event is already buffered.
+func (r *response) deliverEvents(events []byte, flush bool) error {
+	r.writeHeader(-1)
+	if len(events) > 0 {
+		if err := r.write(events); err != nil {
 			return err
 		}
-		if id, ok := eventField(event, "id"); ok {
-			r.exchange.lastEventID = id
-		}
 	}
 	if !flush {
 		return nil
@@ -93,15 +63,3 @@
 	}
 	return nil
 }
-
-// eventField returns the value of the first field of an event with the name, and false if
-// the event has none.
-func eventField(event []byte, name string) (string, bool) {
-	for line := range bytes.Lines(event) {
-		field, value, ok := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-		if ok && string(field) == name {
-			return string(bytes.TrimSpace(value)), true
-		}
-	}
-	return "", false
-}
