forward: only events that continue the stream reach the caller

Cause: whatever ended with an empty line was passed on as an event. After an event with an empty id a stream was resumed without Last-Event-Id and began again.

Change: on streaming routes an event needs data and one id, a number above the one before, over all servers of the request and from the caller's Last-Event-Id on. Comments are passed on. Any other event ends the server's answer as one that broke off, after the sound events before it were flushed.

--- /dev/null
+++ b/coordination/forward/eventorder.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+var (
+	// errMalformedEvent means that an event has several ids, or lines that are no fields.
+	errMalformedEvent = errors.New("stream event is malformed")
+	// errEventWithoutData means that an event has no part of the answer.
+	errEventWithoutData = errors.New("stream event has no data")
+)
+
+// An eventOrder checks that the events of a stream are those of one run: each has data and a
+// number as its id, and the numbers increase. A run may leave numbers out. A faulty server may
+// send other events, in a stream that is framed properly.
+type eventOrder struct {
+	// isRequired says that the events have to be checked.
+	isRequired bool
+	// last is the number of the last event that the client has, or -1.
+	last int64
+}
+
+// newEventOrder returns the eventOrder of a request on a route. lastEventID is the last event
+// that the client has from an earlier request, or empty.
+func newEventOrder(route *site.Route, lastEventID string) eventOrder {
+	last, ok := eventNumber(lastEventID)
+	if !ok {
+		last = -1
+	}
+	return eventOrder{isRequired: route.Kind == site.Streaming, last: last}
+}
+
+// check returns an error if the event does not continue the stream.
+func (o *eventOrder) check(event site.StreamEvent) error {
+	if !o.isRequired || event.IsFiller {
+		return nil
+	}
+	if event.IsMalformed {
+		return errMalformedEvent
+	}
+	number, ok := eventNumber(event.ID)
+	if !ok {
+		return fmt.Errorf("stream event has id %q, expected a number", event.ID)
+	}
+	if number <= o.last {
+		return fmt.Errorf("stream event has id %d after %d", number, o.last)
+	}
+	if !event.HasData {
+		return errEventWithoutData
+	}
+	o.last = number
+	return nil
+}
+
+// eventNumber returns the number in the id of an event, which is at least 0.
+func eventNumber(id string) (number int64, ok bool) {
+	number, err := strconv.ParseInt(id, 10, 64)
+	return number, err == nil && number >= 0
+}
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -31,6 +31,9 @@
 	// ContentID identifies the method, target and body. Requests that are alike have the
 	// same one.
 	ContentID string
+	// LastEventID is the id of the last event that the client has of a stream that it
+	// resumes, or empty.
+	LastEventID string
 	// Arrived is when the request was read. MaxWait is how long the client waits
 	// from then on, or 0 if it did not say.
 	Arrived time.Time
@@ -74,16 +77,21 @@
 // Exactly one of Deliver and Discard is called.
 type Response interface {
 	Head() ResponseHead
-	// Deliver passes the response on to the client and tells the observer of each
-	// event of a stream. Its error is an *IncompleteError.
+	// Deliver passes the response on to the client, checks each event of a stream with
+	// the observer and tells it of each that was passed on. Its error is an
+	// *IncompleteError.
 	Deliver(ctx context.Context, observer DeliveryObserver) error
 	// Discard drops the response.
 	Discard()
 }
 
-// A DeliveryObserver is told of what the client of a request has received.
+// A DeliveryObserver decides which events the client of a request gets, and is told of
+// what it has received.
 type DeliveryObserver interface {
-	// EventDelivered is called after each event of a stream.
+	// CheckEvent is called before each event of a stream. If it returns an error, the
+	// event is not passed on, and the delivery ends.
+	CheckEvent(event site.StreamEvent) error
+	// EventDelivered is called after each event of a stream that has data.
 	EventDelivered()
 }
 
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -156,7 +156,10 @@
 	if route == nil || len(route.WeightedServices) == 0 {
 		return verdict.NewNotRun(verdict.CodeUnknownName, "no route for %s%s", request.Host, request.Path)
 	}
-	p := &progress{request: request, client: client, route: route, service: pickWeightedService(route), quarantine: f.Quarantine, traits: request.traits()}
+	p := &progress{
+		request: request, client: client, route: route, service: pickWeightedService(route),
+		quarantine: f.Quarantine, traits: request.traits(), order: newEventOrder(route, request.LastEventID),
+	}
 	limit := route.Timeout
 	if request.MaxWait > 0 && request.MaxWait < limit {
 		limit = request.MaxWait
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -59,6 +59,8 @@
 	stopWatch func()
 	// onFirstEvent is called with the first event of the present send, if it is set.
 	onFirstEvent func()
+	// order checks the events of a stream over all sends.
+	order eventOrder
 	// events is the number of events of a stream that the client has received, over all
 	// sends. answerBegun means that the request is known not to crash its server.
 	events      int
@@ -69,6 +71,12 @@
 // ends at the first one may have ended because of the request.
 const begunEvents = 2
 
+// CheckEvent returns an error if the event does not continue the stream that the client
+// has received so far.
+func (p *progress) CheckEvent(event site.StreamEvent) error {
+	return p.order.check(event)
+}
+
 // EventDelivered counts an event of a stream that the client has received.
 func (p *progress) EventDelivered() {
 	p.events++
--- /dev/null
+++ b/state/site/streamevent.go
@@ -0,0 +1,14 @@
+package site
+
+// A StreamEvent is an event of a stream as far as hosts read it.
+type StreamEvent struct {
+	// ID is the value of the field "id", or empty if the event has none.
+	ID string
+	// HasData says that the event carries a part of the answer.
+	HasData bool
+	// IsFiller says that the event consists of comments, reconnection times and empty
+	// lines. It says nothing about the answer.
+	IsFiller bool
+	// IsMalformed says that the event has several ids, or a line that is no field.
+	IsMalformed bool
+}
--- a/transport/front/eventreader.go
+++ b/transport/front/eventreader.go
@@ -61,15 +61,3 @@
 	buffered, _ := r.source.Peek(r.source.Buffered())
 	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
 }
-
-// eventField returns the value of the first field of an event with the name, and false if
-// the event has none.
-func eventField(event []byte, name string) (string, bool) {
-	for line := range bytes.Lines(event) {
-		field, value, ok := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-		if ok && string(field) == name {
-			return string(bytes.TrimSpace(value)), true
-		}
-	}
-	return "", false
-}
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -39,11 +39,12 @@
 		return
 	}
 	request := &forward.Request{
-		AttemptID: r.Header.Get(platform.HeaderAttemptID),
-		Host:      hostOf(r.Host),
-		Path:      rawPath(r.RequestURI),
-		Adapter:   platform.DecodeModel(r.Header.Get(platform.HeaderModel)),
-		Arrived:   arrived,
+		AttemptID:   r.Header.Get(platform.HeaderAttemptID),
+		Host:        hostOf(r.Host),
+		Path:        rawPath(r.RequestURI),
+		Adapter:     platform.DecodeModel(r.Header.Get(platform.HeaderModel)),
+		LastEventID: r.Header.Get(platform.HeaderLastEventID),
+		Arrived:     arrived,
 	}
 	request.PromptTokens = platform.DecodePromptTokens(r.Header.Get(platform.HeaderTokenCounts))
 	request.ContentID = contentID(r, body)
@@ -56,7 +57,7 @@
 		}
 		request.MaxWait = time.Duration(milliseconds) * time.Millisecond
 	}
-	exchange := &exchange{server: s, writer: w, request: r, body: body, lastEventID: r.Header.Get(platform.HeaderLastEventID)}
+	exchange := &exchange{server: s, writer: w, request: r, body: body, lastEventID: request.LastEventID}
 	err := s.Forwarder.Forward(r.Context(), request, exchange)
 	if err == nil {
 		return
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
+	"github.com/persimmonmux/persimmonmux/platform"
 )
 
 // deliverStream sends the events of a stream to the caller as they arrive. Only complete
@@ -25,9 +26,13 @@
 		if err != nil {
 			return &forward.IncompleteError{Cause: err}
 		}
-		_, hasData := eventField(event, "data")
+		decoded := platform.DecodeEvent(event)
+		if err := observer.CheckEvent(decoded); err != nil {
+			r.flushDelivered()
+			return &forward.IncompleteError{Cause: err}
+		}
 		unsent = append(unsent, event...)
-		if !hasData && !r.exchange.responseStarted {
+		if !decoded.HasData && !r.exchange.responseStarted {
 			if len(unsent) > maxEventBytes {
 				return &forward.IncompleteError{Cause: errEventTooLarge}
 			}
@@ -37,10 +42,10 @@
 			return err
 		}
 		unsent = nil
-		if id, ok := eventField(event, "id"); ok {
-			r.exchange.lastEventID = id
+		if decoded.ID != "" {
+			r.exchange.lastEventID = decoded.ID
 		}
-		if hasData {
+		if decoded.HasData {
 			observer.EventDelivered()
 		}
 	}
@@ -58,8 +63,22 @@
 	if !flush {
 		return nil
 	}
-	if err := http.NewResponseController(r.exchange.writer).Flush(); err != nil {
+	if err := r.flush(); err != nil {
 		return &forward.IncompleteError{ClientGone: true, Cause: err}
 	}
 	return nil
 }
+
+// flush sends what was written to the caller.
+func (r *response) flush() error {
+	return http.NewResponseController(r.exchange.writer).Flush()
+}
+
+// flushDelivered sends the events that wait for the next one, because the delivery ends
+// before it. Otherwise they are lost if the connection of the caller is closed.
+func (r *response) flushDelivered() {
+	if r.exchange.responseStarted {
+		// The caller may have left, which the next write shows.
+		_ = r.flush()
+	}
+}
