forward: a stream without any event is not complete

Cause: an end between two events counted as the end of the stream, also before the first event.

Change: on streaming routes such a stream has broken off, unless its caller resumes it. The request goes to another server if it may, and gets 502 otherwise.

Result: TestStreamWithoutAnyEventIsNoSuccess failed in all six parts before and passes.

--- a/coordination/forward/eventorder.go
+++ b/coordination/forward/eventorder.go
@@ -13,6 +13,8 @@
 	errMalformedEvent = errors.New("stream event is malformed")
 	// errEventWithoutData means that an event has no part of the answer.
 	errEventWithoutData = errors.New("stream event has no data")
+	// errNoEvent means that a stream ended before its first event.
+	errNoEvent = errors.New("stream has no event")
 )
 
 // An eventOrder checks that the events of a stream are those of one run: each has data and a
@@ -57,6 +59,15 @@
 	return nil
 }
 
+// checkEnd returns an error if a stream that ends now cannot be complete. A stream that the
+// client resumes may have no further events.
+func (o *eventOrder) checkEnd() error {
+	if o.isRequired && o.last < 0 {
+		return errNoEvent
+	}
+	return nil
+}
+
 // eventNumber returns the number in the id of an event, which is at least 0.
 func eventNumber(id string) (number int64, ok bool) {
 	number, err := strconv.ParseInt(id, 10, 64)
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -91,6 +91,9 @@
 	// CheckEvent is called before each event of a stream. If it returns an error, the
 	// event is not passed on, and the delivery ends.
 	CheckEvent(event site.StreamEvent) error
+	// CheckEnd is called at the end of a stream that the server ended properly. If it
+	// returns an error, the stream is not complete.
+	CheckEnd() error
 	// EventDelivered is called after each event of a stream that has data.
 	EventDelivered()
 }
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -77,6 +77,12 @@
 	return p.order.check(event)
 }
 
+// CheckEnd returns an error if the stream cannot be complete with the events that the client
+// has received so far.
+func (p *progress) CheckEnd() error {
+	return p.order.checkEnd()
+}
+
 // EventDelivered counts an event of a stream that the client has received.
 func (p *progress) EventDelivered() {
 	p.events++
--- a/transport/front/firstevent_test.go
+++ b/transport/front/firstevent_test.go
@@ -99,3 +99,31 @@
 	c.Check(received, quicktest.Equals, body)
 	c.Check(answer.Header.Get("X-Response-Signature"), quicktest.Equals, "s")
 }
+
+// TestStreamWithoutAnyEventIsNoSuccess guards against a server that ends a stream properly
+// before its first event, which reaches the caller as a complete answer.
+func TestStreamWithoutAnyEventIsNoSuccess(t *testing.T) {
+	for _, body := range []string{"", "\n\n", ": comment\n\n"} {
+		for _, framing := range framings {
+			t.Run(fmt.Sprintf("%s, %q", framing.name, body), func(t *testing.T) {
+				c := quicktest.New(t)
+				endAtOnce := func(_ int, conn net.Conn, r *http.Request) bool {
+					framing.write(conn, r, body)
+					return true
+				}
+				first := startBackend(c, endAtOnce)
+				answer, received, err := sendRequest(startFront(c, syncedViews(), first), "POST", "/once/x", "body")
+				c.Assert(err, quicktest.IsNil)
+				c.Check(answer.StatusCode, quicktest.Equals, http.StatusBadGateway)
+				c.Check(received, quicktest.Equals, "")
+				c.Check(first.count(), quicktest.Equals, 1)
+
+				sound := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool { return stream(conn, r, 1, 2, false) })
+				answer, received, err = sendRequest(startFront(c, syncedViews(), first, sound), "POST", "/stream/x", "body")
+				c.Assert(err, quicktest.IsNil)
+				c.Check(answer.StatusCode, quicktest.Equals, http.StatusOK)
+				c.Check(received, quicktest.Equals, pieces(1, 2))
+			})
+		}
+	}
+}
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -21,6 +21,9 @@
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
+			if err := observer.CheckEnd(); err != nil {
+				return &forward.IncompleteError{Cause: err}
+			}
 			return r.deliverEvents(unsent, true)
 		}
 		if err != nil {
