front, platform: bound what all unfinished answers hold together

What callers saw (report of another operator): a faulty engine sent bytes without end, the host kept them and ran out of memory, and the requests of other callers ended with it.

Cause: each answer has limits, but their sum over all requests has none. 256 answers that stop just below the limits hold 330 MB in one line of a stream; the smallest hosts have 184 MB.

Change: a quota of a sixteenth of the memory setting for what answers hold beyond 16 KiB each. At the quota a large event ends its answer, and a body is passed on as it comes. The gauge persimmonmux.responses.held shows the quota.

--- a/internal/fronthost/gauges.go
+++ b/internal/fronthost/gauges.go
@@ -9,6 +9,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
 	"github.com/persimmonmux/persimmonmux/coordination/watch"
 	"github.com/persimmonmux/persimmonmux/coordination/zone"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
 )
 
@@ -20,8 +21,9 @@
 
 // registerGauges adds gauges to the meter that show the state on which the host bases its
 // decisions: the age of its data, the version of the desired state, the servers it knows and
-// what they state, the zones in which it sends orders and the requests that it refuses.
-func registerGauges(meter metric.Meter, cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer) error {
+// what they state, the zones in which it sends orders, the requests that it refuses and what it
+// holds of responses.
+func registerGauges(meter metric.Meter, cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, quota *buffering.Quota) error {
 	counts := []countGauge{
 		{"persimmonmux.desired.version", "Version of the desired state in force; 0 before one is known.", func() int64 {
 			if desired := cache.View().Desired; desired != nil {
@@ -34,6 +36,7 @@
 		{"persimmonmux.prompt.blocks", "Sets of traits whose requests are refused because engines ended under them.", func() int64 { return int64(blocked.BlockCount()) }},
 		{"persimmonmux.servers.limited", "Servers that state a limit of requests a second in their answers to this host.", func() int64 { return int64(balancer.LimitedServers()) }},
 		{"persimmonmux.servers.leaving", "Servers that have stated in an answer that they leave.", func() int64 { return int64(len(balancer.LeavingServers())) }},
+		{"persimmonmux.responses.held", "Bytes that responses have taken from the quota for what is not passed on yet.", quota.Taken},
 		{"persimmonmux.servers.paused", "Servers that want no requests of this host for now.", func() int64 { return int64(balancer.PausedServers()) }},
 	}
 	for _, g := range counts {
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -15,6 +15,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
 	"github.com/persimmonmux/persimmonmux/coordination/watch"
 	"github.com/persimmonmux/persimmonmux/coordination/zone"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/completion"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
 	"github.com/persimmonmux/persimmonmux/platform"
@@ -49,6 +50,9 @@
 	// It is below 1 because each host counts on its own and the windows of the hosts
 	// do not begin together.
 	retryBudgetShare = 0.8
+	// bufferQuotaDivisor is the part of the memory setting, as a divisor, that responses
+	// which are not passed on yet may take beyond a few KiB each.
+	bufferQuotaDivisor = 16
 	// dialTimeout bounds the opening of a connection to the store or to an engine.
 	dialTimeout = 500 * time.Millisecond
 )
@@ -116,8 +120,11 @@
 				Client:  &backend.Client{DialTimeout: dialTimeout},
 			}
 		},
-		func(balancer *balance.Balancer) *platform.EngineClient {
-			return &platform.EngineClient{Client: &backend.Client{DialTimeout: dialTimeout}, Recorder: balancer}
+		func() *buffering.Quota {
+			return &buffering.Quota{MaxBytes: h.Settings.MemoryMegabytes << 20 / bufferQuotaDivisor}
+		},
+		func(balancer *balance.Balancer, quota *buffering.Quota) *platform.EngineClient {
+			return &platform.EngineClient{Client: &backend.Client{DialTimeout: dialTimeout}, BufferQuota: quota, Recorder: balancer}
 		},
 		func() *peer.Client {
 			return &peer.Client{FailureDomain: fleet.FailureDomainName(h.Settings.FailureDomain)}
@@ -180,7 +187,7 @@
 			return &completion.Notifier{Self: h.Settings.HostName, Views: cache, Owner: controller, Peers: client}
 		},
 		func() *backend.ConnectionPool { return &backend.ConnectionPool{} },
-		func(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, client *peer.Client, server *peer.Server) (*metrics.Recorder, error) {
+		func(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, quota *buffering.Quota, client *peer.Client, server *peer.Server) (*metrics.Recorder, error) {
 			recorder := &metrics.Recorder{}
 			if err := recorder.Start(); err != nil {
 				return nil, err
@@ -188,7 +195,7 @@
 			if err := registerTraffic(recorder.Meter(), client, server); err != nil {
 				return nil, err
 			}
-			return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer)
+			return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer, quota)
 		},
 		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, blocked *quarantine.Quarantine, completions *completion.Notifier, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
 			region := h.Settings.Regions[h.Settings.FailureDomain]
@@ -258,7 +265,7 @@
 	}, nil
 }
 
-func (h *Host) newServer(forwarder *forward.Forwarder, cache *watch.Cache, pool *backend.ConnectionPool, recorder *metrics.Recorder) (*front.Server, error) {
+func (h *Host) newServer(forwarder *forward.Forwarder, cache *watch.Cache, pool *backend.ConnectionPool, quota *buffering.Quota, recorder *metrics.Recorder) (*front.Server, error) {
 	callers, err := net.Listen("tcp", h.Settings.CallerAddress.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for callers")
@@ -275,6 +282,7 @@
 		Forwarder:       forwarder,
 		Views:           cache,
 		ConnectionPool:  pool,
+		BufferQuota:     quota,
 		ShutdownTimeout: h.Settings.GraceTime - shutdownMargin,
 		Log:             h.Log,
 	}
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -22,7 +22,7 @@
 	// maxIdleConnsPerServer bounds the unused connections to one server.
 	maxIdleConnsPerServer = 64
 	// maxResponseHeaderBytes bounds the header of a response.
-	maxResponseHeaderBytes = 64 << 10
+	maxResponseHeaderBytes = 16 << 10
 )
 
 // ErrClosed is returned by BeginCall after Close has been called.
--- a/transport/backend/pooledconn.go
+++ b/transport/backend/pooledconn.go
@@ -13,7 +13,7 @@
 
 // errHeaderTooLarge means that the header of a response is larger than
 // maxResponseHeaderBytes.
-var errHeaderTooLarge = errors.New("response header exceeds the size limit of 64 KiB")
+var errHeaderTooLarge = errors.New("response header exceeds the size limit of 16 KiB")
 
 // A pooledConn is a connection to a server. It belongs to one request or, while unused,
 // to the pool.
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/textproto"
 	"slices"
@@ -220,45 +219,6 @@
 	return err
 }
 
-// maxBufferedBytes is the size below which a response is read whole before its
-// status and headers are sent, so that the request can go to another server if the
-// response breaks off.
-const maxBufferedBytes = 256 << 10
-
-// deliverWhole sends a response that is not a stream.
-func (r *response) deliverWhole() error {
-	in, source := r.incoming, r.body()
-	body, err := io.ReadAll(io.LimitReader(source, maxBufferedBytes))
-	if err != nil {
-		return &forward.IncompleteError{Cause: err}
-	}
-	if len(body) < maxBufferedBytes {
-		// The whole body has been read, so its length is known even if the server
-		// sent no Content-Length.
-		r.writeHeader(int64(len(body)))
-		return r.write(body)
-	}
-	r.writeHeader(in.ContentLength)
-	if err := r.write(body); err != nil {
-		return err
-	}
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := source.Read(buffer)
-		if n > 0 {
-			if err := r.write(buffer[:n]); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return &forward.IncompleteError{Cause: err}
-		}
-	}
-}
-
 // writeHeader sends the status and headers of the response unless that was done
 // before. length is the size of the body, or less than 0 if it is not known.
 func (r *response) writeHeader(length int64) {
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -19,6 +19,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
 	"github.com/persimmonmux/persimmonmux/coordination/retry"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
@@ -180,6 +181,9 @@
 	return view
 }
 
+// testBufferQuota is the buffer quota of a host with 184 MB.
+const testBufferQuota = 184 << 20 / 16
+
 // startFrontWith starts a Server with the views and the quarantine, and runs the
 // quarantine.
 func startFrontWith(c *quicktest.C, views *fixedViews, blocked *quarantine.Quarantine) string {
@@ -197,7 +201,8 @@
 	c.Assert(err, quicktest.IsNil)
 	s := &Server{
 		Listener: callers, ReadyListener: checks, Views: views, ConnectionPool: &backend.ConnectionPool{}, ShutdownTimeout: stopNoticeDelay + time.Second, Log: zerolog.Nop(),
-		Forwarder: &forward.Forwarder{Views: views, Balancer: balancer, Placer: noPlacer{}, RetryBudget: window, Quarantine: blocked, Recorder: noRecorder{}, Log: zerolog.Nop()},
+		BufferQuota: &buffering.Quota{MaxBytes: testBufferQuota},
+		Forwarder:   &forward.Forwarder{Views: views, Balancer: balancer, Placer: noPlacer{}, RetryBudget: window, Quarantine: blocked, Recorder: noRecorder{}, Log: zerolog.Nop()},
 	}
 	go s.Run(context.Background())
 	return s
--- a/transport/front/server.go
+++ b/transport/front/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/transport/backend"
 )
@@ -75,6 +76,8 @@
 	Views ViewSource
 	// ConnectionPool holds the connections to backend servers.
 	ConnectionPool *backend.ConnectionPool
+	// BufferQuota bounds what the host holds of responses that it has not passed on.
+	BufferQuota *buffering.Quota
 	// ShutdownTimeout bounds a stop, stopNoticeDelay included. The connections of
 	// requests still in flight after it are closed.
 	ShutdownTimeout time.Duration
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -10,12 +10,19 @@
 	"github.com/persimmonmux/persimmonmux/platform"
 )
 
+// maxPreludeBytes bounds the comments and empty lines before the first event of a stream.
+const maxPreludeBytes = 8 << 10
+
+// errPreludeTooLarge means that they exceed maxPreludeBytes.
+var errPreludeTooLarge = errors.New("stream has more than 8 KiB before its first event")
+
 // deliverStream sends the events of a stream to the caller as they arrive. Only complete
 // events are sent, so that a stream that breaks off within an event can be resumed after the
 // last complete one. The answer begins with the first event that has data: up to then the
 // request may still go to another server, or fail with a status.
 func (r *response) deliverStream(observer forward.DeliveryObserver) error {
-	events := &eventReader{source: bufio.NewReader(r.body())}
+	events := &eventReader{source: bufio.NewReader(r.body()), held: r.reservation()}
+	defer events.close()
 	// unsent holds the comments and empty lines before the first event.
 	var unsent []byte
 	for {
@@ -34,17 +41,19 @@
 			r.flushDelivered()
 			return &forward.IncompleteError{Cause: err}
 		}
-		unsent = append(unsent, event...)
 		if !decoded.HasData && !r.exchange.responseStarted {
-			if len(unsent) > maxEventBytes {
-				return &forward.IncompleteError{Cause: errEventTooLarge}
+			unsent = append(unsent, event...)
+			if len(unsent) > maxPreludeBytes {
+				return &forward.IncompleteError{Cause: errPreludeTooLarge}
 			}
 			continue
 		}
-		if err := r.deliverEvents(unsent, !events.hasNext()); err != nil {
+		if len(unsent) > 0 {
+			event, unsent = append(unsent, event...), nil
+		}
+		if err := r.deliverEvents(event, !events.hasNext()); err != nil {
 			return err
 		}
-		unsent = nil
 		if decoded.ID != "" {
 			r.exchange.lastEventID = decoded.ID
 		}
