engine, service: bound what all responses of serve hold together

Cause: a body may have 16 MiB and an event 1 MiB, without a bound on their sum over the requests of a host.

Change: limits.response-memory (64 MiB by default) bounds what responses of engines and backend servers take while they are read, beyond 16 KiB each. backend.ReadBody replaces three loops that read bodies, and the event reader counts its buffers.

--- a/bench/overhead/main.go
+++ b/bench/overhead/main.go
@@ -223,7 +223,7 @@
 		HostName: name, FailureDomain: domain, Region: "region", PlatformAddress: platformAddress,
 		CallerAddress: netip.MustParseAddrPort(callers.Addr().String()),
 		PeerAddress:   netip.MustParseAddrPort(peers.Addr().String()),
-		Limits:        settings.Limits{HostConcurrency: 10000, BodySize: 1 << 20},
+		Limits:        settings.Limits{HostConcurrency: 10000, BodySize: 1 << 20, ResponseMemory: 64 << 20},
 		Timings:       settings.Timings{GrantLimit: 2 * time.Minute, IsolatedServiceLimit: 15 * time.Minute},
 		Decisions:     settings.Decisions{LoadRateShare: 100, StallWeight: 1, BatchWeight: 1},
 	}
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -234,7 +234,7 @@
 		FailureDomain:   domain.Name,
 		Region:          domain.Region,
 		PlatformAddress: s.addresses["platform"],
-		Limits:          settings.Limits{HostConcurrency: 2000, GraceTime: 500 * time.Millisecond, BodySize: 1 << 20},
+		Limits:          settings.Limits{HostConcurrency: 2000, GraceTime: 500 * time.Millisecond, BodySize: 1 << 20, ResponseMemory: 64 << 20},
 		Timings: settings.Timings{
 			LeaseDuration: 3 * time.Second, LeaseRenewal: 800 * time.Millisecond, LeaseMargin: 300 * time.Millisecond,
 			GrantLimit: 30 * time.Second, IsolatedServiceLimit: time.Minute,
--- a/internal/entryhost/parts.go
+++ b/internal/entryhost/parts.go
@@ -20,6 +20,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/revision"
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
 	"github.com/persimmonmux/persimmonmux/coordination/routing"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
@@ -155,9 +156,11 @@
 		},
 		func() *hostlist.Client { return &hostlist.Client{Address: h.Settings.PlatformAddress.String()} },
 		func() *peer.Client { return &peer.Client{FailureDomain: h.Settings.FailureDomain} },
-		func() *engine.Client { return &engine.Client{} },
-		func(distributor *revision.Distributor, monitor *membership.Monitor) *service.Client {
+		func() *buffering.Quota { return &buffering.Quota{MaxBytes: h.Settings.Limits.ResponseMemory} },
+		func(quota *buffering.Quota) *engine.Client { return &engine.Client{BufferQuota: quota} },
+		func(distributor *revision.Distributor, monitor *membership.Monitor, quota *buffering.Quota) *service.Client {
 			return &service.Client{
+				BufferQuota:   quota,
 				Configuration: distributor.Current,
 				Leaving:       func(server string) bool { return monitor.View().ServerLeaving(server, 0) },
 				FailureDomain: h.Settings.FailureDomain,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,7 @@
 	HostConcurrency int           `json:"host-concurrency" default:"2000" help:"Most requests in flight at this host; more are refused as overloaded."`
 	GraceTime       time.Duration `json:"grace-time" default:"5s" help:"How long requests are still accepted after a stop began, so that load balancers notice it."`
 	BodySize        int64         `json:"body-size" default:"1048576" help:"Most bytes of a request's body."`
+	ResponseMemory  int64         `json:"response-memory" default:"67108864" help:"Most bytes that responses of engines and backend servers take together while they are read, beyond 16 KiB each. A response that needs more then fails."`
 }
 
 // Timings holds the durations of leases and grants. All hosts of a deployment use
@@ -171,6 +172,9 @@
 	}
 }
 
+// minResponseMemory is the size of the largest response.
+const minResponseMemory = 16 << 20
+
 // checkLimitsAndDecisions checks that limits and weights are in range.
 func (d *decoder) checkLimitsAndDecisions(s *Settings) {
 	if s.Limits.HostConcurrency < 1 {
@@ -179,6 +183,9 @@
 	if s.Limits.BodySize < 1 {
 		d.addProblem("limits.body-size", "is %d, expected at least 1", s.Limits.BodySize)
 	}
+	if s.Limits.ResponseMemory < minResponseMemory {
+		d.addProblem("limits.response-memory", "is %d, expected at least %d", s.Limits.ResponseMemory, minResponseMemory)
+	}
 	// The negated comparisons are also true for NaN, so NaN is rejected as well.
 	if !(s.Decisions.LoadRateShare > 0) {
 		d.addProblem("decisions.load-rate-share", "is %v, expected more than 0", s.Decisions.LoadRateShare)
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -6,12 +6,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/protocol/engineapi"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
@@ -38,7 +38,7 @@
 	// defaultCancelTimeout bounds how long Complete waits for the engine to cancel a
 	// failed request, for example after the caller has disconnected.
 	defaultCancelTimeout = 2 * time.Second
-	// maxBodyBytes bounds the body of a response that is not streamed.
+	// maxBodyBytes is more than a response that is not streamed may have.
 	maxBodyBytes = 16 << 20
 )
 
@@ -61,6 +61,9 @@
 	// CancelTimeout bounds the cancel order that Complete sends after a failed
 	// completion.
 	CancelTimeout time.Duration
+	// BufferQuota bounds what all responses together hold while they are read. Without it
+	// only each response by itself is bounded.
+	BufferQuota *buffering.Quota
 
 	once       sync.Once
 	httpClient backend.Client
@@ -187,7 +190,7 @@
 		return nil, lostResponseError(ctx, engine.Name, wrote, err)
 	}
 	defer response.Body.Close() //nolint:errcheck // The body was read to its end or is discarded.
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	body, err := backend.ReadBody(response.Body, c.BufferQuota, maxBodyBytes, nil)
 	if err != nil {
 		return nil, lostResponseError(ctx, engine.Name, true, err)
 	}
--- a/transport/engine/complete.go
+++ b/transport/engine/complete.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/protocol/engineapi"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/request"
@@ -222,11 +223,7 @@
 // readBody reads a body of at most maxBodyBytes. Each read that returns data counts as
 // progress.
 func (t *completion) readBody(body io.Reader) ([]byte, error) {
-	whole, err := io.ReadAll(io.LimitReader(progressReader{reader: body, progress: t.resetSilenceTimer}, maxBodyBytes+1))
-	if err == nil && len(whole) > maxBodyBytes {
-		return nil, errors.New("response exceeds the size limit of 16 MiB")
-	}
-	return whole, err
+	return backend.ReadBody(body, t.client.BufferQuota, maxBodyBytes, t.resetSilenceTimer)
 }
 
 // readWhole reads a response that is not streamed and checks that it is complete.
@@ -251,7 +248,8 @@
 // readStream delivers the chunks of a stream until its closing mark.
 func (t *completion) readStream(parent context.Context, response *http.Response) (request.Response, *verdict.Error) {
 	next := t.firstPosition()
-	events := engineapi.NewEventReader(response.Body)
+	events := engineapi.NewEventReader(response.Body, t.reservation(), t.reservation())
+	defer events.Close()
 	events.Progress = t.resetSilenceTimer
 	for {
 		event, err := events.Next()
@@ -281,6 +279,11 @@
 	}
 }
 
+// reservation returns a reservation for one buffer of the response.
+func (t *completion) reservation() *buffering.Reservation {
+	return &buffering.Reservation{Quota: t.client.BufferQuota}
+}
+
 // deliver writes a chunk to the sink unless the caller already has it.
 func (t *completion) deliver(event engineapi.Event) *verdict.Error {
 	if event.Position < t.chunksDelivered {
@@ -337,18 +340,3 @@
 func (t *completion) incompleteError(reason string) *verdict.Error {
 	return verdict.NewMayHaveRun(verdict.CodeIncomplete, nil, "engine %s: %s", t.grant.Engine, reason)
 }
-
-// A progressReader calls progress after each read that returns data.
-type progressReader struct {
-	reader   io.Reader
-	progress func()
-}
-
-// Read reads from reader and reports progress.
-func (r progressReader) Read(buffer []byte) (int, error) {
-	n, err := r.reader.Read(buffer)
-	if n > 0 {
-		r.progress()
-	}
-	return n, err
-}
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/request"
@@ -25,7 +25,7 @@
 const (
 	// defaultResponseTimeout bounds the time without a byte of a response.
 	defaultResponseTimeout = 15 * time.Second
-	// maxBodyBytes bounds the body of a response.
+	// maxBodyBytes is more than the body of a response may have.
 	maxBodyBytes = 16 << 20
 )
 
@@ -53,6 +53,9 @@
 	// ResponseTimeout bounds the time without a byte of a response, from the start of the
 	// attempt on.
 	ResponseTimeout time.Duration
+	// BufferQuota bounds what all responses together hold while they are read. Without it
+	// only each response by itself is bounded.
+	BufferQuota *buffering.Quota
 
 	once       sync.Once
 	httpClient backend.Client
@@ -191,24 +194,7 @@
 	if !delimited && response.Request.Method != http.MethodHead {
 		return nil, errors.New("response has neither a Content-Length nor chunked encoding")
 	}
-	var body []byte
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := response.Body.Read(buffer)
-		body = append(body, buffer[:n]...)
-		if len(body) > maxBodyBytes {
-			return nil, errors.New("response exceeds the size limit of 16 MiB")
-		}
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		if n > 0 {
-			progress()
-		}
-	}
+	return backend.ReadBody(response.Body, a.client.BufferQuota, maxBodyBytes, progress)
 }
 
 // interpret turns a complete HTTP response into the response to the request, or into an
