platform: a comment of a stream has to be text

What callers saw (in a test): garbage that begins with a colon by chance passes as a comment of a stream.

Cause: a comment could have any bytes.

Result: a new row of TestForeignEventIsNotPassedOn failed before, in both parts, and passes.

--- a/coordination/forward/eventorder.go
+++ b/coordination/forward/eventorder.go
@@ -39,12 +39,15 @@
 
 // check returns an error if the event does not continue the stream.
 func (o *eventOrder) check(event site.StreamEvent) error {
-	if !o.isRequired || event.IsFiller {
+	if !o.isRequired {
 		return nil
 	}
 	if event.IsMalformed {
 		return errMalformedEvent
 	}
+	if event.IsFiller {
+		return nil
+	}
 	number, ok := eventNumber(event.ID)
 	if !ok {
 		return fmt.Errorf("stream event has id %q, expected a number", event.ID)
--- a/state/site/streamevent.go
+++ b/state/site/streamevent.go
@@ -9,6 +9,7 @@
 	// IsFiller says that the event consists of comments, reconnection times and empty
 	// lines. It says nothing about the answer.
 	IsFiller bool
-	// IsMalformed says that the event has several ids, or a line that is no field.
+	// IsMalformed says that the event has several ids, a line that is no field, or a comment
+	// that is no text.
 	IsMalformed bool
 }
--- a/transport/front/foreignevent_test.go
+++ b/transport/front/foreignevent_test.go
@@ -37,6 +37,7 @@
 		{"of bytes that are no fields", "\x01garbage\n\n"},
 		{"of a word that is no field", "garbage\n\n"},
 		{"of a name that is no field", "gar bage: 1\nid: 3\ndata: piece 3\n\n"},
+		{"of a comment that is no text", ":\x01\xffgarbage\n\n"},
 		{"of a version alone", "x-weight-versions: 4\n\n"},
 	} {
 		for _, rest := range []string{"", pieces(3, 5)} {
