revision, ownership: split two large files

Change: pushes, pulls and the rollout status of the distributor, and the settings and the error of an owner, have files of their own. Nothing else changes.

--- a/coordination/ownership/owner.go
+++ b/coordination/ownership/owner.go
@@ -97,39 +97,6 @@
 	PreviousHolderEnded bool
 }
 
-// Settings are the limits of an Owner. A zero field means its default.
-type Settings struct {
-	// IsolatedServiceLimit is how long an owner goes on granting resident
-	// instances after its lease was last valid. All hosts use the same value,
-	// because a new owner waits this long for a previous one to stop granting.
-	IsolatedServiceLimit time.Duration
-	// GrantLimit is the longest duration of a grant. All hosts use the same value.
-	GrantLimit time.Duration
-	// OrderTimeout bounds each call to an engine and each collection of holdings.
-	OrderTimeout time.Duration
-	// ReportInterval is the time between two readings of the engine's report.
-	ReportInterval time.Duration
-	// LoadConcurrencyLimit is the largest number of loads and unloads in flight
-	// on the engine. It also limits the load permits that are held or waited for.
-	LoadConcurrencyLimit int
-	// QueueLimit is the largest number of grant requests that wait for loads.
-	QueueLimit int
-	// MaxBackoff is the longest delay after a failed load before the same adapter
-	// is loaded again.
-	MaxBackoff time.Duration
-}
-
-// The defaults of Settings.
-const (
-	DefaultIsolatedServiceLimit = 15 * time.Minute
-	DefaultGrantLimit           = 2 * time.Minute
-	DefaultOrderTimeout         = 10 * time.Second
-	DefaultReportInterval       = time.Second
-	DefaultLoadConcurrencyLimit = 2
-	DefaultQueueLimit           = 1024
-	DefaultMaxBackoff           = time.Minute
-)
-
 const (
 	// ringCapacity is the number of messages that can wait for one goroutine.
 	ringCapacity = 4096
@@ -142,53 +109,11 @@
 	holdingsInterval = 5 * time.Second
 )
 
-func (s Settings) complete() Settings {
-	return Settings{
-		IsolatedServiceLimit: orDefault(s.IsolatedServiceLimit, DefaultIsolatedServiceLimit),
-		GrantLimit:           orDefault(s.GrantLimit, DefaultGrantLimit),
-		OrderTimeout:         orDefault(s.OrderTimeout, DefaultOrderTimeout),
-		ReportInterval:       orDefault(s.ReportInterval, DefaultReportInterval),
-		LoadConcurrencyLimit: orDefault(s.LoadConcurrencyLimit, DefaultLoadConcurrencyLimit),
-		QueueLimit:           orDefault(s.QueueLimit, DefaultQueueLimit),
-		MaxBackoff:           orDefault(s.MaxBackoff, DefaultMaxBackoff),
-	}
-}
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 // LeaseName returns the name of the lease of an engine.
 func LeaseName(engine fleet.EngineName) lease.Name {
 	return lease.Name("engine/" + string(engine))
 }
 
-// A NotOwnerError says that this host does not own the engine. It is the Cause
-// of a *verdict.Error with code CodeNotOwner.
-type NotOwnerError struct {
-	Engine fleet.EngineName
-	// Owner is the host that owns the engine; empty when it is not known.
-	Owner fleet.HostName
-}
-
-// Error names the engine, and its owner if the owner is known.
-func (e *NotOwnerError) Error() string {
-	if e.Owner == "" {
-		return fmt.Sprintf("engine %s is not owned by this host", e.Engine)
-	}
-	return fmt.Sprintf("engine %s is owned by %s", e.Engine, e.Owner)
-}
-
-func newNotOwnerRefusal(engine fleet.EngineName, owner fleet.HostName) *verdict.Error {
-	refusal := verdict.NewNotRun(verdict.CodeNotOwner, "no grant on engine %s", engine)
-	refusal.Cause = &NotOwnerError{Engine: engine, Owner: owner}
-	return refusal
-}
-
 // An Owner owns one engine under one epoch: it alone grants the engine's
 // instances and orders loads and unloads in this epoch. The exported fields are
 // set before Run and not changed afterwards.
