buffering, engineapi: keep the buffer of short lines, say what is counted

Cause: the event reader of engines dropped its line buffer with each event, and the comments named answers where buffers are counted.

Change: a line buffer of up to 4 KiB is used again. Comments and a test are named for buffers.

--- a/internal/coordination/buffering/quota.go
+++ b/internal/coordination/buffering/quota.go
@@ -1,4 +1,4 @@
-// Package buffering bounds the memory in which a host holds answers of servers that it has
+// Package buffering bounds the memory in which a host holds responses of servers that it has
 // not passed on. A faulty server may send bytes without end, to many requests at a time.
 package buffering
 
@@ -8,21 +8,21 @@
 	"sync/atomic"
 )
 
-// ErrFull means that the host holds too many bytes of answers to hold more of this one.
+// ErrFull means that the host holds too many bytes of responses to hold more of this one.
 var ErrFull = errors.New("host holds too many bytes of unfinished responses")
 
 const (
-	// freeBytes is what each answer may hold without the quota, so that answers of the usual
-	// size go on while the quota is used up.
+	// freeBytes is what each buffer may hold without the quota, so that responses of the
+	// usual size go on while the quota is used up.
 	freeBytes = 16 << 10
-	// stepBytes is the size of the steps in which an answer takes from the quota.
+	// stepBytes is the size of the steps in which a buffer takes from the quota.
 	stepBytes = 16 << 10
 	// initialBytes is the first capacity of a buffer.
 	initialBytes = 512
 )
 
-// A Quota bounds what all answers together hold beyond freeBytes each. It is safe for
-// concurrent use.
+// A Quota bounds what all buffers for responses together hold beyond freeBytes each. It is
+// safe for concurrent use.
 type Quota struct {
 	// MaxBytes is the bound. It is set before use.
 	MaxBytes int64
@@ -30,7 +30,7 @@
 	taken atomic.Int64
 }
 
-// Taken returns the number of bytes that answers have taken from the quota.
+// Taken returns the number of bytes that are taken from the quota.
 func (q *Quota) Taken() int64 { return q.taken.Load() }
 
 // take takes bytes from the quota and reports whether it has so many left.
@@ -42,7 +42,7 @@
 	return false
 }
 
-// A Reservation is the part of a Quota that one answer has taken. It is used by one
+// A Reservation is the part of a Quota that one buffer has taken. It is used by one
 // goroutine.
 type Reservation struct {
 	// Quota is set before use. Without a quota nothing is refused.
@@ -87,7 +87,7 @@
 	return data, false, nil
 }
 
-// reserve reports whether the answer may hold bytes in total, and takes what it needs for
+// reserve reports whether the buffer may hold bytes in total, and takes what it needs for
 // that from the quota.
 func (r *Reservation) reserve(bytes int) bool {
 	missing := int64(bytes) - freeBytes - r.taken
@@ -102,7 +102,7 @@
 	return true
 }
 
-// Release gives everything back to the quota, because the answer holds nothing any more.
+// Release gives everything back to the quota, because the buffer is not held any more.
 func (r *Reservation) Release() {
 	if r.taken > 0 {
 		r.Quota.taken.Add(-r.taken)
--- a/internal/coordination/buffering/quota_test.go
+++ b/internal/coordination/buffering/quota_test.go
@@ -10,9 +10,9 @@
 	"github.com/frankban/quicktest"
 )
 
-// TestQuotaBoundsAllAnswers guards against answers that together hold more than the quota, and
-// against a small answer that is refused because large ones have used it up.
-func TestQuotaBoundsAllAnswers(t *testing.T) {
+// TestQuotaBoundsAllBuffers guards against buffers that together hold more than the quota, and
+// against a small buffer that is refused because large ones have used it up.
+func TestQuotaBoundsAllBuffers(t *testing.T) {
 	c := quicktest.New(t)
 	q := &Quota{MaxBytes: 4 * stepBytes}
 	large, other, small := Reservation{Quota: q}, Reservation{Quota: q}, Reservation{Quota: q}
@@ -31,7 +31,7 @@
 	c.Check(q.Taken(), quicktest.Equals, int64(0))
 }
 
-// TestQuotaIsGivenBack guards against a quota that shrinks with each answer, when many take and
+// TestQuotaIsGivenBack guards against a quota that shrinks with each buffer, when many take and
 // return at the same time.
 func TestQuotaIsGivenBack(t *testing.T) {
 	c := quicktest.New(t)
--- a/protocol/engineapi/eventreader.go
+++ b/protocol/engineapi/eventreader.go
@@ -9,8 +9,13 @@
 	"strconv"
 )
 
-// maxEventBytes bounds one line of a stream and the data of one event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one line of a stream and the data of one event.
+	maxEventBytes = 1 << 20
+	// maxKeptLineBytes is the capacity up to which the buffer of a line is used again for
+	// the next event.
+	maxKeptLineBytes = 4 << 10
+)
 
 var (
 	// errTruncatedEvent means that a stream ended within an event.
@@ -60,16 +65,24 @@
 
 // Close drops the buffers.
 func (r *EventReader) Close() {
+	r.dropLine()
+	r.Data.Release()
+}
+
+// dropLine drops the buffer of lines.
+func (r *EventReader) dropLine() {
 	r.line = nil
 	r.Line.Release()
-	r.Data.Release()
 }
 
 // Next returns the next event, whose data is counted as held until the next call. At the
 // end of the stream it returns io.EOF if the last event was complete, and another error
 // otherwise.
 func (r *EventReader) Next() (Event, error) {
-	r.Close()
+	if cap(r.line) > maxKeptLineBytes {
+		r.dropLine()
+	}
+	r.Data.Release()
 	event := Event{Position: -1}
 	started := false
 	for {
@@ -97,8 +110,8 @@
 	}
 }
 
-// readLine reads the next line. The error is io.EOF at the end of the stream, where a last
-// line without its end is dropped.
+// readLine reads the next line. The error is io.EOF at the end of the stream, or
+// errTruncatedEvent if its last line is not complete.
 func (r *EventReader) readLine() error {
 	r.line = r.line[:0]
 	for {
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -38,7 +38,7 @@
 	// defaultCancelTimeout bounds how long Complete waits for the engine to cancel a
 	// failed request, for example after the caller has disconnected.
 	defaultCancelTimeout = 2 * time.Second
-	// maxBodyBytes is more than a response that is not streamed may have.
+	// maxBodyBytes bounds the body of a response that is not streamed, which is shorter.
 	maxBodyBytes = 16 << 20
 )
 
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -25,7 +25,7 @@
 const (
 	// defaultResponseTimeout bounds the time without a byte of a response.
 	defaultResponseTimeout = 15 * time.Second
-	// maxBodyBytes is more than the body of a response may have.
+	// maxBodyBytes bounds the body of a response, which is shorter.
 	maxBodyBytes = 16 << 20
 )
 
