soak, standin: engines spoil one stream in fifty

Cause: the soak compares each answer byte by byte, but its engines never sent a wrong one, so that it missed streams which end inside an event, have an event that no run made, or have none.

The soak has one in fifty on all engines.

--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -29,6 +29,8 @@
 	adapterCount   = 20
 	modulePath     = "github.com/persimmonmux/persimmonmux"
 	zoneCount      = 3
+	// spoiledOneIn is the number of streams of which an engine spoils one.
+	spoiledOneIn = 50
 )
 
 // zoneRegions has the region of each failure domain.
@@ -213,7 +215,7 @@
 		"--events", strconv.Itoa(eventsPerStream),
 	}
 	if s.service == engineService {
-		s.arguments = append(s.arguments, "--model", modelName)
+		s.arguments = append(s.arguments, "--model", modelName, "--spoiled-one-in", strconv.Itoa(spoiledOneIn))
 	}
 	if s.startsWithoutModel {
 		s.arguments = append(s.arguments, "--empty")
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -31,9 +31,11 @@
 	AdapterLoadDuration time.Duration `long:"adapter-load" default:"100ms" description:"time of an adapter's load"`
 	ModelLoadDuration   time.Duration `long:"model-load" default:"400ms" description:"time of the base model's load"`
 	// Events is the number of events of a stream, and EventGap the time between them.
-	Events      int           `long:"events" default:"12" description:"events of a stream"`
-	EventGap    time.Duration `long:"event-gap" default:"20ms" description:"time between two events"`
-	RunDuration time.Duration `long:"work" default:"20ms" description:"time of a request to a plain service"`
+	Events   int           `long:"events" default:"12" description:"events of a stream"`
+	EventGap time.Duration `long:"event-gap" default:"20ms" description:"time between two events"`
+	// SpoiledOneIn is the number of streams of which an engine spoils one; 0 means none.
+	SpoiledOneIn int           `long:"spoiled-one-in" description:"number of streams of which one is spoiled; 0 for none"`
+	RunDuration  time.Duration `long:"work" default:"20ms" description:"time of a request to a plain service"`
 }
 
 // A Server is one stand-in backend server. It implements http.Handler and is safe for
@@ -191,6 +193,9 @@
 	w.Header().Set("X-Weight-Versions", strconv.Itoa(version))
 	flusher := http.NewResponseController(w)
 	for number := last + 1; number <= s.Events; number++ {
+		if s.spoil(w, attempt, last, number) {
+			return
+		}
 		if _, err := w.Write([]byte(Event(attempt, number))); err != nil || flusher.Flush() != nil {
 			return
 		}
--- a/standin/site/server_test.go
+++ b/standin/site/server_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -80,3 +81,33 @@
 	qt.Check(t, f.records[2].Reason, qt.Matches, "order of h2 after one of h1 .*")
 	qt.Check(t, f.records[3].Reason, qt.Matches, "order of h2 after one of h1 .*")
 }
+
+// TestSpoiledStreams guards against a stand-in that spoils nothing, or every stream, so that
+// tests against it show nothing.
+func TestSpoiledStreams(t *testing.T) {
+	s := &Server{Settings: Settings{SpoiledOneIn: 4, Events: 4}}
+	seen := make(map[string]int)
+	for i := range 400 {
+		attempt := strconv.Itoa(i)
+		var body strings.Builder
+		for number := 1; number <= s.Events && !s.spoil(&body, attempt, 0, number); number++ {
+			body.WriteString(Event(attempt, number))
+		}
+		whole := Event(attempt, 1) + Event(attempt, 2) + Event(attempt, 3) + Event(attempt, 4)
+		switch text := body.String(); {
+		case text == whole:
+			seen["whole"]++
+		case text == "":
+			seen["empty"]++
+		case len(text) < len(whole):
+			seen["ended"]++
+		default:
+			seen["longer"]++
+		}
+		qt.Check(t, s.spoil(io.Discard, attempt, 2, 3), qt.IsFalse)
+	}
+	qt.Check(t, seen["whole"] > 250 && seen["whole"] < 350, qt.IsTrue, qt.Commentf("%v", seen))
+	for _, kind := range []string{"empty", "ended", "longer"} {
+		qt.Check(t, seen[kind] > 0, qt.IsTrue, qt.Commentf("%v", seen))
+	}
+}
