watch: send a whole table only to hosts within a gap

Cause: since hosts learn of deletions that their owner has not seen, each host that asked from before the last whole reading of its owner got the whole table. While the store drops its history, every reading is a whole one, and so was every reply.

Change: what an owner may not know are rows that were written and deleted between its last position and that of the whole reading. Only a host that asks from within this gap gets the whole table; rows known before get tombstones with the position of the reading. Replies name the gap, so that a host which becomes an owner knows it.

--- a/coordination/watch/cache.go
+++ b/coordination/watch/cache.go
@@ -224,12 +224,12 @@
 	for _, row := range changes.Rows {
 		changed = w.applyRow(c, changes.Table, row, now) || changed
 	}
+	c.addGapOf(changes)
 	if changes.FullTable {
 		for _, deletion := range c.deletionsIn(changes) {
 			changed = w.applyRow(c, changes.Table, deletion, now) || changed
 		}
 		c.wasFullyRead = true
-		c.deletionsKnownAfter = max(c.deletionsKnownAfter, changes.CompleteThrough)
 	}
 	age := now.Sub(c.confirmedAt)
 	c.confirm(changes.CompleteThrough, a.confirmedAt)
--- a/coordination/watch/tablestate.go
+++ b/coordination/watch/tablestate.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -22,10 +23,11 @@
 	rows            map[string]*rowEntry
 	// wasFullyRead means that the whole table was received at least once.
 	wasFullyRead bool
-	// deletionsKnownAfter is the position after which rows has a tombstone for every
-	// deleted row. Up to it tombstones may be missing: they were dropped, or the table
-	// was received as a whole, which does not list deleted rows.
-	deletionsKnownAfter site.Position
+	// tombstonesDroppedThrough is the highest position of a dropped tombstone.
+	tombstonesDroppedThrough site.Position
+	// gaps are the spans in which rows may have been written and deleted that were never
+	// known here, in the order in which they arose.
+	gaps []site.Gap
 }
 
 // A rowEntry is a row with its decoded value.
@@ -39,12 +41,18 @@
 	deletedAt time.Time
 }
 
+// maxGaps bounds the number of gaps of a table. Beyond it the two oldest become one.
+const maxGaps = 8
+
 // changesSince returns the changes of the table after a position, and the whole table if
 // a tombstone that is needed may be missing. Rows of a whole table that have not changed
 // since the position have no value, because the host that asks has it.
 func (c *tableState) changesSince(name site.Table, after site.Position) site.Changes {
 	changes := site.Changes{Table: name, CompleteThrough: c.completeThrough, Age: time.Since(c.confirmedAt)}
-	changes.FullTable = c.completeThrough > after && (after < c.deletionsKnownAfter || after == 0)
+	changes.FullTable = c.completeThrough > after && (after < c.tombstonesDroppedThrough || after == 0 || c.isInGap(after))
+	if !changes.FullTable {
+		changes.Gap = c.gapAfter(after)
+	}
 	for _, e := range c.rows {
 		switch {
 		case e.row.Deleted && changes.FullTable:
@@ -57,7 +65,51 @@
 	return changes
 }
 
-// deletionsIn returns a tombstone for each known row that a full table lacks.
+// isInGap reports whether a host that knows the table up to a position may know rows whose
+// deletion is not known here.
+func (c *tableState) isInGap(position site.Position) bool {
+	return slices.ContainsFunc(c.gaps, func(g site.Gap) bool { return g.After < position && position < g.Until })
+}
+
+// gapAfter returns a gap that covers all gaps from a position on.
+func (c *tableState) gapAfter(position site.Position) site.Gap {
+	var all site.Gap
+	for _, g := range c.gaps {
+		if g.Until > position {
+			all = all.Union(g)
+		}
+	}
+	return all
+}
+
+// addGap records a gap. A gap between neighbouring positions has no position within it.
+func (c *tableState) addGap(gap site.Gap) {
+	if gap.Until <= gap.After+1 {
+		return
+	}
+	c.gaps = append(c.gaps, gap)
+	if len(c.gaps) > maxGaps {
+		c.gaps[1] = c.gaps[0].Union(c.gaps[1])
+		c.gaps = slices.Delete(c.gaps, 0, 1)
+	}
+}
+
+// addGapOf records the gap that the changes leave. A table that is received as a whole does
+// not list the rows that were deleted: those known before are, those written and deleted
+// since are not known.
+func (c *tableState) addGapOf(changes site.Changes) {
+	switch {
+	case !changes.FullTable:
+		c.addGap(changes.Gap)
+	case c.wasFullyRead:
+		c.addGap(site.Gap{After: c.completeThrough, Until: changes.CompleteThrough})
+	default:
+		c.addGap(site.Gap{Until: changes.CompleteThrough})
+	}
+}
+
+// deletionsIn returns a tombstone for each known row that a full table lacks. Its position is
+// that of the full table, so that hosts which were in step before get it.
 func (c *tableState) deletionsIn(full site.Changes) []site.Row {
 	listed := make(map[string]bool, len(full.Rows))
 	for _, row := range full.Rows {
@@ -66,7 +118,7 @@
 	var deletions []site.Row
 	for key, e := range c.rows {
 		if !listed[key] && !e.row.Deleted && e.row.Position <= full.CompleteThrough {
-			deletions = append(deletions, site.Row{Key: key, Position: max(e.row.Position+1, c.completeThrough), Deleted: true})
+			deletions = append(deletions, site.Row{Key: key, Position: max(e.row.Position+1, full.CompleteThrough), Deleted: true})
 		}
 	}
 	return deletions
@@ -100,7 +152,7 @@
 			wait = min(wait, retention)
 			continue
 		}
-		c.deletionsKnownAfter = max(c.deletionsKnownAfter, e.row.Position)
+		c.tombstonesDroppedThrough = max(c.tombstonesDroppedThrough, e.row.Position)
 		delete(c.rows, key)
 	}
 	return wait
--- a/coordination/watch/tablestate_test.go
+++ b/coordination/watch/tablestate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -162,3 +163,65 @@
 		c.Check(follower.View().Servers, quicktest.HasLen, 1)
 	})
 }
+
+// TestRereadingOwnerSendsChangesOnly guards against an owner that sends a whole table again and
+// again while the store drops its history and each of its readings is a whole one.
+func TestRereadingOwnerSendsChangesOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		caches, stop := startCaches(2)
+		defer stop()
+		follower, owner := caches[0], caches[1]
+		rows := []site.Row{serverRow("kept", 4)}
+		enqueue(owner, serverTable(10, rows...), StoreSource)
+		follow(follower, owner)
+		for position := site.Position(20); position < 300; position += 10 {
+			// Each reading lacks the server of the one before and has another one.
+			enqueue(owner, serverTable(position, append(rows, serverRow(fmt.Sprint(position), position-5))...), StoreSource)
+			if position%20 == 0 {
+				changes := follow(follower, owner)
+				c.Check(changes.FullTable, quicktest.IsFalse)
+				c.Check(len(changes.Rows) <= 4, quicktest.IsTrue, quicktest.Commentf("%d rows", len(changes.Rows)))
+				c.Check(follower.View().Servers, quicktest.HasLen, 2)
+			}
+		}
+	})
+}
+
+// TestGapIsPassedOn guards against a host that became an owner and does not know that the one
+// which it followed may have missed deletions.
+func TestGapIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		caches, stop := startCaches(3)
+		defer stop()
+		ahead, next, owner := caches[0], caches[1], caches[2]
+		enqueue(owner, serverTable(6, serverRow("kept", 4)), StoreSource)
+		follow(next, owner)
+		// This host reads the store itself, and sees a server that is deleted before the
+		// owner reads the table again.
+		enqueue(ahead, serverTable(8, serverRow("kept", 4), serverRow("deleted", 7)), StoreSource)
+		enqueue(owner, serverTable(10, serverRow("kept", 4)), StoreSource)
+		c.Check(follow(next, owner).FullTable, quicktest.IsFalse)
+		follow(ahead, next)
+		c.Check(ahead.View().Servers, quicktest.HasLen, 1)
+	})
+}
+
+// TestGapsAreBounded guards against a table whose gaps grow without a bound, and against one
+// that forgets a gap.
+func TestGapsAreBounded(t *testing.T) {
+	c := quicktest.New(t)
+	table := &tableState{}
+	for i := range site.Position(100) {
+		table.addGap(site.Gap{After: 10 * i, Until: 10*i + 5})
+	}
+	c.Check(len(table.gaps) <= maxGaps, quicktest.IsTrue)
+	for i := range site.Position(100) {
+		c.Check(table.isInGap(10*i+2), quicktest.IsTrue)
+	}
+	c.Check(table.isInGap(998), quicktest.IsFalse)
+	c.Check(table.gapAfter(985), quicktest.Equals, site.Gap{After: 990, Until: 995})
+	table.addGap(site.Gap{After: 2000, Until: 2001})
+	c.Check(table.gapAfter(1000), quicktest.Equals, site.Gap{})
+}
--- a/protocol/peer/convertfollow.go
+++ b/protocol/peer/convertfollow.go
@@ -81,7 +81,8 @@
 		message.Running[string(id)] = int32(count)
 	}
 	for _, changes := range r.Changes {
-		encoded := &Changes{Table: string(changes.Table), Whole: changes.FullTable, Upto: uint64(changes.CompleteThrough), AgeNanoseconds: int64(changes.Age)}
+		encoded := &Changes{Table: string(changes.Table), Whole: changes.FullTable, Upto: uint64(changes.CompleteThrough), AgeNanoseconds: int64(changes.Age),
+			GapAfter: uint64(changes.Gap.After), GapUntil: uint64(changes.Gap.Until)}
 		for _, row := range changes.Rows {
 			value, compressed := compressValue(row)
 			encoded.Rows = append(encoded.Rows, &Row{Key: row.Key, Value: value, Position: uint64(row.Position), Deleted: row.Deleted, Packed: compressed})
@@ -127,6 +128,7 @@
 			FullTable:       encoded.GetWhole(),
 			CompleteThrough: site.Position(encoded.GetUpto()),
 			Age:             time.Duration(encoded.GetAgeNanoseconds()),
+			Gap:             site.Gap{After: site.Position(encoded.GetGapAfter()), Until: site.Position(encoded.GetGapUntil())},
 		}
 		for _, row := range encoded.GetRows() {
 			value, err := decompressValue(row)
--- a/state/site/row.go
+++ b/state/site/row.go
@@ -33,7 +33,29 @@
 	Rows []Row
 	// CompleteThrough is the position up to which Rows has every change.
 	CompleteThrough Position
+	// Gap is a span of positions in which the sender may not know all deletions. It is
+	// empty in a whole table.
+	Gap Gap
 	// Age is the time since the store confirmed that there were no changes after
 	// CompleteThrough.
 	Age time.Duration
 }
+
+// A Gap is a span of positions, both excluded, in which rows may have been written and
+// deleted without a trace. A host that knows a table up to a position in the gap may know
+// such rows. The zero value is empty.
+type Gap struct {
+	After, Until Position
+}
+
+// Union returns the smallest gap that covers both.
+func (g Gap) Union(other Gap) Gap {
+	switch {
+	case other == Gap{}:
+		return g
+	case g == Gap{}:
+		return other
+	default:
+		return Gap{After: min(g.After, other.After), Until: max(g.Until, other.Until)}
+	}
+}
