forward, front: log what a broken answer was and how much its caller got

The line "answer broke off" did not say which content type the server stated, nor how much of the body had reached the caller. The line now has content-type and delivered-bytes.

--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -54,6 +54,8 @@
 // A ResponseHead is what a server's response states before its body.
 type ResponseHead struct {
 	Status int
+	// ContentType is the type that the server states for the body, or empty.
+	ContentType string
 	// NotRun means that the server states that it did not execute the request.
 	NotRun bool
 	// Misdirected means that another server has the address now, or that the
@@ -113,7 +115,9 @@
 type IncompleteError struct {
 	// ClientGone means that the client's connection ended, not the server's.
 	ClientGone bool
-	Cause      error
+	// DeliveredBytes is how much of the body was sent to the client.
+	DeliveredBytes int64
+	Cause          error
 }
 
 // Error states which side ended the response, and the cause.
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -132,12 +132,16 @@
 		return nil
 	}
 	var incomplete *IncompleteError
-	if errors.As(err, &incomplete) && !incomplete.ClientGone && ctx.Err() == nil {
+	delivered := int64(0)
+	if errors.As(err, &incomplete) {
+		delivered = incomplete.DeliveredBytes
+	}
+	if incomplete != nil && !incomplete.ClientGone && ctx.Err() == nil {
 		f.Balancer.RecordFailure(server)
 		p.tried = append(p.tried, server.ID)
 		f.recordInterruption(ctx, p, server)
 	}
 	f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Strs("prompt-parts", p.request.PromptParts).
-		Int("sends", p.sends).Int("events", p.events).Err(err).Msg("answer broke off")
+		Int("sends", p.sends).Int("events", p.events).Str("content-type", head.ContentType).Int64("delivered-bytes", delivered).Err(err).Msg("answer broke off")
 	return blockedFailure(ctx, server, verdict.NewMayHaveRun(verdict.CodeIncomplete, err, "response of server %s ended early", server.ID))
 }
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -147,6 +147,8 @@
 	incoming *backend.RawResponse
 	// expectedServer is the id of the server that the request was sent to.
 	expectedServer string
+	// deliveredBytes is how much of the body was sent to the caller.
+	deliveredBytes int64
 }
 
 // belongsTo reports whether the response has the attempt id of the request. A refusal may
@@ -170,6 +172,7 @@
 func (r *response) Head() forward.ResponseHead {
 	head := forward.ResponseHead{
 		Status:      r.incoming.StatusCode,
+		ContentType: r.incoming.Header.Get("Content-Type"),
 		NotRun:      r.statesNotRun(),
 		Misdirected: r.incoming.StatusCode == http.StatusMisdirectedRequest,
 	}
@@ -216,6 +219,10 @@
 		err = r.deliverWhole()
 	}
 	in.Finish(err == nil)
+	var incomplete *forward.IncompleteError
+	if errors.As(err, &incomplete) {
+		incomplete.DeliveredBytes = r.deliveredBytes
+	}
 	return err
 }
 
@@ -255,7 +262,9 @@
 func (r *response) write(data []byte) error {
 	controller := http.NewResponseController(r.exchange.writer)
 	_ = controller.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-	if _, err := r.exchange.writer.Write(data); err != nil {
+	n, err := r.exchange.writer.Write(data)
+	r.deliveredBytes += int64(n)
+	if err != nil {
 		return &forward.IncompleteError{ClientGone: true, Cause: err}
 	}
 	return nil
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -193,19 +193,24 @@
 // startServer does the same and returns the Server.
 func startServer(c *quicktest.C, views *fixedViews, blocked *quarantine.Quarantine) *Server {
 	go blocked.Run(context.Background())
+	s := newServer(c, views, blocked)
+	go s.Run(context.Background())
+	return s
+}
+
+// newServer returns a Server with the views and the quarantine that does not run yet.
+func newServer(c *quicktest.C, views *fixedViews, blocked *quarantine.Quarantine) *Server {
 	balancer := &balance.Balancer{Views: views, HasOwner: func(string) bool { return true }}
 	window := &retry.WindowBudget{Window: 10 * time.Second, RetryRatio: 0.2, MinRetries: 100, HostCount: func() int { return 1 }}
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
 	checks, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
-	s := &Server{
+	return &Server{
 		Listener: callers, ReadyListener: checks, Views: views, ConnectionPool: &backend.ConnectionPool{}, ShutdownTimeout: stopNoticeDelay + time.Second, Log: zerolog.Nop(),
 		BufferQuota: &buffering.Quota{MaxBytes: testBufferQuota},
 		Forwarder:   &forward.Forwarder{Views: views, Balancer: balancer, Placer: noPlacer{}, RetryBudget: window, Quarantine: blocked, Recorder: noRecorder{}, Log: zerolog.Nop()},
 	}
-	go s.Run(context.Background())
-	return s
 }
 
 // syncedViews returns views that are synced from the start.
