forward, front: check an answer in the form that its route asks for

Callers of streams got pieces that no run made: up to 32 MiB of them with status 200, and after them the whole stream of another server with the end of a complete answer.

Cause: Deliver chose how to check an answer by the content type that the server stated. A faulty server states another one, or none, and its bytes passed as a body that has nothing to check. The other way round, an answer of a route without streams that calls itself a stream was sent on piece by piece, and that of the next server was joined to it.

The route decides now. forward takes a success on a streaming route only as an event stream (a media type in any case) and otherwise treats it as an answer that broke off; all other answers are delivered as bodies and never follow the begin of another answer. Transport has one method for each form, so that it has nothing to choose, and eventOrder needs no switch any more.

--- /dev/null
+++ b/coordination/forward/delivery.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+var (
+	// errNoEventStream means that a server responded to a request for a stream with something
+	// else.
+	errNoEventStream = errors.New("response is no event stream")
+	// errNotContinuable means that a response cannot follow the part that the client has.
+	errNotContinuable = errors.New("response cannot continue the one that has begun")
+)
+
+// lowestRedirectStatus is the lowest status that is no success.
+const lowestRedirectStatus = 300
+
+// deliver passes the response on to the client. If the server ends the response
+// early, the server is avoided, and run tries another one if the route allows
+// another attempt.
+func (f *Forwarder) deliver(ctx context.Context, p *progress, server *site.Server, response Response, head ResponseHead) *verdict.Error {
+	p.waitingFor = waitingForEnd
+	err := p.passOn(ctx, response, head)
+	if err == nil {
+		if head.Status < lowestRedirectStatus {
+			p.recordBegun()
+		}
+		return nil
+	}
+	var incomplete *IncompleteError
+	delivered := int64(0)
+	if errors.As(err, &incomplete) {
+		delivered = incomplete.DeliveredBytes
+	}
+	if incomplete != nil && !incomplete.ClientGone && ctx.Err() == nil {
+		f.Balancer.RecordFailure(server)
+		p.tried = append(p.tried, server.ID)
+		f.recordInterruption(ctx, p, server)
+	}
+	f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Strs("prompt-parts", p.request.PromptParts).
+		Int("sends", p.sends).Int("events", p.events).Str("content-type", head.ContentType).Int64("delivered-bytes", delivered).Err(err).Msg("answer broke off")
+	return blockedFailure(ctx, server, verdict.NewMayHaveRun(verdict.CodeIncomplete, err, "response of server %s ended early", server.ID))
+}
+
+// passOn delivers the response in the form that the route asks for. What the server calls its
+// response does not decide how it is checked, because a faulty server may call it anything.
+func (p *progress) passOn(ctx context.Context, response Response, head ResponseHead) error {
+	switch {
+	case p.route.Kind == site.Streaming && head.Status < lowestRedirectStatus:
+		if head.IsEventStream {
+			return response.DeliverStream(ctx, p)
+		}
+		response.Discard()
+		return &IncompleteError{Cause: fmt.Errorf("%w: content type is %q", errNoEventStream, head.ContentType)}
+	case p.client.ResponseStarted():
+		response.Discard()
+		return &IncompleteError{Cause: fmt.Errorf("%w: status is %d", errNotContinuable, head.Status)}
+	default:
+		return response.DeliverBody(ctx)
+	}
+}
--- a/coordination/forward/eventorder.go
+++ b/coordination/forward/eventorder.go
@@ -21,27 +21,22 @@
 // number as its id, and the numbers increase. A run may leave numbers out. A faulty server may
 // send other events, in a stream that is framed properly.
 type eventOrder struct {
-	// isRequired says that the events have to be checked.
-	isRequired bool
 	// last is the number of the last event that the client has, or -1.
 	last int64
 }
 
-// newEventOrder returns the eventOrder of a request on a route. lastEventID is the last event
-// that the client has from an earlier request, or empty.
-func newEventOrder(route *site.Route, lastEventID string) eventOrder {
+// newEventOrder returns the eventOrder of a request. lastEventID is the last event that the
+// client has from an earlier request, or empty.
+func newEventOrder(lastEventID string) eventOrder {
 	last, ok := eventNumber(lastEventID)
 	if !ok {
 		last = -1
 	}
-	return eventOrder{isRequired: route.Kind == site.Streaming, last: last}
+	return eventOrder{last: last}
 }
 
 // check returns an error if the event does not continue the stream.
 func (o *eventOrder) check(event site.StreamEvent) error {
-	if !o.isRequired {
-		return nil
-	}
 	if event.IsMalformed {
 		return errMalformedEvent
 	}
@@ -65,7 +60,7 @@
 // checkEnd returns an error if a stream that ends now cannot be complete. A stream that the
 // client resumes may have no further events.
 func (o *eventOrder) checkEnd() error {
-	if o.isRequired && o.last < 0 {
+	if o.last < 0 {
 		return errNoEvent
 	}
 	return nil
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -54,8 +54,10 @@
 // A ResponseHead is what a server's response states before its body.
 type ResponseHead struct {
 	Status int
-	// ContentType is the type that the server states for the body, or empty.
-	ContentType string
+	// ContentType is the type that the server states for the body, or empty. IsEventStream
+	// says that it is that of a stream.
+	ContentType   string
+	IsEventStream bool
 	// NotRun means that the server states that it did not execute the request.
 	NotRun bool
 	// Misdirected means that another server has the address now, or that the
@@ -76,13 +78,16 @@
 }
 
 // A Response is a server's response that has not been passed to the client yet.
-// Exactly one of Deliver and Discard is called.
+// Exactly one of DeliverStream, DeliverBody and Discard is called.
 type Response interface {
 	Head() ResponseHead
-	// Deliver passes the response on to the client, checks each event of a stream with
+	// DeliverStream passes the events of a stream on to the client. It checks each with
 	// the observer and tells it of each that was passed on. Its error is an
 	// *IncompleteError.
-	Deliver(ctx context.Context, observer DeliveryObserver) error
+	DeliverStream(ctx context.Context, observer DeliveryObserver) error
+	// DeliverBody passes the response on to the client with its body as it is. It is not
+	// called once the client has a part of a response. Its error is an *IncompleteError.
+	DeliverBody(ctx context.Context) error
 	// Discard drops the response.
 	Discard()
 }
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -158,7 +158,7 @@
 	}
 	p := &progress{
 		request: request, client: client, route: route, service: pickWeightedService(route),
-		quarantine: f.Quarantine, traits: request.traits(), order: newEventOrder(route, request.LastEventID),
+		quarantine: f.Quarantine, traits: request.traits(), order: newEventOrder(request.LastEventID),
 	}
 	limit := route.Timeout
 	if request.MaxWait > 0 && request.MaxWait < limit {
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -102,9 +102,10 @@
 	err  error
 }
 
-func (e fakeResponse) Head() ResponseHead                              { return e.head }
-func (e fakeResponse) Deliver(context.Context, DeliveryObserver) error { return e.err }
-func (e fakeResponse) Discard()                                        {}
+func (e fakeResponse) Head() ResponseHead                                    { return e.head }
+func (e fakeResponse) DeliverBody(context.Context) error                     { return e.err }
+func (e fakeResponse) DeliverStream(context.Context, DeliveryObserver) error { return e.err }
+func (e fakeResponse) Discard()                                              {}
 
 // forward sends one request for an adapter through a Forwarder and returns its
 // error and how long it took.
@@ -162,7 +163,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := quicktest.New(t)
 				r := newFakeSystem(chatRoute)
-				r.onSend = func(int) (Response, error) { return fakeResponse{head: ResponseHead{Status: 200}}, nil }
+				r.onSend = func(int) (Response, error) {
+					return fakeResponse{head: ResponseHead{Status: 200, IsEventStream: true}}, nil
+				}
 				chosen := r.view.Servers["e"]
 				ctx, leave := context.WithCancel(context.Background())
 				defer leave()
@@ -200,7 +203,9 @@
 		c := quicktest.New(t)
 		r := newFakeSystem(chatRoute)
 		r.onPlace = waitForDeadline
-		r.onSend = func(int) (Response, error) { return fakeResponse{head: ResponseHead{Status: 200}}, nil }
+		r.onSend = func(int) (Response, error) {
+			return fakeResponse{head: ResponseHead{Status: 200, IsEventStream: true}}, nil
+		}
 		failure, took := r.forward()
 		c.Assert(failure == nil, quicktest.IsTrue)
 		c.Assert(took, quicktest.Equals, admissionTimeout)
@@ -243,7 +248,7 @@
 		var sentAfter time.Duration
 		r.onSend = func(int) (Response, error) {
 			sentAfter = time.Since(began)
-			return fakeResponse{head: ResponseHead{Status: 200}}, nil
+			return fakeResponse{head: ResponseHead{Status: 200, IsEventStream: true}}, nil
 		}
 		_, took := r.forward()
 		c.Assert(took <= 1900*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s", took))
@@ -261,7 +266,7 @@
 			if n == 1 {
 				return fakeResponse{head: ResponseHead{Status: 421, Misdirected: true, FromExpectedServer: true}}, nil
 			}
-			return fakeResponse{head: ResponseHead{Status: 200}}, nil
+			return fakeResponse{head: ResponseHead{Status: 200, IsEventStream: true}}, nil
 		}
 		failure, _ := r.forward()
 		c.Assert(failure == nil, quicktest.IsTrue)
@@ -334,9 +339,12 @@
 // A brokenResponse delivers events and then breaks off.
 type brokenResponse struct{ events int }
 
-func (b brokenResponse) Head() ResponseHead { return ResponseHead{Status: 200} }
+func (b brokenResponse) Head() ResponseHead { return ResponseHead{Status: 200, IsEventStream: true} }
 func (b brokenResponse) Discard()           {}
-func (b brokenResponse) Deliver(_ context.Context, observer DeliveryObserver) error {
+func (b brokenResponse) DeliverBody(context.Context) error {
+	return &IncompleteError{Cause: io.ErrUnexpectedEOF}
+}
+func (b brokenResponse) DeliverStream(_ context.Context, observer DeliveryObserver) error {
 	for range b.events {
 		observer.EventDelivered()
 	}
--- a/coordination/forward/ratelimit_test.go
+++ b/coordination/forward/ratelimit_test.go
@@ -186,7 +186,7 @@
 	e.site.mutex.Lock()
 	defer e.site.mutex.Unlock()
 	e.site.arrivals[server.ID] = append(e.site.arrivals[server.ID], time.Now())
-	head := ResponseHead{Status: 200}
+	head := ResponseHead{Status: 200, IsEventStream: true}
 	if e.site.limited {
 		head.RateLimit = testLimit
 	}
@@ -196,11 +196,15 @@
 // A slowResponse is a response that takes a while to deliver.
 type slowResponse struct{ fakeResponse }
 
-func (s slowResponse) Deliver(context.Context, DeliveryObserver) error {
+func (s slowResponse) DeliverBody(context.Context) error {
 	time.Sleep(200 * time.Millisecond)
 	return nil
 }
 
+func (s slowResponse) DeliverStream(ctx context.Context, _ DeliveryObserver) error {
+	return s.DeliverBody(ctx)
+}
+
 // load sends perSecond requests a second for the route from all hosts in turn.
 func (s *limitedSite) load(ctx context.Context, route string, perSecond float64, duration time.Duration) {
 	o := &outcomes{}
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
@@ -118,30 +117,3 @@
 	p.tried = append(p.tried, server.ID)
 	return verdict.NewNotRun(verdict.CodeBackendRefused, "server %s refused the request with status %d", server.ID, head.Status)
 }
-
-// deliver passes the response on to the client. If the server ends the response
-// early, the server is avoided, and run tries another one if the route allows
-// another attempt.
-func (f *Forwarder) deliver(ctx context.Context, p *progress, server *site.Server, response Response, head ResponseHead) *verdict.Error {
-	p.waitingFor = waitingForEnd
-	err := response.Deliver(ctx, p)
-	if err == nil {
-		if head.Status < 300 {
-			p.recordBegun()
-		}
-		return nil
-	}
-	var incomplete *IncompleteError
-	delivered := int64(0)
-	if errors.As(err, &incomplete) {
-		delivered = incomplete.DeliveredBytes
-	}
-	if incomplete != nil && !incomplete.ClientGone && ctx.Err() == nil {
-		f.Balancer.RecordFailure(server)
-		p.tried = append(p.tried, server.ID)
-		f.recordInterruption(ctx, p, server)
-	}
-	f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Strs("prompt-parts", p.request.PromptParts).
-		Int("sends", p.sends).Int("events", p.events).Str("content-type", head.ContentType).Int64("delivered-bytes", delivered).Err(err).Msg("answer broke off")
-	return blockedFailure(ctx, server, verdict.NewMayHaveRun(verdict.CodeIncomplete, err, "response of server %s ended early", server.ID))
-}
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"net/textproto"
 	"slices"
@@ -176,6 +175,7 @@
 		NotRun:      r.statesNotRun(),
 		Misdirected: r.incoming.StatusCode == http.StatusMisdirectedRequest,
 	}
+	head.IsEventStream = platform.IsEventStream(head.ContentType)
 	instanceID := r.incoming.Header.Get(platform.HeaderInstanceID)
 	head.FromExpectedServer = instanceID == "" || instanceID == r.expectedServer
 	if running, waiting, slots, ok := platform.DecodeServerLoad(r.incoming.Header.Get(platform.HeaderServerLoad)); ok {
@@ -196,28 +196,26 @@
 // platform.HeaderResponseSignature.
 var errNoSignature = errors.New("successful response has no X-Response-Signature header")
 
-// Deliver sends the response to the caller. The error is a *forward.IncompleteError.
-func (r *response) Deliver(_ context.Context, observer forward.DeliveryObserver) error {
-	e, in := r.exchange, r.incoming
-	success := in.StatusCode < http.StatusMultipleChoices
-	if success && in.Header.Get(platform.HeaderResponseSignature) == "" {
+// DeliverStream sends the events of a stream to the caller. The error is a
+// *forward.IncompleteError.
+func (r *response) DeliverStream(_ context.Context, observer forward.DeliveryObserver) error {
+	return r.deliver(func() error { return r.deliverStream(observer) })
+}
+
+// DeliverBody sends the response to the caller with its body as it is. The error is a
+// *forward.IncompleteError.
+func (r *response) DeliverBody(context.Context) error {
+	return r.deliver(r.deliverWhole)
+}
+
+// deliver runs send and releases the connection. A success without a signature is not sent.
+func (r *response) deliver(send func() error) error {
+	in := r.incoming
+	if in.StatusCode < http.StatusMultipleChoices && in.Header.Get(platform.HeaderResponseSignature) == "" {
 		in.Finish(false)
 		return &forward.IncompleteError{Cause: errNoSignature}
 	}
-	contentType := in.Header.Get("Content-Type")
-	stream := success && strings.HasPrefix(contentType, "text/event-stream")
-	// Only a stream can continue a response that has begun: any other body would follow the
-	// bytes of the first one.
-	if e.responseStarted && !stream {
-		r.Discard()
-		return &forward.IncompleteError{Cause: fmt.Errorf("response could not be resumed: server returned status %d with content type %q", in.StatusCode, contentType)}
-	}
-	var err error
-	if stream {
-		err = r.deliverStream(observer)
-	} else {
-		err = r.deliverWhole()
-	}
+	err := send()
 	in.Finish(err == nil)
 	var incomplete *forward.IncompleteError
 	if errors.As(err, &incomplete) {
