front, platform: hold back what a stream has between its events

A client that splits a stream at its empty lines finds a piece without an id there.

What a stream has between two events is now sent with the later one, or at the end of a stream that ends properly. Beyond 8 KiB between two events, or before bytes that are no event, the answer has broken off and the caller gets nothing of it. A reconnection time has to be a number. Events that were written go out before the answer ends and while a comment waits.

TestFillerOfFaultyServerIsNotPassedOn was red in all of its seven parts; TestFillerDoesNotHoldBackEvents is red without the flush while a comment waits. Whether clients of the users take such blocks for pieces is not known.

--- a/state/site/streamevent.go
+++ b/state/site/streamevent.go
@@ -9,7 +9,7 @@
 	// IsFiller says that the event consists of comments, reconnection times and empty
 	// lines. It says nothing about the answer.
 	IsFiller bool
-	// IsMalformed says that the event has several ids, a line that is no field, or a comment
-	// that is no text.
+	// IsMalformed says that the event has several ids, a line that is no field, a comment that
+	// is no text, or a reconnection time that is no number.
 	IsMalformed bool
 }
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -10,56 +10,65 @@
 	"github.com/persimmonmux/persimmonmux/platform"
 )
 
-// maxPreludeBytes bounds the comments and empty lines before the first event of a stream.
-const maxPreludeBytes = 8 << 10
+// maxFillerBytes bounds the comments, reconnection times and empty lines before an event of a
+// stream.
+const maxFillerBytes = 8 << 10
 
-// errPreludeTooLarge means that they exceed maxPreludeBytes.
-var errPreludeTooLarge = errors.New("stream has more than 8 KiB before its first event")
+// errFillerTooLarge means that they exceed maxFillerBytes.
+var errFillerTooLarge = errors.New("stream has more than 8 KiB between two events")
 
 // deliverStream sends the events of a stream to the caller as they arrive. Only complete
 // events are sent, so that a stream that breaks off within an event can be resumed after the
 // last complete one. The answer begins with the first event that has data: up to then the
-// request may still go to another server, or fail with a status.
+// request may still go to another server, or fail with a status. What a stream has between its
+// events is sent with the next one, because nothing shows before that it is not garbage.
 func (r *response) deliverStream(observer forward.DeliveryObserver) error {
 	events := &eventReader{source: bufio.NewReader(r.body()), held: r.reservation()}
 	defer events.close()
-	// unsent holds the comments and empty lines before the first event.
-	var unsent []byte
+	err := r.passEvents(events, observer)
+	if err != nil {
+		r.flushDelivered()
+	}
+	return err
+}
+
+// passEvents sends events until the stream ends.
+func (r *response) passEvents(events *eventReader, observer forward.DeliveryObserver) error {
+	// filler holds the comments, reconnection times and empty lines since the last event.
+	var filler []byte
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
 			if err := observer.CheckEnd(); err != nil {
 				return &forward.IncompleteError{Cause: err}
 			}
-			return r.deliverEvents(unsent, true)
+			return r.deliverEvents(filler, true)
 		}
 		if err != nil {
 			return &forward.IncompleteError{Cause: err}
 		}
 		decoded := platform.DecodeEvent(event)
 		if err := observer.CheckEvent(decoded); err != nil {
-			r.flushDelivered()
 			return &forward.IncompleteError{Cause: err}
 		}
-		if !decoded.HasData && !r.exchange.responseStarted {
-			unsent = append(unsent, event...)
-			if len(unsent) > maxPreludeBytes {
-				return &forward.IncompleteError{Cause: errPreludeTooLarge}
+		if decoded.IsFiller {
+			if len(filler)+len(event) > maxFillerBytes {
+				return &forward.IncompleteError{Cause: errFillerTooLarge}
+			}
+			filler = append(filler, event...)
+			if !events.hasNext() {
+				r.flushDelivered()
 			}
 			continue
 		}
-		if len(unsent) > 0 {
-			event, unsent = append(unsent, event...), nil
+		if len(filler) > 0 {
+			event, filler = append(filler, event...), nil
 		}
 		if err := r.deliverEvents(event, !events.hasNext()); err != nil {
 			return err
 		}
-		if decoded.ID != "" {
-			r.exchange.lastEventID = decoded.ID
-		}
-		if decoded.HasData {
-			observer.EventDelivered()
-		}
+		r.exchange.lastEventID = decoded.ID
+		observer.EventDelivered()
 	}
 }
 
@@ -86,8 +95,8 @@
 	return http.NewResponseController(r.exchange.writer).Flush()
 }
 
-// flushDelivered sends the events that wait for the next one, because the delivery ends
-// before it. Otherwise they are lost if the connection of the caller is closed.
+// flushDelivered sends the events that wait for the next one, because it does not follow at
+// once. They are lost if the connection of the caller is closed before.
 func (r *response) flushDelivered() {
 	if r.exchange.responseStarted {
 		// The caller may have left, which the next write shows.
