forward: no stream has more events than its answer may have tokens

A faulty server that goes on with events whose ids increase had all of them passed on: 4,000 events for a request that states at most 49 output tokens, as a complete answer. Each event of a run has at least one token.

The event after the last possible one now ends the answer. The events before it are no run's either, so that nothing may continue them: no other server is asked, which could end the stream properly, and the caller's connection is closed.

TestStreamWithMoreEventsThanTokensIsNotComplete is red without the check.

--- a/coordination/forward/eventorder.go
+++ b/coordination/forward/eventorder.go
@@ -13,6 +13,9 @@
 	errMalformedEvent = errors.New("stream event is malformed")
 	// errEventWithoutData means that an event has no part of the answer.
 	errEventWithoutData = errors.New("stream event has no data")
+	// errTooManyEvents means that a stream has more events than its answer may have tokens, so
+	// that the events before are not those of a run either.
+	errTooManyEvents = errors.New("stream has more events than the answer may have tokens")
 	// errNoEvent means that a stream ended before its first event.
 	errNoEvent = errors.New("stream has no event")
 )
@@ -21,18 +24,20 @@
 // number as its id, and the numbers increase. A run may leave numbers out. A faulty server may
 // send other events, in a stream that is framed properly.
 type eventOrder struct {
+	// maxEvents is the largest number of events that a run can make, or 0 if it is unknown: each
+	// has at least one token. events is how many the client has.
+	maxEvents, events int
 	// last is the number of the last event that the client has, or -1.
 	last int64
 }
 
-// newEventOrder returns the eventOrder of a request. lastEventID is the last event that the
-// client has from an earlier request, or empty.
-func newEventOrder(lastEventID string) eventOrder {
-	last, ok := eventNumber(lastEventID)
+// newEventOrder returns the eventOrder of a request.
+func newEventOrder(request *Request) eventOrder {
+	last, ok := eventNumber(request.LastEventID)
 	if !ok {
 		last = -1
 	}
-	return eventOrder{last: last}
+	return eventOrder{maxEvents: request.MaxOutputTokens, last: last}
 }
 
 // check returns an error if the event does not continue the stream.
@@ -53,6 +58,10 @@
 	if !event.HasData {
 		return errEventWithoutData
 	}
+	if o.maxEvents > 0 && o.events >= o.maxEvents {
+		return errTooManyEvents
+	}
+	o.events++
 	o.last = number
 	return nil
 }
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -25,6 +25,9 @@
 	Adapter site.Adapter
 	// PromptTokens is the length of the prompt, or 0 if it is unknown.
 	PromptTokens int
+	// MaxOutputTokens is the largest number of tokens that the answer may have, or 0 if it is
+	// unknown.
+	MaxOutputTokens int
 	// PromptParts are the ids of those parts of the prompt that other requests may
 	// share, in their order.
 	PromptParts []string
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -158,7 +158,7 @@
 	}
 	p := &progress{
 		request: request, client: client, route: route, service: pickWeightedService(route),
-		quarantine: f.Quarantine, traits: request.traits(), order: newEventOrder(request.LastEventID),
+		quarantine: f.Quarantine, traits: request.traits(), order: newEventOrder(request),
 	}
 	limit := route.Timeout
 	if request.MaxWait > 0 && request.MaxWait < limit {
@@ -267,6 +267,9 @@
 	if p.mayHaveRun && !p.route.Repeatable() {
 		return false
 	}
+	if p.isUnsound {
+		return false
+	}
 	if p.sends == 0 && !time.Now().Before(p.unsentDeadline) {
 		return false
 	}
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -65,6 +66,8 @@
 	// sends. answerBegun means that the request is known not to crash its server.
 	events      int
 	answerBegun bool
+	// isUnsound says that the client has events that no run made. Nothing may continue them.
+	isUnsound bool
 }
 
 // begunEvents is the number of events from which an answer counts as begun. A server that
@@ -74,7 +77,9 @@
 // CheckEvent returns an error if the event does not continue the stream that the client
 // has received so far.
 func (p *progress) CheckEvent(event site.StreamEvent) error {
-	return p.order.check(event)
+	err := p.order.check(event)
+	p.isUnsound = p.isUnsound || errors.Is(err, errTooManyEvents)
+	return err
 }
 
 // CheckEnd returns an error if the stream cannot be complete with the events that the client
--- a/transport/front/foreignevent_test.go
+++ b/transport/front/foreignevent_test.go
@@ -113,6 +113,33 @@
 	}
 }
 
+// TestStreamWithMoreEventsThanTokensIsNotComplete guards against a faulty server that goes on
+// and on with events in order, and against a stream that another server then ends properly after
+// such events.
+func TestStreamWithMoreEventsThanTokensIsNotComplete(t *testing.T) {
+	for _, target := range []string{"/once/x", "/stream/x"} {
+		c := quicktest.New(t)
+		b := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool {
+			body := pieces(1, 4000)
+			if r.Header.Get("Last-Event-Id") != "" {
+				body = ""
+			}
+			writeChunkedStream(conn, r, body)
+			return true
+		})
+		front := startFront(c, syncedViews(), b)
+		_, body, err := sendRequest(front, "POST", target, "", "X-Token-Counts: 600,49")
+		c.Check(errors.Is(err, io.ErrUnexpectedEOF), quicktest.IsTrue, quicktest.Commentf("%v", err))
+		c.Check(body, quicktest.Equals, pieces(1, 49))
+		c.Check(b.count(), quicktest.Equals, 1)
+		for _, counts := range []string{"600,4000", "600", "600,x", "600,-1", "600,0"} {
+			_, body, err = sendRequest(front, "POST", target, "", "X-Token-Counts: "+counts)
+			c.Check(err, quicktest.IsNil)
+			c.Check(body == pieces(1, 4000), quicktest.IsTrue, quicktest.Commentf("%s: %d bytes", counts, len(body)))
+		}
+	}
+}
+
 // TestResumedStreamOfCaller guards against a stream that its caller resumes and that is broken
 // off although its events follow the caller's last one, or although there are no further ones.
 func TestResumedStreamOfCaller(t *testing.T) {
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -46,7 +46,7 @@
 		LastEventID: r.Header.Get(platform.HeaderLastEventID),
 		Arrived:     arrived,
 	}
-	request.PromptTokens = platform.DecodePromptTokens(r.Header.Get(platform.HeaderTokenCounts))
+	request.PromptTokens, request.MaxOutputTokens = platform.DecodeTokenCounts(r.Header.Get(platform.HeaderTokenCounts))
 	request.ContentID = contentID(r, body)
 	request.PromptParts = platform.DecodeSharedPromptParts(r.Header.Get(platform.HeaderPromptPrefix))
 	if text := r.Header.Get(platform.HeaderRemainingTime); text != "" {
