--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -267,7 +267,8 @@
 	if p.mayHaveRun && !p.route.Repeatable() {
 		return false
 	}
-	if p.isUnsound {
+	if p.isUnsound || p.client.ResponseStarted() && p.route.Kind != site.Streaming {
+		// Nothing can continue what the client has.
 		return false
 	}
 	if p.sends == 0 && !time.Now().Before(p.unsentDeadline) {
--- a/transport/front/foreignform_test.go
+++ b/transport/front/foreignform_test.go
@@ -135,3 +135,24 @@
 	}
 	c.Check(faulty.count() > 0, quicktest.IsTrue)
 }
+
+// TestBegunBodyIsNotRunAgain guards against a request that another server runs in vain: the caller
+// has the begin of a body, which no other body can continue.
+func TestBegunBodyIsNotRunAgain(t *testing.T) {
+	c := quicktest.New(t)
+	broken := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool {
+		fmt.Fprint(conn, typedHead(r, "text/plain")+chunkedHead)
+		writeChunk(conn, strings.Repeat("a", 2*maxBufferedBytes))
+		return false
+	})
+	sound := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool { return success(conn, r, "answer") })
+	front := startFront(c, syncedViews(), broken, sound)
+	for range 4 {
+		_, body, err := sendRequest(front, "GET", "/safe/x", "")
+		if body != "answer" {
+			c.Check(errors.Is(err, io.ErrUnexpectedEOF), quicktest.IsTrue, quicktest.Commentf("%v", err))
+		}
+	}
+	c.Check(broken.count() > 0, quicktest.IsTrue)
+	c.Check(broken.count()+sound.count(), quicktest.Equals, 4)
+}
