platform: a carriage return alone within an event makes it malformed

Server-sent events may end their lines with a carriage return alone. The host splits a stream at line feeds only, so that an event of it could hold a second one, without an id, for its caller. Such an event is malformed now.

--- a/state/site/streamevent.go
+++ b/state/site/streamevent.go
@@ -10,6 +10,7 @@
 	// lines. It says nothing about the answer.
 	IsFiller bool
 	// IsMalformed says that the event has several ids, a line that is no field, a comment that
-	// is no text, or a reconnection time that is no number.
+	// is no text, a reconnection time that is no number, or a line that ends with a carriage
+	// return alone.
 	IsMalformed bool
 }
--- a/transport/front/foreignevent_test.go
+++ b/transport/front/foreignevent_test.go
@@ -38,6 +38,8 @@
 		{"of a word that is no field", "garbage\n\n"},
 		{"of a name that is no field", "gar bage: 1\nid: 3\ndata: piece 3\n\n"},
 		{"of a comment that is no text", ":\x01\xffgarbage\n\n"},
+		{"with lines that end with CR alone", "id: 3\ndata: piece 3\r\rdata: garbage\n\n"},
+		{"with another event after CR CR LF", "id: 3\ndata: piece 3\r\r\ndata: garbage\n\n"},
 		{"of a version alone", "x-weight-versions: 4\n\n"},
 	} {
 		for _, rest := range []string{"", pieces(3, 5)} {
