forward, front: believe that a request did not run only of a refusal

A caller of a request that may run once could have it run up to four times and get 503, which promises that it has not run and never will: its server answered 200, 204, 302, 404, 500, 502 or 504 with X-Not-Executed.

The host let the header alone decide, whatever the status said. A server refuses with 503, 429, 421 or 400, and with 408, which is the same promise; a 500 or a 504 counts as run. With any other status the header contradicts the answer, and one of the two is wrong.

forward decides now with the status. A failure with the header is passed on as it is and counts as one that may have run. A success with it is not passed on: its request ends with 502, or goes to another server if it may run more than once.

--- a/coordination/forward/delivery.go
+++ b/coordination/forward/delivery.go
@@ -15,10 +15,21 @@
 	errNoEventStream = errors.New("response is no event stream")
 	// errNotContinuable means that a response cannot follow the part that the client has.
 	errNotContinuable = errors.New("response cannot continue the one that has begun")
+	// errContradiction means that a server calls a request not executed that it answers with a
+	// success.
+	errContradiction = errors.New("successful response to a request that was not executed")
 )
 
-// lowestRedirectStatus is the lowest status that is no success.
-const lowestRedirectStatus = 300
+// The statuses that decide how a response is handled.
+const (
+	// lowestRedirectStatus is the lowest status that is no success.
+	lowestRedirectStatus  = 300
+	statusBadRequest      = 400
+	statusRequestTimeout  = 408
+	statusMisdirected     = 421
+	statusTooManyRequests = 429
+	statusUnavailable     = 503
+)
 
 // deliver passes the response on to the client. If the server ends the response
 // early, the server is avoided, and run tries another one if the route allows
@@ -51,6 +62,9 @@
 // response does not decide how it is checked, because a faulty server may call it anything.
 func (p *progress) passOn(ctx context.Context, response Response, head ResponseHead) error {
 	switch {
+	case head.Status < lowestRedirectStatus && head.NotRun:
+		response.Discard()
+		return &IncompleteError{Cause: errContradiction}
 	case p.route.Kind == site.Streaming && head.Status < lowestRedirectStatus:
 		if head.IsEventStream {
 			return response.DeliverStream(ctx, p)
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -61,7 +61,8 @@
 	// says that it is that of a stream.
 	ContentType   string
 	IsEventStream bool
-	// NotRun means that the server states that it did not execute the request.
+	// NotRun means that the server states that it did not execute the request. ProvesNotRun
+	// decides whether that is believed.
 	NotRun bool
 	// Misdirected means that another server has the address now, or that the
 	// engine does not hold the adapter in the expected version.
@@ -80,6 +81,19 @@
 	Pause time.Duration
 }
 
+// ProvesNotRun reports whether the response proves that the request did not run. A server refuses
+// only with the statuses of refusals; that it did not execute a request that it answers with
+// another status contradicts that status.
+func (h ResponseHead) ProvesNotRun() bool {
+	switch h.Status {
+	case statusMisdirected:
+		return true
+	case statusBadRequest, statusRequestTimeout, statusTooManyRequests, statusUnavailable:
+		return h.NotRun
+	}
+	return false
+}
+
 // A Response is a server's response that has not been passed to the client yet.
 // Exactly one of DeliverStream, DeliverBody and Discard is called.
 type Response interface {
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -38,7 +38,7 @@
 	if !head.Misdirected || head.FromExpectedServer {
 		f.recordStatements(server, head)
 	}
-	if head.Misdirected || head.NotRun {
+	if head.ProvesNotRun() {
 		response.Discard()
 		return f.recordRejection(p, server, want, head)
 	}
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -67,7 +67,7 @@
 		in.Finish(false)
 		return nil, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil, "server %s: attempt id of the response is %q, not that of the request", server.ID, id)
 	}
-	if r.statesNotRun() {
+	if r.provesNotRun() {
 		e.refusedBy = append(e.refusedBy, server.ID)
 	}
 	r.expectedServer = string(server.ID)
@@ -154,16 +154,20 @@
 // lack an id if no earlier request can be meant.
 func (r *response) belongsTo(request *http.Request) bool {
 	id := r.incoming.Header.Get(platform.HeaderAttemptID)
-	if id == "" && r.statesNotRun() {
+	if id == "" && r.provesNotRun() {
 		return !r.incoming.OnReusedConnection()
 	}
 	return id == request.Header.Get(platform.HeaderAttemptID)
 }
 
-// statesNotRun reports whether the response states that the server did not run the
-// request.
+// provesNotRun reports whether the response proves that the server did not run the request.
+func (r *response) provesNotRun() bool {
+	return forward.ResponseHead{Status: r.incoming.StatusCode, NotRun: r.statesNotRun()}.ProvesNotRun()
+}
+
+// statesNotRun reports whether the server states that it did not execute the request.
 func (r *response) statesNotRun() bool {
-	return r.incoming.StatusCode == http.StatusMisdirectedRequest || r.incoming.Header.Get(platform.HeaderNotExecuted) != ""
+	return r.incoming.Header.Get(platform.HeaderNotExecuted) != ""
 }
 
 // Head returns the status and those headers of the response that decide whether it
