front: an answer that names two requests belongs to neither

A caller got a success, or 503 for a request that may have run, from an answer with the attempt id of its request on one line and that of another request, or none, on a second one. The host looked at the first line only, so the order in which a faulty server wrote its lines decided to whom the answer belonged. A refusal of this form was believed up to four times.

Every attempt id of an answer has to be that of the request now; any other answer is one of another request, which is not passed on.

--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -63,9 +63,10 @@
 		return nil, failure
 	}
 	r := &response{exchange: e, incoming: in}
-	if id := in.Header.Get(platform.HeaderAttemptID); !r.belongsTo(e.request) {
+	if !r.belongsTo(e.request) {
 		in.Finish(false)
-		return nil, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil, "server %s: attempt id of the response is %q, not that of the request", server.ID, id)
+		return nil, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil, "server %s: attempt ids of the response are %q, not that of the request",
+			server.ID, in.Header.Values(platform.HeaderAttemptID))
 	}
 	if r.provesNotRun() {
 		e.refusedBy = append(e.refusedBy, server.ID)
@@ -150,10 +151,13 @@
 	deliveredBytes int64
 }
 
-// belongsTo reports whether the response has the attempt id of the request. A refusal may
-// lack an id if no earlier request can be meant.
+// belongsTo reports whether the response has the attempt id of the request and no other one. A
+// refusal may lack an id if no earlier request can be meant.
 func (r *response) belongsTo(request *http.Request) bool {
 	id := r.incoming.Header.Get(platform.HeaderAttemptID)
+	if slices.ContainsFunc(r.incoming.Header.Values(platform.HeaderAttemptID), func(other string) bool { return other != id }) {
+		return false
+	}
 	if id == "" && r.provesNotRun() {
 		return !r.incoming.OnReusedConnection()
 	}
