front: a success has one signature

A caller got a success with two signatures: the head of its answer was put together from two, or made up, and the body belonged to neither for certain. The host asked only whether the first line of the header was there.

A success has exactly one signature now. Any other one is an answer that broke off, as one without a signature was before.

--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -200,9 +200,9 @@
 	r.incoming.DiscardBody()
 }
 
-// errNoSignature means that a successful response lacks the header
+// errNoSignature means that a successful response has not exactly one value of the header
 // platform.HeaderResponseSignature.
-var errNoSignature = errors.New("successful response has no X-Response-Signature header")
+var errNoSignature = errors.New("successful response has not one X-Response-Signature header")
 
 // DeliverStream sends the events of a stream to the caller. The error is a
 // *forward.IncompleteError.
@@ -216,10 +216,12 @@
 	return r.deliver(r.deliverWhole)
 }
 
-// deliver runs send and releases the connection. A success without a signature is not sent.
+// deliver runs send and releases the connection. A success without a signature, or with several,
+// is not sent.
 func (r *response) deliver(send func() error) error {
 	in := r.incoming
-	if in.StatusCode < http.StatusMultipleChoices && in.Header.Get(platform.HeaderResponseSignature) == "" {
+	signatures := in.Header.Values(platform.HeaderResponseSignature)
+	if in.StatusCode < http.StatusMultipleChoices && (len(signatures) != 1 || signatures[0] == "") {
 		in.Finish(false)
 		return &forward.IncompleteError{Cause: errNoSignature}
 	}
--- a/transport/front/foreignhead_test.go
+++ b/transport/front/foreignhead_test.go
@@ -13,10 +13,11 @@
 var headFaults = []string{
 	"X-Attempt-Id: other\r\n",
 	"X-Attempt-Id: \r\n",
+	"X-Response-Signature: t\r\n",
 }
 
 // TestSuccessWithForeignHeadIsNotPassedOn guards against a success that is not the whole answer of
-// one run: it names a second request.
+// one run: it has a second attempt id or a second signature.
 func TestSuccessWithForeignHeadIsNotPassedOn(t *testing.T) {
 	for _, fault := range headFaults {
 		for _, route := range []string{"/unsafe/x", "/once/x"} {
