forward, front: an encoded body is not that of the server

A caller got a success with a Content-Encoding, although callers ask for bodies without any: a client that follows the header cannot read the body, which is not the server's. On a streaming route the events were checked as plain text, while the header told the caller to decode them, so the host had not checked what the caller reads.

forward takes a success with that header for an answer that broke off. The checks of a head are in one function now.

--- a/coordination/forward/delivery.go
+++ b/coordination/forward/delivery.go
@@ -15,6 +15,8 @@
 	errNoEventStream = errors.New("response is no event stream")
 	// errNotContinuable means that a response cannot follow the part that the client has.
 	errNotContinuable = errors.New("response cannot continue the one that has begun")
+	// errEncoded means that the body of a success is encoded, which clients do not ask for.
+	errEncoded = errors.New("successful response has a content encoding")
 	// errContradiction means that a server calls a request not executed that it answers with a
 	// success.
 	errContradiction = errors.New("successful response to a request that was not executed")
@@ -61,20 +63,34 @@
 // passOn delivers the response in the form that the route asks for. What the server calls its
 // response does not decide how it is checked, because a faulty server may call it anything.
 func (p *progress) passOn(ctx context.Context, response Response, head ResponseHead) error {
-	switch {
-	case head.Status < lowestRedirectStatus && head.NotRun:
-		response.Discard()
-		return &IncompleteError{Cause: errContradiction}
-	case p.route.Kind == site.Streaming && head.Status < lowestRedirectStatus:
-		if head.IsEventStream {
-			return response.DeliverStream(ctx, p)
-		}
+	if err := p.checkHead(head); err != nil {
 		response.Discard()
-		return &IncompleteError{Cause: fmt.Errorf("%w: content type is %q", errNoEventStream, head.ContentType)}
-	case p.client.ResponseStarted():
-		response.Discard()
-		return &IncompleteError{Cause: fmt.Errorf("%w: status is %d", errNotContinuable, head.Status)}
-	default:
-		return response.DeliverBody(ctx)
+		return &IncompleteError{Cause: err}
+	}
+	if p.isStream(head) {
+		return response.DeliverStream(ctx, p)
+	}
+	return response.DeliverBody(ctx)
+}
+
+// isStream reports whether the response has to be a stream.
+func (p *progress) isStream(head ResponseHead) bool {
+	return p.route.Kind == site.Streaming && head.Status < lowestRedirectStatus
+}
+
+// checkHead returns an error if the response is none that a server has for the request, or none
+// that may follow what the client has.
+func (p *progress) checkHead(head ResponseHead) error {
+	isSuccess := head.Status < lowestRedirectStatus
+	switch {
+	case isSuccess && head.NotRun:
+		return errContradiction
+	case isSuccess && head.IsEncoded:
+		return errEncoded
+	case p.isStream(head) && !head.IsEventStream:
+		return fmt.Errorf("%w: content type is %q", errNoEventStream, head.ContentType)
+	case !p.isStream(head) && p.client.ResponseStarted():
+		return fmt.Errorf("%w: status is %d", errNotContinuable, head.Status)
 	}
+	return nil
 }
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -61,6 +61,8 @@
 	// says that it is that of a stream.
 	ContentType   string
 	IsEventStream bool
+	// IsEncoded means that the body is encoded, for example compressed.
+	IsEncoded bool
 	// NotRun means that the server states that it did not execute the request. ProvesNotRun
 	// decides whether that is believed.
 	NotRun bool
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -184,6 +184,7 @@
 		Misdirected: r.incoming.StatusCode == http.StatusMisdirectedRequest,
 	}
 	head.IsEventStream = platform.IsEventStream(head.ContentType)
+	head.IsEncoded = len(r.incoming.Header.Values("Content-Encoding")) > 0
 	instanceID := r.incoming.Header.Get(platform.HeaderInstanceID)
 	head.FromExpectedServer = instanceID == "" || instanceID == r.expectedServer
 	if running, waiting, slots, ok := platform.DecodeServerLoad(r.incoming.Header.Get(platform.HeaderServerLoad)); ok {
--- a/transport/front/foreignhead_test.go
+++ b/transport/front/foreignhead_test.go
@@ -14,10 +14,13 @@
 	"X-Attempt-Id: other\r\n",
 	"X-Attempt-Id: \r\n",
 	"X-Response-Signature: t\r\n",
+	"Content-Encoding: gzip\r\n",
+	"Content-Encoding: identity\r\n",
 }
 
 // TestSuccessWithForeignHeadIsNotPassedOn guards against a success that is not the whole answer of
-// one run: it has a second attempt id or a second signature.
+// one run: it has a second attempt id or a second signature, or its body is encoded although
+// callers ask for none.
 func TestSuccessWithForeignHeadIsNotPassedOn(t *testing.T) {
 	for _, fault := range headFaults {
 		for _, route := range []string{"/unsafe/x", "/once/x"} {
