forward: a stream has status 200

A caller got a stream that ended as complete after its second event. The first server had broken off there; the one that went on with the stream answered 204 with the type of a stream and no body, and an empty rest of a stream is its proper end. The same happened with 201, 202, 205 and 206.

The host took any success for the stream that was asked for, so the server chose a status whose body is empty by definition, or only a part. A streaming route asks for a stream, which is status 200. Any other success is an answer that broke off, and the stream goes on elsewhere or ends early.

TestEmptySuccessDoesNotEndStream was red in its 5 parts. An empty body with status 200 still ends a stream that is resumed: a run may have ended with the last event that the caller has.

--- a/coordination/forward/delivery.go
+++ b/coordination/forward/delivery.go
@@ -24,6 +24,8 @@
 
 // The statuses that decide how a response is handled.
 const (
+	// statusOK is the status of a stream. Other successes have no body, or not the whole one.
+	statusOK = 200
 	// lowestRedirectStatus is the lowest status that is no success.
 	lowestRedirectStatus  = 300
 	statusBadRequest      = 400
@@ -87,8 +89,8 @@
 		return errContradiction
 	case isSuccess && head.IsEncoded:
 		return errEncoded
-	case p.isStream(head) && !head.IsEventStream:
-		return fmt.Errorf("%w: content type is %q", errNoEventStream, head.ContentType)
+	case p.isStream(head) && (head.Status != statusOK || !head.IsEventStream):
+		return fmt.Errorf("%w: status is %d, content type is %q", errNoEventStream, head.Status, head.ContentType)
 	case !p.isStream(head) && p.client.ResponseStarted():
 		return fmt.Errorf("%w: status is %d", errNotContinuable, head.Status)
 	}
--- a/transport/front/foreignhead_test.go
+++ b/transport/front/foreignhead_test.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -50,3 +52,24 @@
 	c.Check(answer.StatusCode, quicktest.Equals, http.StatusBadGateway)
 	c.Check(b.count(), quicktest.Equals, 1)
 }
+
+// TestEmptySuccessDoesNotEndStream guards against a stream that looks complete to its caller before
+// its last event, because the server that goes on with it answers without a body.
+func TestEmptySuccessDoesNotEndStream(t *testing.T) {
+	for _, status := range []int{201, 202, 204, 205, 206} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			c := quicktest.New(t)
+			b := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool {
+				if r.Header.Get("Last-Event-Id") == "" {
+					return stream(conn, r, 1, 2, true)
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n",
+					status, r.Header.Get("X-Attempt-Id"))
+				return true
+			})
+			_, body, err := sendRequest(startFront(c, syncedViews(), b), "POST", "/stream/x", "")
+			c.Check(errors.Is(err, io.ErrUnexpectedEOF), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			c.Check(body, quicktest.Equals, pieces(1, 2))
+		})
+	}
+}
