forward: the id of an event is a plain decimal number

An event with the id "+3", "003" or 900,000 zeros and a 3 passed as the third one of its stream, from a server that sends garbage.

An id has no sign and no leading zeros now.

--- a/coordination/forward/eventorder.go
+++ b/coordination/forward/eventorder.go
@@ -75,8 +75,9 @@
 	return nil
 }
 
-// eventNumber returns the number in the id of an event, which is at least 0.
+// eventNumber returns the number in the id of an event. It is at least 0 and has neither a sign
+// nor leading zeros, so that no id is long and none has two forms.
 func eventNumber(id string) (number int64, ok bool) {
 	number, err := strconv.ParseInt(id, 10, 64)
-	return number, err == nil && number >= 0
+	return number, err == nil && number >= 0 && strconv.FormatInt(number, 10) == id
 }
