forward, front: close the connection of an answer that is none to the request

After an answer that is no stream, its connection was kept, and the next send of the request could go over it. A server may send an extra answer late; the id of the request, which tells answers apart, is the same in both sends, so that the extra one would be taken for the answer to the second send.

Such answers are aborted now, also those without one signature. That a success is signed is checked with the rest of the head in forward, not in transport.

TestConnectionOfForeignAnswerIsClosed was red: both sends used one connection.

--- a/coordination/forward/delivery.go
+++ b/coordination/forward/delivery.go
@@ -15,6 +15,8 @@
 	errNoEventStream = errors.New("response is no event stream")
 	// errNotContinuable means that a response cannot follow the part that the client has.
 	errNotContinuable = errors.New("response cannot continue the one that has begun")
+	// errNotSigned means that a success has no signature, or several.
+	errNotSigned = errors.New("successful response has not one signature")
 	// errEncoded means that the body of a success is encoded, which clients do not ask for.
 	errEncoded = errors.New("successful response has a content encoding")
 	// errContradiction means that a server calls a request not executed that it answers with a
@@ -66,7 +68,7 @@
 // response does not decide how it is checked, because a faulty server may call it anything.
 func (p *progress) passOn(ctx context.Context, response Response, head ResponseHead) error {
 	if err := p.checkHead(head); err != nil {
-		response.Discard()
+		response.Abort()
 		return &IncompleteError{Cause: err}
 	}
 	if p.isStream(head) {
@@ -87,6 +89,8 @@
 	switch {
 	case isSuccess && head.NotRun:
 		return errContradiction
+	case isSuccess && !head.IsSigned:
+		return errNotSigned
 	case isSuccess && head.IsEncoded:
 		return errEncoded
 	case p.isStream(head) && (head.Status != statusOK || !head.IsEventStream):
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -61,6 +61,8 @@
 	// says that it is that of a stream.
 	ContentType   string
 	IsEventStream bool
+	// IsSigned means that the response has one signature, as each success has.
+	IsSigned bool
 	// IsEncoded means that the body is encoded, for example compressed.
 	IsEncoded bool
 	// NotRun means that the server states that it did not execute the request. ProvesNotRun
@@ -101,7 +103,7 @@
 }
 
 // A Response is a server's response that has not been passed to the client yet.
-// Exactly one of DeliverStream, DeliverBody and Discard is called.
+// Exactly one of DeliverStream, DeliverBody, Discard and Abort is called.
 type Response interface {
 	Head() ResponseHead
 	// DeliverStream passes the events of a stream on to the client. It checks each with
@@ -111,8 +113,11 @@
 	// DeliverBody passes the response on to the client with its body as it is. It is not
 	// called once the client has a part of a response. Its error is an *IncompleteError.
 	DeliverBody(ctx context.Context) error
-	// Discard drops the response.
+	// Discard drops the response. Its connection may carry further requests.
 	Discard()
+	// Abort drops a response that is not one to the request, and closes its connection. A late
+	// answer on it could be taken for that of the next send, which has the same id.
+	Abort()
 }
 
 // A DeliveryObserver decides which events the client of a request gets, and is told of
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -106,6 +106,7 @@
 func (e fakeResponse) DeliverBody(context.Context) error                     { return e.err }
 func (e fakeResponse) DeliverStream(context.Context, DeliveryObserver) error { return e.err }
 func (e fakeResponse) Discard()                                              {}
+func (e fakeResponse) Abort()                                                {}
 
 // forward sends one request for an adapter through a Forwarder and returns its
 // error and how long it took.
@@ -164,7 +165,7 @@
 				c := quicktest.New(t)
 				r := newFakeSystem(chatRoute)
 				r.onSend = func(int) (Response, error) {
-					return fakeResponse{head: ResponseHead{Status: 200, IsEventStream: true}}, nil
+					return fakeResponse{head: ResponseHead{Status: 200, IsSigned: true, IsEventStream: true}}, nil
 				}
 				chosen := r.view.Servers["e"]
 				ctx, leave := context.WithCancel(context.Background())
@@ -204,7 +205,7 @@
 		r := newFakeSystem(chatRoute)
 		r.onPlace = waitForDeadline
 		r.onSend = func(int) (Response, error) {
-			return fakeResponse{head: ResponseHead{Status: 200, IsEventStream: true}}, nil
+			return fakeResponse{head: ResponseHead{Status: 200, IsSigned: true, IsEventStream: true}}, nil
 		}
 		failure, took := r.forward()
 		c.Assert(failure == nil, quicktest.IsTrue)
@@ -248,7 +249,7 @@
 		var sentAfter time.Duration
 		r.onSend = func(int) (Response, error) {
 			sentAfter = time.Since(began)
-			return fakeResponse{head: ResponseHead{Status: 200, IsEventStream: true}}, nil
+			return fakeResponse{head: ResponseHead{Status: 200, IsSigned: true, IsEventStream: true}}, nil
 		}
 		_, took := r.forward()
 		c.Assert(took <= 1900*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s", took))
@@ -266,7 +267,7 @@
 			if n == 1 {
 				return fakeResponse{head: ResponseHead{Status: 421, Misdirected: true, FromExpectedServer: true}}, nil
 			}
-			return fakeResponse{head: ResponseHead{Status: 200, IsEventStream: true}}, nil
+			return fakeResponse{head: ResponseHead{Status: 200, IsSigned: true, IsEventStream: true}}, nil
 		}
 		failure, _ := r.forward()
 		c.Assert(failure == nil, quicktest.IsTrue)
@@ -339,8 +340,11 @@
 // A brokenResponse delivers events and then breaks off.
 type brokenResponse struct{ events int }
 
-func (b brokenResponse) Head() ResponseHead { return ResponseHead{Status: 200, IsEventStream: true} }
-func (b brokenResponse) Discard()           {}
+func (b brokenResponse) Head() ResponseHead {
+	return ResponseHead{Status: 200, IsSigned: true, IsEventStream: true}
+}
+func (b brokenResponse) Discard() {}
+func (b brokenResponse) Abort()   {}
 func (b brokenResponse) DeliverBody(context.Context) error {
 	return &IncompleteError{Cause: io.ErrUnexpectedEOF}
 }
--- a/coordination/forward/ratelimit_test.go
+++ b/coordination/forward/ratelimit_test.go
@@ -186,7 +186,7 @@
 	e.site.mutex.Lock()
 	defer e.site.mutex.Unlock()
 	e.site.arrivals[server.ID] = append(e.site.arrivals[server.ID], time.Now())
-	head := ResponseHead{Status: 200, IsEventStream: true}
+	head := ResponseHead{Status: 200, IsSigned: true, IsEventStream: true}
 	if e.site.limited {
 		head.RateLimit = testLimit
 	}
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -184,6 +184,8 @@
 		Misdirected: r.incoming.StatusCode == http.StatusMisdirectedRequest,
 	}
 	head.IsEventStream = platform.IsEventStream(head.ContentType)
+	signatures := r.incoming.Header.Values(platform.HeaderResponseSignature)
+	head.IsSigned = len(signatures) == 1 && signatures[0] != ""
 	head.IsEncoded = len(r.incoming.Header.Values("Content-Encoding")) > 0
 	instanceID := r.incoming.Header.Get(platform.HeaderInstanceID)
 	head.FromExpectedServer = instanceID == "" || instanceID == r.expectedServer
@@ -201,9 +203,10 @@
 	r.incoming.DiscardBody()
 }
 
-// errNoSignature means that a successful response has not exactly one value of the header
-// platform.HeaderResponseSignature.
-var errNoSignature = errors.New("successful response has not one X-Response-Signature header")
+// Abort drops the response and closes its connection.
+func (r *response) Abort() {
+	r.incoming.Finish(false)
+}
 
 // DeliverStream sends the events of a stream to the caller. The error is a
 // *forward.IncompleteError.
@@ -217,17 +220,10 @@
 	return r.deliver(r.deliverWhole)
 }
 
-// deliver runs send and releases the connection. A success without a signature, or with several,
-// is not sent.
+// deliver runs send and releases the connection.
 func (r *response) deliver(send func() error) error {
-	in := r.incoming
-	signatures := in.Header.Values(platform.HeaderResponseSignature)
-	if in.StatusCode < http.StatusMultipleChoices && (len(signatures) != 1 || signatures[0] == "") {
-		in.Finish(false)
-		return &forward.IncompleteError{Cause: errNoSignature}
-	}
 	err := send()
-	in.Finish(err == nil)
+	r.incoming.Finish(err == nil)
 	var incomplete *forward.IncompleteError
 	if errors.As(err, &incomplete) {
 		incomplete.DeliveredBytes = r.deliveredBytes
--- a/transport/front/foreignform_test.go
+++ b/transport/front/foreignform_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/frankban/quicktest"
@@ -156,3 +157,34 @@
 	c.Check(broken.count() > 0, quicktest.IsTrue)
 	c.Check(broken.count()+sound.count(), quicktest.Equals, 4)
 }
+
+// TestConnectionOfForeignAnswerIsClosed guards against an answer that comes late, to a send before,
+// and is taken for that of the next send: both have the attempt id of the request.
+func TestConnectionOfForeignAnswerIsClosed(t *testing.T) {
+	c := quicktest.New(t)
+	var mutex sync.Mutex
+	conns := make(map[net.Conn]bool)
+	b := startBackend(c, func(n int, conn net.Conn, r *http.Request) bool {
+		mutex.Lock()
+		conns[conn] = true
+		mutex.Unlock()
+		switch {
+		case r.Header.Get("X-Attempt-Id") == "first":
+			writeChunkedStream(conn, r, pieces(1, 2))
+		case n == 2:
+			writeTyped(conn, r, "", "garbage")
+		default:
+			writeChunkedStream(conn, r, pieces(1, 3))
+		}
+		return true
+	})
+	front := startFront(c, syncedViews(), b)
+	_, _, err := sendRequestAs("first", front, "POST", "/stream/x", "")
+	c.Assert(err, quicktest.IsNil)
+	_, body, err := sendRequest(front, "POST", "/stream/x", "")
+	c.Assert(err, quicktest.IsNil)
+	c.Check(body, quicktest.Equals, pieces(1, 3))
+	mutex.Lock()
+	defer mutex.Unlock()
+	c.Check(conns, quicktest.HasLen, 2)
+}
