front: a server cannot have the signature of its answer dropped

A server that named X-Response-Signature or Content-Type in its Connection header had them dropped as headers of one connection. The caller then got a success without a signature, although the host had seen one.

Both are passed on whatever the Connection header says, as the id of the request was before. TestConnectionHeaderKeepsSignature was red on the three kinds of route.

--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -124,7 +124,8 @@
 func mustForward(name string) bool {
 	switch name {
 	case textproto.CanonicalMIMEHeaderKey(platform.HeaderAttemptID), textproto.CanonicalMIMEHeaderKey(platform.HeaderModel),
-		textproto.CanonicalMIMEHeaderKey(platform.HeaderTokenCounts), textproto.CanonicalMIMEHeaderKey(platform.HeaderPromptPrefix):
+		textproto.CanonicalMIMEHeaderKey(platform.HeaderTokenCounts), textproto.CanonicalMIMEHeaderKey(platform.HeaderPromptPrefix),
+		textproto.CanonicalMIMEHeaderKey(platform.HeaderResponseSignature), "Content-Type":
 		return true
 	}
 	return false
--- a/transport/front/foreignhead_test.go
+++ b/transport/front/foreignhead_test.go
@@ -73,3 +73,22 @@
 		})
 	}
 }
+
+// TestConnectionHeaderKeepsSignature guards against a success without its signature or its type,
+// because the server names these headers as those of one connection only.
+func TestConnectionHeaderKeepsSignature(t *testing.T) {
+	c := quicktest.New(t)
+	b := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool {
+		fmt.Fprintf(conn, "%sConnection: x-response-signature, Content-Type, X-Attempt-Id, X-Drop\r\nX-Drop: 1\r\nContent-Length: %d\r\n\r\n%s", framedStreamHead(r), len(pieces(1, 3)), pieces(1, 3))
+		return true
+	})
+	for _, target := range []string{"/once/x", "/stream/x", "/unsafe/x"} {
+		answer, body, err := sendRequest(startFront(c, syncedViews(), b), "POST", target, "")
+		c.Assert(err, quicktest.IsNil)
+		c.Check(body, quicktest.Equals, pieces(1, 3))
+		c.Check(answer.Header.Get("X-Response-Signature"), quicktest.Equals, "s")
+		c.Check(answer.Header.Get("Content-Type"), quicktest.Equals, "text/event-stream")
+		c.Check(answer.Header.Get("X-Attempt-Id"), quicktest.Equals, "id-1")
+		c.Check(answer.Header.Get("X-Drop"), quicktest.Equals, "")
+	}
+}
