front: the end of a body reaches its caller after a pause over 5 s

A caller had all events of a stream and then a closed connection in place of the end, if the end came more than 5 s after the last event. Each write sets a deadline; the end of the body is written by net/http after the handler, with the deadline of the last write, which was over.

The deadline is set anew before the handler ends. TestEndAfterLongPauseReachesCaller was red for a stream and for a large body.

--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -224,6 +224,8 @@
 // deliver runs send and releases the connection.
 func (r *response) deliver(send func() error) error {
 	err := send()
+	// net/http writes the end of the body after this.
+	r.extendWriteDeadline()
 	r.incoming.Finish(err == nil)
 	var incomplete *forward.IncompleteError
 	if errors.As(err, &incomplete) {
@@ -266,8 +268,7 @@
 
 // write sends data to the caller within callerWriteTimeout.
 func (r *response) write(data []byte) error {
-	controller := http.NewResponseController(r.exchange.writer)
-	_ = controller.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	r.extendWriteDeadline()
 	n, err := r.exchange.writer.Write(data)
 	r.deliveredBytes += int64(n)
 	if err != nil {
@@ -275,3 +276,9 @@
 	}
 	return nil
 }
+
+// extendWriteDeadline gives the next write to the caller callerWriteTimeout.
+func (r *response) extendWriteDeadline() {
+	// Without a deadline a write still ends with the connection.
+	_ = http.NewResponseController(r.exchange.writer).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+}
