forward: bound what a log line has of a server's garbage, and name the route

The id of a foreign event stood whole in the line "answer broke off", and the content type twice. The line did not name the route, so that nobody could see that its answer had to be a stream.

Texts that a server chose are cut to 64 bytes, and the line has the route. TestGarbageDoesNotFillLog was red in both parts, and so was TestBrokenAnswerLineNamesWhatItsCallerGot with the route.

--- a/coordination/forward/delivery.go
+++ b/coordination/forward/delivery.go
@@ -37,6 +37,17 @@
 	statusUnavailable     = 503
 )
 
+// maxLoggedBytes bounds what an error or a log line has of a text that a server chose.
+const maxLoggedBytes = 64
+
+// shortened returns the text, or its begin if it is longer than maxLoggedBytes.
+func shortened(text string) string {
+	if len(text) <= maxLoggedBytes {
+		return text
+	}
+	return text[:maxLoggedBytes] + "..."
+}
+
 // deliver passes the response on to the client. If the server ends the response
 // early, the server is avoided, and run tries another one if the route allows
 // another attempt.
@@ -53,14 +64,14 @@
 	delivered := int64(0)
 	if errors.As(err, &incomplete) {
 		delivered = incomplete.DeliveredBytes
+		if !incomplete.ClientGone && ctx.Err() == nil {
+			f.Balancer.RecordFailure(server)
+			p.tried = append(p.tried, server.ID)
+			f.recordInterruption(ctx, p, server)
+		}
 	}
-	if incomplete != nil && !incomplete.ClientGone && ctx.Err() == nil {
-		f.Balancer.RecordFailure(server)
-		p.tried = append(p.tried, server.ID)
-		f.recordInterruption(ctx, p, server)
-	}
-	f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Strs("prompt-parts", p.request.PromptParts).
-		Int("sends", p.sends).Int("events", p.events).Str("content-type", head.ContentType).Int64("delivered-bytes", delivered).Err(err).Msg("answer broke off")
+	f.Log.Info().Str("request", p.request.AttemptID).Str("route", p.route.Name).Str("server", string(server.ID)).Strs("prompt-parts", p.request.PromptParts).
+		Int("sends", p.sends).Int("events", p.events).Str("content-type", shortened(head.ContentType)).Int64("delivered-bytes", delivered).Err(err).Msg("answer broke off")
 	return blockedFailure(ctx, server, verdict.NewMayHaveRun(verdict.CodeIncomplete, err, "response of server %s ended early", server.ID))
 }
 
@@ -94,7 +105,7 @@
 	case isSuccess && head.IsEncoded:
 		return errEncoded
 	case p.isStream(head) && (head.Status != statusOK || !head.IsEventStream):
-		return fmt.Errorf("%w: status is %d, content type is %q", errNoEventStream, head.Status, head.ContentType)
+		return fmt.Errorf("%w: status is %d, content type is %q", errNoEventStream, head.Status, shortened(head.ContentType))
 	case !p.isStream(head) && p.client.ResponseStarted():
 		return fmt.Errorf("%w: status is %d", errNotContinuable, head.Status)
 	}
--- a/coordination/forward/eventorder.go
+++ b/coordination/forward/eventorder.go
@@ -50,7 +50,7 @@
 	}
 	number, ok := eventNumber(event.ID)
 	if !ok {
-		return fmt.Errorf("stream event has id %q, expected a number", event.ID)
+		return fmt.Errorf("stream event has id %q, expected a number", shortened(event.ID))
 	}
 	if number <= o.last {
 		return fmt.Errorf("stream event has id %d after %d", number, o.last)
