front: an answer of comments alone has nothing for its caller

A server that was asked to go on with a stream and sent comments, reconnection times or empty lines only, up to 8 KiB, had them passed on as the end of a complete answer. A client that counts blocks at empty lines finds a piece without an id there.

They go with the event that follows, or with the end of a stream that has one; an answer without any event has ended, and its caller gets nothing of it. IsEmpty and the names with comments replace "filler", which is no word of the format.

--- a/coordination/forward/eventorder.go
+++ b/coordination/forward/eventorder.go
@@ -45,7 +45,7 @@
 	if event.IsMalformed {
 		return errMalformedEvent
 	}
-	if event.IsFiller {
+	if event.IsEmpty {
 		return nil
 	}
 	number, ok := eventNumber(event.ID)
--- a/state/site/streamevent.go
+++ b/state/site/streamevent.go
@@ -6,9 +6,9 @@
 	ID string
 	// HasData says that the event carries a part of the answer.
 	HasData bool
-	// IsFiller says that the event consists of comments, reconnection times and empty
+	// IsEmpty says that the event consists of comments, reconnection times and empty
 	// lines. It says nothing about the answer.
-	IsFiller bool
+	IsEmpty bool
 	// IsMalformed says that the event has several ids, a line that is no field, a comment that
 	// is no text, a reconnection time that is no number, or a line that ends with a carriage
 	// return alone.
--- a/transport/front/filler_test.go
+++ b/transport/front/comment_test.go
@@ -14,11 +14,11 @@
 	"github.com/frankban/quicktest"
 )
 
-// TestFillerOfFaultyServerIsNotPassedOn guards against comments, reconnection times and empty
+// TestCommentsOfFaultyServerAreNotPassedOn guards against comments, reconnection times and empty
 // lines that a faulty server sends within a stream without measure, or before bytes that are no
 // event, and that reach the caller where the next event is due.
-func TestFillerOfFaultyServerIsNotPassedOn(t *testing.T) {
-	for _, test := range []struct{ name, filler, rest string }{
+func TestCommentsOfFaultyServerAreNotPassedOn(t *testing.T) {
+	for _, test := range []struct{ name, comments, rest string }{
 		{"many comments", strings.Repeat(": garbage\n\n", 10_000), pieces(3, 5)},
 		{"many reconnection times", strings.Repeat("retry: 10\n\n", 10_000), pieces(3, 5)},
 		{"many empty lines", strings.Repeat("\n", 100_000), pieces(3, 5)},
@@ -34,7 +34,7 @@
 					writeChunkedStream(conn, r, pieces(3, 5))
 					return true
 				}
-				writeChunkedStream(conn, r, pieces(1, 2)+test.filler+test.rest)
+				writeChunkedStream(conn, r, pieces(1, 2)+test.comments+test.rest)
 				return true
 			})
 			front := startFront(c, syncedViews(), b)
@@ -48,9 +48,9 @@
 	}
 }
 
-// TestFillerDoesNotHoldBackEvents guards against an event that its caller gets only with the next
+// TestCommentDoesNotHoldBackEvents guards against an event that its caller gets only with the next
 // one, because a comment follows it in the same packet.
-func TestFillerDoesNotHoldBackEvents(t *testing.T) {
+func TestCommentDoesNotHoldBackEvents(t *testing.T) {
 	c := quicktest.New(t)
 	received := make(chan struct{})
 	b := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool {
@@ -90,6 +90,29 @@
 	return fmt.Sprintf("%s and %d bytes more", text[:most], len(text)-most)
 }
 
+// TestCommentsAloneAreNotPassedOn guards against an answer that has nothing of the run, from a
+// server that is asked to go on with a stream.
+func TestCommentsAloneAreNotPassedOn(t *testing.T) {
+	for _, comments := range []string{": garbage\n\n", strings.Repeat("retry: 10\n\n", 700), strings.Repeat("\n", 8000)} {
+		c := quicktest.New(t)
+		b := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool {
+			if r.Header.Get("Last-Event-Id") == "" {
+				return stream(conn, r, 1, 2, true)
+			}
+			writeChunkedStream(conn, r, comments)
+			return true
+		})
+		front := startFront(c, syncedViews(), b)
+		_, body, err := sendRequest(front, "POST", "/stream/x", "")
+		c.Check(err, quicktest.IsNil)
+		c.Check(shortened(body), quicktest.Equals, pieces(1, 2))
+		answer, body, err := sendRequest(front, "POST", "/once/x", "", "Last-Event-Id: 2")
+		c.Check(err, quicktest.IsNil)
+		c.Check(answer.StatusCode, quicktest.Equals, http.StatusOK)
+		c.Check(shortened(body), quicktest.Equals, "")
+	}
+}
+
 // TestCommentsOfLongStreamArePassedOn guards against a bound on the comments of a whole stream,
 // which breaks off long streams with a comment now and then.
 func TestCommentsOfLongStreamArePassedOn(t *testing.T) {
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -10,18 +10,19 @@
 	"github.com/persimmonmux/persimmonmux/platform"
 )
 
-// maxFillerBytes bounds the comments, reconnection times and empty lines before an event of a
+// maxCommentBytes bounds the comments, reconnection times and empty lines before an event of a
 // stream.
-const maxFillerBytes = 8 << 10
+const maxCommentBytes = 8 << 10
 
-// errFillerTooLarge means that they exceed maxFillerBytes.
-var errFillerTooLarge = errors.New("stream has more than 8 KiB between two events")
+// errCommentsTooLarge means that they exceed maxCommentBytes.
+var errCommentsTooLarge = errors.New("stream has more than 8 KiB between two events")
 
 // deliverStream sends the events of a stream to the caller as they arrive. Only complete
 // events are sent, so that a stream that breaks off within an event can be resumed after the
 // last complete one. The answer begins with the first event that has data: up to then the
-// request may still go to another server, or fail with a status. What a stream has between its
-// events is sent with the next one, because nothing shows before that it is not garbage.
+// request may still go to another server, or fail with a status. Comments are sent with the event
+// that follows them, or at the end of a stream that has an event: they may be garbage, which only
+// shows by what follows.
 func (r *response) deliverStream(observer forward.DeliveryObserver) error {
 	events := &eventReader{source: bufio.NewReader(r.body()), held: r.reservation()}
 	defer events.close()
@@ -34,15 +35,19 @@
 
 // passEvents sends events until the stream ends.
 func (r *response) passEvents(events *eventReader, observer forward.DeliveryObserver) error {
-	// filler holds the comments, reconnection times and empty lines since the last event.
-	var filler []byte
+	// comments holds the comments, reconnection times and empty lines since the last event.
+	var comments []byte
+	hasEvent := false
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
 			if err := observer.CheckEnd(); err != nil {
 				return &forward.IncompleteError{Cause: err}
 			}
-			return r.deliverEvents(filler, true)
+			if !hasEvent {
+				comments = nil
+			}
+			return r.deliverEvents(comments, true)
 		}
 		if err != nil {
 			return &forward.IncompleteError{Cause: err}
@@ -51,22 +56,26 @@
 		if err := observer.CheckEvent(decoded); err != nil {
 			return &forward.IncompleteError{Cause: err}
 		}
-		if decoded.IsFiller {
-			if len(filler)+len(event) > maxFillerBytes {
-				return &forward.IncompleteError{Cause: errFillerTooLarge}
+		if decoded.IsEmpty {
+			if len(comments)+len(event) > maxCommentBytes {
+				return &forward.IncompleteError{Cause: errCommentsTooLarge}
 			}
-			filler = append(filler, event...)
+			comments = append(comments, event...)
 			if !events.hasNext() {
 				r.flushDelivered()
 			}
 			continue
 		}
-		if len(filler) > 0 {
-			event, filler = append(filler, event...), nil
+		if len(comments) > 0 {
+			if err := r.deliverEvents(comments, false); err != nil {
+				return err
+			}
+			comments = nil
 		}
 		if err := r.deliverEvents(event, !events.hasNext()); err != nil {
 			return err
 		}
+		hasEvent = true
 		r.exchange.lastEventID = decoded.ID
 		observer.EventDelivered()
 	}
