forward, front: split the delivery of a stream, count its events once

passEvents held five steps of a stream; streamDelivery has a method for each. eventOrder counted the events of a request beside progress, and its comment was wrong after a Last-Event-Id of the caller; progress checks its own count now. hasTooManyEvents says what isUnsound meant, and ResponseHead.IsSuccess replaces three comparisons with 300. Behaviour is unchanged.

--- a/coordination/forward/delivery.go
+++ b/coordination/forward/delivery.go
@@ -28,7 +28,7 @@
 const (
 	// statusOK is the status of a stream. Other successes have no body, or not the whole one.
 	statusOK = 200
-	// lowestRedirectStatus is the lowest status that is no success.
+	// lowestRedirectStatus is the status above those of successes.
 	lowestRedirectStatus  = 300
 	statusBadRequest      = 400
 	statusRequestTimeout  = 408
@@ -55,7 +55,7 @@
 	p.waitingFor = waitingForEnd
 	err := p.passOn(ctx, response, head)
 	if err == nil {
-		if head.Status < lowestRedirectStatus {
+		if head.IsSuccess() {
 			p.recordBegun()
 		}
 		return nil
@@ -90,13 +90,13 @@
 
 // isStream reports whether the response has to be a stream.
 func (p *progress) isStream(head ResponseHead) bool {
-	return p.route.Kind == site.Streaming && head.Status < lowestRedirectStatus
+	return p.route.Kind == site.Streaming && head.IsSuccess()
 }
 
 // checkHead returns an error if the response is none that a server has for the request, or none
 // that may follow what the client has.
 func (p *progress) checkHead(head ResponseHead) error {
-	isSuccess := head.Status < lowestRedirectStatus
+	isSuccess := head.IsSuccess()
 	switch {
 	case isSuccess && head.NotRun:
 		return errContradiction
--- a/coordination/forward/eventorder.go
+++ b/coordination/forward/eventorder.go
@@ -9,7 +9,8 @@
 )
 
 var (
-	// errMalformedEvent means that an event has several ids, or lines that are no fields.
+	// errMalformedEvent means that an event has lines that a run does not write; see
+	// site.StreamEvent.
 	errMalformedEvent = errors.New("stream event is malformed")
 	// errEventWithoutData means that an event has no part of the answer.
 	errEventWithoutData = errors.New("stream event has no data")
@@ -24,20 +25,18 @@
 // number as its id, and the numbers increase. A run may leave numbers out. A faulty server may
 // send other events, in a stream that is framed properly.
 type eventOrder struct {
-	// maxEvents is the largest number of events that a run can make, or 0 if it is unknown: each
-	// has at least one token. events is how many the client has.
-	maxEvents, events int
 	// last is the number of the last event that the client has, or -1.
 	last int64
 }
 
-// newEventOrder returns the eventOrder of a request.
-func newEventOrder(request *Request) eventOrder {
-	last, ok := eventNumber(request.LastEventID)
+// newEventOrder returns the eventOrder of a request. lastEventID is the last event that the
+// client has from an earlier request, or empty.
+func newEventOrder(lastEventID string) eventOrder {
+	last, ok := eventNumber(lastEventID)
 	if !ok {
 		last = -1
 	}
-	return eventOrder{maxEvents: request.MaxOutputTokens, last: last}
+	return eventOrder{last: last}
 }
 
 // check returns an error if the event does not continue the stream.
@@ -58,10 +57,6 @@
 	if !event.HasData {
 		return errEventWithoutData
 	}
-	if o.maxEvents > 0 && o.events >= o.maxEvents {
-		return errTooManyEvents
-	}
-	o.events++
 	o.last = number
 	return nil
 }
--- a/coordination/forward/eventorder_test.go
+++ b/coordination/forward/eventorder_test.go
@@ -12,7 +12,7 @@
 // sends events again that the client has.
 func TestEventsContinueAtAnotherServer(t *testing.T) {
 	c := quicktest.New(t)
-	order := newEventOrder(&Request{})
+	order := newEventOrder("")
 	for _, test := range []struct {
 		id      string
 		isSound bool
@@ -26,9 +26,9 @@
 // before its last event, and against an id of a client that lets every event fail.
 func TestEventOrderOfResumedRequest(t *testing.T) {
 	c := quicktest.New(t)
-	order := newEventOrder(&Request{LastEventID: "7"})
+	order := newEventOrder("7")
 	c.Check(order.check(site.StreamEvent{ID: "7", HasData: true}), quicktest.ErrorMatches, "stream event has id 7 after 7")
 	c.Check(order.check(site.StreamEvent{ID: "8", HasData: true}), quicktest.IsNil)
-	order = newEventOrder(&Request{LastEventID: "not a number"})
+	order = newEventOrder("not a number")
 	c.Check(order.check(site.StreamEvent{ID: "0", HasData: true}), quicktest.IsNil)
 }
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -85,6 +85,11 @@
 	Pause time.Duration
 }
 
+// IsSuccess reports whether the status is that of a success.
+func (h ResponseHead) IsSuccess() bool {
+	return h.Status < lowestRedirectStatus
+}
+
 // ProvesNotRun reports whether the response proves that the request did not run. A server refuses
 // only with the statuses of refusals; that it did not execute a request that it answers with
 // another status contradicts that status.
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -158,7 +158,7 @@
 	}
 	p := &progress{
 		request: request, client: client, route: route, service: pickWeightedService(route),
-		quarantine: f.Quarantine, traits: request.traits(), order: newEventOrder(request),
+		quarantine: f.Quarantine, traits: request.traits(), order: newEventOrder(request.LastEventID),
 	}
 	limit := route.Timeout
 	if request.MaxWait > 0 && request.MaxWait < limit {
@@ -267,7 +267,7 @@
 	if p.mayHaveRun && !p.route.Repeatable() {
 		return false
 	}
-	if p.isUnsound || p.client.ResponseStarted() && p.route.Kind != site.Streaming {
+	if p.hasTooManyEvents || p.client.ResponseStarted() && p.route.Kind != site.Streaming {
 		// Nothing can continue what the client has.
 		return false
 	}
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"errors"
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -66,8 +65,9 @@
 	// sends. answerBegun means that the request is known not to crash its server.
 	events      int
 	answerBegun bool
-	// isUnsound says that the client has events that no run made. Nothing may continue them.
-	isUnsound bool
+	// hasTooManyEvents means that the client has events that no run made, so that nothing may
+	// continue them.
+	hasTooManyEvents bool
 }
 
 // begunEvents is the number of events from which an answer counts as begun. A server that
@@ -77,9 +77,15 @@
 // CheckEvent returns an error if the event does not continue the stream that the client
 // has received so far.
 func (p *progress) CheckEvent(event site.StreamEvent) error {
-	err := p.order.check(event)
-	p.isUnsound = p.isUnsound || errors.Is(err, errTooManyEvents)
-	return err
+	if err := p.order.check(event); err != nil {
+		return err
+	}
+	// Each event has at least one token.
+	if limit := p.request.MaxOutputTokens; limit > 0 && p.events >= limit && !event.IsEmpty {
+		p.hasTooManyEvents = true
+		return errTooManyEvents
+	}
+	return nil
 }
 
 // CheckEnd returns an error if the stream cannot be complete with the events that the client
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -20,65 +20,96 @@
 // deliverStream sends the events of a stream to the caller as they arrive. Only complete
 // events are sent, so that a stream that breaks off within an event can be resumed after the
 // last complete one. The answer begins with the first event that has data: up to then the
-// request may still go to another server, or fail with a status. Comments are sent with the event
-// that follows them, or at the end of a stream that has an event: they may be garbage, which only
-// shows by what follows.
+// request may still go to another server, or fail with a status.
 func (r *response) deliverStream(observer forward.DeliveryObserver) error {
-	events := &eventReader{source: bufio.NewReader(r.body()), held: r.reservation()}
-	defer events.close()
-	err := r.passEvents(events, observer)
+	d := &streamDelivery{
+		response: r, observer: observer,
+		events: &eventReader{source: bufio.NewReader(r.body()), held: r.reservation()},
+	}
+	defer d.events.close()
+	err := d.run()
 	if err != nil {
 		r.flushDelivered()
 	}
 	return err
 }
 
-// passEvents sends events until the stream ends.
-func (r *response) passEvents(events *eventReader, observer forward.DeliveryObserver) error {
+// A streamDelivery sends one server's part of a stream to the caller.
+type streamDelivery struct {
+	response *response
+	observer forward.DeliveryObserver
+	events   *eventReader
 	// comments holds the comments, reconnection times and empty lines since the last event.
-	var comments []byte
-	hasEvent := false
+	// They are sent with the event that follows them, or at the end of a stream that has an
+	// event: they may be garbage, which only shows by what follows.
+	comments []byte
+	// hasEvent says that an event with data was sent.
+	hasEvent bool
+}
+
+// run sends events until the stream ends. Its error is a *forward.IncompleteError.
+func (d *streamDelivery) run() error {
 	for {
-		event, err := events.next()
+		event, err := d.events.next()
 		if errors.Is(err, io.EOF) {
-			if err := observer.CheckEnd(); err != nil {
-				return &forward.IncompleteError{Cause: err}
-			}
-			if !hasEvent {
-				comments = nil
-			}
-			return r.deliverEvents(comments, true)
+			return d.finish()
 		}
 		if err != nil {
 			return &forward.IncompleteError{Cause: err}
 		}
 		decoded := platform.DecodeEvent(event)
-		if err := observer.CheckEvent(decoded); err != nil {
+		if err := d.observer.CheckEvent(decoded); err != nil {
 			return &forward.IncompleteError{Cause: err}
 		}
 		if decoded.IsEmpty {
-			if len(comments)+len(event) > maxCommentBytes {
-				return &forward.IncompleteError{Cause: errCommentsTooLarge}
-			}
-			comments = append(comments, event...)
-			if !events.hasNext() {
-				r.flushDelivered()
-			}
-			continue
+			err = d.holdComments(event)
+		} else {
+			err = d.send(event, decoded.ID)
 		}
-		if len(comments) > 0 {
-			if err := r.deliverEvents(comments, false); err != nil {
-				return err
-			}
-			comments = nil
+		if err != nil {
+			return err
 		}
-		if err := r.deliverEvents(event, !events.hasNext()); err != nil {
+	}
+}
+
+// holdComments keeps an event without fields for later.
+func (d *streamDelivery) holdComments(event []byte) error {
+	if len(d.comments)+len(event) > maxCommentBytes {
+		return &forward.IncompleteError{Cause: errCommentsTooLarge}
+	}
+	d.comments = append(d.comments, event...)
+	if !d.events.hasNext() {
+		d.response.flushDelivered()
+	}
+	return nil
+}
+
+// send sends an event with the comments before it.
+func (d *streamDelivery) send(event []byte, id string) error {
+	if len(d.comments) > 0 {
+		if err := d.response.deliverEvents(d.comments, false); err != nil {
 			return err
 		}
-		hasEvent = true
-		r.exchange.lastEventID = decoded.ID
-		observer.EventDelivered()
+		d.comments = nil
+	}
+	if err := d.response.deliverEvents(event, !d.events.hasNext()); err != nil {
+		return err
+	}
+	d.hasEvent = true
+	d.response.exchange.lastEventID = id
+	d.observer.EventDelivered()
+	return nil
+}
+
+// finish ends a stream that the server ended properly.
+func (d *streamDelivery) finish() error {
+	if err := d.observer.CheckEnd(); err != nil {
+		return &forward.IncompleteError{Cause: err}
+	}
+	if !d.hasEvent {
+		d.comments = nil
 	}
+	return d.response.deliverEvents(d.comments, true)
 }
 
 // deliverEvents sends events to the caller, with the head of the answer before the first
