engine: a refused order proves nothing about a completion

A request that may run once could run a second time: its engine answered the completion with the code of a refused order (no-free-slot, load-failed, stale-fencing-number), and the client told its caller that the request had not run, whatever the status was, also one of success.

The code in the engine's body alone decided. Which codes are proofs follows from what was sent: a completion has one, unknown-instance with 404, and orders have four. A code that comes with a status below 400 proves nothing at all.

--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -195,7 +195,7 @@
 		return nil, lostResponseError(ctx, engine.Name, true, err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, refusalError(engine.Name, response, body)
+		return nil, refusalError(engine.Name, response, body, orderProofs)
 	}
 	return body, nil
 }
@@ -217,22 +217,32 @@
 	return failure
 }
 
-// refusalError returns the error for a response with an error status. Its verdict is
-// NotRun only for the codes that the protocol defines as proof that the engine did
-// nothing.
-func refusalError(engine fleet.EngineName, response *http.Response, body []byte) *verdict.Error {
-	var failure engineapi.ErrorBody
-	if err := json.Unmarshal(body, &failure); err != nil {
-		failure.Error.Message = "error body is not valid JSON"
+// proofs has the codes of refusals that prove that an engine did nothing.
+type proofs map[string]verdict.Code
+
+// The proofs depend on what was sent, and not on the response alone: a code that belongs to
+// another kind of request proves nothing.
+var (
+	completionProofs = proofs{
+		engineapi.CodeUnknownInstance: verdict.CodeUnknownInstance,
 	}
-	proofs := map[string]verdict.Code{
+	orderProofs = proofs{
 		engineapi.CodeUnknownInstance:    verdict.CodeUnknownInstance,
 		engineapi.CodeStaleFencingNumber: verdict.CodeNotOwner,
 		engineapi.CodeNoFreeSlot:         verdict.CodeLoadFailed,
 		engineapi.CodeLoadFailed:         verdict.CodeLoadFailed,
 	}
+)
+
+// refusalError returns the error for a response with another status than 200. Its verdict is
+// NotRun only if the code is one of the proofs and comes with the status of a refusal.
+func refusalError(engine fleet.EngineName, response *http.Response, body []byte, proofs proofs) *verdict.Error {
+	var failure engineapi.ErrorBody
+	if err := json.Unmarshal(body, &failure); err != nil {
+		failure.Error.Message = "error body is not valid JSON"
+	}
 	code, proved := proofs[failure.Error.Code]
-	if failure.Error.Code == engineapi.CodeUnknownInstance && response.StatusCode != http.StatusNotFound {
+	if response.StatusCode < http.StatusBadRequest || failure.Error.Code == engineapi.CodeUnknownInstance && response.StatusCode != http.StatusNotFound {
 		proved = false
 	}
 	if !proved {
--- a/transport/engine/complete.go
+++ b/transport/engine/complete.go
@@ -144,7 +144,7 @@
 		if err != nil {
 			return request.Response{}, t.lostResponseError(parent, true, err)
 		}
-		return request.Response{}, refusalError(t.grant.Engine, response, body)
+		return request.Response{}, refusalError(t.grant.Engine, response, body, completionProofs)
 	}
 	if t.chunksBefore > 0 && response.Header.Get(engineapi.HeaderEngineStart) != strconv.FormatUint(uint64(t.grant.EngineStart), 10) {
 		return request.Response{}, verdict.NewMayHaveRun(verdict.CodeBackendRefused, nil,
