engine: a whole completion has the type of its body

A caller of a completion that is not streamed got the content type that the engine stated, for example text/event-stream or text/html, over a JSON body. A client that decides by it reads a stream without events, or a page.

The client has checked the body as JSON before, so it names that type.

--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -42,6 +42,9 @@
 	maxBodyBytes = 16 << 20
 )
 
+// contentTypeJSON is the media type of requests, and of responses that are not streamed.
+const contentTypeJSON = "application/json"
+
 // A Client sends completions and orders to engines. Its fields are set before use; a
 // zero timeout means the default. It is safe for concurrent use.
 type Client struct {
@@ -163,7 +166,7 @@
 	if err != nil {
 		return verdict.NewNotRun(verdict.CodeInternal, "engine %s: encode order: %v", engine.Name, err)
 	}
-	header := http.Header{"Content-Type": {"application/json"}}
+	header := http.Header{"Content-Type": {contentTypeJSON}}
 	if epoch != nil {
 		header.Set(engineapi.HeaderFencingNumber, strconv.FormatUint(uint64(*epoch), 10))
 	}
--- a/transport/engine/complete.go
+++ b/transport/engine/complete.go
@@ -177,7 +177,7 @@
 	if err != nil {
 		return nil, verdict.NewNotRun(verdict.CodeInternal, "engine %s: address %q: %v", t.grant.Engine, t.grant.Address, err)
 	}
-	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Content-Type", contentTypeJSON)
 	r.Header.Set(engineapi.HeaderRequestID, string(t.request.RunID))
 	r.Header.Set(engineapi.HeaderEngineStart, strconv.FormatUint(uint64(t.grant.EngineStart), 10))
 	if end, ok := ctx.Deadline(); ok {
@@ -242,7 +242,7 @@
 	if err != nil {
 		return request.Response{}, t.incompleteError(err.Error())
 	}
-	return request.Response{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
+	return request.Response{Status: response.StatusCode, ContentType: contentTypeJSON, Body: body}, nil
 }
 
 // readStream delivers the chunks of a stream until its closing mark.
