service: an encoded body is no answer

A caller of a plain service got a success, or a 404, with a body that it cannot read: the server had compressed it and named that in Content-Encoding, which is not part of the response that a caller gets. The request asks for no encoding.

Such an answer is an error now that may have run.

--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -199,7 +199,8 @@
 
 // interpret turns a complete HTTP response into the response to the request, or into an
 // error. A redirect, an overload status or a server error is an error; it proves that
-// the request did not run only if the configuration lists the status.
+// the request did not run only if the configuration lists the status. An encoded body is an error
+// too, because the response to the request does not name its encoding.
 func (a *attempt) interpret(response *http.Response, body []byte) (request.Response, *verdict.Error) {
 	if id := response.Header.Get(headerRequestID); id != "" && id != string(a.request.ID) {
 		return request.Response{}, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil,
@@ -218,6 +219,9 @@
 		failure.RetryAfter = parseRetryAfter(response)
 		return request.Response{}, failure
 	}
+	if encoding := response.Header.Values("Content-Encoding"); len(encoding) > 0 {
+		return request.Response{}, verdict.NewMayHaveRun(verdict.CodeBackendRefused, nil, "server %s: response has content encoding %q, asked for none", a.server.Name, encoding)
+	}
 	return request.Response{Status: status, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
