hostlist: a body without a list is no host list

All hosts and backend servers counted as gone for a host whose call for the host list was answered with 200 and something else, for example {}: a list that is missing was read as an empty one. Bytes after the list were not read at all.

The client reads the whole body and asks for a list, which may be empty. The stand-in sends an empty list as one; it sent null before, which the protocol does not say. The client takes null for no list.

TestForeignBodyIsNoHostList was red in its 4 parts.

--- a/protocol/hostlist/hostlist.go
+++ b/protocol/hostlist/hostlist.go
@@ -12,7 +12,8 @@
 
 // A HostsResponse is the response to a PathHosts request.
 type HostsResponse struct {
-	// Hosts are all entry hosts and backend servers that the platform lists.
+	// Hosts are all entry hosts and backend servers that the platform lists. It is empty,
+	// but not absent or null, if there are none.
 	Hosts []fleet.ListedHost `json:"hosts"`
 }
 
--- a/standin/platform/hostlist.go
+++ b/standin/platform/hostlist.go
@@ -71,9 +71,9 @@
 		l.snapshots = l.snapshots[1:]
 	}
 	if len(l.snapshots) == 0 || l.snapshots[0].from.After(old) {
-		return nil, nil
+		return []fleet.ListedHost{}, nil
 	}
-	return slices.Clone(l.snapshots[0].hosts), nil
+	return append([]fleet.ListedHost{}, l.snapshots[0].hosts...), nil
 }
 
 // change applies a change to the hosts and adds a snapshot of the result.
--- a/transport/hostlist/client.go
+++ b/transport/hostlist/client.go
@@ -4,8 +4,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -21,6 +21,9 @@
 	maxBodyBytes = 64 << 20
 )
 
+// errNoList means that the response has no list, not even an empty one.
+var errNoList = errors.New("body has no list of hosts")
+
 // A Client reads the list of entry hosts and backend servers from the platform. Its
 // exported fields are set before use; many goroutines may use it.
 type Client struct {
@@ -89,5 +92,15 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("platform returned status %d, expected 200", response.StatusCode)
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxBodyBytes)).Decode(into)
+	body, err := backend.ReadBody(response.Body, nil, maxBodyBytes, nil)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return err
+	}
+	if into.Hosts == nil {
+		return errNoList
+	}
+	return nil
 }
--- a/transport/hostlist/client_test.go
+++ b/transport/hostlist/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -35,3 +37,19 @@
 	_, err = client.Listing(context.Background())
 	c.Assert(err, quicktest.IsNotNil)
 }
+
+// TestForeignBodyIsNoHostList guards against all hosts and servers counting as gone, because
+// something else than the platform answers the call.
+func TestForeignBodyIsNoHostList(t *testing.T) {
+	for _, body := range []string{`{}`, `null`, `{"status":"ok"}`, `{"hosts":[]} trailing bytes`} {
+		t.Run(body, func(t *testing.T) {
+			c := quicktest.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+			defer server.Close()
+			client := &Client{Address: server.Listener.Addr().String()}
+			defer client.Close()
+			_, err := client.Listing(context.Background())
+			c.Check(err, quicktest.IsNotNil)
+		})
+	}
+}
