engine, service: a response that names two requests belongs to neither

Both look at all lines now. A response of a plain service may still have no id, as its protocol allows.

--- a/transport/engine/complete.go
+++ b/transport/engine/complete.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -135,9 +136,9 @@
 		return request.Response{}, t.lostResponseError(parent, wrote, err)
 	}
 	defer response.Body.Close() //nolint:errcheck // The body was read to its end or is discarded.
-	if id := response.Header.Get(engineapi.HeaderRequestID); id != string(t.request.RunID) {
+	if ids := response.Header.Values(engineapi.HeaderRequestID); !t.isOwn(ids) {
 		return request.Response{}, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil,
-			"engine %s: response has request ID %q, expected %q", t.grant.Engine, id, t.request.RunID)
+			"engine %s: response has request IDs %q, expected %q", t.grant.Engine, ids, t.request.RunID)
 	}
 	if response.StatusCode != http.StatusOK {
 		body, err := t.readBody(response.Body)
@@ -156,6 +157,12 @@
 	return t.readWhole(parent, response)
 }
 
+// isOwn reports whether a response with the request ids is that of the request: it has the id of
+// the request and no other one.
+func (t *completion) isOwn(ids []string) bool {
+	return len(ids) > 0 && !slices.ContainsFunc(ids, func(id string) bool { return id != string(t.request.RunID) })
+}
+
 // streamProgressTimeout returns the longest time without progress of a stream: the
 // configured timeout, or half of the time until the deadline if that is less, but at
 // least minProgressTimeout unless the configured timeout is shorter.
--- a/transport/engine/statement_test.go
+++ b/transport/engine/statement_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/persimmonmux/persimmonmux/protocol/engineapi"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
 // startEngineWith returns a fixture whose engine answers everything with status 200, the content
@@ -41,3 +42,21 @@
 		f.Check(response.ContentType, quicktest.Equals, "application/json")
 	}
 }
+
+// TestResponseThatNamesTwoRequestsIsNotBelieved guards against the completion of another request:
+// the response names that one on a second line, and its body does not tell whose it is.
+func TestResponseThatNamesTwoRequestsIsNotBelieved(t *testing.T) {
+	for _, other := range []string{"other", ""} {
+		c := quicktest.New(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header()[engineapi.HeaderRequestID] = []string{r.Header.Get(engineapi.HeaderRequestID), other}
+			_, _ = io.WriteString(w, `{"model":"kurs@3#7","choices":[{"index":0,"message":{"content":"x"},"finish_reason":"stop"}]}`)
+		}))
+		defer server.Close()
+		f := &fixture{C: c, client: &Client{}}
+		defer f.client.Close()
+		grant := fleet.Grant{Address: server.Listener.Addr().String(), Instance: fleet.Instance{Adapter: adapter, Epoch: 7}, EngineStart: 1}
+		_, err := f.client.Complete(context.Background(), grant, f.request("a", false), 0, &chunkRecorder{})
+		f.assertVerdict(err, verdict.MayHaveRun, verdict.CodeWrongInstance)
+	}
+}
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -202,9 +202,11 @@
 // the request did not run only if the configuration lists the status. An encoded body is an error
 // too, because the response to the request does not name its encoding.
 func (a *attempt) interpret(response *http.Response, body []byte) (request.Response, *verdict.Error) {
-	if id := response.Header.Get(headerRequestID); id != "" && id != string(a.request.ID) {
-		return request.Response{}, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil,
-			"server %s: response has request ID %q, expected %q", a.server.Name, id, a.request.ID)
+	for _, id := range response.Header.Values(headerRequestID) {
+		if id != "" && id != string(a.request.ID) {
+			return request.Response{}, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil,
+				"server %s: response has request ID %q, expected %q", a.server.Name, id, a.request.ID)
+		}
 	}
 	status := response.StatusCode
 	if slices.Contains(a.service.NotRunStatuses, status) {
