lease: split manager.go by duty

It keeps the Manager, its loop and the times of its steps. Behaviour is unchanged.

Tests of lease, zone and ownership with -race; build, vet and lint.

--- a/coordination/lease/event.go
+++ b/coordination/lease/event.go
@@ -34,3 +34,18 @@
 	// Holder is the host that holds the lease now, as far as known; set with Lost.
 	Holder fleet.HostName
 }
+
+func (k *Manager) queueEvent(e Event) {
+	k.unsentEvents = append(k.unsentEvents, e)
+}
+
+// sendEvents sends the queued events in order until the ring is full. It drops
+// them if Events is nil.
+func (k *Manager) sendEvents() {
+	for len(k.unsentEvents) > 0 {
+		if k.Events != nil && !k.Events.Offer(k.unsentEvents[0]) {
+			return
+		}
+		k.unsentEvents = k.unsentEvents[1:]
+	}
+}
--- a/coordination/lease/operation.go
+++ b/coordination/lease/operation.go
@@ -25,6 +25,46 @@
 	err   error
 }
 
+// Transfer passes a held lease to the given process with the epoch raised by one
+// and returns the new epoch. The lease is not valid from the call on. After an
+// error other than ErrUnresolved it is valid again if it was valid before.
+func (k *Manager) Transfer(ctx context.Context, name Name, to fleet.HostName, start fleet.StartNumber) (fleet.Epoch, error) {
+	if to == k.Host && start == k.Start {
+		return 0, fmt.Errorf("transfer of lease %s to its holder: %w", name, ErrNotHeld)
+	}
+	return k.runOperation(ctx, operation{name: name, to: to, start: start})
+}
+
+// AcceptTransfer takes a lease that another host transferred to this process with
+// the given epoch. When it returns nil, the lease is valid.
+func (k *Manager) AcceptTransfer(ctx context.Context, name Name, epoch fleet.Epoch) error {
+	_, err := k.runOperation(ctx, operation{name: name, acceptedEpoch: epoch})
+	return err
+}
+
+// runOperation queues a transfer or an accepted transfer and waits for its
+// outcome.
+func (k *Manager) runOperation(ctx context.Context, o operation) (fleet.Epoch, error) {
+	k.setup()
+	o.reply = make(chan operationReply, 1)
+	if !k.messages.Offer(o) {
+		return 0, fmt.Errorf("lease %s: %w", o.name, ErrBusy)
+	}
+	select {
+	case r := <-o.reply:
+		return r.epoch, r.err
+	case <-ctx.Done():
+		return 0, fmt.Errorf("lease %s: %w: %w", o.name, ErrUnresolved, ctx.Err())
+	case <-k.ended:
+		select {
+		case r := <-o.reply:
+			return r.epoch, r.err
+		default:
+			return 0, fmt.Errorf("lease %s: %w", o.name, ErrBusy)
+		}
+	}
+}
+
 func (o operation) handle(_ context.Context, k *Manager) {
 	if len(k.queuedOperations) >= messageCapacity {
 		o.reply <- operationReply{err: fmt.Errorf("lease %s: %w", o.name, ErrBusy)}
