--- a/coordination/ownership/loading.go
+++ b/coordination/ownership/loading.go
@@ -213,6 +213,12 @@
 	o.recordLoadFailure(adapter, r.sent, r.err, now)
 }
 
+// A loadBackoff delays the next load of an adapter whose load failed.
+type loadBackoff struct {
+	backoff *backoff.ExponentialBackOff
+	retryAt time.Time
+}
+
 // recordLoadFailure refuses all queued requests for an adapter and delays its next
 // load. sent says whether a load order was sent.
 func (o *Owner) recordLoadFailure(adapter fleet.AdapterReference, sent bool, cause error, now time.Time) {
--- a/coordination/ownership/owner.go
+++ b/coordination/ownership/owner.go
@@ -5,114 +5,19 @@
 
 import (
 	"context"
-	"fmt"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/rs/zerolog"
 
-	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
 	"github.com/persimmonmux/persimmonmux/coordination/duty"
-	"github.com/persimmonmux/persimmonmux/coordination/lease"
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
-	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
-	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
-// EngineClient sends orders to engines. Errors of Load and Unload are
-// *verdict.Error where the engine answered: NotRun means that the order was not
-// and never will be carried out, Ran that it was carried out and failed. After
-// any other error the order may still take effect.
-type EngineClient interface {
-	// Load loads an instance; loading a resident instance succeeds.
-	Load(ctx context.Context, engine fleet.Engine, instance fleet.Instance, epoch fleet.Epoch) error
-	// Unload removes an instance. Its error has code CodeUnknownInstance when
-	// the instance is not resident.
-	Unload(ctx context.Context, engine fleet.Engine, instance fleet.Instance, epoch fleet.Epoch) error
-	// Cancel ends a request. When it returns nil, the request no longer runs.
-	Cancel(ctx context.Context, engine fleet.Engine, request fleet.RequestID) error
-	// ReadReport returns the engine's current start number, instances and load.
-	ReadReport(ctx context.Context, engine fleet.Engine) (fleet.EngineReport, error)
-}
-
-// LeaseChecker reports whether this host holds a valid lease. It is safe for
-// concurrent use.
-type LeaseChecker interface {
-	// Valid returns the epoch under which this host holds the lease. It returns
-	// false when the lease is not valid now.
-	Valid(name lease.Name) (fleet.Epoch, bool)
-}
-
-// A LoadBudget limits the rate at which engines load weights from the weight
-// store, which all engines share.
-type LoadBudget interface {
-	// Acquire waits until a load of the adapter may begin.
-	Acquire(ctx context.Context, engine fleet.EngineName, adapter fleet.AdapterReference, urgency configuration.Urgency) error
-}
-
-// A PriorityLoadBudget is a LoadBudget that orders the loads of all engines by
-// the priority that the PlacementPolicy gives them. An Owner whose Budget
-// implements it calls AcquirePriority and never Acquire.
-type PriorityLoadBudget interface {
-	LoadBudget
-	// AcquirePriority waits until a load may begin. When the priority has grown,
-	// the Owner cancels ctx and calls AcquirePriority again.
-	AcquirePriority(ctx context.Context, engine fleet.EngineName, priority float64) error
-}
-
-// HoldingsCollector queries entry hosts for the grants that they hold.
-type HoldingsCollector interface {
-	// CollectHoldings queries all known hosts for their grants on the engine that
-	// were issued in earlier epochs. Before that it checks whether the process of
-	// the previous owner has ended. Together with an error it returns the grants
-	// of the hosts that did answer.
-	CollectHoldings(ctx context.Context, engine fleet.EngineName, epoch fleet.Epoch, previous PreviousHolder) (Holdings, error)
-}
-
-// A PreviousHolder is the process that held the lease of an engine in the
-// epoch before.
-type PreviousHolder struct {
-	// Host is empty when there was no previous owner.
-	Host  fleet.HostName
-	Start fleet.StartNumber
-	// Released says that the previous owner stopped granting and then released
-	// its lease.
-	Released bool
-}
-
-// Holdings are the grants that entry hosts hold on an engine.
-type Holdings struct {
-	// Grants carry their remaining durations, counted from each host's answer.
-	Grants []fleet.Grant
-	// Complete says that every known host answered. A host that has answered
-	// rejects grants of earlier epochs that reach it afterwards.
-	Complete bool
-	// PreviousHolderEnded says that the previous owner's process had ended before
-	// the hosts were queried.
-	PreviousHolderEnded bool
-}
-
-const (
-	// ringCapacity is the number of messages that can wait for one goroutine.
-	ringCapacity = 4096
-	// maxCancelsInFlight bounds the cancel orders in flight on one engine.
-	maxCancelsInFlight = 8
-	// cancelDelay is the time between the end of a grant and the cancel of its
-	// request. A release that the holder sent at the end can arrive meanwhile.
-	cancelDelay = time.Second
-	// holdingsInterval is the time between two collections of holdings.
-	holdingsInterval = 5 * time.Second
-)
-
-// LeaseName returns the name of the lease of an engine.
-func LeaseName(engine fleet.EngineName) lease.Name {
-	return lease.Name("engine/" + string(engine))
-}
+// ringCapacity is the number of messages that can wait for one goroutine.
+const ringCapacity = 4096
 
 // An Owner owns one engine under one epoch: it alone grants the engine's
 // instances and orders loads and unloads in this epoch. The exported fields are
@@ -217,61 +122,6 @@
 	handle(ctx context.Context, o *Owner, now time.Time)
 }
 
-// An instanceState is the state of an instance on the engine, as far as its
-// owner knows it.
-type instanceState int
-
-const (
-	// stateLoading means that a load order is in flight.
-	stateLoading instanceState = iota
-	// stateResident means that the instance is loaded.
-	stateResident
-	// stateUnloading means that an unload order is in flight or about to be sent.
-	stateUnloading
-	// stateUncertain means that the instance may or may not be loaded.
-	stateUncertain
-)
-
-// A residency is the owner's record of an instance that takes a slot of the engine.
-type residency struct {
-	instance fleet.Instance
-	state    instanceState
-	// grantable says that the owner may grant the instance while it is resident.
-	// An instance of an earlier epoch is grantable only if no order of an earlier
-	// owner can unload it any more.
-	grantable bool
-	// adopted says that the previous owner passed the instance on in a planned
-	// hand-over.
-	adopted bool
-	// pinCount is the number of pins on the instance. It is never unloaded while
-	// pinCount is more than 0.
-	pinCount int
-	lastUsed time.Time
-	// nextUnloadAt is the earliest time for the next unload order after one failed.
-	nextUnloadAt time.Time
-}
-
-// A pin is the owner's record of a grant. It keeps the instance from being
-// unloaded until the grant is released or its request is canceled.
-type pin struct {
-	residency *residency
-	request   fleet.RequestID
-	holder    fleet.HostName
-	end       time.Time
-}
-
-// An adapterQueue holds the grant requests that wait for the load of one adapter.
-type adapterQueue struct {
-	adapter fleet.AdapterReference
-	waiters []*waiter
-}
-
-// A loadBackoff delays the next load of an adapter whose load failed.
-type loadBackoff struct {
-	backoff *backoff.ExponentialBackOff
-	retryAt time.Time
-}
-
 // setup prepares the fields of Run and of the methods that may be called before Run.
 func (o *Owner) setup() {
 	o.setupOnce.Do(func() {
@@ -304,69 +154,6 @@
 	return o.lifecycle.Close()
 }
 
-// AcquireGrant returns a grant, or a *verdict.Error with verdict NotRun. It waits
-// for the load of the adapter for at most the request's MaxWait.
-func (o *Owner) AcquireGrant(ctx context.Context, request dispatch.GrantRequest) (fleet.Grant, error) {
-	o.setup()
-	w := &waiter{request: request, arrived: time.Now(), reply: make(chan grantResult, 1)}
-	if !o.messages.Offer(w) {
-		return fleet.Grant{}, o.newOverloadedRefusal()
-	}
-	select {
-	case r := <-w.reply:
-		return r.result()
-	case <-ctx.Done():
-	case <-o.ended:
-	}
-	if w.settled.CompareAndSwap(false, true) {
-		code := verdict.CodeCanceled
-		if ctx.Err() == nil {
-			code = verdict.CodeStopping
-		}
-		refusal := verdict.NewNotRun(code, "grant request on engine %s ended before a grant was given", o.Engine.Name)
-		refusal.Cause = ctx.Err()
-		return fleet.Grant{}, refusal
-	}
-	return (<-w.reply).result()
-}
-
-// newOverloadedRefusal returns the refusal for a full queue or message ring.
-func (o *Owner) newOverloadedRefusal() *verdict.Error {
-	refusal := verdict.NewNotRun(verdict.CodeOverloaded, "owner of engine %s has too many grant requests", o.Engine.Name)
-	refusal.RetryAfter = o.settings.ReportInterval
-	return refusal
-}
-
-// Release ends one grant of each request, the oldest first. It is called at
-// most once for each grant that AcquireGrant returned, and before the holder requests
-// a further grant for the same request. It returns false when the message
-// ring is full; the grants then last until their durations have passed.
-func (o *Owner) Release(requests []fleet.RequestID) bool {
-	o.setup()
-	return o.messages.Offer(releaseMessage{requests: requests})
-}
-
-// AcceptHandOver adopts the instances and grants of a planned hand-over. An error
-// means that the hand-over is for another engine or epoch, or that the message
-// ring is full.
-func (o *Owner) AcceptHandOver(handOver fleet.HandOver) error {
-	o.setup()
-	if handOver.Engine != o.Engine.Name || handOver.Epoch != o.Epoch {
-		return fmt.Errorf("hand-over of engine %s with epoch %d: this owner has engine %s with epoch %d",
-			handOver.Engine, handOver.Epoch, o.Engine.Name, o.Epoch)
-	}
-	if !o.messages.Offer(adoptMessage{handOver: handOver, received: time.Now()}) {
-		return fmt.Errorf("hand-over of engine %s: the owner's message ring is full", handOver.Engine)
-	}
-	return nil
-}
-
-// Summary returns the state of the engine that is published to other hosts.
-func (o *Owner) Summary() fleet.EngineSummary {
-	o.setup()
-	return *o.summary.Load()
-}
-
 func (o *Owner) loop(ctx context.Context) error {
 	o.startedAt = time.Now()
 	o.permitContext, o.cancelPermits = context.WithCancel(ctx)
@@ -429,29 +216,19 @@
 	return max(next.Sub(now), time.Millisecond)
 }
 
-// holdsLease reports whether the lease is valid under this owner's epoch, and
-// records that it was or that a later epoch has begun.
-func (o *Owner) holdsLease(now time.Time) bool {
-	epoch, ok := o.Leases.Valid(LeaseName(o.Engine.Name))
-	if ok && epoch > o.Epoch {
-		o.superseded = true
-	}
-	if !ok || epoch != o.Epoch {
-		return false
+// prune forgets releases that are no longer expected, and back-offs that ended
+// more than MaxBackoff ago.
+func (o *Owner) prune(now time.Time) {
+	for request, late := range o.lateReleases {
+		if late.count == 0 || now.After(late.expectedUntil) {
+			delete(o.lateReleases, request)
+		}
 	}
-	// now was read before Valid was called, so leaseValidAt is not later than the
-	// lease's end, even if the process was paused in between.
-	o.leaseValidAt = now
-	return true
-}
-
-// mayGrant reports whether resident instances may be granted: with a valid
-// lease, or for IsolatedServiceLimit after it was last valid.
-func (o *Owner) mayGrant(now time.Time) bool {
-	if o.superseded || o.pendingHandOver != nil && o.pendingHandOver.grantingStopped {
-		return false
+	for adapter, b := range o.loadBackoffs {
+		if now.After(b.retryAt.Add(o.settings.MaxBackoff)) {
+			delete(o.loadBackoffs, adapter)
+		}
 	}
-	return o.holdsLease(now) || !o.leaseValidAt.IsZero() && now.Before(o.leaseValidAt.Add(o.settings.IsolatedServiceLimit))
 }
 
 // postResult passes a worker's result to the goroutine of Run.
@@ -461,41 +238,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// refuseAllWaiters refuses all queued grant requests when Run ends.
-func (o *Owner) refuseAllWaiters() {
-	refusal := verdict.NewNotRun(verdict.CodeStopping, "owner of engine %s is stopping", o.Engine.Name)
-	if o.nextOwner != "" {
-		refusal = newNotOwnerRefusal(o.Engine.Name, o.nextOwner)
-	}
-	for _, q := range o.queues {
-		for _, w := range q.waiters {
-			w.refuse(refusal)
-		}
-	}
-}
-
-// publishSummary replaces the summary if something changed. Its Version grows
-// only with changes of the instances or of the engine's start number.
-func (o *Owner) publishSummary() {
-	last := o.summary.Load()
-	var instances []fleet.Instance
-	for _, e := range o.residencies {
-		if e.state == stateResident && e.grantable {
-			instances = append(instances, e.instance)
-		}
-	}
-	slices.SortFunc(instances, func(a, b fleet.Instance) int { return strings.Compare(a.String(), b.String()) })
-	s := fleet.EngineSummary{
-		Engine: o.Engine.Name, Owner: o.Host, Epoch: o.Epoch, Version: last.Version, Start: o.engineStart,
-		Instances: instances, Running: o.report.Running, Waiting: o.report.Waiting,
-	}
-	same := slices.Equal(instances, last.Instances) && s.Start == last.Start
-	if same && s.Running == last.Running && s.Waiting == last.Waiting {
-		return
-	}
-	if !same {
-		s.Version++
-	}
-	o.summary.Store(&s)
-}
--- a/coordination/ownership/reconciliation.go
+++ b/coordination/ownership/reconciliation.go
@@ -9,6 +9,10 @@
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
+// fenceAdapter names an adapter that is never loaded. An order to unload it raises
+// the fencing number of an engine and has no other effect.
+var fenceAdapter = fleet.AdapterReference{Name: "persimmonmux-fence", Version: 1}
+
 // startFence sends the order that raises the fencing number, if the engine refuses
 // orders with lower numbers and the order has not succeeded yet.
 func (o *Owner) startFence(ctx context.Context) {
--- a/coordination/ownership/residency.go
+++ b/coordination/ownership/residency.go
@@ -1,95 +1,60 @@
 package ownership
 
 import (
-	"context"
-	"errors"
-	"slices"
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/state/fleet"
-	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
-// fenceAdapter names an adapter that is never loaded. An order to unload it raises
-// the fencing number of an engine and has no other effect.
-var fenceAdapter = fleet.AdapterReference{Name: "persimmonmux-fence", Version: 1}
-
-// permitTimeout is how long an unused permit is kept. Permits that were kept longer
-// would add loads to those that the budget permits meanwhile and exceed its rate.
-const permitTimeout = time.Second
-
-// schedule requests permits to load the adapters of queued requests. With a
-// permit, it starts a load, or an eviction if no slot is free. The permit comes
-// first, so that no slot stays empty while a load waits for the budget, and so
-// that the adapter is chosen when its load may begin.
-func (o *Owner) schedule(ctx context.Context, now time.Time) {
-	if o.blockedByPreviousOwners(now) {
-		for adapter := range o.queues {
-			o.refuseQueue(adapter, verdict.NewNotRun(verdict.CodeNoGrant,
-				"adapter %s has no slot on engine %s: a previous owner may have granted all instances", adapter, o.Engine.Name))
-		}
-		return
-	}
-	if now.After(o.permitsExpireAt) {
-		o.permitCount = 0
-	}
-	permitUsable := o.permitCount > 0 && o.loadsInFlight < o.settings.LoadConcurrencyLimit
-	if len(o.queues) == 0 || !permitUsable && now.Before(o.permitReviewAt) && len(o.permitRequests)+o.permitCount >= o.settings.LoadConcurrencyLimit {
-		return
-	}
-	waiting := o.pendingLoads(now)
-	// Each eviction in flight will free one slot.
-	pendingSlots := o.evictionsInFlight()
-	for o.permitCount > 0 && o.loadsInFlight < o.settings.LoadConcurrencyLimit && len(waiting) > 0 {
-		i := o.Placement.SelectLoad(o.Engine, waiting, now)
-		if i < 0 {
-			return
-		}
-		next := waiting[i]
-		waiting = slices.Delete(waiting, i, i+1)
-		switch {
-		case o.freeSlots() > 0:
-			o.permitCount--
-			o.startLoad(ctx, next, now)
-		case pendingSlots >= o.permitCount:
-			// Every permit has a slot that an eviction in flight will free.
-			return
-		case !o.startEviction(ctx, next, now):
-			return
-		default:
-			pendingSlots++
-		}
-	}
-	o.requestPermits(ctx, waiting, now)
-}
+// An instanceState is the state of an instance on the engine, as far as its
+// owner knows it.
+type instanceState int
 
 const (
-	// permitReviewInterval is the time between two comparisons of the permit
-	// requests with the pending loads.
-	permitReviewInterval = 250 * time.Millisecond
-	// priorityGrowthFactor is the factor by which the priority must have grown
-	// before a permit request is replaced. It limits the calls to the allocator
-	// of the budget.
-	priorityGrowthFactor = 1.5
+	// stateLoading means that a load order is in flight.
+	stateLoading instanceState = iota
+	// stateResident means that the instance is loaded.
+	stateResident
+	// stateUnloading means that an unload order is in flight or about to be sent.
+	stateUnloading
+	// stateUncertain means that the instance may or may not be loaded.
+	stateUncertain
 )
 
-// countOrder counts a load or unload order that is about to be sent.
-func (o *Owner) countOrder() {
-	o.orderCount++
-	o.loadsInFlight++
-	o.unansweredOrders++
+// A residency is the owner's record of an instance that takes a slot of the engine.
+type residency struct {
+	instance fleet.Instance
+	state    instanceState
+	// grantable says that the owner may grant the instance while it is resident.
+	// An instance of an earlier epoch is grantable only if no order of an earlier
+	// owner can unload it any more.
+	grantable bool
+	// adopted says that the previous owner passed the instance on in a planned
+	// hand-over.
+	adopted bool
+	// pinCount is the number of pins on the instance. It is never unloaded while
+	// pinCount is more than 0.
+	pinCount int
+	lastUsed time.Time
+	// nextUnloadAt is the earliest time for the next unload order after one failed.
+	nextUnloadAt time.Time
 }
 
-// mayOrder reports whether the lease is valid under this owner's epoch. Workers
-// check it directly before each load and unload order.
-func (o *Owner) mayOrder() bool {
-	epoch, ok := o.Leases.Valid(LeaseName(o.Engine.Name))
-	return ok && epoch == o.Epoch
+// ownInstance returns the instance with this owner's epoch, the only one that
+// this owner loads for an adapter.
+func (o *Owner) ownInstance(adapter fleet.AdapterReference) fleet.Instance {
+	return fleet.Instance{Adapter: adapter, Epoch: o.Epoch}
 }
 
-// outcomeKnown reports whether an order with this error is known to have been
-// carried out or not. Otherwise it may still take effect.
-func outcomeKnown(err error) bool {
-	var verdictErr *verdict.Error
-	return err == nil || errors.As(err, &verdictErr) && verdictErr.Verdict != verdict.MayHaveRun
+// findGrantable returns the resident instance of the adapter that may be granted,
+// or nil. Of several it returns the one with the latest epoch.
+func (o *Owner) findGrantable(adapter fleet.AdapterReference) *residency {
+	var best *residency
+	for _, e := range o.residencies {
+		if e.instance.Adapter == adapter && e.state == stateResident && e.grantable &&
+			(best == nil || e.instance.Epoch > best.instance.Epoch) {
+			best = e
+		}
+	}
+	return best
 }
--- a/coordination/ownership/takeover.go
+++ b/coordination/ownership/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/state/fleet"
@@ -45,53 +46,6 @@
 	return t.holdingsComplete || !now.Before(t.previousEndedAt.Add(o.settings.GrantLimit))
 }
 
-// collectHoldings queries all holders for their grants. It is repeated until all
-// have answered after the previous owner ended, or until no grant of an earlier
-// epoch can be valid any more.
-func (o *Owner) collectHoldings(ctx context.Context, now time.Time) {
-	t := &o.takeover
-	if o.Epoch <= 1 || o.engineStart == 0 || t.collecting || t.holdingsComplete || now.Before(t.collectAt) ||
-		!now.Before(o.startedAt.Add(o.settings.IsolatedServiceLimit+o.settings.GrantLimit)) {
-		return
-	}
-	t.collecting = true
-	r := holdingsResult{previousEndedBefore: t.previousEnded, engineStart: o.engineStart}
-	o.lifecycle.Go(func() {
-		bounded, cancel := context.WithTimeout(ctx, o.settings.OrderTimeout)
-		defer cancel()
-		r.holdings, r.err = o.HoldingsCollector.CollectHoldings(bounded, o.Engine.Name, o.Epoch, o.PreviousHolder)
-		o.postResult(ctx, r)
-	})
-}
-
-// A holdingsResult is the result of collectHoldings.
-type holdingsResult struct {
-	holdings Holdings
-	err      error
-	// previousEndedBefore says that the previous owner was known to have ended
-	// before the holders were queried.
-	previousEndedBefore bool
-	engineStart         fleet.StartNumber
-}
-
-func (r holdingsResult) handle(_ context.Context, o *Owner, now time.Time) {
-	t := &o.takeover
-	t.collecting = false
-	t.collectAt = now.Add(holdingsInterval)
-	if r.engineStart != o.engineStart {
-		t.collectAt = now
-		return
-	}
-	o.pinGrants(r.holdings.Grants, now)
-	if r.err != nil {
-		o.Logger.Warn().Err(r.err).Str("engine", string(o.Engine.Name)).Msg("not all hosts reported their grants to the new owner; they are queried again")
-	}
-	if r.holdings.PreviousHolderEnded && !t.previousEnded {
-		t.previousEnded, t.previousEndedAt = true, now
-	}
-	t.holdingsComplete = t.holdingsComplete || r.err == nil && r.holdings.Complete && (r.previousEndedBefore || r.holdings.PreviousHolderEnded)
-}
-
 // pinGrants pins instances for grants of earlier owners. Their durations are
 // counted from now, so a pin does not end before the holder ends the grant. A
 // request may have several grants on one instance, each with its own release.
@@ -125,6 +79,21 @@
 	}
 }
 
+// AcceptHandOver adopts the instances and grants of a planned hand-over. An error
+// means that the hand-over is for another engine or epoch, or that the message
+// ring is full.
+func (o *Owner) AcceptHandOver(handOver fleet.HandOver) error {
+	o.setup()
+	if handOver.Engine != o.Engine.Name || handOver.Epoch != o.Epoch {
+		return fmt.Errorf("hand-over of engine %s with epoch %d: this owner has engine %s with epoch %d",
+			handOver.Engine, handOver.Epoch, o.Engine.Name, o.Epoch)
+	}
+	if !o.messages.Offer(adoptMessage{handOver: handOver, received: time.Now()}) {
+		return fmt.Errorf("hand-over of engine %s: the owner's message ring is full", handOver.Engine)
+	}
+	return nil
+}
+
 // adoptMessage is the message of AcceptHandOver.
 type adoptMessage struct {
 	handOver fleet.HandOver
