rpc, operator, peer: one place bounds drpc connections

The servers and the clients of operators and of peers each put together the same options of drpc: the size of a message, the idle time of a connection and the time of a write. rpc.Limits does this once; each package keeps its own values.

Tests of rpc, operator, peer, entry and cmd with -race; build, vet and lint.

--- a/transport/operator/client.go
+++ b/transport/operator/client.go
@@ -5,10 +5,7 @@
 	"net"
 	"time"
 
-	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmetadata"
-	"storj.io/drpc/drpcwire"
 
 	"github.com/persimmonmux/persimmonmux/coordination/operation"
 	"github.com/persimmonmux/persimmonmux/protocol/operator"
@@ -54,9 +51,7 @@
 			Verdict: verdict.NotRun, Code: verdict.CodeHostUnreachable, Message: "entry host at " + c.Address, Cause: err,
 		}
 	}
-	connection := drpcconn.NewWithOptions(&rpc.WriteTimeoutConn{Conn: raw, WriteTimeout: writeTimeout}, drpcconn.Options{
-		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}},
-	})
+	connection := connectionLimits.NewConn(raw)
 	defer func() { _ = connection.Close() }()
 	if c.Token != "" {
 		ctx = drpcmetadata.Add(ctx, tokenMetadataKey, c.Token)
--- a/transport/operator/server.go
+++ b/transport/operator/server.go
@@ -10,10 +10,7 @@
 	"time"
 
 	"storj.io/drpc"
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
-	"storj.io/drpc/drpcwire"
 
 	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/coordination/operation"
@@ -40,6 +37,9 @@
 	drainTimeout = 5 * time.Second
 )
 
+// connectionLimits bounds the connections of servers and clients.
+var connectionLimits = rpc.Limits{MaxMessageBytes: maxMessageBytes, InactivityTimeout: inactivityTimeout, WriteTimeout: writeTimeout}
+
 // Editor applies edits to the configuration.
 type Editor interface {
 	// Apply applies an edit to the expected revision. Its error is a *verdict.Error.
@@ -94,14 +94,7 @@
 		if err != nil {
 			return fmt.Errorf("operator server: %w", err)
 		}
-		server := drpcserver.NewWithOptions(handler, drpcserver.Options{
-			Log: s.Log,
-			Manager: drpcmanager.Options{
-				Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
-				InactivityTimeout: inactivityTimeout,
-			},
-		})
-		if err := server.Serve(ctx, &rpc.WriteTimeoutListener{Listener: s.Listener, WriteTimeout: writeTimeout}); err != nil && ctx.Err() == nil {
+		if err := connectionLimits.Serve(ctx, s.Listener, handler, s.Log); err != nil {
 			return fmt.Errorf("operator server: %w", err)
 		}
 		return nil
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -13,9 +13,7 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
-	"storj.io/drpc/drpcwire"
 
 	"github.com/persimmonmux/persimmonmux/coordination/budget"
 	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
@@ -352,9 +350,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	connection := drpcconn.NewWithOptions(&rpc.WriteTimeoutConn{Conn: raw, WriteTimeout: writeTimeout}, drpcconn.Options{
-		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}},
-	})
+	connection := connectionLimits.NewConn(raw)
 	c.work.Go(func() {
 		select {
 		case <-connection.Closed():
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -9,10 +9,7 @@
 	"time"
 
 	"storj.io/drpc"
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
-	"storj.io/drpc/drpcwire"
 
 	"github.com/persimmonmux/persimmonmux/coordination/budget"
 	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
@@ -46,6 +43,9 @@
 	drainTimeout = 5 * time.Second
 )
 
+// connectionLimits bounds the connections of servers and clients.
+var connectionLimits = rpc.Limits{MaxMessageBytes: maxMessageBytes, InactivityTimeout: inactivityTimeout, WriteTimeout: writeTimeout}
+
 // HeartbeatHandler receives the heartbeats of peers.
 type HeartbeatHandler interface {
 	// ReceiveHeartbeat records the heartbeat of a peer and returns the heartbeat of this
@@ -130,14 +130,8 @@
 		if err := peer.DRPCRegisterPeer(mux, &endpoint{server: s}); err != nil {
 			return fmt.Errorf("peer server: %w", err)
 		}
-		server := drpcserver.NewWithOptions(&countingHandler{handler: &rpc.CountingHandler{Handler: mux, Traffic: &s.Traffic}, calls: &s.activeCalls}, drpcserver.Options{
-			Log: s.Log,
-			Manager: drpcmanager.Options{
-				Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
-				InactivityTimeout: inactivityTimeout,
-			},
-		})
-		if err := server.Serve(ctx, &rpc.WriteTimeoutListener{Listener: s.Listener, WriteTimeout: writeTimeout}); err != nil && ctx.Err() == nil {
+		handler := &countingHandler{handler: &rpc.CountingHandler{Handler: mux, Traffic: &s.Traffic}, calls: &s.activeCalls}
+		if err := connectionLimits.Serve(ctx, s.Listener, handler, s.Log); err != nil {
 			return fmt.Errorf("peer server: %w", err)
 		}
 		return nil
--- a/transport/rpc/writetimeout.go
+++ b/transport/rpc/writetimeout.go
@@ -1,5 +1,5 @@
-// Package rpc holds what the drpc servers and clients share: connections with a
-// write timeout, and calls that succeed once their reply was decoded.
+// Package rpc holds what the drpc servers and clients share: bounded connections, and
+// calls that succeed once their reply was decoded.
 package rpc
 
 import (
