entry: one handler for completions and plain services

Both routes read a request, refuse it or dispatch it in the same steps, and differ in what they read. handleRequest has the steps and gets the reader of the route.

Tests of entry and cmd with -race; build, vet and lint.

--- a/transport/entry/handler.go
+++ b/transport/entry/handler.go
@@ -21,9 +21,17 @@
 
 // completions handles POST /v1/chat/completions.
 func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
+	s.handleRequest(w, r, s.readCompletionRequest)
+}
+
+// A requestReader reads the parts of a request that depend on its route into req.
+type requestReader func(w http.ResponseWriter, r *http.Request, req *request.Request, index *configurationIndex) *verdict.Error
+
+// handleRequest reads a request with read and dispatches it, or refuses it.
+func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request, read requestReader) {
 	req, index, failure := s.newRequest(r)
 	if failure == nil {
-		failure = s.readCompletionRequest(w, r, req, index)
+		failure = read(w, r, req, index)
 	}
 	if failure != nil {
 		s.refuse(w, idOf(req), failure)
@@ -62,15 +70,7 @@
 
 // service handles a request to a plain service, below /services/.
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
-	req, index, failure := s.newRequest(r)
-	if failure == nil {
-		failure = s.readServiceRequest(w, r, req, index)
-	}
-	if failure != nil {
-		s.refuse(w, idOf(req), failure)
-		return
-	}
-	s.dispatch(w, r, req)
+	s.handleRequest(w, r, s.readServiceRequest)
 }
 
 // readServiceRequest reads the path and body of a request to a plain service into
