cmd: one function for the signals that stop a host

The commands front and serve both registered SIGTERM and SIGINT and restored their default action after the first one.

Tests of cmd with -race; build, vet and lint.

--- a/internal/cmd/frontcmd.go
+++ b/internal/cmd/frontcmd.go
@@ -53,11 +53,8 @@
 		Start:    time.Now().UnixNano(),
 		Log:      zerolog.New(lines).With().Timestamp().Str("host", decoded.HostName).Logger(),
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilStopSignal()
 	defer stop()
-	// stop restores the default action of the signals, so that a second one ends
-	// the process at once.
-	context.AfterFunc(ctx, stop)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
--- a/internal/cmd/servecmd.go
+++ b/internal/cmd/servecmd.go
@@ -1,11 +1,8 @@
 package cmd
 
 import (
-	"context"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -37,11 +34,8 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilStopSignal()
 	defer stop()
-	// stop restores the default action of the signals, so that a second one ends
-	// the process at once.
-	context.AfterFunc(ctx, stop)
 	return host.Run(ctx)
 }
 
