entryhost, fronthost: name the constructors of parts

The constructors are the same.

Tests of cmd with -race, which start entry hosts; build, vet and lint.

--- a/internal/entryhost/parts.go
+++ b/internal/entryhost/parts.go
@@ -158,14 +158,7 @@
 		func() *peer.Client { return &peer.Client{FailureDomain: h.Settings.FailureDomain} },
 		func() *buffering.Quota { return &buffering.Quota{MaxBytes: h.Settings.Limits.ResponseMemory} },
 		func(quota *buffering.Quota) *engine.Client { return &engine.Client{BufferQuota: quota} },
-		func(distributor *revision.Distributor, monitor *membership.Monitor, quota *buffering.Quota) *service.Client {
-			return &service.Client{
-				BufferQuota:   quota,
-				Configuration: distributor.Current,
-				Leaving:       func(server string) bool { return monitor.View().ServerLeaving(server, 0) },
-				FailureDomain: h.Settings.FailureDomain,
-			}
-		},
+		h.newServiceClient,
 		func() *revisionWatcher { return &revisionWatcher{} },
 		h.newMonitor,
 		func(self fleet.Host, store *platform.Store, peerClient *peer.Client, monitor *membership.Monitor) *revision.Distributor {
@@ -187,24 +180,8 @@
 		func(distributor *revision.Distributor) *admission.Controller {
 			return &admission.Controller{Configuration: distributor, ConcurrencyLimit: h.Settings.Limits.HostConcurrency}
 		},
-		func() *routing.Router {
-			return &routing.Router{
-				FailureDomain: h.Settings.FailureDomain,
-				Region:        h.Settings.Region,
-				StallWeight:   h.Settings.Decisions.StallWeight,
-				BatchWeight:   h.Settings.Decisions.BatchWeight,
-			}
-		},
-		func(router *routing.Router, monitor *membership.Monitor, distributor *revision.Distributor, manager *ownership.Manager) *routeUpdater {
-			return &routeUpdater{
-				router:      router,
-				monitor:     monitor,
-				distributor: distributor,
-				ownership:   manager,
-				domain:      h.Settings.FailureDomain,
-				region:      h.Settings.Region,
-			}
-		},
+		h.newRouter,
+		h.newRouteUpdater,
 		h.newRecorder,
 		func(self fleet.Host, store *platform.Store, monitor *membership.Monitor) *dailyreport.Recorder {
 			return &dailyreport.Recorder{Host: self, Store: store, Members: &liveHosts{monitor: monitor}, Logger: h.Log}
@@ -253,6 +230,15 @@
 	return net.Listen("tcp", address)
 }
 
+func (h *Host) newServiceClient(distributor *revision.Distributor, monitor *membership.Monitor, quota *buffering.Quota) *service.Client {
+	return &service.Client{
+		BufferQuota:   quota,
+		Configuration: distributor.Current,
+		Leaving:       func(server string) bool { return monitor.View().ServerLeaving(server, 0) },
+		FailureDomain: h.Settings.FailureDomain,
+	}
+}
+
 func (h *Host) newMonitor(self fleet.Host, peerClient *peer.Client, hostList *hostlist.Client, watcher *revisionWatcher) *membership.Monitor {
 	var seeds []string
 	for _, address := range h.Settings.PeerAddresses {
@@ -322,6 +308,26 @@
 	return &claim.Registry{Host: self.Name, Start: self.Start, Table: store, Peers: &claimRoute{client: peerClient, addresses: addresses}}
 }
 
+func (h *Host) newRouter() *routing.Router {
+	return &routing.Router{
+		FailureDomain: h.Settings.FailureDomain,
+		Region:        h.Settings.Region,
+		StallWeight:   h.Settings.Decisions.StallWeight,
+		BatchWeight:   h.Settings.Decisions.BatchWeight,
+	}
+}
+
+func (h *Host) newRouteUpdater(router *routing.Router, monitor *membership.Monitor, distributor *revision.Distributor, manager *ownership.Manager) *routeUpdater {
+	return &routeUpdater{
+		router:      router,
+		monitor:     monitor,
+		distributor: distributor,
+		ownership:   manager,
+		domain:      h.Settings.FailureDomain,
+		region:      h.Settings.Region,
+	}
+}
+
 func (h *Host) newRecorder(admissions *admission.Controller) (*metrics.Recorder, error) {
 	recorder := &metrics.Recorder{InFlight: admissions.InFlight}
 	return recorder, trace.Wrap(recorder.Start())
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -129,31 +129,10 @@
 		func() *peer.Client {
 			return &peer.Client{FailureDomain: fleet.FailureDomainName(h.Settings.FailureDomain)}
 		},
-		func() *watch.Cache {
-			return &watch.Cache{
-				Decoder:   platform.Decoder{},
-				Tables:    []site.Table{platform.OperatorTable, zone.HostTable, platform.ServerTable},
-				SlowTable: zone.HostTable,
-				Log:       h.Log,
-			}
-		},
+		h.newCache,
 		h.newStoreReader,
 		h.newFollower,
-		func(store *platform.Store) *lease.Manager {
-			return &lease.Manager{
-				Host:              fleet.HostName(h.Settings.HostName),
-				Start:             fleet.StartNumber(h.Start),
-				PredecessorsEnded: true,
-				Table:             store,
-				Duration:          leaseDuration,
-				RenewalInterval:   leaseRenewalInterval,
-				SafetyMargin:      leaseSafetyMargin,
-				TableTimeout:      storeTimeout,
-				SuspendedDuration: newSuspension().Total,
-				Events:            ring.New[lease.Event](leaseEventCapacity),
-				Logger:            h.Log,
-			}
-		},
+		h.newLeases,
 		func(cache *watch.Cache, owners *ownerLiveness) *balance.Balancer {
 			return &balance.Balancer{Zone: h.Settings.FailureDomain, Regions: h.Settings.Regions, Views: cache, HasOwner: owners.hasOrderingOwner}
 		},
@@ -161,25 +140,8 @@
 			return &ownerLiveness{self: h.Settings.HostName, cache: cache}
 		},
 		h.newElector,
-		func(engines *platform.EngineClient, elector *zone.Elector, cache *watch.Cache, balancer *balance.Balancer) *adapter.Controller {
-			return &adapter.Controller{
-				Host:     h.Settings.HostName,
-				Regions:  h.Settings.Regions,
-				Engines:  engines,
-				Leases:   elector,
-				Views:    cache,
-				Balancer: balancer,
-				Log:      h.Log,
-			}
-		},
-		func(cache *watch.Cache) *retry.WindowBudget {
-			return &retry.WindowBudget{
-				Window:     h.Settings.Repeats.Window,
-				RetryRatio: h.Settings.Repeats.Share * retryBudgetShare,
-				MinRetries: h.Settings.Repeats.Slack * retryBudgetShare,
-				HostCount:  func() int { return len(cache.View().Hosts) },
-			}
-		},
+		h.newController,
+		h.newRetryBudget,
 		func(cache *watch.Cache, client *peer.Client) *quarantine.Quarantine {
 			return &quarantine.Quarantine{Self: h.Settings.HostName, Views: cache, Prober: backend.Prober{}, Peers: client, Log: h.Log}
 		},
@@ -187,16 +149,7 @@
 			return &completion.Notifier{Self: h.Settings.HostName, Views: cache, Owner: controller, Peers: client}
 		},
 		func() *backend.ConnectionPool { return &backend.ConnectionPool{} },
-		func(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, quota *buffering.Quota, client *peer.Client, server *peer.Server) (*metrics.Recorder, error) {
-			recorder := &metrics.Recorder{}
-			if err := recorder.Start(); err != nil {
-				return nil, err
-			}
-			if err := registerTraffic(recorder.Meter(), client, server); err != nil {
-				return nil, err
-			}
-			return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer, quota)
-		},
+		newRecorder,
 		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, blocked *quarantine.Quarantine, completions *completion.Notifier, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
 			region := h.Settings.Regions[h.Settings.FailureDomain]
 			placer := &placer{self: h.Settings.HostName, region: region, cache: cache, controller: controller, client: client, owners: owners}
@@ -207,6 +160,15 @@
 	}
 }
 
+func (h *Host) newCache() *watch.Cache {
+	return &watch.Cache{
+		Decoder:   platform.Decoder{},
+		Tables:    []site.Table{platform.OperatorTable, zone.HostTable, platform.ServerTable},
+		SlowTable: zone.HostTable,
+		Log:       h.Log,
+	}
+}
+
 func (h *Host) newStoreReader(store *platform.Store, cache *watch.Cache, elector *zone.Elector) *watch.StoreReader {
 	return &watch.StoreReader{
 		Store:          store,
@@ -232,6 +194,22 @@
 	return owners.follower
 }
 
+func (h *Host) newLeases(store *platform.Store) *lease.Manager {
+	return &lease.Manager{
+		Host:              fleet.HostName(h.Settings.HostName),
+		Start:             fleet.StartNumber(h.Start),
+		PredecessorsEnded: true,
+		Table:             store,
+		Duration:          leaseDuration,
+		RenewalInterval:   leaseRenewalInterval,
+		SafetyMargin:      leaseSafetyMargin,
+		TableTimeout:      storeTimeout,
+		SuspendedDuration: newSuspension().Total,
+		Events:            ring.New[lease.Event](leaseEventCapacity),
+		Logger:            h.Log,
+	}
+}
+
 func (h *Host) newElector(store *platform.Store, leases *lease.Manager, cache *watch.Cache, owners *ownerLiveness) *zone.Elector {
 	owners.elector = &zone.Elector{
 		Host: site.Host{
@@ -253,6 +231,39 @@
 	return owners.elector
 }
 
+func (h *Host) newController(engines *platform.EngineClient, elector *zone.Elector, cache *watch.Cache, balancer *balance.Balancer) *adapter.Controller {
+	return &adapter.Controller{
+		Host:     h.Settings.HostName,
+		Regions:  h.Settings.Regions,
+		Engines:  engines,
+		Leases:   elector,
+		Views:    cache,
+		Balancer: balancer,
+		Log:      h.Log,
+	}
+}
+
+func (h *Host) newRetryBudget(cache *watch.Cache) *retry.WindowBudget {
+	return &retry.WindowBudget{
+		Window:     h.Settings.Repeats.Window,
+		RetryRatio: h.Settings.Repeats.Share * retryBudgetShare,
+		MinRetries: h.Settings.Repeats.Slack * retryBudgetShare,
+		HostCount:  func() int { return len(cache.View().Hosts) },
+	}
+}
+
+// newRecorder starts the recorder of metrics and registers what it observes.
+func newRecorder(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, quota *buffering.Quota, client *peer.Client, server *peer.Server) (*metrics.Recorder, error) {
+	recorder := &metrics.Recorder{}
+	if err := recorder.Start(); err != nil {
+		return nil, err
+	}
+	if err := registerTraffic(recorder.Meter(), client, server); err != nil {
+		return nil, err
+	}
+	return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer, quota)
+}
+
 func (h *Host) newPeerServer(cache *watch.Cache, controller *adapter.Controller, elector *zone.Elector, balancer *balance.Balancer, blocked *quarantine.Quarantine) (*peer.Server, error) {
 	listener, err := net.Listen("tcp", h.Settings.PeerAddress.String())
 	if err != nil {
