soak: check what has arrived of an answer that breaks off

Cause: the soak compared complete answers only.

Change: what has arrived of a success has to be the begin of the answer that a server may have sent, and has to have its receipt. A stream that breaks off may have as many events as the caller asked for tokens, since a host cannot know that its server makes too many. A report of a wrong answer names its size and the first byte that differs, in place of the whole text.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -45,8 +45,12 @@
 // the connection.
 const abandonDelay = 60 * time.Millisecond
 
-// eventsPerStream is the number of events of each stream.
-const eventsPerStream = 12
+// eventsPerStream is the number of events of each stream. A faulty engine may send up to
+// maxOutputTokens of them, since callers ask for so many tokens.
+const (
+	eventsPerStream = 12
+	maxOutputTokens = 60
+)
 
 // An attempt is one request of a caller to a host with what the caller saw of it.
 // Only its caller changes it.
@@ -61,8 +65,8 @@
 	status int
 	// complete reports that a successful answer arrived to its end.
 	complete bool
-	// mismatch says how a complete answer differs from the expected one; empty if it
-	// does not.
+	// mismatch says how a successful answer, or what has arrived of it, differs from the
+	// expected one; empty if it does not.
 	mismatch string
 	// dialFailed reports that no connection to the host was made.
 	dialFailed bool
@@ -154,7 +158,7 @@
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
 	if a.kind.isStreaming() {
 		r.Header.Set("X-Model", modelName+"/"+a.adapter)
-		r.Header.Set("X-Token-Counts", "100,60")
+		r.Header.Set("X-Token-Counts", fmt.Sprintf("100,%d", maxOutputTokens))
 	}
 	a.sent = time.Now()
 	defer func() { a.ended = time.Now() }()
@@ -168,18 +172,16 @@
 	defer answer.Body.Close() //nolint:errcheck // The body is read or given up.
 	a.status = answer.StatusCode
 	body, err := io.ReadAll(answer.Body)
-	if err != nil {
-		a.failure = err
-		return
-	}
+	a.failure = err
 	if a.status == http.StatusOK {
-		a.complete = true
+		a.complete = err == nil
 		a.mismatch = findMismatch(a, answer.Header, string(body))
 	}
 }
 
-// findMismatch returns how a complete answer differs from the expected one, or an
-// empty string if it does not.
+// findMismatch returns how a successful answer differs from the expected one, or an empty
+// string if it does not. An answer that is not complete has to be the begin of what a server
+// may have sent.
 func findMismatch(a *attempt, header http.Header, body string) string {
 	if id := header.Get("X-Attempt-Id"); id != a.id {
 		return "answer belongs to attempt " + id
@@ -187,15 +189,25 @@
 	if signature := header.Get("X-Response-Signature"); signature != "signed-"+a.id {
 		return fmt.Sprintf("response signature %q does not belong to the attempt", signature)
 	}
-	var want strings.Builder
-	if !a.kind.isStreaming() {
-		want.WriteString(site.Body(a.id))
+	want := expectedBody(a, eventsPerStream)
+	if a.complete && body == want || !a.complete && strings.HasPrefix(expectedBody(a, maxOutputTokens), body) {
+		return ""
+	}
+	same := 0
+	for same < min(len(body), len(want)) && body[same] == want[same] {
+		same++
 	}
-	for number := 1; a.kind.isStreaming() && number <= eventsPerStream; number++ {
-		want.WriteString(site.Event(a.id, number))
+	return fmt.Sprintf("body of %d bytes, complete %t, is not the expected one from byte %d: %.200q", len(body), a.complete, same, body[same:])
+}
+
+// expectedBody returns the body of an answer, with a number of events if it is a stream.
+func expectedBody(a *attempt, events int) string {
+	if !a.kind.isStreaming() {
+		return site.Body(a.id)
 	}
-	if body != want.String() {
-		return fmt.Sprintf("body %q is not the expected one", body)
+	var body strings.Builder
+	for number := 1; number <= events; number++ {
+		body.WriteString(site.Event(a.id, number))
 	}
-	return ""
+	return body.String()
 }
