standin: spoil streams in their head and in their amount too

Cause: the engines of the soak spoiled events, under the head of a stream.

Change: nine more ways to spoil a stream: a body in place of it, without a content type or with another one, short or longer than what a host holds back, ended properly or cut off; thousands of comments or empty lines after the first events; thousands of events in order beyond the stream's own.

--- a/standin/site/server_test.go
+++ b/standin/site/server_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -82,32 +83,62 @@
 	qt.Check(t, f.records[3].Reason, qt.Matches, "order of h2 after one of h1 .*")
 }
 
-// TestSpoiledStreams guards against a stand-in that spoils nothing, or every stream, so that
-// tests against it show nothing.
+// TestSpoiledStreams guards against a stand-in that spoils nothing, or every stream, or in some
+// of the ways only, so that tests against it show nothing.
 func TestSpoiledStreams(t *testing.T) {
 	s := &Server{Settings: Settings{SpoiledOneIn: 4, Events: 4}}
 	seen := make(map[string]int)
-	for i := range 400 {
+	for i := range 800 {
 		attempt := strconv.Itoa(i)
-		var body strings.Builder
-		for number := 1; number <= s.Events && !s.spoil(&body, attempt, 0, number); number++ {
-			body.WriteString(Event(attempt, number))
-		}
+		w := httptest.NewRecorder()
+		w.Header().Set("Content-Type", "text/event-stream")
+		cut := sendSpoiled(t, s, w, attempt)
 		whole := Event(attempt, 1) + Event(attempt, 2) + Event(attempt, 3) + Event(attempt, 4)
-		switch text := body.String(); {
+		text, kind := w.Body.String(), w.Header().Get("Content-Type")
+		switch {
+		case kind != "text/event-stream":
+			qt.Check(t, strings.HasPrefix(text, "garbage"), qt.IsTrue)
+			seen[fmt.Sprintf("%s long=%t cut=%t", kind, len(text) > 256<<10, cut)]++
+		case cut:
+			seen["cut"]++
 		case text == whole:
 			seen["whole"]++
 		case text == "":
 			seen["empty"]++
 		case len(text) < len(whole):
 			seen["ended"]++
+		case strings.Contains(text, Event(attempt, 3_000)):
+			seen["without end"]++
+		case strings.Contains(text, strings.Repeat(": garbage\n\n", 5_000)):
+			seen["comments"]++
+		case strings.Contains(text, strings.Repeat("\n", 5_000)):
+			seen["empty lines"]++
 		default:
 			seen["longer"]++
 		}
-		qt.Check(t, s.spoil(io.Discard, attempt, 2, 3), qt.IsFalse)
+		qt.Check(t, s.spoil(httptest.NewRecorder(), attempt, 2, 3), qt.IsFalse)
+	}
+	qt.Check(t, seen["whole"] > 500 && seen["whole"] < 700, qt.IsTrue, qt.Commentf("%v", seen))
+	for _, kind := range []string{
+		"empty", "ended", "longer", "cut", "without end", "comments", "empty lines", " long=false cut=false", "text/plain long=false cut=false",
+		"application/octet-stream long=true cut=false", " long=true cut=true", "text/plain long=true cut=true",
+	} {
+		qt.Check(t, seen[kind] > 0, qt.IsTrue, qt.Commentf("%s: %v", kind, seen))
 	}
-	qt.Check(t, seen["whole"] > 250 && seen["whole"] < 350, qt.IsTrue, qt.Commentf("%v", seen))
-	for _, kind := range []string{"empty", "ended", "longer"} {
-		qt.Check(t, seen[kind] > 0, qt.IsTrue, qt.Commentf("%v", seen))
+}
+
+// sendSpoiled sends the stream of an attempt without its pauses and reports whether the
+// connection is to close within the body.
+func sendSpoiled(t *testing.T, s *Server, w http.ResponseWriter, attempt string) (cut bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err, _ := cause.(error)
+			qt.Assert(t, err, qt.ErrorIs, http.ErrAbortHandler)
+			cut = true
+		}
+	}()
+	for number := 1; number <= s.Events && !s.spoil(w, attempt, 0, number); number++ {
+		_, _ = io.WriteString(w, Event(attempt, number))
 	}
+	return false
 }
