--- a/standin/site/garble.go
+++ b/standin/site/garble.go
@@ -12,8 +12,8 @@
 	// longBodyLines is the number of lines, of 8 bytes, of a body that is longer than the
 	// 256 KiB that a host holds back.
 	longBodyLines = 40 << 10
-	// fillerCount is the number of comments or empty lines that spoil a stream.
-	fillerCount = 10_000
+	// commentCount is the number of comments or empty lines that spoil a stream.
+	commentCount = 10_000
 	// excessEvents is the number of events that a stream has beyond its own ones.
 	excessEvents = 4_000
 )
@@ -52,9 +52,9 @@
 		{isBody: true, contentType: "application/octet-stream", text: "garbage\n", copies: longBodyLines},
 		{isBody: true, text: "garbage\n", copies: longBodyLines, isCut: true},
 		{isBody: true, contentType: "text/plain", text: "garbage\n", copies: longBodyLines, isCut: true},
-		{text: ": garbage\n\n", copies: fillerCount, goesOn: true},
-		{text: "\n", copies: fillerCount, goesOn: true},
-		{text: ": garbage\n", copies: fillerCount, isCut: true},
+		{text: ": garbage\n\n", copies: commentCount, goesOn: true},
+		{text: "\n", copies: commentCount, goesOn: true},
+		{text: ": garbage\n", copies: commentCount, isCut: true},
 		{events: excessEvents},
 	}
 }
