ownership: split manager.go by duty

A message of the hand-over and the check of a refusal stand with their kind. Behaviour is unchanged.

Tests of ownership with -race; build, vet and lint.

--- a/coordination/ownership/manager.go
+++ b/coordination/ownership/manager.go
@@ -16,7 +16,6 @@
 	"github.com/persimmonmux/persimmonmux/coordination/lease"
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
-	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
 // Leases acquires, transfers and releases the leases of this host. A
@@ -250,74 +249,6 @@
 	g.directory.Store(&directory{owners: maps.Clone(g.owners), nextOwners: maps.Clone(g.nextOwners)})
 }
 
-// reviewCandidacy competes for the leases of the engines for which this host is a
-// candidate, and stops competing for those for which it no longer is. An engine that
-// is owned stays owned, even if other hosts now come before this one in the order of
-// candidates. Its Owner is closed if the engine has changed or was removed.
-func (g *Manager) reviewCandidacy(ctx context.Context) {
-	if g.stopping {
-		return
-	}
-	engines := g.FailureDomain.Engines()
-	hosts := g.FailureDomain.Hosts()
-	known := make(map[fleet.EngineName]bool)
-	for _, engine := range engines {
-		known[engine.Name] = true
-		if g.closing[engine.Name] {
-			continue
-		}
-		if o, ok := g.owners[engine.Name]; ok {
-			if o.Engine != engine {
-				g.closeAndRelease(ctx, engine.Name)
-			}
-			continue
-		}
-		rank := slices.IndexFunc(CandidateHosts(engine.Name, hosts), func(h fleet.Host) bool { return h.Name == g.Host.Name })
-		lastRank, requested := g.requestedRanks[engine.Name]
-		switch {
-		case rank >= 0 && rank < g.CandidateLimit:
-			if (!requested || lastRank != rank) && g.Leases.Acquire(LeaseName(engine.Name), rank) {
-				g.requestedRanks[engine.Name] = rank
-			}
-		case requested && g.Leases.Release(LeaseName(engine.Name)):
-			delete(g.requestedRanks, engine.Name)
-		}
-	}
-	for name := range g.owners {
-		if !known[name] {
-			g.closeAndRelease(ctx, name)
-		}
-	}
-	for name := range g.requestedRanks {
-		if !known[name] && g.owners[name] == nil && g.Leases.Release(LeaseName(name)) {
-			delete(g.requestedRanks, name)
-		}
-	}
-}
-
-// closeAndRelease closes an Owner and then releases its lease, so that nothing is
-// granted under a released lease.
-func (g *Manager) closeAndRelease(ctx context.Context, name fleet.EngineName) {
-	g.closing[name] = true
-	delete(g.requestedRanks, name)
-	g.closeOwner(name, func() {
-		select {
-		case g.results <- ownerClosed{engine: name}:
-		case <-ctx.Done():
-		}
-	})
-}
-
-// ownerClosed is the result of closeAndRelease.
-type ownerClosed struct {
-	engine fleet.EngineName
-}
-
-func (l ownerClosed) handle(_ context.Context, g *Manager) {
-	delete(g.closing, l.engine)
-	g.Leases.Release(LeaseName(l.engine))
-}
-
 // closeOwner removes an Owner from the directory, closes it on a worker goroutine
 // and then calls after.
 func (g *Manager) closeOwner(name fleet.EngineName, after func()) {
@@ -330,64 +261,6 @@
 	})
 }
 
-// handleLeaseEvent starts or closes the Owner whose lease was gained or lost.
-func (g *Manager) handleLeaseEvent(ctx context.Context, e lease.Event) {
-	name, ok := g.engineOfLease(e.Name)
-	if !ok {
-		return
-	}
-	o := g.owners[name]
-	switch e.Type {
-	case lease.Gained:
-		if o != nil && o.Epoch == e.Epoch {
-			return
-		}
-		if o != nil {
-			g.closeOwner(name, func() {})
-		}
-		engine, ok := g.findEngine(name)
-		if _, requested := g.requestedRanks[name]; !ok || !requested || g.stopping {
-			// This host no longer competes for the lease. No Owner starts, because the
-			// release of the lease shows others that nothing is granted under it.
-			g.Leases.Release(e.Name)
-			delete(g.requestedRanks, name)
-			return
-		}
-		g.startOwner(ctx, engine, e.Epoch, PreviousHolder{Host: e.PreviousHolder, Start: e.PreviousStart, Released: e.Released})
-	case lease.Expired:
-		// The Owner goes on granting resident instances.
-	case lease.Lost:
-		delete(g.requestedRanks, name)
-		if e.Holder != "" && e.Holder != g.Host.Name {
-			g.nextOwners[name] = e.Holder
-			g.publishDirectory()
-		}
-		if o == nil || o.Epoch != e.Epoch {
-			return
-		}
-		o.leaseLost = true
-		if !o.handingOver.Load() {
-			g.closeOwner(name, func() {})
-		}
-	}
-}
-
-// engineOfLease returns the engine whose lease has the name, among the engines of
-// the failure domain and those still owned.
-func (g *Manager) engineOfLease(name lease.Name) (fleet.EngineName, bool) {
-	for _, engine := range g.FailureDomain.Engines() {
-		if LeaseName(engine.Name) == name {
-			return engine.Name, true
-		}
-	}
-	for engine := range g.owners {
-		if LeaseName(engine) == name {
-			return engine, true
-		}
-	}
-	return "", false
-}
-
 // startOwner starts a new Owner and adds it to the directory.
 func (g *Manager) startOwner(ctx context.Context, engine fleet.Engine, epoch fleet.Epoch, previous PreviousHolder) *Owner {
 	o := &Owner{
@@ -406,33 +279,3 @@
 	})
 	return o
 }
-
-// expectLeaseMessage marks the lease of a hand-over as requested, because the lease
-// may be gained before the hand-over is adopted.
-type expectLeaseMessage struct {
-	engine fleet.EngineName
-	reply  chan error
-}
-
-func (e expectLeaseMessage) handle(_ context.Context, g *Manager) {
-	if g.stopping {
-		e.reply <- errors.New("this host is stopping")
-		return
-	}
-	g.requestedRanks[e.engine] = 0
-	e.reply <- nil
-}
-
-// NotOwnerRefusal reports whether err is a refusal with code CodeNotOwner, and
-// returns the owner of the engine if the refusal names it.
-func NotOwnerRefusal(err error) (fleet.HostName, bool) {
-	var verdictErr *verdict.Error
-	var cause *NotOwnerError
-	if !errors.As(err, &verdictErr) || verdictErr.Code != verdict.CodeNotOwner {
-		return "", false
-	}
-	if errors.As(err, &cause) {
-		return cause.Owner, true
-	}
-	return "", true
-}
--- a/coordination/ownership/managerhandover.go
+++ b/coordination/ownership/managerhandover.go
@@ -171,3 +171,19 @@
 	}
 	g.handOverAllReplies, g.handOverErrors = nil, nil
 }
+
+// expectLeaseMessage marks the lease of a hand-over as requested, because the lease
+// may be gained before the hand-over is adopted.
+type expectLeaseMessage struct {
+	engine fleet.EngineName
+	reply  chan error
+}
+
+func (e expectLeaseMessage) handle(_ context.Context, g *Manager) {
+	if g.stopping {
+		e.reply <- errors.New("this host is stopping")
+		return
+	}
+	g.requestedRanks[e.engine] = 0
+	e.reply <- nil
+}
--- a/coordination/ownership/notownererror.go
+++ b/coordination/ownership/notownererror.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/persimmonmux/persimmonmux/state/fleet"
@@ -28,3 +29,17 @@
 	refusal.Cause = &NotOwnerError{Engine: engine, Owner: owner}
 	return refusal
 }
+
+// NotOwnerRefusal reports whether err is a refusal with code CodeNotOwner, and
+// returns the owner of the engine if the refusal names it.
+func NotOwnerRefusal(err error) (fleet.HostName, bool) {
+	var verdictErr *verdict.Error
+	var cause *NotOwnerError
+	if !errors.As(err, &verdictErr) || verdictErr.Code != verdict.CodeNotOwner {
+		return "", false
+	}
+	if errors.As(err, &cause) {
+		return cause.Owner, true
+	}
+	return "", true
+}
