lease, ownership: name the receiver of Manager m

It was k in lease and g in ownership, the initials of former names of the types. The received messages that were m in the loops are received.

Tests of lease, ownership, zone and adapter with -race; build, vet and lint.

--- a/coordination/lease/acquiring.go
+++ b/coordination/lease/acquiring.go
@@ -8,9 +8,9 @@
 // Acquire requests a lease. A candidate of rank r waits r renewal intervals
 // longer than needed, so that the candidate of rank 0 comes first. A second call
 // changes the rank. Acquire reports whether the ring had room.
-func (k *Manager) Acquire(name Name, rank int) bool {
-	k.setup()
-	return k.messages.Offer(acquireRequest{name: name, rank: rank})
+func (m *Manager) Acquire(name Name, rank int) bool {
+	m.setup()
+	return m.messages.Offer(acquireRequest{name: name, rank: rank})
 }
 
 // An acquireRequest is the message of Acquire.
@@ -19,20 +19,20 @@
 	rank int
 }
 
-func (w acquireRequest) handle(_ context.Context, k *Manager) {
-	k.markWanted(w.name, w.rank)
+func (r acquireRequest) handle(_ context.Context, m *Manager) {
+	m.markWanted(r.name, r.rank)
 }
 
 // markWanted marks the lease as wanted with the rank, adds it if it is new, and
 // returns it.
-func (k *Manager) markWanted(name Name, rank int) *lease {
-	l, ok := k.leases[name]
+func (m *Manager) markWanted(name Name, rank int) *lease {
+	l, ok := m.leases[name]
 	if !ok {
 		l = &lease{name: name}
-		k.leases[name] = l
+		m.leases[name] = l
 	}
 	if rank < l.rank {
-		l.nextAccess = k.now()
+		l.nextAccess = m.now()
 	}
 	l.wanted, l.rank = true, rank
 	return l
@@ -40,14 +40,14 @@
 
 // takeoverTime returns when this host may take a lease whose record does not name
 // this process as the holder.
-func (k *Manager) takeoverTime(l *lease) time.Time {
-	delay := time.Duration(l.rank) * k.RenewalInterval
+func (m *Manager) takeoverTime(l *lease) time.Time {
+	delay := time.Duration(l.rank) * m.RenewalInterval
 	if l.record.Holder == "" {
 		return l.firstSeen.Add(delay)
 	}
-	if k.PredecessorsEnded && l.record.Holder == k.Host {
+	if m.PredecessorsEnded && l.record.Holder == m.Host {
 		return l.firstSeen
 	}
-	duration := max(k.Duration, time.Duration(l.record.DurationMilliseconds)*time.Millisecond)
-	return l.firstSeen.Add(duration + k.SafetyMargin + delay)
+	duration := max(m.Duration, time.Duration(l.record.DurationMilliseconds)*time.Millisecond)
+	return l.firstSeen.Add(duration + m.SafetyMargin + delay)
 }
--- a/coordination/lease/event.go
+++ b/coordination/lease/event.go
@@ -35,17 +35,17 @@
 	Holder fleet.HostName
 }
 
-func (k *Manager) queueEvent(e Event) {
-	k.unsentEvents = append(k.unsentEvents, e)
+func (m *Manager) queueEvent(e Event) {
+	m.unsentEvents = append(m.unsentEvents, e)
 }
 
 // sendEvents sends the queued events in order until the ring is full. It drops
 // them if Events is nil.
-func (k *Manager) sendEvents() {
-	for len(k.unsentEvents) > 0 {
-		if k.Events != nil && !k.Events.Offer(k.unsentEvents[0]) {
+func (m *Manager) sendEvents() {
+	for len(m.unsentEvents) > 0 {
+		if m.Events != nil && !m.Events.Offer(m.unsentEvents[0]) {
 			return
 		}
-		k.unsentEvents = k.unsentEvents[1:]
+		m.unsentEvents = m.unsentEvents[1:]
 	}
 }
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -40,35 +40,35 @@
 }
 
 // isOwn reports whether the record names this process as the holder.
-func (k *Manager) isOwn(r Record) bool {
-	return r.Holder == k.Host && r.Start == k.Start
+func (m *Manager) isOwn(r Record) bool {
+	return r.Holder == m.Host && r.Start == m.Start
 }
 
 // expireLeases ends the leases that were not renewed in time and forgets the
 // times of writes that are older than a lease.
-func (k *Manager) expireLeases(now time.Time) {
-	for _, l := range k.leases {
+func (m *Manager) expireLeases(now time.Time) {
+	for _, l := range m.leases {
 		if l.held && !now.Before(l.expires) {
 			l.held = false
 			l.nextAccess = now
-			k.publishPending = true
-			k.queueEvent(Event{Name: l.name, Type: Expired, Epoch: l.reportedEpoch})
+			m.publishPending = true
+			m.queueEvent(Event{Name: l.name, Type: Expired, Epoch: l.reportedEpoch})
 		}
 	}
-	for number, sent := range k.sentAt {
-		if now.Sub(sent) > k.Duration {
-			delete(k.sentAt, number)
+	for number, sent := range m.sentAt {
+		if now.Sub(sent) > m.Duration {
+			delete(m.sentAt, number)
 		}
 	}
 }
 
 // applyObservation updates the lease from its record. at is a time that is not
 // before the record was written.
-func (k *Manager) applyObservation(l *lease, record table.Record, at, now time.Time) {
+func (m *Manager) applyObservation(l *lease, record table.Record, at, now time.Time) {
 	parsed, err := decode(record)
 	l.malformed = err != nil
 	if err != nil {
-		k.Logger.Error().Err(err).Msg("lease record is malformed and is not overwritten")
+		m.Logger.Error().Err(err).Msg("lease record is malformed and is not overwritten")
 		return
 	}
 	if !l.recordKnown || record.Version != l.version {
@@ -78,52 +78,52 @@
 	if l.unresolvedVersion != 0 && l.version != l.unresolvedVersion {
 		l.unresolvedVersion = 0
 	}
-	if !k.isOwn(parsed) {
-		k.loseLease(l, parsed.Holder)
+	if !m.isOwn(parsed) {
+		m.loseLease(l, parsed.Holder)
 		l.releasing = false
 		return
 	}
-	k.applyOwnRecord(l, now)
+	m.applyOwnRecord(l, now)
 }
 
 // applyOwnRecord updates the lease after its record was found to name this process
 // as the holder.
-func (k *Manager) applyOwnRecord(l *lease, now time.Time) {
+func (m *Manager) applyOwnRecord(l *lease, now time.Time) {
 	if l.reportedEpoch != 0 && l.reportedEpoch != l.record.Epoch {
-		k.loseLease(l, l.record.Holder)
+		m.loseLease(l, l.record.Holder)
 	}
 	if !l.wanted && !l.releasing {
-		l.releasing, l.releaseDeadline = true, now.Add(k.Duration)
+		l.releasing, l.releaseDeadline = true, now.Add(m.Duration)
 	}
-	sent, ok := k.sentAt[l.record.WriteNumber]
+	sent, ok := m.sentAt[l.record.WriteNumber]
 	if !ok || l.releasing || l.unresolvedVersion != 0 {
 		return
 	}
-	expires := sent.Add(k.Duration - k.SafetyMargin)
+	expires := sent.Add(m.Duration - m.SafetyMargin)
 	if now.Before(expires) {
-		k.hold(l, expires)
+		m.hold(l, expires)
 	}
 }
 
 // hold makes the lease held until expires under the epoch of its record. It reports
 // the epoch as gained if the lease was not held before.
-func (k *Manager) hold(l *lease, expires time.Time) {
+func (m *Manager) hold(l *lease, expires time.Time) {
 	if !l.held {
 		r := l.record
 		l.reportedEpoch = r.Epoch
-		k.queueEvent(Event{
+		m.queueEvent(Event{
 			Name: l.name, Type: Gained, Epoch: r.Epoch,
 			PreviousHolder: r.PreviousHolder, PreviousStart: r.PreviousStart, Released: r.Released,
 		})
 	}
-	l.held, l.expires, k.publishPending = true, expires, true
+	l.held, l.expires, m.publishPending = true, expires, true
 }
 
 // loseLease ends the holding of a lease for good. It reports the epoch as lost if
 // the epoch was reported as gained.
-func (k *Manager) loseLease(l *lease, holder fleet.HostName) {
+func (m *Manager) loseLease(l *lease, holder fleet.HostName) {
 	if l.reportedEpoch != 0 {
-		k.queueEvent(Event{Name: l.name, Type: Lost, Epoch: l.reportedEpoch, Holder: holder})
+		m.queueEvent(Event{Name: l.name, Type: Lost, Epoch: l.reportedEpoch, Holder: holder})
 	}
-	l.reportedEpoch, l.held, k.publishPending = 0, false, true
+	l.reportedEpoch, l.held, m.publishPending = 0, false, true
 }
--- a/coordination/lease/manager.go
+++ b/coordination/lease/manager.go
@@ -125,101 +125,101 @@
 
 // A message is a request or a worker's result that the goroutine of Run handles.
 type message interface {
-	handle(ctx context.Context, k *Manager)
+	handle(ctx context.Context, m *Manager)
 }
 
-func (k *Manager) setup() {
-	k.setupOnce.Do(func() {
-		k.messages = ring.New[message](messageCapacity)
-		k.results = make(chan message, maxOperations+1)
-		k.ended = make(chan struct{})
-		k.leases = make(map[Name]*lease)
-		k.sentAt = make(map[uint64]time.Time)
-		if k.Duration == 0 {
-			k.Duration = DefaultDuration
+func (m *Manager) setup() {
+	m.setupOnce.Do(func() {
+		m.messages = ring.New[message](messageCapacity)
+		m.results = make(chan message, maxOperations+1)
+		m.ended = make(chan struct{})
+		m.leases = make(map[Name]*lease)
+		m.sentAt = make(map[uint64]time.Time)
+		if m.Duration == 0 {
+			m.Duration = DefaultDuration
 		}
-		if k.RenewalInterval == 0 {
-			k.RenewalInterval = DefaultRenewalInterval
+		if m.RenewalInterval == 0 {
+			m.RenewalInterval = DefaultRenewalInterval
 		}
-		if k.SafetyMargin == 0 {
-			k.SafetyMargin = DefaultSafetyMargin
+		if m.SafetyMargin == 0 {
+			m.SafetyMargin = DefaultSafetyMargin
 		}
-		if k.TableTimeout == 0 {
-			k.TableTimeout = DefaultTableTimeout
+		if m.TableTimeout == 0 {
+			m.TableTimeout = DefaultTableTimeout
 		}
 	})
 }
 
 // Run holds the acquired leases until ctx ends or Close is called. At the end it
 // makes one attempt to release the leases that it holds.
-func (k *Manager) Run(ctx context.Context) error {
-	k.setup()
-	defer k.endOnce.Do(func() { close(k.ended) })
-	return k.lifecycle.Run(ctx, k.loop)
+func (m *Manager) Run(ctx context.Context) error {
+	m.setup()
+	defer m.endOnce.Do(func() { close(m.ended) })
+	return m.lifecycle.Run(ctx, m.loop)
 }
 
 // Close ends the duty and waits until it has ended. A lease that is still held is
 // released, so the users of leases are closed first.
-func (k *Manager) Close() error {
-	return k.lifecycle.Close()
+func (m *Manager) Close() error {
+	return m.lifecycle.Close()
 }
 
 // now returns the time on the monotonic clock plus the time that the machine was
 // suspended.
-func (k *Manager) now() time.Time {
-	if k.SuspendedDuration == nil {
+func (m *Manager) now() time.Time {
+	if m.SuspendedDuration == nil {
 		return time.Now()
 	}
-	return time.Now().Add(k.SuspendedDuration())
+	return time.Now().Add(m.SuspendedDuration())
 }
 
-func (k *Manager) loop(ctx context.Context) error {
+func (m *Manager) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			k.releaseAll(ctx)
+			m.releaseAll(ctx)
 			return ctx.Err()
-		case m := <-k.messages.Messages():
-			m.handle(ctx, k)
-		case m := <-k.results:
-			m.handle(ctx, k)
+		case received := <-m.messages.Messages():
+			received.handle(ctx, m)
+		case received := <-m.results:
+			received.handle(ctx, m)
 		case <-timer.C:
 		}
-		timer.Reset(k.step(ctx, k.now()))
+		timer.Reset(m.step(ctx, m.now()))
 	}
 }
 
 // step does all work that is due and returns the time until the next work is due.
-func (k *Manager) step(ctx context.Context, now time.Time) time.Duration {
-	k.expireLeases(now)
-	k.startOperations(ctx)
-	if !k.roundPending {
-		k.startRound(ctx, now)
+func (m *Manager) step(ctx context.Context, now time.Time) time.Duration {
+	m.expireLeases(now)
+	m.startOperations(ctx)
+	if !m.roundPending {
+		m.startRound(ctx, now)
 	}
-	k.publishValidLeases()
-	k.sendEvents()
-	return max(k.nextStep(now).Sub(now), 0)
+	m.publishValidLeases()
+	m.sendEvents()
+	return max(m.nextStep(now).Sub(now), 0)
 }
 
 // nextStep returns when the next renewal, expiry, access or event is due, but at
 // most one renewal interval from now.
-func (k *Manager) nextStep(now time.Time) time.Time {
-	next := now.Add(k.RenewalInterval)
-	if len(k.unsentEvents) > 0 {
+func (m *Manager) nextStep(now time.Time) time.Time {
+	next := now.Add(m.RenewalInterval)
+	if len(m.unsentEvents) > 0 {
 		next = now.Add(eventRetryDelay)
 	}
-	for _, l := range k.leases {
+	for _, l := range m.leases {
 		if l.held && l.expires.Before(next) {
 			next = l.expires
 		}
-		if k.roundPending || l.accessPending {
+		if m.roundPending || l.accessPending {
 			continue
 		}
 		due := l.nextAccess
 		if l.held && !l.releasing {
-			due = k.nextRenewal
+			due = m.nextRenewal
 		}
 		if due.Before(next) {
 			next = due
@@ -229,6 +229,6 @@
 }
 
 // jitter returns d changed at random by up to a tenth.
-func (k *Manager) jitter(d time.Duration) time.Duration {
+func (m *Manager) jitter(d time.Duration) time.Duration {
 	return d - d/10 + rand.N(d/5+1)
 }
--- a/coordination/lease/operation.go
+++ b/coordination/lease/operation.go
@@ -28,26 +28,26 @@
 // Transfer passes a held lease to the given process with the epoch raised by one
 // and returns the new epoch. The lease is not valid from the call on. After an
 // error other than ErrUnresolved it is valid again if it was valid before.
-func (k *Manager) Transfer(ctx context.Context, name Name, to fleet.HostName, start fleet.StartNumber) (fleet.Epoch, error) {
-	if to == k.Host && start == k.Start {
+func (m *Manager) Transfer(ctx context.Context, name Name, to fleet.HostName, start fleet.StartNumber) (fleet.Epoch, error) {
+	if to == m.Host && start == m.Start {
 		return 0, fmt.Errorf("transfer of lease %s to its holder: %w", name, ErrNotHeld)
 	}
-	return k.runOperation(ctx, operation{name: name, to: to, start: start})
+	return m.runOperation(ctx, operation{name: name, to: to, start: start})
 }
 
 // AcceptTransfer takes a lease that another host transferred to this process with
 // the given epoch. When it returns nil, the lease is valid.
-func (k *Manager) AcceptTransfer(ctx context.Context, name Name, epoch fleet.Epoch) error {
-	_, err := k.runOperation(ctx, operation{name: name, acceptedEpoch: epoch})
+func (m *Manager) AcceptTransfer(ctx context.Context, name Name, epoch fleet.Epoch) error {
+	_, err := m.runOperation(ctx, operation{name: name, acceptedEpoch: epoch})
 	return err
 }
 
 // runOperation queues a transfer or an accepted transfer and waits for its
 // outcome.
-func (k *Manager) runOperation(ctx context.Context, o operation) (fleet.Epoch, error) {
-	k.setup()
+func (m *Manager) runOperation(ctx context.Context, o operation) (fleet.Epoch, error) {
+	m.setup()
 	o.reply = make(chan operationReply, 1)
-	if !k.messages.Offer(o) {
+	if !m.messages.Offer(o) {
 		return 0, fmt.Errorf("lease %s: %w", o.name, ErrBusy)
 	}
 	select {
@@ -55,7 +55,7 @@
 		return r.epoch, r.err
 	case <-ctx.Done():
 		return 0, fmt.Errorf("lease %s: %w: %w", o.name, ErrUnresolved, ctx.Err())
-	case <-k.ended:
+	case <-m.ended:
 		select {
 		case r := <-o.reply:
 			return r.epoch, r.err
@@ -65,30 +65,30 @@
 	}
 }
 
-func (o operation) handle(_ context.Context, k *Manager) {
-	if len(k.queuedOperations) >= messageCapacity {
+func (o operation) handle(_ context.Context, m *Manager) {
+	if len(m.queuedOperations) >= messageCapacity {
 		o.reply <- operationReply{err: fmt.Errorf("lease %s: %w", o.name, ErrBusy)}
 		return
 	}
-	k.queuedOperations = append(k.queuedOperations, o)
+	m.queuedOperations = append(m.queuedOperations, o)
 }
 
 // startOperations starts the queued operations whose records no worker accesses,
 // as long as fewer than maxOperations are in flight.
-func (k *Manager) startOperations(ctx context.Context) {
-	waiting := k.queuedOperations[:0]
-	for _, o := range k.queuedOperations {
-		if l := k.leases[o.name]; l != nil && l.accessPending || k.pendingOperations >= maxOperations {
+func (m *Manager) startOperations(ctx context.Context) {
+	waiting := m.queuedOperations[:0]
+	for _, o := range m.queuedOperations {
+		if l := m.leases[o.name]; l != nil && l.accessPending || m.pendingOperations >= maxOperations {
 			waiting = append(waiting, o)
 			continue
 		}
 		if o.acceptedEpoch != 0 {
-			k.startAccept(ctx, o)
+			m.startAccept(ctx, o)
 		} else {
-			k.startTransfer(ctx, o)
+			m.startTransfer(ctx, o)
 		}
 	}
-	k.queuedOperations = waiting
+	m.queuedOperations = waiting
 }
 
 // An operationResult carries the outcome of an operation from its worker to the
@@ -104,29 +104,29 @@
 
 // startTransfer starts a worker that writes the new holder into the record. The
 // lease is not valid until the outcome is known.
-func (k *Manager) startTransfer(ctx context.Context, o operation) {
-	l := k.leases[o.name]
+func (m *Manager) startTransfer(ctx context.Context, o operation) {
+	l := m.leases[o.name]
 	if l == nil || !l.held || l.releasing || l.unresolvedVersion != 0 {
 		o.reply <- operationReply{err: fmt.Errorf("transfer of lease %s: %w", o.name, ErrNotHeld)}
 		return
 	}
 	version := l.version
-	l.unresolvedVersion, k.publishPending = version, true
-	transfer := l.record.nextHolderRecord(o.to, o.start, k.Duration, 0)
-	number := k.nextWriteNumber()
+	l.unresolvedVersion, m.publishPending = version, true
+	transfer := l.record.nextHolderRecord(o.to, o.start, m.Duration, 0)
+	number := m.nextWriteNumber()
 	renewed := l.record
 	renewed.WriteNumber = number
-	k.publishValidLeases()
-	k.startWorker(l, func() operationResult {
+	m.publishValidLeases()
+	m.startWorker(l, func() operationResult {
 		r := operationResult{operation: o, lease: l}
-		r.observation, r.err = k.replaceRecord(ctx, o.name, version, transfer)
+		r.observation, r.err = m.replaceRecord(ctx, o.name, version, transfer)
 		if r.err == nil || errors.Is(r.err, table.ErrUnavailable) {
 			return r
 		}
 		if r.observation != nil && r.observation.record.Version == version {
 			// The transfer may still take effect. A renewal on the same version
 			// makes it fail, or fails itself because of it.
-			r.observation, r.err = k.replaceRecord(ctx, o.name, version, renewed)
+			r.observation, r.err = m.replaceRecord(ctx, o.name, version, renewed)
 		}
 		return r
 	})
@@ -134,49 +134,49 @@
 
 // startAccept starts a worker that renews a record which names this process as
 // the holder with the accepted epoch.
-func (k *Manager) startAccept(ctx context.Context, o operation) {
-	l := k.markWanted(o.name, 0)
+func (m *Manager) startAccept(ctx context.Context, o operation) {
+	l := m.markWanted(o.name, 0)
 	if l.held && l.reportedEpoch == o.acceptedEpoch {
-		k.publishValidLeases()
+		m.publishValidLeases()
 		o.reply <- operationReply{epoch: o.acceptedEpoch}
 		return
 	}
-	number := k.nextWriteNumber()
-	k.startWorker(l, func() operationResult {
+	number := m.nextWriteNumber()
+	m.startWorker(l, func() operationResult {
 		r := operationResult{operation: o, lease: l}
-		records, err := k.read(ctx, []table.Key{o.name.Key()})
+		records, err := m.read(ctx, []table.Key{o.name.Key()})
 		if err != nil {
 			r.err = err
 			return r
 		}
-		r.observation = &observation{record: records[0], at: k.now()}
+		r.observation = &observation{record: records[0], at: m.now()}
 		record, err := decode(records[0])
-		if err != nil || !k.isOwn(record) || record.Epoch != o.acceptedEpoch {
+		if err != nil || !m.isOwn(record) || record.Epoch != o.acceptedEpoch {
 			r.err = errors.Join(err, ErrNotHeld)
 			return r
 		}
 		// The transfer may have been seen by others before this read, so the
 		// lease is counted from a write of this host.
-		record.WriteNumber, record.DurationMilliseconds = number, k.Duration.Milliseconds()
-		r.observation, r.err = k.replaceRecord(ctx, o.name, records[0].Version, record)
+		record.WriteNumber, record.DurationMilliseconds = number, m.Duration.Milliseconds()
+		r.observation, r.err = m.replaceRecord(ctx, o.name, records[0].Version, record)
 		return r
 	})
 }
 
 // nextWriteNumber returns the number of a new write and records the present time
 // as the time before it is sent.
-func (k *Manager) nextWriteNumber() uint64 {
-	k.lastWriteNumber++
-	k.sentAt[k.lastWriteNumber] = k.now()
-	return k.lastWriteNumber
+func (m *Manager) nextWriteNumber() uint64 {
+	m.lastWriteNumber++
+	m.sentAt[m.lastWriteNumber] = m.now()
+	return m.lastWriteNumber
 }
 
 // startWorker runs the accesses of an operation on a worker goroutine.
-func (k *Manager) startWorker(l *lease, step func() operationResult) {
+func (m *Manager) startWorker(l *lease, step func() operationResult) {
 	l.accessPending = true
-	k.pendingOperations++
-	k.lifecycle.Go(func() {
-		k.results <- step()
+	m.pendingOperations++
+	m.lifecycle.Go(func() {
+		m.results <- step()
 	})
 }
 
@@ -184,50 +184,50 @@
 // if the reply is lost. The error is nil if the table returned a record that
 // shows whether the write took effect. After any other error but
 // table.ErrUnavailable the write may still take effect.
-func (k *Manager) replaceRecord(ctx context.Context, name Name, version table.Version, record Record) (*observation, error) {
-	results, err := k.commit(ctx, table.Transaction{Writes: []table.Write{
+func (m *Manager) replaceRecord(ctx context.Context, name Name, version table.Version, record Record) (*observation, error) {
+	results, err := m.commit(ctx, table.Transaction{Writes: []table.Write{
 		{Key: name.Key(), Expected: version, Value: record.encode()},
 	}})
 	if err == nil {
-		return &observation{record: results[0].Current, at: k.now()}, nil
+		return &observation{record: results[0].Current, at: m.now()}, nil
 	}
 	if errors.Is(err, table.ErrUnavailable) {
 		return nil, err
 	}
-	records, readErr := k.read(ctx, []table.Key{name.Key()})
+	records, readErr := m.read(ctx, []table.Key{name.Key()})
 	if readErr != nil {
 		return nil, err
 	}
-	o := &observation{record: records[0], at: k.now()}
+	o := &observation{record: records[0], at: m.now()}
 	if records[0].Version == version {
 		return o, err
 	}
 	return o, nil
 }
 
-func (r operationResult) handle(_ context.Context, k *Manager) {
-	now := k.now()
+func (r operationResult) handle(_ context.Context, m *Manager) {
+	now := m.now()
 	l, o := r.lease, r.operation
 	l.accessPending = false
-	k.pendingOperations--
+	m.pendingOperations--
 	epoch := l.reportedEpoch
 	if errors.Is(r.err, table.ErrUnavailable) && r.observation == nil && o.acceptedEpoch == 0 {
 		// Nothing was written.
 		l.unresolvedVersion = 0
 	}
 	if r.observation != nil {
-		k.applyObservation(l, r.observation.record, r.observation.at, now)
+		m.applyObservation(l, r.observation.record, r.observation.at, now)
 	}
-	l.nextAccess, k.publishPending = now, true
-	reply := k.replyTo(o, l, epoch, r.err)
+	l.nextAccess, m.publishPending = now, true
+	reply := m.replyTo(o, l, epoch, r.err)
 	// The caller may ask Valid as soon as it has the reply.
-	k.publishValidLeases()
+	m.publishValidLeases()
 	o.reply <- reply
 }
 
 // replyTo returns the reply to an operation according to the record. epoch is the
 // epoch that this host held before the outcome was known.
-func (k *Manager) replyTo(o operation, l *lease, epoch fleet.Epoch, err error) operationReply {
+func (m *Manager) replyTo(o operation, l *lease, epoch fleet.Epoch, err error) operationReply {
 	if o.acceptedEpoch != 0 {
 		if l.held && l.reportedEpoch == o.acceptedEpoch {
 			return operationReply{epoch: o.acceptedEpoch}
--- a/coordination/lease/round.go
+++ b/coordination/lease/round.go
@@ -29,22 +29,22 @@
 }
 
 // startRound collects all leases that are due and starts a worker for them.
-func (k *Manager) startRound(ctx context.Context, now time.Time) {
-	r := &round{records: make(map[table.Key]observation), renewal: !now.Before(k.nextRenewal)}
-	number := k.lastWriteNumber + 1
-	for name, l := range k.leases {
+func (m *Manager) startRound(ctx context.Context, now time.Time) {
+	r := &round{records: make(map[table.Key]observation), renewal: !now.Before(m.nextRenewal)}
+	number := m.lastWriteNumber + 1
+	for name, l := range m.leases {
 		if l.accessPending {
 			continue
 		}
-		if k.canForget(l, now) {
-			delete(k.leases, name)
+		if m.canForget(l, now) {
+			delete(m.leases, name)
 			continue
 		}
-		k.planLease(r, l, number, now)
+		m.planLease(r, l, number, now)
 	}
 	if len(r.writes) > 0 {
-		k.lastWriteNumber = number
-		k.sentAt[number] = now
+		m.lastWriteNumber = number
+		m.sentAt[number] = now
 	}
 	if len(r.written)+len(r.read) == 0 {
 		return
@@ -52,17 +52,17 @@
 	for _, l := range append(r.written[:len(r.written):len(r.written)], r.read...) {
 		l.accessPending = true
 	}
-	k.roundPending = true
-	k.lifecycle.Go(func() {
-		k.executeRound(ctx, r)
-		k.results <- r
+	m.roundPending = true
+	m.lifecycle.Go(func() {
+		m.executeRound(ctx, r)
+		m.results <- r
 	})
 }
 
 // canForget reports whether the lease is neither wanted nor to be released, and
 // no transfer of it is unresolved. It first cancels a release whose deadline
 // has passed.
-func (k *Manager) canForget(l *lease, now time.Time) bool {
+func (m *Manager) canForget(l *lease, now time.Time) bool {
 	if l.releasing && !now.Before(l.releaseDeadline) {
 		// The lease has expired by itself.
 		l.releasing = false
@@ -71,12 +71,12 @@
 }
 
 // planLease adds the write or the read that the lease needs now to the round.
-func (k *Manager) planLease(r *round, l *lease, number uint64, now time.Time) {
+func (m *Manager) planLease(r *round, l *lease, number uint64, now time.Time) {
 	due := !now.Before(l.nextAccess)
 	if l.held && !l.releasing {
 		due = r.renewal
 	}
-	own := l.recordKnown && k.isOwn(l.record)
+	own := l.recordKnown && m.isOwn(l.record)
 	switch {
 	case !due:
 	case !l.recordKnown || l.malformed:
@@ -85,10 +85,10 @@
 		r.addWrite(l, l.record.releasedRecord())
 	case own:
 		renewed := l.record
-		renewed.WriteNumber, renewed.DurationMilliseconds = number, k.Duration.Milliseconds()
+		renewed.WriteNumber, renewed.DurationMilliseconds = number, m.Duration.Milliseconds()
 		r.addWrite(l, renewed)
-	case l.wanted && !now.Before(k.takeoverTime(l)):
-		r.addWrite(l, l.record.nextHolderRecord(k.Host, k.Start, k.Duration, number))
+	case l.wanted && !now.Before(m.takeoverTime(l)):
+		r.addWrite(l, l.record.nextHolderRecord(m.Host, m.Start, m.Duration, number))
 	default:
 		r.read = append(r.read, l)
 	}
@@ -101,17 +101,17 @@
 
 // executeRound commits the writes and reads the records of a round on a worker
 // goroutine. It also reads the written records if the reply was lost.
-func (k *Manager) executeRound(ctx context.Context, r *round) {
+func (m *Manager) executeRound(ctx context.Context, r *round) {
 	var keys []table.Key
 	if len(r.writes) > 0 {
-		results, err := k.commit(ctx, table.Transaction{Writes: r.writes, Independent: true})
-		at := k.now()
+		results, err := m.commit(ctx, table.Transaction{Writes: r.writes, Independent: true})
+		at := m.now()
 		for _, result := range results {
 			r.records[result.Current.Key] = observation{record: result.Current, at: at}
 		}
 		if err != nil {
 			r.failed = true
-			k.Logger.Warn().Err(err).Int("leases", len(r.writes)).Msg("lease transaction failed")
+			m.Logger.Warn().Err(err).Int("leases", len(r.writes)).Msg("lease transaction failed")
 		}
 		if err != nil && !errors.Is(err, table.ErrUnavailable) {
 			for _, l := range r.written {
@@ -125,75 +125,75 @@
 	if len(keys) == 0 {
 		return
 	}
-	records, err := k.read(ctx, keys)
+	records, err := m.read(ctx, keys)
 	if err != nil {
 		r.failed = true
-		k.Logger.Warn().Err(err).Int("leases", len(keys)).Msg("lease records cannot be read")
+		m.Logger.Warn().Err(err).Int("leases", len(keys)).Msg("lease records cannot be read")
 		return
 	}
-	at := k.now()
+	at := m.now()
 	for _, record := range records {
 		r.records[record.Key] = observation{record: record, at: at}
 	}
 }
 
-func (k *Manager) commit(ctx context.Context, transaction table.Transaction) ([]table.WriteResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, k.TableTimeout)
+func (m *Manager) commit(ctx context.Context, transaction table.Transaction) ([]table.WriteResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.TableTimeout)
 	defer cancel()
-	return k.Table.Commit(ctx, transaction)
+	return m.Table.Commit(ctx, transaction)
 }
 
 // read reads records. It has half of the timeout of a write, because it can be
 // repeated at once when the table was briefly unavailable.
-func (k *Manager) read(ctx context.Context, keys []table.Key) ([]table.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, k.TableTimeout/2)
+func (m *Manager) read(ctx context.Context, keys []table.Key) ([]table.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.TableTimeout/2)
 	defer cancel()
-	return k.Table.Read(ctx, keys)
+	return m.Table.Read(ctx, keys)
 }
 
 // handle applies the results of the round.
-func (r *round) handle(_ context.Context, k *Manager) {
-	now := k.now()
-	k.roundPending = false
+func (r *round) handle(_ context.Context, m *Manager) {
+	now := m.now()
+	m.roundPending = false
 	if r.renewal {
-		k.nextRenewal = now.Add(k.jitter(k.RenewalInterval))
+		m.nextRenewal = now.Add(m.jitter(m.RenewalInterval))
 	}
-	failures := k.failedRounds
-	k.failedRounds = 0
+	failures := m.failedRounds
+	m.failedRounds = 0
 	if r.failed {
-		k.failedRounds = failures + 1
+		m.failedRounds = failures + 1
 		// A lease of 10 s with renewals every 3 s leaves room for two attempts; the
 		// shorter pause after a failure makes it four.
-		k.nextRenewal = now.Add(k.jitter(k.RenewalInterval / 2))
+		m.nextRenewal = now.Add(m.jitter(m.RenewalInterval / 2))
 	}
 	for _, l := range append(r.written, r.read...) {
 		l.accessPending = false
 		if o, ok := r.records[l.name.Key()]; ok {
-			k.applyObservation(l, o.record, o.at, now)
+			m.applyObservation(l, o.record, o.at, now)
 		}
-		l.nextAccess = k.nextAccessAfter(l, r.failed, now)
+		l.nextAccess = m.nextAccessAfter(l, r.failed, now)
 	}
 }
 
 // nextAccessAfter returns when a lease that is not held is read or written next.
-func (k *Manager) nextAccessAfter(l *lease, failed bool, now time.Time) time.Time {
+func (m *Manager) nextAccessAfter(l *lease, failed bool, now time.Time) time.Time {
 	rank := time.Duration(1 + l.rank)
-	wait := k.jitter(k.RenewalInterval) * rank
+	wait := m.jitter(m.RenewalInterval) * rank
 	if failed {
 		// The first failures may be those of a process that starts during an outage, so
 		// the delay begins with an eighth of the renewal interval and doubles up to a
 		// half. A candidate of higher rank, which would not take the lease first, calls
 		// an unavailable table less often.
-		return now.Add(k.jitter(min(k.RenewalInterval/8<<min(k.failedRounds-1, 2), k.RenewalInterval/2)) * rank)
+		return now.Add(m.jitter(min(m.RenewalInterval/8<<min(m.failedRounds-1, 2), m.RenewalInterval/2)) * rank)
 	}
-	if l.recordKnown && !l.malformed && k.isOwn(l.record) {
+	if l.recordKnown && !l.malformed && m.isOwn(l.record) {
 		// The record names this process but the lease is not held yet.
 		return now
 	}
 	if !l.wanted || !l.recordKnown || l.malformed {
 		return now.Add(wait)
 	}
-	if take := k.takeoverTime(l); take.Before(now.Add(wait)) {
+	if take := m.takeoverTime(l); take.Before(now.Add(wait)) {
 		return take
 	}
 	return now.Add(wait)
--- a/coordination/lease/validity.go
+++ b/coordination/lease/validity.go
@@ -15,29 +15,29 @@
 // Valid returns the epoch of a held lease and whether the lease may be used. It
 // may be called by any goroutine; the result holds for the moment of the call
 // only.
-func (k *Manager) Valid(name Name) (fleet.Epoch, bool) {
-	leases := k.validLeases.Load()
+func (m *Manager) Valid(name Name) (fleet.Epoch, bool) {
+	leases := m.validLeases.Load()
 	if leases == nil {
 		return 0, false
 	}
 	t, ok := (*leases)[name]
-	if !ok || !k.now().Before(t.expires) {
+	if !ok || !m.now().Before(t.expires) {
 		return 0, false
 	}
 	return t.epoch, true
 }
 
 // publishValidLeases replaces the map that Valid reads, if it has changed.
-func (k *Manager) publishValidLeases() {
-	if !k.publishPending {
+func (m *Manager) publishValidLeases() {
+	if !m.publishPending {
 		return
 	}
-	k.publishPending = false
+	m.publishPending = false
 	leases := make(map[Name]validLease)
-	for name, l := range k.leases {
+	for name, l := range m.leases {
 		if l.held && l.unresolvedVersion == 0 {
 			leases[name] = validLease{epoch: l.reportedEpoch, expires: l.expires}
 		}
 	}
-	k.validLeases.Store(&leases)
+	m.validLeases.Store(&leases)
 }
--- a/coordination/ownership/manager.go
+++ b/coordination/ownership/manager.go
@@ -124,66 +124,66 @@
 // A managerMessage is a call or a worker's result that the goroutine of Run
 // handles.
 type managerMessage interface {
-	handle(ctx context.Context, g *Manager)
+	handle(ctx context.Context, m *Manager)
 }
 
-func (g *Manager) setup() {
-	g.setupOnce.Do(func() {
-		g.messages = ring.New[managerMessage](ringCapacity)
-		g.results = make(chan managerMessage)
-		g.ended = make(chan struct{})
-		g.requestedRanks = make(map[fleet.EngineName]int)
-		g.owners = make(map[fleet.EngineName]*Owner)
-		g.closing = make(map[fleet.EngineName]bool)
-		g.nextOwners = make(map[fleet.EngineName]fleet.HostName)
-		g.CandidateLimit = orDefault(g.CandidateLimit, DefaultCandidateLimit)
-		g.ReviewInterval = orDefault(g.ReviewInterval, DefaultReviewInterval)
-		g.directory.Store(&directory{})
+func (m *Manager) setup() {
+	m.setupOnce.Do(func() {
+		m.messages = ring.New[managerMessage](ringCapacity)
+		m.results = make(chan managerMessage)
+		m.ended = make(chan struct{})
+		m.requestedRanks = make(map[fleet.EngineName]int)
+		m.owners = make(map[fleet.EngineName]*Owner)
+		m.closing = make(map[fleet.EngineName]bool)
+		m.nextOwners = make(map[fleet.EngineName]fleet.HostName)
+		m.CandidateLimit = orDefault(m.CandidateLimit, DefaultCandidateLimit)
+		m.ReviewInterval = orDefault(m.ReviewInterval, DefaultReviewInterval)
+		m.directory.Store(&directory{})
 	})
 }
 
 // Run starts and closes Owners until ctx ends or Close is called.
-func (g *Manager) Run(ctx context.Context) error {
-	g.setup()
-	defer g.endOnce.Do(func() { close(g.ended) })
-	return g.lifecycle.Run(ctx, g.loop)
+func (m *Manager) Run(ctx context.Context) error {
+	m.setup()
+	defer m.endOnce.Do(func() { close(m.ended) })
+	return m.lifecycle.Run(ctx, m.loop)
 }
 
 // Close closes all Owners and waits until they have ended.
-func (g *Manager) Close() error {
-	return g.lifecycle.Close()
+func (m *Manager) Close() error {
+	return m.lifecycle.Close()
 }
 
 // Owner returns the Owner of an engine, if this host has one.
-func (g *Manager) Owner(engine fleet.EngineName) (*Owner, bool) {
-	g.setup()
-	o, ok := g.directory.Load().owners[engine]
+func (m *Manager) Owner(engine fleet.EngineName) (*Owner, bool) {
+	m.setup()
+	o, ok := m.directory.Load().owners[engine]
 	return o, ok
 }
 
 // AcquireGrant gets a grant from this host's Owner of the engine. Its error is a
 // *verdict.Error with verdict NotRun; NotOwnerRefusal recognizes that this host does
 // not own the engine.
-func (g *Manager) AcquireGrant(ctx context.Context, request dispatch.GrantRequest) (fleet.Grant, error) {
-	o, ok := g.Owner(request.Engine)
+func (m *Manager) AcquireGrant(ctx context.Context, request dispatch.GrantRequest) (fleet.Grant, error) {
+	o, ok := m.Owner(request.Engine)
 	if !ok {
-		return fleet.Grant{}, newNotOwnerRefusal(request.Engine, g.directory.Load().nextOwners[request.Engine])
+		return fleet.Grant{}, newNotOwnerRefusal(request.Engine, m.directory.Load().nextOwners[request.Engine])
 	}
 	return o.AcquireGrant(ctx, request)
 }
 
 // Release ends one grant of each request on an engine. It returns false when this
 // host does not own the engine or the Owner's message ring is full.
-func (g *Manager) Release(engine fleet.EngineName, requests []fleet.RequestID) bool {
-	o, ok := g.Owner(engine)
+func (m *Manager) Release(engine fleet.EngineName, requests []fleet.RequestID) bool {
+	o, ok := m.Owner(engine)
 	return ok && o.Release(requests)
 }
 
 // Summaries returns the summaries of all owned engines.
-func (g *Manager) Summaries() []fleet.EngineSummary {
-	g.setup()
+func (m *Manager) Summaries() []fleet.EngineSummary {
+	m.setup()
 	var summaries []fleet.EngineSummary
-	for _, o := range g.directory.Load().owners {
+	for _, o := range m.directory.Load().owners {
 		summaries = append(summaries, o.Summary())
 	}
 	return summaries
@@ -191,22 +191,22 @@
 
 // call sends a message to the goroutine of Run and waits for its reply. It returns
 // false when there was no reply.
-func (g *Manager) call(message func(reply chan error) managerMessage) (bool, error) {
+func (m *Manager) call(message func(reply chan error) managerMessage) (bool, error) {
 	reply := make(chan error, 1)
-	if !g.messages.Offer(message(reply)) {
+	if !m.messages.Offer(message(reply)) {
 		return false, errors.New("the message ring of the ownership manager is full")
 	}
 	select {
 	case err := <-reply:
 		return true, err
-	case <-g.ended:
+	case <-m.ended:
 		return false, duty.ErrClosed
 	}
 }
 
 // findEngine returns the engine with the name, if the failure domain has it.
-func (g *Manager) findEngine(name fleet.EngineName) (fleet.Engine, bool) {
-	engines := g.FailureDomain.Engines()
+func (m *Manager) findEngine(name fleet.EngineName) (fleet.Engine, bool) {
+	engines := m.FailureDomain.Engines()
 	i := slices.IndexFunc(engines, func(e fleet.Engine) bool { return e.Name == name })
 	if i < 0 {
 		return fleet.Engine{}, false
@@ -214,67 +214,67 @@
 	return engines[i], true
 }
 
-func (g *Manager) loop(ctx context.Context) error {
-	ticker := time.NewTicker(g.ReviewInterval)
+func (m *Manager) loop(ctx context.Context) error {
+	ticker := time.NewTicker(m.ReviewInterval)
 	defer ticker.Stop()
-	g.reviewCandidacy(ctx)
+	m.reviewCandidacy(ctx)
 	for {
 		select {
 		case <-ctx.Done():
-			g.closeOwners()
+			m.closeOwners()
 			return ctx.Err()
-		case e := <-g.Events.Messages():
-			g.handleLeaseEvent(ctx, e)
-		case m := <-g.messages.Messages():
-			m.handle(ctx, g)
-		case m := <-g.results:
-			m.handle(ctx, g)
+		case e := <-m.Events.Messages():
+			m.handleLeaseEvent(ctx, e)
+		case received := <-m.messages.Messages():
+			received.handle(ctx, m)
+		case received := <-m.results:
+			received.handle(ctx, m)
 		case <-ticker.C:
-			g.reviewCandidacy(ctx)
+			m.reviewCandidacy(ctx)
 		}
 	}
 }
 
-func (g *Manager) closeOwners() {
-	for _, o := range g.owners {
+func (m *Manager) closeOwners() {
+	for _, o := range m.owners {
 		_ = o.Close()
 	}
-	clear(g.owners)
-	g.publishDirectory()
+	clear(m.owners)
+	m.publishDirectory()
 }
 
 // publishDirectory makes changes of owners and nextOwners visible to other
 // goroutines.
-func (g *Manager) publishDirectory() {
-	g.directory.Store(&directory{owners: maps.Clone(g.owners), nextOwners: maps.Clone(g.nextOwners)})
+func (m *Manager) publishDirectory() {
+	m.directory.Store(&directory{owners: maps.Clone(m.owners), nextOwners: maps.Clone(m.nextOwners)})
 }
 
 // closeOwner removes an Owner from the directory, closes it on a worker goroutine
 // and then calls after.
-func (g *Manager) closeOwner(name fleet.EngineName, after func()) {
-	o := g.owners[name]
-	delete(g.owners, name)
-	g.publishDirectory()
-	g.lifecycle.Go(func() {
+func (m *Manager) closeOwner(name fleet.EngineName, after func()) {
+	o := m.owners[name]
+	delete(m.owners, name)
+	m.publishDirectory()
+	m.lifecycle.Go(func() {
 		_ = o.Close()
 		after()
 	})
 }
 
 // startOwner starts a new Owner and adds it to the directory.
-func (g *Manager) startOwner(ctx context.Context, engine fleet.Engine, epoch fleet.Epoch, previous PreviousHolder) *Owner {
+func (m *Manager) startOwner(ctx context.Context, engine fleet.Engine, epoch fleet.Epoch, previous PreviousHolder) *Owner {
 	o := &Owner{
-		Engine: engine, Host: g.Host.Name, Epoch: epoch, PreviousHolder: previous,
-		Engines: g.Engines, Leases: g.Leases, Budget: g.Budget, Placement: g.Placement, HoldingsCollector: g.HoldingsCollector,
-		Settings: g.Settings, Logger: g.Logger,
+		Engine: engine, Host: m.Host.Name, Epoch: epoch, PreviousHolder: previous,
+		Engines: m.Engines, Leases: m.Leases, Budget: m.Budget, Placement: m.Placement, HoldingsCollector: m.HoldingsCollector,
+		Settings: m.Settings, Logger: m.Logger,
 	}
 	o.setup()
-	g.owners[engine.Name] = o
-	delete(g.nextOwners, engine.Name)
-	g.publishDirectory()
-	g.lifecycle.Go(func() {
+	m.owners[engine.Name] = o
+	delete(m.nextOwners, engine.Name)
+	m.publishDirectory()
+	m.lifecycle.Go(func() {
 		if err := o.Run(ctx); err != nil && !errors.Is(err, duty.ErrClosed) {
-			g.Logger.Error().Err(err).Str("engine", string(engine.Name)).Msg("owner ended")
+			m.Logger.Error().Err(err).Str("engine", string(engine.Name)).Msg("owner ended")
 		}
 	})
 	return o
--- a/coordination/ownership/managerhandover.go
+++ b/coordination/ownership/managerhandover.go
@@ -13,19 +13,19 @@
 
 // AcceptHandOver accepts the lease of a planned hand-over and adopts its instances
 // and grants. When it returns nil, this host owns the engine.
-func (g *Manager) AcceptHandOver(ctx context.Context, handOver fleet.HandOver) error {
-	g.setup()
-	engine, ok := g.findEngine(handOver.Engine)
+func (m *Manager) AcceptHandOver(ctx context.Context, handOver fleet.HandOver) error {
+	m.setup()
+	engine, ok := m.findEngine(handOver.Engine)
 	if !ok {
 		return fmt.Errorf("hand-over of engine %s: the engine is not in the failure domain of this host", handOver.Engine)
 	}
-	if _, err := g.call(func(reply chan error) managerMessage { return expectLeaseMessage{engine: engine.Name, reply: reply} }); err != nil {
+	if _, err := m.call(func(reply chan error) managerMessage { return expectLeaseMessage{engine: engine.Name, reply: reply} }); err != nil {
 		return fmt.Errorf("hand-over of engine %s: %w", engine.Name, err)
 	}
-	if err := g.Leases.AcceptTransfer(ctx, LeaseName(engine.Name), handOver.Epoch); err != nil {
+	if err := m.Leases.AcceptTransfer(ctx, LeaseName(engine.Name), handOver.Epoch); err != nil {
 		return fmt.Errorf("hand-over of engine %s: %w", engine.Name, err)
 	}
-	_, err := g.call(func(reply chan error) managerMessage {
+	_, err := m.call(func(reply chan error) managerMessage {
 		return managerAdoptMessage{engine: engine, handOver: handOver, reply: reply}
 	})
 	return err
@@ -35,9 +35,9 @@
 // for leases. It returns when all hand-overs have ended, with the errors of those
 // that failed. An engine whose hand-over failed stays owned; another call retries
 // it.
-func (g *Manager) HandOverAll(ctx context.Context) error {
-	g.setup()
-	called, err := g.call(func(reply chan error) managerMessage {
+func (m *Manager) HandOverAll(ctx context.Context) error {
+	m.setup()
+	called, err := m.call(func(reply chan error) managerMessage {
 		return handOverAllMessage{ctx: ctx, reply: reply}
 	})
 	if !called {
@@ -54,13 +54,13 @@
 	reply    chan error
 }
 
-func (a managerAdoptMessage) handle(ctx context.Context, g *Manager) {
-	o := g.owners[a.engine.Name]
+func (a managerAdoptMessage) handle(ctx context.Context, m *Manager) {
+	o := m.owners[a.engine.Name]
 	if o == nil || o.Epoch < a.handOver.Epoch {
 		if o != nil {
-			g.closeOwner(a.engine.Name, func() {})
+			m.closeOwner(a.engine.Name, func() {})
 		}
-		o = g.startOwner(ctx, a.engine, a.handOver.Epoch, PreviousHolder{Host: a.handOver.From})
+		o = m.startOwner(ctx, a.engine, a.handOver.Epoch, PreviousHolder{Host: a.handOver.From})
 	}
 	a.reply <- o.AcceptHandOver(a.handOver)
 }
@@ -71,45 +71,45 @@
 	reply chan error
 }
 
-func (s handOverAllMessage) handle(ctx context.Context, g *Manager) {
-	g.stopping = true
-	for name := range g.requestedRanks {
-		if g.owners[name] == nil && g.Leases.Release(LeaseName(name)) {
-			delete(g.requestedRanks, name)
+func (s handOverAllMessage) handle(ctx context.Context, m *Manager) {
+	m.stopping = true
+	for name := range m.requestedRanks {
+		if m.owners[name] == nil && m.Leases.Release(LeaseName(name)) {
+			delete(m.requestedRanks, name)
 		}
 	}
-	g.handOverAllReplies = append(g.handOverAllReplies, s.reply)
-	hosts := slices.DeleteFunc(slices.Clone(g.FailureDomain.Hosts()), func(h fleet.Host) bool { return h.Name == g.Host.Name })
-	for name, o := range g.owners {
+	m.handOverAllReplies = append(m.handOverAllReplies, s.reply)
+	hosts := slices.DeleteFunc(slices.Clone(m.FailureDomain.Hosts()), func(h fleet.Host) bool { return h.Name == m.Host.Name })
+	for name, o := range m.owners {
 		if !o.handingOver.CompareAndSwap(false, true) {
 			continue
 		}
-		g.handOversInFlight++
+		m.handOversInFlight++
 		candidates := CandidateHosts(name, hosts)
-		g.lifecycle.Go(func() {
-			r := g.handOverEngine(s.ctx, o, candidates)
+		m.lifecycle.Go(func() {
+			r := m.handOverEngine(s.ctx, o, candidates)
 			select {
-			case g.results <- r:
+			case m.results <- r:
 			case <-ctx.Done():
 			}
 		})
 	}
-	g.replyHandOverAll()
+	m.replyHandOverAll()
 }
 
 // handOverEngine hands an engine over to the first candidate. Without candidates it
 // closes the Owner and releases the lease. It runs on a worker goroutine.
-func (g *Manager) handOverEngine(ctx context.Context, o *Owner, candidates []fleet.Host) engineHandOverResult {
+func (m *Manager) handOverEngine(ctx context.Context, o *Owner, candidates []fleet.Host) engineHandOverResult {
 	r := engineHandOverResult{owner: o}
 	name := LeaseName(o.Engine.Name)
 	if len(candidates) == 0 {
 		_ = o.Close()
-		g.Leases.Release(name)
+		m.Leases.Release(name)
 		return r
 	}
 	to := candidates[0]
 	handOver, err := o.HandOver(ctx, to.Name, func(ctx context.Context) (fleet.Epoch, error) {
-		return g.Leases.Transfer(ctx, name, to.Name, to.Start)
+		return m.Leases.Transfer(ctx, name, to.Name, to.Start)
 	})
 	if err != nil {
 		r.err = err
@@ -121,10 +121,10 @@
 	_, err = backoff.Retry(context.WithoutCancel(ctx), func() (struct{}, error) {
 		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), o.settings.OrderTimeout)
 		defer cancel()
-		return struct{}{}, g.HandOverSender.HandOver(bounded, to, handOver)
+		return struct{}{}, m.HandOverSender.HandOver(bounded, to, handOver)
 	}, backoff.WithMaxTries(handOverTries))
 	if err != nil {
-		g.Logger.Warn().Err(err).Str("engine", string(o.Engine.Name)).Str("next owner", string(to.Name)).
+		m.Logger.Warn().Err(err).Str("engine", string(o.Engine.Name)).Str("next owner", string(to.Name)).
 			Msg("the next owner did not confirm the hand-over; it will take the engine over without the lists of instances and grants")
 	}
 	_ = o.Close()
@@ -139,37 +139,37 @@
 	err error
 }
 
-func (r engineHandOverResult) handle(_ context.Context, g *Manager) {
-	g.handOversInFlight--
+func (r engineHandOverResult) handle(_ context.Context, m *Manager) {
+	m.handOversInFlight--
 	r.owner.handingOver.Store(false)
 	name := r.owner.Engine.Name
 	if r.err != nil {
-		g.handOverErrors = append(g.handOverErrors, r.err)
-		if r.owner.leaseLost && g.owners[name] == r.owner {
-			g.closeOwner(name, func() {})
+		m.handOverErrors = append(m.handOverErrors, r.err)
+		if r.owner.leaseLost && m.owners[name] == r.owner {
+			m.closeOwner(name, func() {})
 		}
 	} else {
 		if r.to != "" {
-			g.nextOwners[name] = r.to
+			m.nextOwners[name] = r.to
 		}
-		if g.owners[name] == r.owner {
-			delete(g.owners, name)
+		if m.owners[name] == r.owner {
+			delete(m.owners, name)
 		}
-		delete(g.requestedRanks, name)
-		g.publishDirectory()
+		delete(m.requestedRanks, name)
+		m.publishDirectory()
 	}
-	g.replyHandOverAll()
+	m.replyHandOverAll()
 }
 
 // replyHandOverAll ends the calls of HandOverAll when no hand-over is in flight.
-func (g *Manager) replyHandOverAll() {
-	if g.handOversInFlight > 0 {
+func (m *Manager) replyHandOverAll() {
+	if m.handOversInFlight > 0 {
 		return
 	}
-	for _, reply := range g.handOverAllReplies {
-		reply <- errors.Join(g.handOverErrors...)
+	for _, reply := range m.handOverAllReplies {
+		reply <- errors.Join(m.handOverErrors...)
 	}
-	g.handOverAllReplies, g.handOverErrors = nil, nil
+	m.handOverAllReplies, m.handOverErrors = nil, nil
 }
 
 // expectLeaseMessage marks the lease of a hand-over as requested, because the lease
@@ -179,11 +179,11 @@
 	reply  chan error
 }
 
-func (e expectLeaseMessage) handle(_ context.Context, g *Manager) {
-	if g.stopping {
+func (e expectLeaseMessage) handle(_ context.Context, m *Manager) {
+	if m.stopping {
 		e.reply <- errors.New("this host is stopping")
 		return
 	}
-	g.requestedRanks[e.engine] = 0
+	m.requestedRanks[e.engine] = 0
 	e.reply <- nil
 }
