zone: name the receiver of Elector and the state of a held zone

The receiver was t and the type tenure, after a former name of the Elector. They are e and heldZone, as the field heldZones has it.

Tests of zone with -race; build, vet and lint.

--- a/coordination/zone/elector.go
+++ b/coordination/zone/elector.go
@@ -91,7 +91,7 @@
 	isSteppingDown atomic.Bool
 	// heldZones holds the zones whose leases this host gained. The map is replaced
 	// with each change and never modified.
-	heldZones atomic.Pointer[map[string]tenure]
+	heldZones atomic.Pointer[map[string]heldZone]
 	// The fields below belong to the goroutine of Run. gainedEvents holds the last
 	// Gained event of each lease.
 	gainedEvents map[lease.Name]lease.Event
@@ -110,8 +110,8 @@
 	registrationResults *ring.Ring[string]
 }
 
-// A tenure is a held lease of a zone, under one epoch.
-type tenure struct {
+// A heldZone is a held lease of a zone, under one epoch.
+type heldZone struct {
 	epoch uint64
 	// ordersFrom is the time from which orders may be sent.
 	ordersFrom time.Time
@@ -122,36 +122,36 @@
 	return lease.Name("zone-" + zone)
 }
 
-func (t *Elector) prepare() {
-	t.once.Do(func() {
-		t.gainedEvents = make(map[lease.Name]lease.Event)
-		t.wantedZones = make(map[string]bool)
-		t.ownerlessSince = make(map[string]time.Time)
-		t.registrationResults = ring.New[string](1)
-		t.heldZones.Store(&map[string]tenure{})
+func (e *Elector) prepare() {
+	e.once.Do(func() {
+		e.gainedEvents = make(map[lease.Name]lease.Event)
+		e.wantedZones = make(map[string]bool)
+		e.ownerlessSince = make(map[string]time.Time)
+		e.registrationResults = ring.New[string](1)
+		e.heldZones.Store(&map[string]heldZone{})
 	})
 }
 
 // Run registers this host and acquires zones until ctx ends or Close is called.
-func (t *Elector) Run(ctx context.Context) error {
-	t.prepare()
-	return t.lifecycle.Run(ctx, t.loop)
+func (e *Elector) Run(ctx context.Context) error {
+	e.prepare()
+	return e.lifecycle.Run(ctx, e.loop)
 }
 
 // Close ends the duty and waits until it has ended.
-func (t *Elector) Close() error {
-	return t.lifecycle.Close()
+func (e *Elector) Close() error {
+	return e.lifecycle.Close()
 }
 
 // OrderEpoch returns the epoch of the zone's lease and whether this host may send
 // orders under it at the moment of the call. The epoch is 0 if it may not.
-func (t *Elector) OrderEpoch(zone string) (uint64, bool) {
-	t.prepare()
-	held, ok := (*t.heldZones.Load())[zone]
-	if !ok || t.isSteppingDown.Load() || time.Now().Before(held.ordersFrom) {
+func (e *Elector) OrderEpoch(zone string) (uint64, bool) {
+	e.prepare()
+	held, ok := (*e.heldZones.Load())[zone]
+	if !ok || e.isSteppingDown.Load() || time.Now().Before(held.ordersFrom) {
 		return 0, false
 	}
-	epoch, valid := t.Leases.Valid(LeaseName(zone))
+	epoch, valid := e.Leases.Valid(LeaseName(zone))
 	if !valid || uint64(epoch) != held.epoch {
 		return 0, false
 	}
@@ -159,10 +159,10 @@
 }
 
 // OwnsAnyZone reports whether this host holds the valid lease of any zone.
-func (t *Elector) OwnsAnyZone() bool {
-	t.prepare()
-	for zone := range *t.heldZones.Load() {
-		if _, valid := t.Leases.Valid(LeaseName(zone)); valid {
+func (e *Elector) OwnsAnyZone() bool {
+	e.prepare()
+	for zone := range *e.heldZones.Load() {
+		if _, valid := e.Leases.Valid(LeaseName(zone)); valid {
 			return true
 		}
 	}
@@ -171,80 +171,80 @@
 
 // StepDown releases the leases of all zones and stops acquiring them. Other
 // hosts take the zones over as soon as they notice.
-func (t *Elector) StepDown() {
-	t.prepare()
-	t.isSteppingDown.Store(true)
-	for zone := range *t.heldZones.Load() {
-		t.Leases.Release(LeaseName(zone))
+func (e *Elector) StepDown() {
+	e.prepare()
+	e.isSteppingDown.Store(true)
+	for zone := range *e.heldZones.Load() {
+		e.Leases.Release(LeaseName(zone))
 	}
-	t.Leases.Release(LeaseName(t.Host.Zone))
+	e.Leases.Release(LeaseName(e.Host.Zone))
 }
 
 // SteppingDown reports whether StepDown was called.
-func (t *Elector) SteppingDown() bool {
-	return t.isSteppingDown.Load()
+func (e *Elector) SteppingDown() bool {
+	return e.isSteppingDown.Load()
 }
 
-func (t *Elector) loop(ctx context.Context) error {
+func (e *Elector) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case event := <-t.LeaseEvents.Messages():
+		case event := <-e.LeaseEvents.Messages():
 			if event.Type == lease.Gained {
-				t.gainedEvents[event.Name] = event
+				e.gainedEvents[event.Name] = event
 			}
-		case value := <-t.registrationResults.Messages():
-			t.registrationPending = false
+		case value := <-e.registrationResults.Messages():
+			e.registrationPending = false
 			if value != "" {
-				t.registeredValue = value
+				e.registeredValue = value
 			} else {
-				t.registrationRetryAt = time.Now().Add(registrationRetryDelay)
+				e.registrationRetryAt = time.Now().Add(registrationRetryDelay)
 			}
 		case <-timer.C:
 		}
 		now := time.Now()
-		if !t.isSteppingDown.Load() {
-			t.updateZones(now)
+		if !e.isSteppingDown.Load() {
+			e.updateZones(now)
 		}
-		t.register(ctx, now)
+		e.register(ctx, now)
 		timer.Reset(checkInterval)
 	}
 }
 
 // updateZones updates heldZones from the leases and acquires the leases of zones
 // without an owner.
-func (t *Elector) updateZones(now time.Time) {
-	held := make(map[string]tenure)
-	for zone := range t.wantedZones {
-		epoch, valid := t.Leases.Valid(LeaseName(zone))
-		event, hasEvent := t.gainedEvents[LeaseName(zone)]
+func (e *Elector) updateZones(now time.Time) {
+	held := make(map[string]heldZone)
+	for zone := range e.wantedZones {
+		epoch, valid := e.Leases.Valid(LeaseName(zone))
+		event, hasEvent := e.gainedEvents[LeaseName(zone)]
 		if !valid || !hasEvent || event.Epoch != epoch {
 			continue
 		}
-		current, ok := (*t.heldZones.Load())[zone]
+		current, ok := (*e.heldZones.Load())[zone]
 		if !ok || current.epoch != uint64(epoch) {
-			current = tenure{epoch: uint64(epoch), ordersFrom: now}
-			if event.PreviousHolder != "" && string(event.PreviousHolder) != t.Host.Name {
-				current.ordersFrom = now.Add(t.FirstOrderDelay)
+			current = heldZone{epoch: uint64(epoch), ordersFrom: now}
+			if event.PreviousHolder != "" && string(event.PreviousHolder) != e.Host.Name {
+				current.ordersFrom = now.Add(e.FirstOrderDelay)
 			}
-			t.Log.Info().Str("zone", zone).Uint64("epoch", uint64(epoch)).Msg("zone taken over")
+			e.Log.Info().Str("zone", zone).Uint64("epoch", uint64(epoch)).Msg("zone taken over")
 		}
 		held[zone] = current
 	}
-	for zone, lost := range *t.heldZones.Load() {
+	for zone, lost := range *e.heldZones.Load() {
 		if _, ok := held[zone]; !ok {
-			t.Log.Warn().Str("zone", zone).Uint64("epoch", lost.epoch).Msg("zone lost")
+			e.Log.Warn().Str("zone", zone).Uint64("epoch", lost.epoch).Msg("zone lost")
 		}
 	}
-	t.heldZones.Store(&held)
-	view := t.Views.View()
-	t.updateCandidacy(view, t.Host.Zone, held, 0, now)
+	e.heldZones.Store(&held)
+	view := e.Views.View()
+	e.updateCandidacy(view, e.Host.Zone, held, 0, now)
 	for _, server := range view.Servers {
-		if server.Zone != t.Host.Zone && len(server.LoadedModels) > 0 {
-			t.updateCandidacy(view, server.Zone, held, foreignZoneDelay, now)
+		if server.Zone != e.Host.Zone && len(server.LoadedModels) > 0 {
+			e.updateCandidacy(view, server.Zone, held, foreignZoneDelay, now)
 		}
 	}
 }
@@ -252,37 +252,37 @@
 // updateCandidacy requests a zone's lease if the zone has had no owner that
 // replies for the given delay, and withdraws the request if another owner
 // replies.
-func (t *Elector) updateCandidacy(view *site.View, zone string, held map[string]tenure, delay time.Duration, now time.Time) {
+func (e *Elector) updateCandidacy(view *site.View, zone string, held map[string]heldZone, delay time.Duration, now time.Time) {
 	if _, ok := held[zone]; ok {
 		return
 	}
 	owner := view.Owners[zone]
-	if owner != nil && owner.Name != t.Host.Name && t.Owners.Alive(owner.Name) {
-		delete(t.ownerlessSince, zone)
-		if t.wantedZones[zone] {
-			delete(t.wantedZones, zone)
-			t.Leases.Release(LeaseName(zone))
+	if owner != nil && owner.Name != e.Host.Name && e.Owners.Alive(owner.Name) {
+		delete(e.ownerlessSince, zone)
+		if e.wantedZones[zone] {
+			delete(e.wantedZones, zone)
+			e.Leases.Release(LeaseName(zone))
 		}
 		return
 	}
-	since, ok := t.ownerlessSince[zone]
+	since, ok := e.ownerlessSince[zone]
 	if !ok {
 		since = now
-		t.ownerlessSince[zone] = now
+		e.ownerlessSince[zone] = now
 	}
-	if t.wantedZones[zone] || now.Sub(since) < delay {
+	if e.wantedZones[zone] || now.Sub(since) < delay {
 		return
 	}
-	if t.Leases.Acquire(LeaseName(zone), t.candidateRank(zone)) {
-		t.wantedZones[zone] = true
+	if e.Leases.Acquire(LeaseName(zone), e.candidateRank(zone)) {
+		e.wantedZones[zone] = true
 	}
 }
 
 // candidateRank returns this host's rank among the candidates of a zone. Hosts
 // with narrow links rank after all others.
-func (t *Elector) candidateRank(zone string) int {
-	rank := int(xxhash.Sum64String(t.Host.Name+"/"+zone) % rankCount)
-	if t.LinkMegabits < minOwnerLinkMegabits {
+func (e *Elector) candidateRank(zone string) int {
+	rank := int(xxhash.Sum64String(e.Host.Name+"/"+zone) % rankCount)
+	if e.LinkMegabits < minOwnerLinkMegabits {
 		rank += rankCount
 	}
 	return rank
@@ -290,40 +290,40 @@
 
 // register writes this host's registration, with the zones that it owns, if it
 // has changed and no write is pending.
-func (t *Elector) register(ctx context.Context, now time.Time) {
-	host := t.Host
+func (e *Elector) register(ctx context.Context, now time.Time) {
+	host := e.Host
 	host.OwnedZones = make(map[string]uint64)
-	if !t.isSteppingDown.Load() {
-		for zone, held := range *t.heldZones.Load() {
+	if !e.isSteppingDown.Load() {
+		for zone, held := range *e.heldZones.Load() {
 			host.OwnedZones[zone] = held.epoch
 		}
 	}
 	value, err := json.Marshal(host)
-	if err != nil || t.registrationPending || string(value) == t.registeredValue || now.Before(t.registrationRetryAt) {
+	if err != nil || e.registrationPending || string(value) == e.registeredValue || now.Before(e.registrationRetryAt) {
 		return
 	}
-	t.registrationPending = true
-	t.lifecycle.Go(func() {
+	e.registrationPending = true
+	e.lifecycle.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, registrationTimeout)
 		defer cancel()
 		write := table.Write{Key: table.Key(string(HostTable) + "/" + host.Name), Unconditional: true, Value: value}
-		_, err := t.Table.Commit(ctx, table.Transaction{Writes: []table.Write{write}})
+		_, err := e.Table.Commit(ctx, table.Transaction{Writes: []table.Write{write}})
 		if err != nil {
-			t.Log.Warn().Err(err).Msg("registration of this host could not be written")
-			t.registrationResults.Offer("")
+			e.Log.Warn().Err(err).Msg("registration of this host could not be written")
+			e.registrationResults.Offer("")
 			return
 		}
-		t.registrationResults.Offer(string(value))
+		e.registrationResults.Offer(string(value))
 	})
 }
 
 // OrderingZones returns the zones in which this host may send orders now, in no
 // particular order.
-func (t *Elector) OrderingZones() []string {
-	t.prepare()
+func (e *Elector) OrderingZones() []string {
+	e.prepare()
 	var zones []string
-	for zone := range *t.heldZones.Load() {
-		if _, ok := t.OrderEpoch(zone); ok {
+	for zone := range *e.heldZones.Load() {
+		if _, ok := e.OrderEpoch(zone); ok {
 			zones = append(zones, zone)
 		}
 	}
