--- a/coordination/adapter/controller.go
+++ b/coordination/adapter/controller.go
@@ -110,7 +110,7 @@
 
 // A message is an input of the Controller, handled on the goroutine of Run.
 type message interface {
-	handle(ctx context.Context, o *Controller)
+	handle(ctx context.Context, c *Controller)
 }
 
 // A pendingRequest waits until its adapter is loaded on an engine and the engine
@@ -148,9 +148,9 @@
 // An endedRunsReport lists requests of one host that have ended.
 type endedRunsReport struct{ runs []site.EndedRuns }
 
-func (n endedRunsReport) handle(_ context.Context, o *Controller) {
+func (n endedRunsReport) handle(_ context.Context, c *Controller) {
 	for _, run := range n.runs {
-		if e := o.engines[run.Server]; e != nil {
+		if e := c.engines[run.Server]; e != nil {
 			e.running.recordEnds(run.Adapter, run.Count)
 		}
 	}
@@ -162,43 +162,43 @@
 	requests []site.InFlight
 }
 
-func (o *Controller) prepare() {
-	o.once.Do(func() {
-		o.messages = ring.New[message](messageCapacity)
-		o.results = make(chan message, 256)
-		o.engines = make(map[site.ServerID]*engine)
-		o.plainServers = make(map[site.ServerID]*engine)
-		o.residencies.Store(&map[site.ServerID]site.Residency{})
-		o.runningByEngine.Store(&map[site.ServerID]int{})
+func (c *Controller) prepare() {
+	c.once.Do(func() {
+		c.messages = ring.New[message](messageCapacity)
+		c.results = make(chan message, 256)
+		c.engines = make(map[site.ServerID]*engine)
+		c.plainServers = make(map[site.ServerID]*engine)
+		c.residencies.Store(&map[site.ServerID]site.Residency{})
+		c.runningByEngine.Store(&map[site.ServerID]int{})
 	})
 }
 
 // Run controls the engines until ctx ends or Close is called.
-func (o *Controller) Run(ctx context.Context) error {
-	o.prepare()
-	return o.lifecycle.Run(ctx, o.loop)
+func (c *Controller) Run(ctx context.Context) error {
+	c.prepare()
+	return c.lifecycle.Run(ctx, c.loop)
 }
 
 // Close stops the Controller and waits until Run has returned. Orders in flight
 // are completed or canceled before that.
-func (o *Controller) Close() error {
-	return o.lifecycle.Close()
+func (c *Controller) Close() error {
+	return c.lifecycle.Close()
 }
 
 // StopOrders permanently stops the sending of orders. It is called before the
 // zone leases are released.
-func (o *Controller) StopOrders() {
-	o.ordersStopped.Store(true)
+func (c *Controller) StopOrders() {
+	c.ordersStopped.Store(true)
 }
 
 // Place waits until the adapter is loaded on the engine and the engine admits the
 // request. Its error is a *verdict.Error with verdict NotRun.
-func (o *Controller) Place(ctx context.Context, request site.PlaceRequest) (site.Placement, error) {
-	o.prepare()
+func (c *Controller) Place(ctx context.Context, request site.PlaceRequest) (site.Placement, error) {
+	c.prepare()
 	now := time.Now()
 	d := &pendingRequest{request: request, latencyDeadline: now.Add(request.SlackTime), deadline: now.Add(request.MaxWait - refusalMargin), canceled: ctx.Done(), reply: make(chan placeResult, 1)}
 	d.turnDeadline = latestTurn(request, now, d.latencyDeadline, d.deadline)
-	if !o.messages.Offer(d) {
+	if !c.messages.Offer(d) {
 		return site.Placement{}, verdict.NewNotRun(verdict.CodeOverloaded, "too many requests wait for adapters")
 	}
 	select {
@@ -212,32 +212,32 @@
 // UpdateInFlight records the requests that a host has in flight on the engines of
 // this host; engines of other owners are ignored. An empty list shows that the
 // host is alive.
-func (o *Controller) UpdateInFlight(host string, list []site.InFlight) {
-	o.prepare()
-	o.messages.Offer(inFlightReport{host: host, requests: list})
+func (c *Controller) UpdateInFlight(host string, list []site.InFlight) {
+	c.prepare()
+	c.messages.Offer(inFlightReport{host: host, requests: list})
 }
 
 // UpdateEndedRuns records requests that have ended on the engines of this host.
-func (o *Controller) UpdateEndedRuns(runs []site.EndedRuns) {
-	o.prepare()
-	o.messages.Offer(endedRunsReport{runs: runs})
+func (c *Controller) UpdateEndedRuns(runs []site.EndedRuns) {
+	c.prepare()
+	c.messages.Offer(endedRunsReport{runs: runs})
 }
 
 // RunningCounts returns the load of each owned engine as a number of running requests. The
 // map must not be modified.
-func (o *Controller) RunningCounts() map[site.ServerID]int {
-	o.prepare()
-	return *o.runningByEngine.Load()
+func (c *Controller) RunningCounts() map[site.ServerID]int {
+	c.prepare()
+	return *c.runningByEngine.Load()
 }
 
 // ResidenciesSince returns the residencies of owned engines that changed after
 // the known sequence number, and the newest sequence number among them, or known
 // if none has changed.
-func (o *Controller) ResidenciesSince(known uint64) ([]site.Residency, uint64) {
-	o.prepare()
+func (c *Controller) ResidenciesSince(known uint64) ([]site.Residency, uint64) {
+	c.prepare()
 	var changed []site.Residency
 	newest := known
-	for _, residency := range *o.residencies.Load() {
+	for _, residency := range *c.residencies.Load() {
 		if residency.Sequence > known {
 			changed = append(changed, residency)
 			newest = max(newest, residency.Sequence)
@@ -246,26 +246,26 @@
 	return changed, newest
 }
 
-func (o *Controller) loop(ctx context.Context) error {
+func (c *Controller) loop(ctx context.Context) error {
 	timer := time.NewTimer(loopInterval)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			o.refuseWaiting()
+			c.refuseWaiting()
 			return ctx.Err()
-		case m := <-o.messages.Messages():
-			m.handle(ctx, o)
-		case m := <-o.results:
-			m.handle(ctx, o)
+		case m := <-c.messages.Messages():
+			m.handle(ctx, c)
+		case m := <-c.results:
+			m.handle(ctx, c)
 		case <-timer.C:
-			o.refreshEngines()
+			c.refreshEngines()
 		}
 		wait := loopInterval
-		for _, e := range o.engines {
-			wait = min(wait, o.advance(ctx, e))
+		for _, e := range c.engines {
+			wait = min(wait, c.advance(ctx, e))
 		}
-		for _, e := range o.plainServers {
+		for _, e := range c.plainServers {
 			wait = min(wait, e.servePending(time.Now()))
 		}
 		timer.Reset(max(wait, time.Millisecond))
@@ -273,17 +273,17 @@
 }
 
 // refuseWaiting refuses all waiting requests when the Controller stops.
-func (o *Controller) refuseWaiting() {
+func (c *Controller) refuseWaiting() {
 	stopped := verdict.NewNotRun(verdict.CodeStopping, "the owner of the engines is shutting down")
-	for _, e := range o.engines {
+	for _, e := range c.engines {
 		e.refuseAll(stopped)
 	}
-	for _, e := range o.plainServers {
+	for _, e := range c.plainServers {
 		e.refuseAll(stopped)
 	}
 	for {
 		select {
-		case m := <-o.messages.Messages():
+		case m := <-c.messages.Messages():
 			if d, ok := m.(*pendingRequest); ok {
 				d.reply <- placeResult{err: stopped}
 			}
@@ -296,16 +296,16 @@
 // refreshEngines updates the set of controlled engines from the view and the zone
 // leases: it drops engines that are gone, have restarted or belong to another
 // owner, and adds new ones.
-func (o *Controller) refreshEngines() {
-	view := o.Views.View()
+func (c *Controller) refreshEngines() {
+	view := c.Views.View()
 	changed := false
-	for id, e := range o.engines {
+	for id, e := range c.engines {
 		server := view.Servers[id]
-		_, held := o.Leases.OrderEpoch(e.server.Zone)
+		_, held := c.Leases.OrderEpoch(e.server.Zone)
 		if server == nil || !held || server.Incarnation != e.server.Incarnation {
 			e.refuseAll(verdict.NewNotRun(verdict.CodeNotOwner, "engine %s is gone, has restarted or has another owner", id))
-			o.modelLoadCount -= e.modelLoadCount()
-			delete(o.engines, id)
+			c.modelLoadCount -= e.modelLoadCount()
+			delete(c.engines, id)
 			changed = true
 			continue
 		}
@@ -316,66 +316,66 @@
 	}
 	for id, server := range view.Servers {
 		service := view.Service(server.Service)
-		if service == nil || service.Engines == nil || o.engines[id] != nil {
+		if service == nil || service.Engines == nil || c.engines[id] != nil {
 			continue
 		}
-		if epoch, held := o.Leases.OrderEpoch(server.Zone); held && !o.ordersStopped.Load() {
-			o.engines[id] = newEngine(server, o.Regions[server.Zone], epoch)
+		if epoch, held := c.Leases.OrderEpoch(server.Zone); held && !c.ordersStopped.Load() {
+			c.engines[id] = newEngine(server, c.Regions[server.Zone], epoch)
 		}
 	}
-	o.updateColdLoadLimit(view)
-	o.dropPlainServers(view)
+	c.updateColdLoadLimit(view)
+	c.dropPlainServers(view)
 	if changed {
-		o.publishResidencies(nil)
+		c.publishResidencies(nil)
 	}
-	o.updateRunningCounts()
+	c.updateRunningCounts()
 }
 
 // updateRunningCounts applies this host's own requests in flight, and publishes
 // the number of running requests on each engine.
-func (o *Controller) updateRunningCounts() {
+func (c *Controller) updateRunningCounts() {
 	zones := make(map[string]bool)
-	for _, e := range o.engines {
+	for _, e := range c.engines {
 		zones[e.server.Zone] = true
 	}
 	now := time.Now()
-	o.applyInFlightReport(inFlightReport{host: o.Host, requests: o.Balancer.InFlight(zones)}, now)
-	running := make(map[site.ServerID]int, len(o.engines))
-	for id, e := range o.engines {
+	c.applyInFlightReport(inFlightReport{host: c.Host, requests: c.Balancer.InFlight(zones)}, now)
+	running := make(map[site.ServerID]int, len(c.engines))
+	for id, e := range c.engines {
 		e.running.dropSilentHosts(now)
 		running[id] = e.equivalentRequests(now)
 	}
-	o.runningByEngine.Store(&running)
-	o.Balancer.UpdateRunningCounts(running)
+	c.runningByEngine.Store(&running)
+	c.Balancer.UpdateRunningCounts(running)
 }
 
 // publishResidencies removes the residencies of engines that are no longer
 // controlled, and publishes the current residency of e unless e is nil.
-func (o *Controller) publishResidencies(e *engine) {
-	next := make(map[site.ServerID]site.Residency, len(o.engines))
-	maps.Copy(next, *o.residencies.Load())
+func (c *Controller) publishResidencies(e *engine) {
+	next := make(map[site.ServerID]site.Residency, len(c.engines))
+	maps.Copy(next, *c.residencies.Load())
 	for id := range next {
-		if o.engines[id] == nil {
+		if c.engines[id] == nil {
 			delete(next, id)
 		}
 	}
-	if e != nil && o.engines[e.server.ID] == e {
-		o.sequence++
-		residency := e.residency(o.sequence)
+	if e != nil && c.engines[e.server.ID] == e {
+		c.sequence++
+		residency := e.residency(c.sequence)
 		next[e.server.ID] = residency
-		o.Balancer.UpdateResidency(residency)
+		c.Balancer.UpdateResidency(residency)
 	}
-	o.residencies.Store(&next)
+	c.residencies.Store(&next)
 }
 
-func (d *pendingRequest) handle(_ context.Context, o *Controller) {
-	e := o.engineFor(d.request)
-	if e == nil || e.server.Incarnation != d.request.Server || o.ordersStopped.Load() {
+func (d *pendingRequest) handle(_ context.Context, c *Controller) {
+	e := c.engineFor(d.request)
+	if e == nil || e.server.Incarnation != d.request.Server || c.ordersStopped.Load() {
 		d.reply <- placeResult{err: verdict.NewNotRun(verdict.CodeNotOwner, "engine %s is not owned by this host", d.request.Server.ID)}
 		return
 	}
 	capacity := 0
-	if service := o.Views.View().Service(e.server.Service); service != nil && service.Engines != nil {
+	if service := c.Views.View().Service(e.server.Service); service != nil && service.Engines != nil {
 		if model := service.Engines.Model(d.request.Adapter.Model); model != nil {
 			capacity = service.Engines.AdapterCapacity(model)
 		}
@@ -385,33 +385,33 @@
 
 // engineFor returns the record of the server that the request is for, or nil if this host
 // does not own the server's zone.
-func (o *Controller) engineFor(r site.PlaceRequest) *engine {
+func (c *Controller) engineFor(r site.PlaceRequest) *engine {
 	if isForPlainServer(r) {
-		return o.plainServer(r.Server)
+		return c.plainServer(r.Server)
 	}
-	e := o.engines[r.Server.ID]
+	e := c.engines[r.Server.ID]
 	if e == nil || e.server.Incarnation != r.Server {
-		o.refreshEngines()
-		e = o.engines[r.Server.ID]
+		c.refreshEngines()
+		e = c.engines[r.Server.ID]
 	}
 	return e
 }
 
-func (n inFlightReport) handle(_ context.Context, o *Controller) {
-	o.applyInFlightReport(n, time.Now())
+func (n inFlightReport) handle(_ context.Context, c *Controller) {
+	c.applyInFlightReport(n, time.Now())
 }
 
 // applyInFlightReport replaces the running requests of one host on all owned
 // engines.
-func (o *Controller) applyInFlightReport(n inFlightReport, now time.Time) {
+func (c *Controller) applyInFlightReport(n inFlightReport, now time.Time) {
 	reported := make(map[site.ServerID]map[site.Adapter]int, len(n.requests))
 	for _, sent := range n.requests {
 		reported[sent.Server] = sent.Adapters
-		if e := o.engines[sent.Server]; e != nil && e.readRate.observe(sent.Begun, now) {
-			o.Log.Info().Str("engine", string(sent.Server)).Float64("tokens-per-ms", e.readRate.tokensPerMilli).Msg("rate of admitted prompt tokens changed")
+		if e := c.engines[sent.Server]; e != nil && e.readRate.observe(sent.Begun, now) {
+			c.Log.Info().Str("engine", string(sent.Server)).Float64("tokens-per-ms", e.readRate.tokensPerMilli).Msg("rate of admitted prompt tokens changed")
 		}
 	}
-	for id, e := range o.engines {
+	for id, e := range c.engines {
 		e.running.lastHeard[n.host] = now
 		if adapters, ok := reported[id]; ok {
 			e.running.replaceHost(n.host, adapters)
--- a/coordination/adapter/orders.go
+++ b/coordination/adapter/orders.go
@@ -9,25 +9,25 @@
 
 // advance admits pending requests on an engine and starts the next order or
 // report if one is due. It returns the time until it should be called again.
-func (o *Controller) advance(ctx context.Context, e *engine) time.Duration {
+func (c *Controller) advance(ctx context.Context, e *engine) time.Duration {
 	now := time.Now()
 	admissionDelay := e.servePending(now)
-	if e.callInFlight || o.ordersStopped.Load() || !o.Balancer.IsAvailable(e.server) {
+	if e.callInFlight || c.ordersStopped.Load() || !c.Balancer.IsAvailable(e.server) {
 		return admissionDelay
 	}
 	if now.Before(e.nextOrderAt) {
 		return min(e.nextOrderAt.Sub(now), admissionDelay)
 	}
-	epoch, held := o.Leases.OrderEpoch(e.server.Zone)
+	epoch, held := c.Leases.OrderEpoch(e.server.Zone)
 	if !held || epoch != e.epoch {
 		return admissionDelay
 	}
 	if !e.reportCurrent {
-		o.startReport(ctx, e)
+		c.startReport(ctx, e)
 		return admissionDelay
 	}
-	if order, ok := o.nextOrder(e, now); ok {
-		o.startOrder(ctx, e, order)
+	if order, ok := c.nextOrder(e, now); ok {
+		c.startOrder(ctx, e, order)
 		return admissionDelay
 	}
 	wait := admissionDelay
@@ -41,7 +41,7 @@
 // that got no answer, checking a load that should be complete, loading a missing
 // base model, loading a newer version of a loaded adapter, and providing the
 // adapter of a pending request.
-func (o *Controller) nextOrder(e *engine, now time.Time) (site.Order, bool) {
+func (c *Controller) nextOrder(e *engine, now time.Time) (site.Order, bool) {
 	if e.orderToRepeat != nil {
 		return *e.orderToRepeat, true
 	}
@@ -50,12 +50,12 @@
 			return site.Order{Adapter: adapter, Version: l.version}, true
 		}
 	}
-	view := o.Views.View()
+	view := c.Views.View()
 	service := view.Service(e.server.Service)
 	if service == nil || service.Engines == nil || e.server.State != site.Ready {
 		return site.Order{}, false
 	}
-	if order, ok := o.nextModelLoad(e, service.Engines); ok {
+	if order, ok := c.nextModelLoad(e, service.Engines); ok {
 		return order, true
 	}
 	if all, _ := e.loadCounts(); all >= maxLoadsPerEngine {
@@ -66,19 +66,19 @@
 			return site.Order{Adapter: adapter, Version: version}, true
 		}
 	}
-	return o.nextAdapterOrder(e, view, service.Engines, now)
+	return c.nextAdapterOrder(e, view, service.Engines, now)
 }
 
 // nextModelLoad returns the order for a base model that the engine lost with a
 // restart. Owned engines load base models one at a time.
-func (o *Controller) nextModelLoad(e *engine, engines *site.EngineSpec) (site.Order, bool) {
+func (c *Controller) nextModelLoad(e *engine, engines *site.EngineSpec) (site.Order, bool) {
 	if len(engines.Models) != 1 {
 		// If there are several base models, the operator decides which engine
 		// loads which.
 		return site.Order{}, false
 	}
 	model := site.Adapter{Model: engines.Models[0].Name}
-	if _, ok := e.loaded[model]; ok || e.loads[model] != nil || o.modelLoadCount > 0 {
+	if _, ok := e.loaded[model]; ok || e.loads[model] != nil || c.modelLoadCount > 0 {
 		return site.Order{}, false
 	}
 	return site.Order{Adapter: model}, true
@@ -88,11 +88,11 @@
 // can be provided now: a load, or the unload of an unused adapter to free a slot.
 // Loads from the engine's own memory are always possible, loads from the weight
 // store only while this host is below coldLoadLimit.
-func (o *Controller) nextAdapterOrder(e *engine, view *site.View, engines *site.EngineSpec, now time.Time) (site.Order, bool) {
+func (c *Controller) nextAdapterOrder(e *engine, view *site.View, engines *site.EngineSpec, now time.Time) (site.Order, bool) {
 	if len(e.pending) == 0 {
 		return site.Order{}, false
 	}
-	storeLimitReached := o.coldLoadCount() >= o.coldLoadLimit
+	storeLimitReached := c.coldLoadCount() >= c.coldLoadLimit
 	for _, d := range e.pending {
 		adapter := d.request.Adapter
 		if e.hasAdapter(d.request) || e.loads[adapter] != nil || adapter.Name == "" || storeLimitReached && !e.cached[adapter] {
@@ -114,9 +114,9 @@
 
 // coldLoadCount returns the number of adapters that all owned engines load from
 // the weight store.
-func (o *Controller) coldLoadCount() int {
+func (c *Controller) coldLoadCount() int {
 	count := 0
-	for _, e := range o.engines {
+	for _, e := range c.engines {
 		_, cold := e.loadCounts()
 		count += cold
 	}
@@ -127,7 +127,7 @@
 // the weight store at once: this host's share of the site's limit by number of
 // engines, rounded up, plus one so that a busy zone can use what other zones
 // leave unused.
-func (o *Controller) updateColdLoadLimit(view *site.View) {
+func (c *Controller) updateColdLoadLimit(view *site.View) {
 	engineCount, loadsPerSecond := 0, 0.0
 	for _, server := range view.Servers {
 		if service := view.Service(server.Service); service != nil && service.Engines != nil {
@@ -136,34 +136,34 @@
 		}
 	}
 	total := maxLoadsPerRateUnit * max(int(loadsPerSecond/modelLoadRateUnit+0.5), 1)
-	o.coldLoadLimit = (total*len(o.engines)+engineCount-1)/max(engineCount, 1) + 1
+	c.coldLoadLimit = (total*len(c.engines)+engineCount-1)/max(engineCount, 1) + 1
 }
 
 // startReport reads the engine's report on a worker goroutine.
-func (o *Controller) startReport(ctx context.Context, e *engine) {
+func (c *Controller) startReport(ctx context.Context, e *engine) {
 	e.callInFlight = true
 	server := e.server
-	o.lifecycle.Go(func() {
-		report, err := o.Engines.ReadReport(ctx, server)
-		o.results <- &reportResult{engine: e, report: report, err: err}
+	c.lifecycle.Go(func() {
+		report, err := c.Engines.ReadReport(ctx, server)
+		c.results <- &reportResult{engine: e, report: report, err: err}
 	})
 }
 
 // startOrder sends one order on a worker goroutine. An engine gets one order at a
 // time.
-func (o *Controller) startOrder(ctx context.Context, e *engine, order site.Order) {
+func (c *Controller) startOrder(ctx context.Context, e *engine, order site.Order) {
 	e.callInFlight = true
-	order.ExpectedOrderCount, order.Holder, order.Epoch = e.acceptedOrders, o.Host, e.epoch
+	order.ExpectedOrderCount, order.Holder, order.Epoch = e.acceptedOrders, c.Host, e.epoch
 	if order.Unload {
 		// Published before the order is sent, so that other hosts stop sending
 		// requests for the adapter before it is unloaded.
 		delete(e.loaded, order.Adapter)
-		o.publishResidencies(e)
+		c.publishResidencies(e)
 	}
 	server := e.server
-	o.lifecycle.Go(func() {
-		outcome, err := o.Engines.SendOrder(ctx, server, order)
-		o.results <- &orderResult{engine: e, order: order, outcome: outcome, err: err}
+	c.lifecycle.Go(func() {
+		outcome, err := c.Engines.SendOrder(ctx, server, order)
+		c.results <- &orderResult{engine: e, order: order, outcome: outcome, err: err}
 	})
 }
 
@@ -174,7 +174,7 @@
 	err    error
 }
 
-func (r *reportResult) handle(_ context.Context, o *Controller) {
+func (r *reportResult) handle(_ context.Context, c *Controller) {
 	e := r.engine
 	e.callInFlight = false
 	now := time.Now()
@@ -182,7 +182,7 @@
 		e.nextOrderAt = now.Add(orderRetryDelay)
 		e.failedReports++
 		if e.failedReports == maxFailedReports {
-			o.Log.Warn().Err(r.err).Str("engine", string(e.server.ID)).Int("waiting", len(e.pending)).Msg("engine does not answer")
+			c.Log.Warn().Err(r.err).Str("engine", string(e.server.ID)).Int("waiting", len(e.pending)).Msg("engine does not answer")
 		}
 		if e.isUnreachable() {
 			e.refuseAll(e.unreachableError())
@@ -190,13 +190,13 @@
 		return
 	}
 	if e.isUnreachable() {
-		o.Log.Info().Str("engine", string(e.server.ID)).Msg("engine answers again")
+		c.Log.Info().Str("engine", string(e.server.ID)).Msg("engine answers again")
 	}
 	e.failedReports, e.unansweredOrders = 0, 0
 	before := e.modelLoadCount()
 	e.applyReport(r.report, now)
-	o.modelLoadCount += e.modelLoadCount() - before
-	o.publishResidencies(e)
+	c.modelLoadCount += e.modelLoadCount() - before
+	c.publishResidencies(e)
 }
 
 // orderRetryDelay is the time before the next order or report to an engine after
@@ -212,11 +212,11 @@
 	err     error
 }
 
-func (r *orderResult) handle(_ context.Context, o *Controller) {
+func (r *orderResult) handle(_ context.Context, c *Controller) {
 	e, now := r.engine, time.Now()
 	e.callInFlight = false
 	before := e.modelLoadCount()
-	o.Log.Debug().Str("engine", string(e.server.ID)).Bool("unload", r.order.Unload).Str("adapter", r.order.Adapter.Name).
+	c.Log.Debug().Str("engine", string(e.server.ID)).Bool("unload", r.order.Unload).Str("adapter", r.order.Adapter.Name).
 		Int("version", r.order.Version).Int("expected", r.order.ExpectedOrderCount).Str("outcome", string(r.outcome)).Err(r.err).Msg("order")
 	e.unansweredOrders++
 	if r.outcome != site.OrderUnknown {
@@ -230,8 +230,8 @@
 	} else {
 		e.handleLoadResult(r, now)
 	}
-	o.modelLoadCount += e.modelLoadCount() - before
-	o.publishResidencies(e)
+	c.modelLoadCount += e.modelLoadCount() - before
+	c.publishResidencies(e)
 }
 
 // handleUnloadResult applies the outcome of an unload order. Only an unload that
--- a/coordination/adapter/requestlimit.go
+++ b/coordination/adapter/requestlimit.go
@@ -130,38 +130,38 @@
 
 // plainServer returns the record of a server of a plain service, which needs turns only
 // while it states a limit, or nil if this host does not own its zone.
-func (o *Controller) plainServer(incarnation site.Incarnation) *engine {
-	e := o.plainServers[incarnation.ID]
+func (c *Controller) plainServer(incarnation site.Incarnation) *engine {
+	e := c.plainServers[incarnation.ID]
 	if e != nil && e.server.Incarnation == incarnation {
 		return e
 	}
-	server := o.Views.View().Servers[incarnation.ID]
+	server := c.Views.View().Servers[incarnation.ID]
 	if server == nil || server.Incarnation != incarnation {
 		return nil
 	}
-	epoch, held := o.Leases.OrderEpoch(server.Zone)
+	epoch, held := c.Leases.OrderEpoch(server.Zone)
 	if !held {
 		return nil
 	}
-	e = newEngine(server, o.Regions[server.Zone], epoch)
+	e = newEngine(server, c.Regions[server.Zone], epoch)
 	// A plain server has no state to learn and holds no adapters.
 	e.stateKnown = true
 	e.loaded[site.Adapter{}] = 1
-	o.plainServers[incarnation.ID] = e
+	c.plainServers[incarnation.ID] = e
 	return e
 }
 
 // dropPlainServers drops the plain servers that are gone, have restarted or have another
 // owner. Those that state no limit any more are kept, because an older statement would
 // bring the limit back.
-func (o *Controller) dropPlainServers(view *site.View) {
-	for id, e := range o.plainServers {
+func (c *Controller) dropPlainServers(view *site.View) {
+	for id, e := range c.plainServers {
 		server := view.Servers[id]
-		epoch, held := o.Leases.OrderEpoch(e.server.Zone)
+		epoch, held := c.Leases.OrderEpoch(e.server.Zone)
 		if server != nil && server.Incarnation == e.server.Incarnation && held && epoch == e.epoch {
 			continue
 		}
 		e.refuseAll(verdict.NewNotRun(verdict.CodeNotOwner, "server %s is gone, has restarted or has another owner", id))
-		delete(o.plainServers, id)
+		delete(c.plainServers, id)
 	}
 }
