operation, dailyreport, engine: name receivers after their types

Those of StatusReporter, Recorder and completion were o, k and t, initials of former names. They are r, r and c. A parameter and a variable that were r are req and status.

Tests of the three packages with -race; build, vet and lint.

--- a/coordination/dailyreport/recorder.go
+++ b/coordination/dailyreport/recorder.go
@@ -106,52 +106,52 @@
 }
 
 // prepare creates the rings on the first call of a method.
-func (k *Recorder) prepare() {
-	k.prepareOnce.Do(func() {
-		k.outcomes = ring.New[requestOutcome](cmp.Or(k.Capacity, defaultCapacity))
-		k.writeResults = ring.New[writeResult](1)
+func (r *Recorder) prepare() {
+	r.prepareOnce.Do(func() {
+		r.outcomes = ring.New[requestOutcome](cmp.Or(r.Capacity, defaultCapacity))
+		r.writeResults = ring.New[writeResult](1)
 	})
 }
 
 // RecordRequest queues the outcome of a request for counting. It never blocks: an
 // outcome that does not fit into the full ring appears in the record as uncounted.
-func (k *Recorder) RecordRequest(r *request.Request, answer request.Response, failure *verdict.Error) {
-	k.prepare()
-	k.outcomes.Offer(newRequestOutcome(r, answer, failure, time.Now()))
+func (r *Recorder) RecordRequest(req *request.Request, answer request.Response, failure *verdict.Error) {
+	r.prepare()
+	r.outcomes.Offer(newRequestOutcome(req, answer, failure, time.Now()))
 }
 
 // Run counts outcomes and writes records until ctx ends or Close is called.
-func (k *Recorder) Run(ctx context.Context) error {
-	k.prepare()
-	return k.lifecycle.Run(ctx, k.loop)
+func (r *Recorder) Run(ctx context.Context) error {
+	r.prepare()
+	return r.lifecycle.Run(ctx, r.loop)
 }
 
 // Close writes the record of the last interval, stops the Recorder and waits until
 // Run has returned. Callers must not call RecordRequest after Close.
-func (k *Recorder) Close() error {
-	return k.lifecycle.Close()
+func (r *Recorder) Close() error {
+	return r.lifecycle.Close()
 }
 
-func (k *Recorder) loop(ctx context.Context) error {
+func (r *Recorder) loop(ctx context.Context) error {
 	now := time.Now().UTC()
-	k.countingSince, k.current = now, newIntervalCounter(now)
-	k.queueRecord(now, false)
-	k.startWrite(ctx)
+	r.countingSince, r.current = now, newIntervalCounter(now)
+	r.queueRecord(now, false)
+	r.startWrite(ctx)
 	timer := time.NewTimer(untilNextWrite(now))
 	defer timer.Stop()
 	for {
 		select {
-		case outcome := <-k.outcomes.Messages():
-			k.current.add(&outcome)
-		case result := <-k.writeResults.Messages():
-			k.handleWriteResult(result)
+		case outcome := <-r.outcomes.Messages():
+			r.current.add(&outcome)
+		case result := <-r.writeResults.Messages():
+			r.handleWriteResult(result)
 		case <-timer.C:
 			now := time.Now().UTC()
-			k.advanceInterval(now)
-			k.startWrite(ctx)
+			r.advanceInterval(now)
+			r.startWrite(ctx)
 			timer.Reset(untilNextWrite(now))
 		case <-ctx.Done():
-			k.writeFinal(ctx)
+			r.writeFinal(ctx)
 			return ctx.Err()
 		}
 	}
@@ -165,85 +165,85 @@
 
 // advanceInterval queues the record of the current interval and, if the interval has
 // ended, starts the next one.
-func (k *Recorder) advanceInterval(now time.Time) {
-	k.countPending()
-	k.current.observeHosts(k.Host, k.Members)
-	k.queueRecord(now, false)
-	if limit := k.current.interval.Add(dailyreport.Interval); !now.Before(limit) {
-		k.rejectedBeforeInterval = k.rejectedAtLastRecord
-		k.current = newIntervalCounter(now)
+func (r *Recorder) advanceInterval(now time.Time) {
+	r.countPending()
+	r.current.observeHosts(r.Host, r.Members)
+	r.queueRecord(now, false)
+	if limit := r.current.interval.Add(dailyreport.Interval); !now.Before(limit) {
+		r.rejectedBeforeInterval = r.rejectedAtLastRecord
+		r.current = newIntervalCounter(now)
 		// Requests that ended between limit and now are in the previous record, so
 		// the next interval counts from limit and leaves no gap. If the process was
 		// paused past the end of that interval, the new one counts from now, and
 		// the minutes of the pause are a gap.
-		if k.current.interval.Equal(limit) {
-			k.current.from = limit
+		if r.current.interval.Equal(limit) {
+			r.current.from = limit
 		}
-		k.queueRecord(now, false)
+		r.queueRecord(now, false)
 	}
 }
 
 // countPending counts the outcomes that are in the ring, so that the next record
 // has every request that ended before its Until.
-func (k *Recorder) countPending() {
-	for range k.outcomes.Len() {
-		outcome := <-k.outcomes.Messages()
-		k.current.add(&outcome)
+func (r *Recorder) countPending() {
+	for range r.outcomes.Len() {
+		outcome := <-r.outcomes.Messages()
+		r.current.add(&outcome)
 	}
 }
 
 // queueRecord adds the record of the current interval to the backlog, with the counts
 // up to now. final marks the last record before a planned stop.
-func (k *Recorder) queueRecord(now time.Time, final bool) {
-	limit := k.current.interval.Add(dailyreport.Interval)
-	record := k.current.record()
-	record.Host, record.Start = k.Host.Name, k.Host.Start
-	record.CountingSince = k.countingSince
+func (r *Recorder) queueRecord(now time.Time, final bool) {
+	limit := r.current.interval.Add(dailyreport.Interval)
+	record := r.current.record()
+	record.Host, record.Start = r.Host.Name, r.Host.Start
+	record.CountingSince = r.countingSince
 	record.Until = earlier(now, limit)
 	record.Final = final
-	k.rejectedAtLastRecord = k.outcomes.RejectedCount()
-	record.Uncounted = k.rejectedAtLastRecord - k.rejectedBeforeInterval
-	record.DroppedIntervals = k.droppedIntervals
+	r.rejectedAtLastRecord = r.outcomes.RejectedCount()
+	record.Uncounted = r.rejectedAtLastRecord - r.rejectedBeforeInterval
+	record.DroppedIntervals = r.droppedIntervals
 	value, err := json.Marshal(record)
 	if err != nil {
-		k.Logger.Error().Err(err).Msg("record for the daily report cannot be encoded and is not written")
+		r.Logger.Error().Err(err).Msg("record for the daily report cannot be encoded and is not written")
 		return
 	}
 	key := record.Key()
-	k.addToBacklog(backlogEntry{key: key.String(), value: value})
+	r.addToBacklog(backlogEntry{key: key.String(), value: value})
 }
 
 // addToBacklog replaces the last entry if it has the same key. Otherwise it appends
 // the entry and drops the oldest one if the backlog exceeds its limit.
-func (k *Recorder) addToBacklog(e backlogEntry) {
-	if last := len(k.backlog) - 1; last >= 0 && k.backlog[last].key == e.key {
-		k.backlog[last] = e
+func (r *Recorder) addToBacklog(e backlogEntry) {
+	if last := len(r.backlog) - 1; last >= 0 && r.backlog[last].key == e.key {
+		r.backlog[last] = e
 		return
 	}
-	k.backlog = append(k.backlog, e)
-	if len(k.backlog) > cmp.Or(k.BacklogLimit, defaultBacklogLimit) {
-		k.Logger.Warn().Str("key", k.backlog[0].key).Msg("record for the daily report dropped: the object store was unavailable for too long")
-		k.backlog = slices.Delete(k.backlog, 0, 1)
-		k.droppedIntervals++
+	r.backlog = append(r.backlog, e)
+	if len(r.backlog) > cmp.Or(r.BacklogLimit, defaultBacklogLimit) {
+		r.Logger.Warn().Str("key", r.backlog[0].key).Msg("record for the daily report dropped: the object store was unavailable for too long")
+		r.backlog = slices.Delete(r.backlog, 0, 1)
+		r.droppedIntervals++
 	}
 }
 
 // startWrite starts a worker that writes the backlog, unless a worker is running or
 // the backlog is empty.
-func (k *Recorder) startWrite(ctx context.Context) {
-	if k.writing || len(k.backlog) == 0 {
+func (r *Recorder) startWrite(ctx context.Context) {
+	if r.writing || len(r.backlog) == 0 {
 		return
 	}
-	k.writing = true
-	entries := slices.Clone(k.backlog)
-	k.lifecycle.Go(func() { k.writeResults.Offer(k.writeEntries(ctx, entries)) })
+	r.writing = true
+	entries := slices.Clone(r.backlog)
+	r.lifecycle.Go(func() { r.writeResults.Offer(r.writeEntries(ctx, entries)) })
 }
 
 // writeEntries writes the entries, oldest first, and stops at the first error.
-func (k *Recorder) writeEntries(ctx context.Context, entries []backlogEntry) writeResult {
+func (r *Recorder) writeEntries(ctx context.Context, entries []backlogEntry) writeResult {
 	for i, e := range entries {
 		limited, cancel := context.WithTimeout(ctx, putTimeout)
-		err := k.Store.Put(limited, e.key, e.value)
+		err := r.Store.Put(limited, e.key, e.value)
 		cancel()
 		if err != nil {
 			return writeResult{entries: entries[:i], err: err}
@@ -254,13 +254,13 @@
 
 // handleWriteResult marks the worker as idle and removes the written entries from the
 // backlog, except those that have been replaced by a newer record since.
-func (k *Recorder) handleWriteResult(result writeResult) {
-	k.writing = false
+func (r *Recorder) handleWriteResult(result writeResult) {
+	r.writing = false
 	if result.err != nil {
-		k.Logger.Warn().Err(result.err).Int("intervals", len(k.backlog)).Msg("record for the daily report not written; retrying at the next write")
+		r.Logger.Warn().Err(result.err).Int("intervals", len(r.backlog)).Msg("record for the daily report not written; retrying at the next write")
 	}
 	for _, written := range result.entries {
-		k.backlog = slices.DeleteFunc(k.backlog, func(e backlogEntry) bool {
+		r.backlog = slices.DeleteFunc(r.backlog, func(e backlogEntry) bool {
 			return e.key == written.key && slices.Equal(e.value, written.value)
 		})
 	}
@@ -269,18 +269,18 @@
 // writeFinal writes the record of the last interval and the backlog. The end of ctx
 // has canceled a running worker; writeFinal waits for its result, so that a write of
 // the worker cannot replace the last record.
-func (k *Recorder) writeFinal(ctx context.Context) {
-	if k.writing {
-		k.handleWriteResult(<-k.writeResults.Messages())
+func (r *Recorder) writeFinal(ctx context.Context) {
+	if r.writing {
+		r.handleWriteResult(<-r.writeResults.Messages())
 	}
 	now := time.Now().UTC()
-	k.countPending()
-	k.queueRecord(now, true)
+	r.countPending()
+	r.queueRecord(now, true)
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer cancel()
-	k.handleWriteResult(k.writeEntries(limited, k.backlog))
-	if len(k.backlog) > 0 {
-		k.Logger.Error().Int("intervals", len(k.backlog)).Msg("records for the daily report lost: the object store did not answer before the host stopped")
+	r.handleWriteResult(r.writeEntries(limited, r.backlog))
+	if len(r.backlog) > 0 {
+		r.Logger.Error().Int("intervals", len(r.backlog)).Msg("records for the daily report lost: the object store did not answer before the host stopped")
 	}
 }
 
--- a/coordination/dailyreport/recorder_test.go
+++ b/coordination/dailyreport/recorder_test.go
@@ -118,8 +118,8 @@
 
 // startRecorder runs a Recorder in the synctest bubble of the test and waits until it
 // is idle.
-func startRecorder(k *Recorder) {
-	go func() { _ = k.Run(context.Background()) }()
+func startRecorder(r *Recorder) {
+	go func() { _ = r.Run(context.Background()) }()
 	synctest.Wait()
 }
 
--- a/coordination/operation/statusreporter.go
+++ b/coordination/operation/statusreporter.go
@@ -65,19 +65,19 @@
 
 // Freshness reads the head from the platform and reports how current the
 // configuration of this host is. A failed read sets PlatformUnreachable.
-func (o *StatusReporter) Freshness(ctx context.Context) Freshness {
-	f := Freshness{Host: o.Host, Revision: o.Revisions.Revision()}
+func (r *StatusReporter) Freshness(ctx context.Context) Freshness {
+	f := Freshness{Host: r.Host, Revision: r.Revisions.Revision()}
 	readAt := time.Now()
-	head, err := o.Revisions.Head(ctx)
+	head, err := r.Revisions.Head(ctx)
 	if err == nil {
-		o.headConfirmedAt.Store(&readAt)
-		for known := o.highestHead.Load(); uint64(head) > known && !o.highestHead.CompareAndSwap(known, uint64(head)); {
-			known = o.highestHead.Load()
+		r.headConfirmedAt.Store(&readAt)
+		for known := r.highestHead.Load(); uint64(head) > known && !r.highestHead.CompareAndSwap(known, uint64(head)); {
+			known = r.highestHead.Load()
 		}
 	}
 	f.PlatformUnreachable = err != nil
-	f.Head = max(configuration.Revision(o.highestHead.Load()), f.Revision)
-	if confirmed := o.headConfirmedAt.Load(); confirmed != nil {
+	f.Head = max(configuration.Revision(r.highestHead.Load()), f.Revision)
+	if confirmed := r.headConfirmedAt.Load(); confirmed != nil {
 		age := time.Since(*confirmed)
 		f.Age = &age
 	}
@@ -86,8 +86,8 @@
 
 // Configuration returns the applied configuration, or an empty one if there is
 // none yet. It is never nil.
-func (o *StatusReporter) Configuration() *configuration.Configuration {
-	if current := o.Revisions.Current(); current != nil {
+func (r *StatusReporter) Configuration() *configuration.Configuration {
+	if current := r.Revisions.Current(); current != nil {
 		return current
 	}
 	return &configuration.Configuration{}
@@ -95,15 +95,15 @@
 
 // ListHosts returns the known entry hosts, sorted by name. The revision of this
 // host is the applied one; that of another host comes from its heartbeats.
-func (o *StatusReporter) ListHosts() []Host {
+func (r *StatusReporter) ListHosts() []Host {
 	var hosts []Host
-	for name, status := range o.Members.View().Hosts {
+	for name, status := range r.Members.View().Hosts {
 		hosts = append(hosts, Host{
 			Name: name, Start: status.Host.Start, FailureDomain: status.Host.FailureDomain, Region: status.Host.Region,
 			PeerAddress: status.Host.PeerAddress, State: status.Host.State, Reachable: status.Reachable, Revision: status.Revision,
 		})
-		if name == o.Host {
-			hosts[len(hosts)-1].Revision = o.Revisions.Revision()
+		if name == r.Host {
+			hosts[len(hosts)-1].Revision = r.Revisions.Revision()
 		}
 	}
 	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
@@ -113,11 +113,11 @@
 // ListEngines returns the configured engines, sorted by name, with the summaries
 // of their owners. For an engine of this host, its own summary is used unless
 // another host has published one with a higher lease epoch.
-func (o *StatusReporter) ListEngines() []Engine {
-	current, view := o.Configuration(), o.Members.View()
+func (r *StatusReporter) ListEngines() []Engine {
+	current, view := r.Configuration(), r.Members.View()
 	summaries := make(map[fleet.EngineName]fleet.EngineSummary, len(view.Engines))
 	maps.Copy(summaries, view.Engines)
-	for _, own := range o.Engines.Summaries() {
+	for _, own := range r.Engines.Summaries() {
 		if summaries[own.Engine].Epoch <= own.Epoch {
 			summaries[own.Engine] = own
 		}
@@ -127,7 +127,7 @@
 		configured, summary := current.Engines[name], summaries[name]
 		engine := Engine{
 			Name: name, Pool: configured.Pool, FailureDomain: configured.FailureDomain, Slots: configured.AdapterSlots,
-			Owner: summary.Owner, OwnerReachable: summary.Owner == o.Host || view.Hosts[summary.Owner].Reachable, Epoch: summary.Epoch,
+			Owner: summary.Owner, OwnerReachable: summary.Owner == r.Host || view.Hosts[summary.Owner].Reachable, Epoch: summary.Epoch,
 			Running: summary.Running, Waiting: summary.Waiting, Draining: current.Draining[string(name)],
 		}
 		for _, instance := range summary.Instances {
@@ -140,8 +140,8 @@
 
 // ListServers returns the configured backend servers, engines included, sorted by
 // name.
-func (o *StatusReporter) ListServers() []Server {
-	current, view := o.Configuration(), o.Members.View()
+func (r *StatusReporter) ListServers() []Server {
+	current, view := r.Configuration(), r.Members.View()
 	var servers []Server
 	add := func(s Server) {
 		s.Draining = current.Draining[s.Name]
@@ -162,11 +162,11 @@
 
 // ShowRevision reports which hosts have applied a revision, and the operation
 // that produced it if this host still keeps the change.
-func (o *StatusReporter) ShowRevision(number configuration.Revision) RevisionStatus {
-	rollout := o.Revisions.RolloutStatus(number)
-	r := RevisionStatus{Revision: number, Applied: rollout.Applied, Pending: rollout.Pending, Unreachable: rollout.Unreachable}
-	if change, kept := o.Revisions.Change(number); kept {
-		r.Operation, r.Description = change.Operation, change.Description
+func (r *StatusReporter) ShowRevision(number configuration.Revision) RevisionStatus {
+	rollout := r.Revisions.RolloutStatus(number)
+	status := RevisionStatus{Revision: number, Applied: rollout.Applied, Pending: rollout.Pending, Unreachable: rollout.Unreachable}
+	if change, kept := r.Revisions.Change(number); kept {
+		status.Operation, status.Description = change.Operation, change.Description
 	}
-	return r
+	return status
 }
--- a/transport/engine/complete.go
+++ b/transport/engine/complete.go
@@ -97,70 +97,70 @@
 }
 
 // isResumable reports whether a later attempt may continue the stream of this run.
-func (t *completion) isResumable(failure *verdict.Error) bool {
-	return t.isStreaming && t.chunksDelivered > 0 &&
+func (c *completion) isResumable(failure *verdict.Error) bool {
+	return c.isStreaming && c.chunksDelivered > 0 &&
 		(failure.Code == verdict.CodeBackendLost || failure.Code == verdict.CodeIncomplete)
 }
 
 // cancelRun cancels the request on the engine, even if the context of the caller has
 // ended. An error is ignored because the owner cancels the request again before it
 // evicts the instance.
-func (t *completion) cancelRun(ctx context.Context) {
-	timeout := orDefault(t.client.CancelTimeout, defaultCancelTimeout)
+func (c *completion) cancelRun(ctx context.Context) {
+	timeout := orDefault(c.client.CancelTimeout, defaultCancelTimeout)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
-	engine := fleet.Engine{Name: t.grant.Engine, Address: t.grant.Address}
-	_ = t.client.sendCancel(ctx, engine, t.request.RunID)
+	engine := fleet.Engine{Name: c.grant.Engine, Address: c.grant.Address}
+	_ = c.client.sendCancel(ctx, engine, c.request.RunID)
 }
 
 // run sends the request and delivers the response. parent is the context of the
 // request; its end is distinguished from a timeout of the silence timer.
-func (t *completion) run(parent context.Context) (request.Response, *verdict.Error) {
+func (c *completion) run(parent context.Context) (request.Response, *verdict.Error) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
-	r, failure := t.newRequest(ctx)
+	r, failure := c.newRequest(ctx)
 	if failure != nil {
 		return request.Response{}, failure
 	}
-	t.silenceTimeout = orDefault(t.client.ResponseTimeout, defaultResponseTimeout)
-	if t.isStreaming {
-		t.silenceTimeout = streamProgressTimeout(ctx, orDefault(t.client.ProgressTimeout, defaultProgressTimeout))
+	c.silenceTimeout = orDefault(c.client.ResponseTimeout, defaultResponseTimeout)
+	if c.isStreaming {
+		c.silenceTimeout = streamProgressTimeout(ctx, orDefault(c.client.ProgressTimeout, defaultProgressTimeout))
 	}
-	t.silenceTimer = time.AfterFunc(t.silenceTimeout, func() {
-		t.silent.Store(true)
+	c.silenceTimer = time.AfterFunc(c.silenceTimeout, func() {
+		c.silent.Store(true)
 		cancel()
 	})
-	defer t.silenceTimer.Stop()
-	response, wrote, err := t.client.httpClient.Send(r)
+	defer c.silenceTimer.Stop()
+	response, wrote, err := c.client.httpClient.Send(r)
 	if err != nil {
-		return request.Response{}, t.lostResponseError(parent, wrote, err)
+		return request.Response{}, c.lostResponseError(parent, wrote, err)
 	}
 	defer response.Body.Close() //nolint:errcheck // The body was read to its end or is discarded.
-	if ids := response.Header.Values(engineapi.HeaderRequestID); !t.isOwn(ids) {
+	if ids := response.Header.Values(engineapi.HeaderRequestID); !c.isOwn(ids) {
 		return request.Response{}, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil,
-			"engine %s: response has request IDs %q, expected %q", t.grant.Engine, ids, t.request.RunID)
+			"engine %s: response has request IDs %q, expected %q", c.grant.Engine, ids, c.request.RunID)
 	}
 	if response.StatusCode != http.StatusOK {
-		body, err := t.readBody(response.Body)
+		body, err := c.readBody(response.Body)
 		if err != nil {
-			return request.Response{}, t.lostResponseError(parent, true, err)
+			return request.Response{}, c.lostResponseError(parent, true, err)
 		}
-		return request.Response{}, refusalError(t.grant.Engine, response, body, completionProofs)
+		return request.Response{}, refusalError(c.grant.Engine, response, body, completionProofs)
 	}
-	if t.chunksBefore > 0 && response.Header.Get(engineapi.HeaderEngineStart) != strconv.FormatUint(uint64(t.grant.EngineStart), 10) {
+	if c.chunksBefore > 0 && response.Header.Get(engineapi.HeaderEngineStart) != strconv.FormatUint(uint64(c.grant.EngineStart), 10) {
 		return request.Response{}, verdict.NewMayHaveRun(verdict.CodeBackendRefused, nil,
-			"engine %s: stream cannot be resumed: the engine has restarted", t.grant.Engine)
+			"engine %s: stream cannot be resumed: the engine has restarted", c.grant.Engine)
 	}
-	if t.isStreaming {
-		return t.readStream(parent, response)
+	if c.isStreaming {
+		return c.readStream(parent, response)
 	}
-	return t.readWhole(parent, response)
+	return c.readWhole(parent, response)
 }
 
 // isOwn reports whether a response with the request ids is that of the request: it has the id of
 // the request and no other one.
-func (t *completion) isOwn(ids []string) bool {
-	return len(ids) > 0 && !slices.ContainsFunc(ids, func(id string) bool { return id != string(t.request.RunID) })
+func (c *completion) isOwn(ids []string) bool {
+	return len(ids) > 0 && !slices.ContainsFunc(ids, func(id string) bool { return id != string(c.request.RunID) })
 }
 
 // streamProgressTimeout returns the longest time without progress of a stream: the
@@ -175,24 +175,24 @@
 }
 
 // newRequest returns the HTTP request with the instance name as its model.
-func (t *completion) newRequest(ctx context.Context) (*http.Request, *verdict.Error) {
-	body, err := engineapi.RewriteRequest(t.request.Body, t.instance, t.isStreaming)
+func (c *completion) newRequest(ctx context.Context) (*http.Request, *verdict.Error) {
+	body, err := engineapi.RewriteRequest(c.request.Body, c.instance, c.isStreaming)
 	if err != nil {
 		return nil, verdict.NewNotRun(verdict.CodeMalformed, "request body: %v", err)
 	}
-	r, err := backend.NewRequest(ctx, http.MethodPost, "http://"+t.grant.Address+engineapi.PathCompletions, body)
+	r, err := backend.NewRequest(ctx, http.MethodPost, "http://"+c.grant.Address+engineapi.PathCompletions, body)
 	if err != nil {
-		return nil, verdict.NewNotRun(verdict.CodeInternal, "engine %s: address %q: %v", t.grant.Engine, t.grant.Address, err)
+		return nil, verdict.NewNotRun(verdict.CodeInternal, "engine %s: address %q: %v", c.grant.Engine, c.grant.Address, err)
 	}
 	r.Header.Set("Content-Type", contentTypeJSON)
-	r.Header.Set(engineapi.HeaderRequestID, string(t.request.RunID))
-	r.Header.Set(engineapi.HeaderEngineStart, strconv.FormatUint(uint64(t.grant.EngineStart), 10))
+	r.Header.Set(engineapi.HeaderRequestID, string(c.request.RunID))
+	r.Header.Set(engineapi.HeaderEngineStart, strconv.FormatUint(uint64(c.grant.EngineStart), 10))
 	if end, ok := ctx.Deadline(); ok {
 		left := max(time.Until(end).Milliseconds(), 1)
 		r.Header.Set(engineapi.HeaderTimeout, strconv.FormatInt(left, 10))
 	}
-	if t.chunksBefore > 0 {
-		r.Header.Set(engineapi.HeaderLastEventID, strconv.Itoa(t.firstPosition()-1))
+	if c.chunksBefore > 0 {
+		r.Header.Set(engineapi.HeaderLastEventID, strconv.Itoa(c.firstPosition()-1))
 	}
 	return r, nil
 }
@@ -201,85 +201,85 @@
 // resumed stream reads the last chunks of the caller again, because a finish reason in
 // them decides whether the closing mark may follow. It starts at chunk 1 at the
 // earliest, because a stream that starts at chunk 0 would be a second run.
-func (t *completion) firstPosition() int {
-	if t.chunksBefore == 0 {
+func (c *completion) firstPosition() int {
+	if c.chunksBefore == 0 {
 		return 0
 	}
-	return max(t.chunksBefore-resumeOverlapChunks, 1)
+	return max(c.chunksBefore-resumeOverlapChunks, 1)
 }
 
 // lostResponseError returns the error of an attempt whose connection failed or went
 // silent.
-func (t *completion) lostResponseError(parent context.Context, wrote bool, cause error) *verdict.Error {
-	if t.silent.Load() && parent.Err() == nil {
-		t.client.httpClient.CloseIdleConnections()
-		failure := verdict.NewMayHaveRun(verdict.CodeBackendLost, cause, "engine %s: no progress for %s", t.grant.Engine, t.silenceTimeout)
+func (c *completion) lostResponseError(parent context.Context, wrote bool, cause error) *verdict.Error {
+	if c.silent.Load() && parent.Err() == nil {
+		c.client.httpClient.CloseIdleConnections()
+		failure := verdict.NewMayHaveRun(verdict.CodeBackendLost, cause, "engine %s: no progress for %s", c.grant.Engine, c.silenceTimeout)
 		if !wrote {
 			failure.Verdict = verdict.NotRun
 		}
 		return failure
 	}
-	return lostResponseError(parent, t.grant.Engine, wrote, cause)
+	return lostResponseError(parent, c.grant.Engine, wrote, cause)
 }
 
 // resetSilenceTimer restarts the silence timer after progress.
-func (t *completion) resetSilenceTimer() {
-	t.silenceTimer.Reset(t.silenceTimeout)
+func (c *completion) resetSilenceTimer() {
+	c.silenceTimer.Reset(c.silenceTimeout)
 }
 
 // readBody reads a body of at most maxBodyBytes. Each read that returns data counts as
 // progress.
-func (t *completion) readBody(body io.Reader) ([]byte, error) {
-	return backend.ReadBody(body, t.client.BufferQuota, maxBodyBytes, t.resetSilenceTimer)
+func (c *completion) readBody(body io.Reader) ([]byte, error) {
+	return backend.ReadBody(body, c.client.BufferQuota, maxBodyBytes, c.resetSilenceTimer)
 }
 
 // readWhole reads a response that is not streamed and checks that it is complete.
-func (t *completion) readWhole(parent context.Context, response *http.Response) (request.Response, *verdict.Error) {
-	body, err := t.readBody(response.Body)
+func (c *completion) readWhole(parent context.Context, response *http.Response) (request.Response, *verdict.Error) {
+	body, err := c.readBody(response.Body)
 	if err != nil {
-		return request.Response{}, t.lostResponseError(parent, true, err)
+		return request.Response{}, c.lostResponseError(parent, true, err)
 	}
-	if failure := t.checkPart(body); failure != nil {
+	if failure := c.checkPart(body); failure != nil {
 		return request.Response{}, failure
 	}
-	if !t.isFinished() {
-		return request.Response{}, t.incompleteError("response has no finish reason")
+	if !c.isFinished() {
+		return request.Response{}, c.incompleteError("response has no finish reason")
 	}
-	body, err = engineapi.ReplaceModel(body, t.grant.Instance.String(), t.request.Adapter.String())
+	body, err = engineapi.ReplaceModel(body, c.grant.Instance.String(), c.request.Adapter.String())
 	if err != nil {
-		return request.Response{}, t.incompleteError(err.Error())
+		return request.Response{}, c.incompleteError(err.Error())
 	}
 	return request.Response{Status: response.StatusCode, ContentType: contentTypeJSON, Body: body}, nil
 }
 
 // readStream delivers the chunks of a stream until its closing mark.
-func (t *completion) readStream(parent context.Context, response *http.Response) (request.Response, *verdict.Error) {
-	next := t.firstPosition()
-	events := engineapi.NewEventReader(response.Body, t.reservation(), t.reservation())
+func (c *completion) readStream(parent context.Context, response *http.Response) (request.Response, *verdict.Error) {
+	next := c.firstPosition()
+	events := engineapi.NewEventReader(response.Body, c.reservation(), c.reservation())
 	defer events.Close()
-	events.Progress = t.resetSilenceTimer
+	events.Progress = c.resetSilenceTimer
 	for {
 		event, err := events.Next()
 		if err != nil {
 			if errors.Is(err, io.EOF) {
-				return request.Response{}, t.incompleteError("stream ended without a closing mark")
+				return request.Response{}, c.incompleteError("stream ended without a closing mark")
 			}
-			return request.Response{}, t.lostResponseError(parent, true, err)
+			return request.Response{}, c.lostResponseError(parent, true, err)
 		}
 		if string(event.Data) == engineapi.Done {
-			if !t.isFinished() {
-				return request.Response{}, t.incompleteError("stream closed before every choice had a finish reason")
+			if !c.isFinished() {
+				return request.Response{}, c.incompleteError("stream closed before every choice had a finish reason")
 			}
-			return request.Response{Status: response.StatusCode, ContentType: engineapi.EventStreamType, Chunks: t.chunksDelivered}, nil
+			return request.Response{Status: response.StatusCode, ContentType: engineapi.EventStreamType, Chunks: c.chunksDelivered}, nil
 		}
-		if failure := t.checkPart(event.Data); failure != nil {
+		if failure := c.checkPart(event.Data); failure != nil {
 			return request.Response{}, failure
 		}
 		if event.Position != next {
 			return request.Response{}, verdict.NewMayHaveRun(verdict.CodeBackendRefused, nil,
-				"engine %s: chunk has position %d, expected %d", t.grant.Engine, event.Position, next)
+				"engine %s: chunk has position %d, expected %d", c.grant.Engine, event.Position, next)
 		}
-		if failure := t.deliver(event); failure != nil {
+		if failure := c.deliver(event); failure != nil {
 			return request.Response{}, failure
 		}
 		next++
@@ -287,63 +287,63 @@
 }
 
 // reservation returns a reservation for one buffer of the response.
-func (t *completion) reservation() *buffering.Reservation {
-	return &buffering.Reservation{Quota: t.client.BufferQuota}
+func (c *completion) reservation() *buffering.Reservation {
+	return &buffering.Reservation{Quota: c.client.BufferQuota}
 }
 
 // deliver writes a chunk to the sink unless the caller already has it.
-func (t *completion) deliver(event engineapi.Event) *verdict.Error {
-	if event.Position < t.chunksDelivered {
+func (c *completion) deliver(event engineapi.Event) *verdict.Error {
+	if event.Position < c.chunksDelivered {
 		return nil
 	}
-	data, err := engineapi.ReplaceModel(event.Data, t.grant.Instance.String(), t.request.Adapter.String())
+	data, err := engineapi.ReplaceModel(event.Data, c.grant.Instance.String(), c.request.Adapter.String())
 	if err != nil {
-		return t.incompleteError(err.Error())
+		return c.incompleteError(err.Error())
 	}
 	// Time that the caller takes to receive the chunk does not count as silence of the
 	// engine.
-	t.silenceTimer.Stop()
-	defer t.resetSilenceTimer()
-	if err := t.sink.WriteChunk(request.Chunk{Position: event.Position, Data: data}); err != nil {
+	c.silenceTimer.Stop()
+	defer c.resetSilenceTimer()
+	if err := c.sink.WriteChunk(request.Chunk{Position: event.Position, Data: data}); err != nil {
 		return verdict.NewMayHaveRun(verdict.CodeCanceled, err, "write chunk to caller")
 	}
-	t.chunksDelivered++
+	c.chunksDelivered++
 	return nil
 }
 
 // checkPart verifies that a response or chunk comes from the instance of the grant, and
 // records its finish reasons.
-func (t *completion) checkPart(data []byte) *verdict.Error {
+func (c *completion) checkPart(data []byte) *verdict.Error {
 	var part engineapi.Completion
 	if err := json.Unmarshal(data, &part); err != nil {
-		return verdict.NewMayHaveRun(verdict.CodeBackendRefused, err, "engine %s: response is not valid JSON", t.grant.Engine)
+		return verdict.NewMayHaveRun(verdict.CodeBackendRefused, err, "engine %s: response is not valid JSON", c.grant.Engine)
 	}
 	if part.Error != nil {
 		return verdict.NewMayHaveRun(unprovenCode(part.Error.Code), nil, "engine %s: run ended with code %q: %s",
-			t.grant.Engine, part.Error.Code, part.Error.Message)
+			c.grant.Engine, part.Error.Code, part.Error.Message)
 	}
-	if part.Model != t.instance {
+	if part.Model != c.instance {
 		return verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil, "engine %s: response has instance %q, expected %q",
-			t.grant.Engine, part.Model, t.instance)
+			c.grant.Engine, part.Model, c.instance)
 	}
 	for _, choice := range part.Choices {
 		if choice.FinishReason != nil {
-			t.hasFinishReason = true
-			delete(t.unfinished, choice.Index)
+			c.hasFinishReason = true
+			delete(c.unfinished, choice.Index)
 			continue
 		}
-		t.unfinished[choice.Index] = true
+		c.unfinished[choice.Index] = true
 	}
 	return nil
 }
 
 // isFinished reports whether every choice that was seen has its finish reason, and at
 // least one was seen.
-func (t *completion) isFinished() bool {
-	return t.hasFinishReason && len(t.unfinished) == 0
+func (c *completion) isFinished() bool {
+	return c.hasFinishReason && len(c.unfinished) == 0
 }
 
 // incompleteError returns the error of a response that ended before it was complete.
-func (t *completion) incompleteError(reason string) *verdict.Error {
-	return verdict.NewMayHaveRun(verdict.CodeIncomplete, nil, "engine %s: %s", t.grant.Engine, reason)
+func (c *completion) incompleteError(reason string) *verdict.Error {
+	return verdict.NewMayHaveRun(verdict.CodeIncomplete, nil, "engine %s: %s", c.grant.Engine, reason)
 }
