forward: a request that has waited for its turn uses the newest version

What callers may see: an answer from an older version of an adapter, more than the bound after a newer one was acknowledged.

Cause: attemptOnce takes the version from the view, and the request then waits for its turn for up to its patience. The turn and the send still ask for the version of before, whatever the view says by then.

Change: after the wait, a request whose adapter has a newer version begins its attempt anew, as one whose engine has restarted does.

TestRequestThatWaitsGetsNewestVersion was red: one turn, for version 1, and a send that asked for version 1.

--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -333,7 +333,7 @@
 		if failure := f.place(ctx, p, pick, want); failure != nil {
 			return failure
 		}
-		if failure := f.recheckAfterWait(ctx, p, pick.Server); failure != nil {
+		if failure := f.recheckAfterWait(ctx, p, pick.Server, want); failure != nil {
 			return failure
 		}
 		if failure := f.checkQuarantine(p); failure != nil {
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -197,6 +197,41 @@
 	return balance.Pick{Server: f.server, Loaded: true}, nil
 }
 
+// TestRequestThatWaitsGetsNewestVersion guards against a request that begins on the version of
+// its adapter that was the newest one before it waited for a turn.
+func TestRequestThatWaitsGetsNewestVersion(t *testing.T) {
+	for _, isDenied := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := quicktest.New(t)
+			r := newFakeSystem(chatRoute)
+			adapter := site.Adapter{Model: "m", Name: "a"}
+			r.view.Versions = map[site.Adapter]int{adapter: 1}
+			r.onPlace = func(context.Context, site.PlaceRequest) error {
+				time.Sleep(time.Second)
+				if len(r.placed) > 1 {
+					return nil
+				}
+				newer := *r.view
+				newer.Versions = map[site.Adapter]int{adapter: 2}
+				r.view = &newer
+				if isDenied {
+					return verdict.NewNotRun(verdict.CodeDeadline, "no turn")
+				}
+				return nil
+			}
+			r.onSend = func(int) (Response, error) {
+				return fakeResponse{head: ResponseHead{Status: 200, IsEventStream: true, IsSigned: true}}, nil
+			}
+			failure, _ := r.forward()
+			c.Assert(failure == nil, quicktest.IsTrue, quicktest.Commentf("%v", failure))
+			c.Assert(r.placed, quicktest.HasLen, 2)
+			c.Check(r.placed[1].MinVersion, quicktest.Equals, 2)
+			c.Assert(r.sent, quicktest.HasLen, 1)
+			c.Check(r.sent[0].Version, quicktest.Equals, 2)
+		})
+	}
+}
+
 // TestLoadedAdapterNeedsNoOwner guards against requests that wait for an owner
 // that does not respond although the engine holds their adapter.
 func TestLoadedAdapterNeedsNoOwner(t *testing.T) {
--- a/coordination/forward/placement.go
+++ b/coordination/forward/placement.go
@@ -104,13 +104,17 @@
 	return failure.Code != verdict.CodeDeadline && f.Balancer.TakeShare(server)
 }
 
-// recheckAfterWait checks, after a wait, that the caller is still there and that
-// the engine is the same instance and takes requests.
-func (f *Forwarder) recheckAfterWait(ctx context.Context, p *progress, server *site.Server) *verdict.Error {
+// recheckAfterWait checks, after a wait, that the caller is still there, that the adapter
+// has no newer version and that the engine is the same instance and takes requests.
+func (f *Forwarder) recheckAfterWait(ctx context.Context, p *progress, server *site.Server, want balance.ServerRequirements) *verdict.Error {
 	if ctx.Err() != nil {
 		return verdict.NewNotRun(verdict.CodeCanceled, "the request ended before engine %s admitted it", server.ID)
 	}
-	now := f.Views.View().Servers[server.ID]
+	view := f.Views.View()
+	if newest := view.Versions[want.Adapter]; newest > want.MinVersion {
+		return verdict.NewNotRun(verdict.CodeUnknownInstance, "adapter %s has got version %d while the request waited", want.Adapter.Name, newest)
+	}
+	now := view.Servers[server.ID]
 	if now != nil && now.State == site.Ready && now.Incarnation == server.Incarnation && f.Balancer.IsAvailable(server) {
 		return nil
 	}
