zone: a late write of a host's row does not replace a newer one

What callers saw: after a restart of all processes, requests for adapters that no engine held were refused for good, because a zone had no owner that others knew.

Cause: the row of a host, which names the zones that it owns, was written whatever its version was. A write that got no answer was carried out seconds later and replaced the row that had been written in the meantime.

Change: each write depends on the version of the row that the host has seen last. Of all writes that depend on one version the store carries out one, so that none is carried out after a newer one.

--- a/coordination/zone/elector.go
+++ b/coordination/zone/elector.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,13 +17,8 @@
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/site"
-	"github.com/persimmonmux/persimmonmux/state/table"
 )
 
-// HostTable holds the registrations of the entry hosts, with the host names as
-// keys.
-const HostTable site.Table = "hosts"
-
 const (
 	// checkInterval is how often the owners of the zones are checked.
 	checkInterval = 200 * time.Millisecond
@@ -38,10 +32,6 @@
 	// minOwnerLinkMegabits is the bandwidth in Mbit/s that an owner needs, because
 	// each host of the zone sends it follow requests and placement requests.
 	minOwnerLinkMegabits = 50
-	// registrationTimeout bounds one write of the registration.
-	// registrationRetryDelay is the delay after a failed write.
-	registrationTimeout    = 2 * time.Second
-	registrationRetryDelay = 700 * time.Millisecond
 )
 
 // Leases are the leases of this host. lease.Manager implements them.
@@ -61,12 +51,6 @@
 	Alive(host string) bool
 }
 
-// A Table is the platform's transactional table, to which the registration is
-// written.
-type Table interface {
-	Commit(ctx context.Context, transaction table.Transaction) ([]table.WriteResult, error)
-}
-
 // An Elector is the duty that registers this host and acquires the leases of
 // zones without an owner. Its exported fields are set before Run.
 type Elector struct {
@@ -100,14 +84,10 @@
 	// ownerlessSince holds the time since when a zone has had no owner that
 	// replies.
 	ownerlessSince map[string]time.Time
-	// registeredValue is the last registration that was written, as JSON.
-	registeredValue     string
-	registrationRetryAt time.Time
-	// registrationPending means that a registration is being written.
-	registrationPending bool
-	// registrationResults receives the value of a registration that was written, or
-	// an empty string after a failed write.
-	registrationResults *ring.Ring[string]
+	// registration is what is known of the row of this host.
+	registration registration
+	// registrationResults receives the outcome of each write of the row.
+	registrationResults *ring.Ring[registrationResult]
 }
 
 // A heldZone is a held lease of a zone, under one epoch.
@@ -127,7 +107,7 @@
 		e.gainedEvents = make(map[lease.Name]lease.Event)
 		e.wantedZones = make(map[string]bool)
 		e.ownerlessSince = make(map[string]time.Time)
-		e.registrationResults = ring.New[string](1)
+		e.registrationResults = ring.New[registrationResult](1)
 		e.heldZones.Store(&map[string]heldZone{})
 	})
 }
@@ -196,13 +176,8 @@
 			if event.Type == lease.Gained {
 				e.gainedEvents[event.Name] = event
 			}
-		case value := <-e.registrationResults.Messages():
-			e.registrationPending = false
-			if value != "" {
-				e.registeredValue = value
-			} else {
-				e.registrationRetryAt = time.Now().Add(registrationRetryDelay)
-			}
+		case result := <-e.registrationResults.Messages():
+			e.registration.apply(result, time.Now())
 		case <-timer.C:
 		}
 		now := time.Now()
@@ -288,35 +263,6 @@
 	return rank
 }
 
-// register writes this host's registration, with the zones that it owns, if it
-// has changed and no write is pending.
-func (e *Elector) register(ctx context.Context, now time.Time) {
-	host := e.Host
-	host.OwnedZones = make(map[string]uint64)
-	if !e.isSteppingDown.Load() {
-		for zone, held := range *e.heldZones.Load() {
-			host.OwnedZones[zone] = held.epoch
-		}
-	}
-	value, err := json.Marshal(host)
-	if err != nil || e.registrationPending || string(value) == e.registeredValue || now.Before(e.registrationRetryAt) {
-		return
-	}
-	e.registrationPending = true
-	e.lifecycle.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, registrationTimeout)
-		defer cancel()
-		write := table.Write{Key: table.Key(string(HostTable) + "/" + host.Name), Unconditional: true, Value: value}
-		_, err := e.Table.Commit(ctx, table.Transaction{Writes: []table.Write{write}})
-		if err != nil {
-			e.Log.Warn().Err(err).Msg("registration of this host could not be written")
-			e.registrationResults.Offer("")
-			return
-		}
-		e.registrationResults.Offer(string(value))
-	})
-}
-
 // OrderingZones returns the zones in which this host may send orders now, in no
 // particular order.
 func (e *Elector) OrderingZones() []string {
--- /dev/null
+++ b/coordination/zone/registration_test.go
@@ -0,0 +1,103 @@
+package zone
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/coordination/lease"
+	"github.com/persimmonmux/persimmonmux/coordination/ring"
+	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/table"
+)
+
+// A lossyTable has one row. Commits of the numbers in lost, from 1, get no answer. They are
+// carried out after lateDelay if their condition holds then.
+type lossyTable struct {
+	lost      map[int]bool
+	lateDelay time.Duration
+
+	mutex   sync.Mutex
+	commits int
+	row     table.Record
+}
+
+func (l *lossyTable) Commit(ctx context.Context, transaction table.Transaction) ([]table.WriteResult, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.commits++
+	if !l.lost[l.commits] {
+		return []table.WriteResult{l.apply(transaction.Writes[0])}, nil
+	}
+	time.AfterFunc(l.lateDelay, func() {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		l.apply(transaction.Writes[0])
+	})
+	return nil, table.ErrOutcomeUnknown
+}
+
+// apply carries out a write if its condition holds. The mutex must be held.
+func (l *lossyTable) apply(write table.Write) table.WriteResult {
+	applied := write.Unconditional || write.Expected == l.row.Version
+	if applied {
+		l.row = table.Record{Key: write.Key, Version: l.row.Version + 1, Value: write.Value}
+	}
+	return table.WriteResult{Applied: applied, Current: l.row}
+}
+
+// ownedZones returns the zones of the row.
+func (l *lossyTable) ownedZones(c *quicktest.C) map[string]uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var host site.Host
+	c.Assert(json.Unmarshal(l.row.Value, &host), quicktest.IsNil)
+	return host.OwnedZones
+}
+
+// TestLateRegistrationDoesNotReplaceNewerOne guards against a zone that has no owner for good,
+// because a write of the owner's row without the zone got no answer and was carried out after
+// the write with the zone.
+func TestLateRegistrationDoesNotReplaceNewerOne(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		row  table.Record
+		lost map[int]bool
+	}{
+		{"no row, first write late", table.Record{}, map[int]bool{1: true}},
+		{"row of an earlier process, first write late", table.Record{Version: 5, Value: []byte(`{}`)}, map[int]bool{1: true}},
+		{"row of an earlier process, second write late", table.Record{Version: 5, Value: []byte(`{}`)}, map[int]bool{2: true}},
+		{"several writes late", table.Record{Version: 5, Value: []byte(`{}`)}, map[int]bool{1: true, 2: true, 3: true}},
+	} {
+		for _, lateDelay := range []time.Duration{0, 900 * time.Millisecond, 4500 * time.Millisecond} {
+			t.Run(test.name+" by "+lateDelay.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := quicktest.New(t)
+					f := newFakePlatform()
+					f.events = ring.New[lease.Event](4)
+					rows := &lossyTable{lost: test.lost, lateDelay: lateDelay, row: test.row}
+					elector := &Elector{
+						Host: site.Host{Name: "host", Zone: "east"}, Leases: f, LeaseEvents: f.events, Views: f, Owners: f, Table: rows,
+						LinkMegabits: 200, Log: zerolog.Nop(),
+					}
+					done := make(chan error, 1)
+					go func() { done <- elector.Run(context.Background()) }()
+					time.Sleep(checkInterval)
+					f.setEpoch(LeaseName("east"), 2, "")
+					time.Sleep(10 * time.Second)
+					c.Check(rows.ownedZones(c), quicktest.DeepEquals, map[string]uint64{"east": 2})
+					const mostCommits = 8
+					c.Check(rows.commits <= mostCommits, quicktest.IsTrue, quicktest.Commentf("%d writes", rows.commits))
+					c.Assert(elector.Close(), quicktest.IsNil)
+					c.Assert(<-done, quicktest.IsNil)
+				})
+			})
+		}
+	}
+}
