--- a/transport/front/brokenstream_test.go
+++ b/transport/front/brokenstream_test.go
@@ -38,12 +38,13 @@
 			})
 			front := startFront(c, syncedViews(), b)
 			_, body, err := sendRequest(front, "POST", "/once/x", "")
-			c.Check(body, quicktest.Equals, "id: 1\ndata: a\n\n")
 			if test.complete {
 				c.Check(err, quicktest.IsNil)
+				c.Check(body, quicktest.Equals, "id: 1\ndata: a\n\n"+test.end)
 				return
 			}
 			c.Check(errors.Is(err, io.ErrUnexpectedEOF), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			c.Check(body, quicktest.Equals, "id: 1\ndata: a\n\n")
 		})
 	}
 }
--- a/transport/front/streamdelivery.go
+++ b/transport/front/streamdelivery.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bytes"
 	"errors"
 	"io"
 
@@ -21,12 +20,12 @@
 	response *response
 	observer forward.DeliveryObserver
 	events   *eventReader
-	// comments holds the lines of comments and reconnection times since the last event, and
-	// commentBytes is their size with the empty lines. They are sent as the first lines of the
-	// event that follows them: they may be garbage, which only shows by what follows, and
-	// callers may take every block of lines for an event.
-	comments     []byte
-	commentBytes int
+	// comments holds the comments, reconnection times and empty lines since the last event.
+	// They are sent with the event that follows them, or at the end of a stream that has an
+	// event: they may be garbage, which only shows by what follows.
+	comments []byte
+	// hasEvent says that an event with data was sent.
+	hasEvent bool
 }
 
 // run sends events until the stream ends. Its error is a *forward.IncompleteError.
@@ -54,25 +53,19 @@
 	}
 }
 
-// holdComments keeps the lines of a block that is no event for the event that follows.
-func (d *streamDelivery) holdComments(block []byte) error {
-	d.commentBytes += len(block)
-	if d.commentBytes > maxCommentBytes {
+// holdComments keeps an event without fields for later.
+func (d *streamDelivery) holdComments(event []byte) error {
+	if len(d.comments)+len(event) > maxCommentBytes {
 		return &forward.IncompleteError{Cause: errCommentsTooLarge}
 	}
-	d.comments = append(d.comments, withoutLastLine(block)...)
+	d.comments = append(d.comments, event...)
 	if !d.events.hasNext() {
 		d.response.flushDelivered()
 	}
 	return nil
 }
 
-// withoutLastLine returns a block of lines without the empty line that ends it.
-func withoutLastLine(block []byte) []byte {
-	return block[:bytes.LastIndexByte(bytes.TrimSuffix(block, []byte("\n")), '\n')+1]
-}
-
-// send sends an event that begins with the comments before it.
+// send sends an event with the comments before it.
 func (d *streamDelivery) send(event []byte, id string) error {
 	if len(d.comments) > 0 {
 		if err := d.response.deliverEvents(d.comments, false); err != nil {
@@ -80,20 +73,22 @@
 		}
 		d.comments = nil
 	}
-	d.commentBytes = 0
 	if err := d.response.deliverEvents(event, !d.events.hasNext()); err != nil {
 		return err
 	}
+	d.hasEvent = true
 	d.response.exchange.lastEventID = id
 	d.observer.EventDelivered()
 	return nil
 }
 
-// finish ends a stream that the server ended properly. Comments after the last event are
-// dropped, because no event follows them.
+// finish ends a stream that the server ended properly.
 func (d *streamDelivery) finish() error {
 	if err := d.observer.CheckEnd(); err != nil {
 		return &forward.IncompleteError{Cause: err}
 	}
-	return d.response.deliverEvents(nil, true)
+	if !d.hasEvent {
+		d.comments = nil
+	}
+	return d.response.deliverEvents(d.comments, true)
 }
