forward: a stream does not follow the body of a failure

What callers saw: on a route that may be resumed, a server that answers with status 302 or 404 and garbage without end, or with a body of over 256 KiB that breaks off.

A failure is delivered as a body, as the server's status says, and a break of it counted as one of a stream, because the route is a streaming one. The check of the head refuses a body after a begun answer, but not a stream after a begun body.

Change: what the client has decides, not the route: nothing continues a body that has begun. On plain routes this is the rule of before.

TestStreamIsNotJoinedToFailure was red in all of its 6 parts, and passes. All tests of transport/front and coordination/forward pass.

--- a/coordination/forward/delivery.go
+++ b/coordination/forward/delivery.go
@@ -85,7 +85,9 @@
 	if p.isStream(head) {
 		return response.DeliverStream(ctx, p)
 	}
-	return response.DeliverBody(ctx)
+	err := response.DeliverBody(ctx)
+	p.hasBodyBegun = p.client.ResponseStarted()
+	return err
 }
 
 // isStream reports whether the response has to be a stream.
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -267,7 +267,7 @@
 	if p.mayHaveRun && !p.route.Repeatable() {
 		return false
 	}
-	if p.hasTooManyEvents || p.client.ResponseStarted() && p.route.Kind != site.Streaming {
+	if p.hasTooManyEvents || p.hasBodyBegun {
 		// Nothing can continue what the client has.
 		return false
 	}
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -68,6 +68,9 @@
 	// hasTooManyEvents means that the client has events that no run made, so that nothing may
 	// continue them.
 	hasTooManyEvents bool
+	// hasBodyBegun means that the client has a part of a body, which no other response continues:
+	// that of a failure is no stream on a streaming route either.
+	hasBodyBegun bool
 }
 
 // begunEvents is the number of events from which an answer counts as begun. A server that
--- a/transport/front/foreignform_test.go
+++ b/transport/front/foreignform_test.go
@@ -76,6 +76,47 @@
 	c.Check(faulty.count() > 0, quicktest.IsTrue)
 }
 
+// TestStreamIsNotJoinedToFailure guards against a failure with a body that breaks off, or that
+// has no end, and after it the whole stream of another server, in one answer that looks complete.
+func TestStreamIsNotJoinedToFailure(t *testing.T) {
+	for _, status := range []int{302, 404} {
+		for _, framing := range []string{"", chunkedHead, "Content-Length: 99000000\r\n\r\n"} {
+			t.Run(fmt.Sprintf("status %d, framing %q", status, framing), func(t *testing.T) {
+				c := quicktest.New(t)
+				faulty := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool {
+					fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\nX-Attempt-Id: %s\r\n", status, r.Header.Get("X-Attempt-Id"))
+					garbage := strings.Repeat("garbage\n\n", maxBufferedBytes)
+					switch framing {
+					case "":
+						respondWithoutEnd(conn, "\r\n", "garbage\n\n")
+					case chunkedHead:
+						fmt.Fprint(conn, chunkedHead)
+						writeChunk(conn, garbage)
+					default:
+						fmt.Fprint(conn, framing+garbage)
+					}
+					return false
+				})
+				sound := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool { return stream(conn, r, 1, 3, false) })
+				front := startFront(c, syncedViews(), faulty, sound)
+				for range 4 {
+					answer, body, err := sendRequest(front, "POST", "/stream/x", "")
+					if answer.StatusCode == http.StatusOK {
+						c.Check(err, quicktest.IsNil)
+						c.Check(body, quicktest.Equals, pieces(1, 3))
+						continue
+					}
+					c.Check(answer.StatusCode, quicktest.Equals, status)
+					c.Check(errors.Is(err, io.ErrUnexpectedEOF), quicktest.IsTrue, quicktest.Commentf("%v", err))
+					c.Check(strings.Contains(body, "data: piece"), quicktest.IsFalse)
+				}
+				c.Check(faulty.count() > 0, quicktest.IsTrue)
+				c.Check(faulty.count()+sound.count(), quicktest.Equals, 4)
+			})
+		}
+	}
+}
+
 // TestStreamGoesOnOnlyAsStream guards against bytes that are no stream and that follow the
 // events of another server in the answer to one caller.
 func TestStreamGoesOnOnlyAsStream(t *testing.T) {
