zone: a late write does not replace a row that has returned to what it was

Cause: after a write without an answer the row that the host knew still counted as written. If the row was the same again before the retry, nothing was written, and the write without an answer was carried out later, or had been: its condition still held. A lease that expires and is renewed by the same process keeps its epoch, so that trouble of the store, which loses answers, also brings this about: the row loses the zone for good although the host holds its lease.

Change: after a write without an answer the row does not count as known, so that it is written again under the same version. Of the two writes the store carries out one, and a refusal brings the present row.

--- a/coordination/zone/registration.go
+++ b/coordination/zone/registration.go
@@ -50,7 +50,8 @@
 func (r *registration) apply(result registrationResult, now time.Time) {
 	r.isPending = false
 	if result.isFailed {
-		r.retryAt = now.Add(registrationRetryDelay)
+		// The write may be carried out later, also if the row should not change any more by then.
+		r.value, r.retryAt = "", now.Add(registrationRetryDelay)
 		return
 	}
 	r.value, r.version = string(result.row.Value), result.row.Version
--- a/coordination/zone/registration_test.go
+++ b/coordination/zone/registration_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/lease"
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
+	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/table"
 )
@@ -43,6 +44,13 @@
 	return nil, table.ErrOutcomeUnknown
 }
 
+// loseNext makes the next commit get no answer.
+func (l *lossyTable) loseNext() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.lost[l.commits+1] = true
+}
+
 // apply carries out a write if its condition holds. The mutex must be held.
 func (l *lossyTable) apply(write table.Write) table.WriteResult {
 	applied := write.Unconditional || write.Expected == l.row.Version
@@ -101,3 +109,50 @@
 		}
 	}
 }
+
+// TestLateRegistrationDoesNotReplaceUnchangedOne guards against a zone that has no owner for
+// good, or the wrong one, because the write of another row got no answer and was carried out
+// after the host had returned to the row that it knew as written. A lease that expires and is
+// renewed keeps its epoch.
+func TestLateRegistrationDoesNotReplaceUnchangedOne(t *testing.T) {
+	const zone = "east"
+	for _, test := range []struct {
+		name string
+		// epochs are those of the lease of the zone, one after another; 0 means that it is not
+		// valid. The write of the second one gets no answer.
+		epochs [3]fleet.Epoch
+		want   map[string]uint64
+	}{
+		{"lease expires and is renewed", [3]fleet.Epoch{2, 0, 2}, map[string]uint64{zone: 2}},
+		{"lease is gained and expires", [3]fleet.Epoch{0, 2, 0}, nil},
+	} {
+		for _, lateDelay := range []time.Duration{0, 900 * time.Millisecond, 4500 * time.Millisecond} {
+			t.Run(test.name+", write late by "+lateDelay.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := quicktest.New(t)
+					f := newFakePlatform()
+					f.events = ring.New[lease.Event](4)
+					f.setEpoch(LeaseName(zone), test.epochs[0], "")
+					rows := &lossyTable{lost: make(map[int]bool), lateDelay: lateDelay}
+					elector := &Elector{
+						Host: site.Host{Name: "host", Zone: zone}, Leases: f, LeaseEvents: f.events, Views: f, Owners: f, Table: rows,
+						LinkMegabits: 200, Log: zerolog.Nop(),
+					}
+					done := make(chan error, 1)
+					go func() { done <- elector.Run(context.Background()) }()
+					time.Sleep(3*checkInterval + checkInterval/2)
+					rows.loseNext()
+					f.setEpoch(LeaseName(zone), test.epochs[1], "")
+					time.Sleep(2 * checkInterval)
+					f.setEpoch(LeaseName(zone), test.epochs[2], "")
+					time.Sleep(10 * time.Second)
+					c.Check(rows.ownedZones(c), quicktest.DeepEquals, test.want)
+					const mostCommits = 6
+					c.Check(rows.commits <= mostCommits, quicktest.IsTrue, quicktest.Commentf("%d writes", rows.commits))
+					c.Assert(elector.Close(), quicktest.IsNil)
+					c.Assert(<-done, quicktest.IsNil)
+				})
+			})
+		}
+	}
+}
