zone: a registration that is refused without a reason is repeated after a pause

What the store would see: writes of a host's row one after another, 1,400 within 7 s at 5 ms each.

Cause: a refused write is followed at once by one under the version that the store has returned. If the store refuses a write although it returns the version that the write expects, for example that of a deleted row, the next write is the same one. Before the rows had conditions, only failed writes were repeated, after a pause.

Change: such a refusal counts as a failed write. No store has been seen to do this.

--- a/coordination/zone/registration.go
+++ b/coordination/zone/registration.go
@@ -40,7 +40,7 @@
 }
 
 // A registrationResult is the outcome of one write: the row that the table returned, or
-// isFailed if it returned none.
+// isFailed if it returned none or refused the write although its condition holds.
 type registrationResult struct {
 	row      table.Record
 	isFailed bool
@@ -83,6 +83,12 @@
 			e.registrationResults.Offer(registrationResult{isFailed: true})
 			return
 		}
-		e.registrationResults.Offer(registrationResult{row: results[0].Current})
+		result := results[0]
+		if !result.Applied && result.Current.Version == write.Expected {
+			e.Log.Warn().Uint64("version", uint64(write.Expected)).Msg("store refused the registration of this host although its condition holds")
+			e.registrationResults.Offer(registrationResult{isFailed: true})
+			return
+		}
+		e.registrationResults.Offer(registrationResult{row: result.Current})
 	})
 }
--- a/coordination/zone/registration_test.go
+++ b/coordination/zone/registration_test.go
@@ -156,3 +156,40 @@
 		}
 	}
 }
+
+// A refusingTable refuses each write and says that the row has the version.
+type refusingTable struct {
+	version table.Version
+	commits int
+}
+
+func (r *refusingTable) Commit(_ context.Context, transaction table.Transaction) ([]table.WriteResult, error) {
+	r.commits++
+	time.Sleep(5 * time.Millisecond)
+	return []table.WriteResult{{Current: table.Record{Key: transaction.Writes[0].Key, Version: r.version}}}, nil
+}
+
+// TestRefusedRegistrationIsNotRepeatedAtOnce guards against writes without a pause to a store that
+// refuses them although their condition holds by its own answer, for example by the version of a
+// row that was deleted.
+func TestRefusedRegistrationIsNotRepeatedAtOnce(t *testing.T) {
+	for _, version := range []table.Version{0, 7} {
+		synctest.Test(t, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFakePlatform()
+			f.events = ring.New[lease.Event](4)
+			rows := &refusingTable{version: version}
+			elector := &Elector{
+				Host: site.Host{Name: "host", Zone: "east"}, Leases: f, LeaseEvents: f.events, Views: f, Owners: f, Table: rows,
+				LinkMegabits: 200, Log: zerolog.Nop(),
+			}
+			done := make(chan error, 1)
+			go func() { done <- elector.Run(context.Background()) }()
+			const duration = 7 * time.Second
+			time.Sleep(duration)
+			c.Assert(elector.Close(), quicktest.IsNil)
+			c.Assert(<-done, quicktest.IsNil)
+			c.Check(rows.commits <= 2+int(duration/registrationRetryDelay), quicktest.IsTrue, quicktest.Commentf("%d writes", rows.commits))
+		})
+	}
+}
