front: a declared length does not lift the limit of a stream

The limit of 32 MiB counted only for a body without a declared length, so that the server chose whether it counted.

Change: it counts for each stream. Other bodies with a declared length are passed on whole, as before.

TestStreamWithDeclaredLengthIsCutOff was red and passes. All tests of transport/front pass.

--- a/transport/front/endless_test.go
+++ b/transport/front/endless_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -83,6 +84,23 @@
 	}
 }
 
+// TestStreamWithDeclaredLengthIsCutOff guards against events in order without end, for which the
+// limit of a stream does not count because the server declares a length above it.
+func TestStreamWithDeclaredLengthIsCutOff(t *testing.T) {
+	c := quicktest.New(t)
+	b := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool {
+		_, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", framedStreamHead(r), int64(1)<<40)
+		data := strings.Repeat("a", endlessPieceBytes)
+		for i := 1; err == nil && i <= 2*maxUndeclaredBodyBytes/endlessPieceBytes; i++ {
+			_, err = fmt.Fprintf(conn, "id: %d\ndata: %s\n\n", i, data)
+		}
+		return false
+	})
+	_, body, err := sendRequest(startFront(c, syncedViews(), b), "POST", "/once/x", "")
+	c.Check(errors.Is(err, io.ErrUnexpectedEOF), quicktest.IsTrue, quicktest.Commentf("%v", err))
+	c.Check(len(body) <= maxUndeclaredBodyBytes, quicktest.IsTrue, quicktest.Commentf("the caller got %d bytes", len(body)))
+}
+
 // TestEndlessRefusalDoesNotHoldTheRequest guards against a refused request that does
 // not go to another server, because the body of the refusal comes slowly and does not
 // end.
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -14,7 +14,7 @@
 func (r *response) deliverStream(observer forward.DeliveryObserver) error {
 	d := &streamDelivery{
 		response: r, observer: observer,
-		events: &eventReader{source: bufio.NewReader(r.body()), held: r.reservation()},
+		events: &eventReader{source: bufio.NewReader(r.boundedBody()), held: r.reservation()},
 	}
 	defer d.events.close()
 	err := d.run()
