backend: an answer older than HTTP/1.1 has no transfer encoding

What callers saw: `5\r\nhello\r\n0\r\n\r\n` for `hello`, with the signature of the answer, on a plain route. The Client returned the same bytes.

Cause: net/http drops the Transfer-Encoding of a response of HTTP/1.0 (and 0.9) without an error and reads the body up to the length or the end of the connection. RFC 9112, 6.1, calls the framing of such a response faulty.

Change: the connections of ConnectionPool and Client look at the begins of the header lines as they are read, in constant memory and up to the end of the final header. A response older than HTTP/1.1 that has the field is an error, and its connection is closed. The header limit of the pool now begins before the request is written, because a response may begin then. Responses of HTTP/1.0 with a length or the end of the connection are passed on as before.

--- a/transport/backend/attempt.go
+++ b/transport/backend/attempt.go
@@ -1,6 +1,9 @@
 package backend
 
-import "net"
+import (
+	"net"
+	"net/http"
+)
 
 // An attempt tracks whether a request may have been written to its connection. It
 // belongs to the goroutine that sends the request.
@@ -26,9 +29,16 @@
 		a.finish()
 		used.blockWrites()
 	}
+	used.startHeader()
 	a.connection, a.writesBefore = used, used.writeCount()
 }
 
+// checkHead returns an error if the header of the response does not say where its body begins
+// and ends.
+func (a *attempt) checkHead(response *http.Response) error {
+	return checkHead(response, a.connection != nil && a.connection.hasTransferEncoding())
+}
+
 // finish blocks further writes and reports whether a byte of the request may have been
 // written.
 func (a *attempt) finish() bool {
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -89,6 +89,11 @@
 	if err != nil {
 		return nil, a.finish(), err
 	}
+	if err := a.checkHead(response); err != nil {
+		a.finish()
+		_ = response.Body.Close()
+		return nil, true, err
+	}
 	return response, true, nil
 }
 
--- a/transport/backend/connectionpool.go
+++ b/transport/backend/connectionpool.go
@@ -74,6 +74,8 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	in = &RawResponse{pool: p, conn: conn, stopContextWatch: stop}
+	// The response may begin before the request is written.
+	conn.startHeader()
 	if err := in.writeRequest(out); err != nil && in.bodyWritten == nil && !responseStarted(conn) {
 		in.discard()
 		return nil, true, fmt.Errorf("server %s: write request: %w", out.Address, contextErrorOr(ctx, err))
--- a/transport/backend/countingconn.go
+++ b/transport/backend/countingconn.go
@@ -18,12 +18,14 @@
 	onClose   func()
 	closeOnce sync.Once
 
-	// mutex guards writesBlocked and writesStarted.
+	// mutex guards the fields below.
 	mutex         sync.Mutex
 	writesBlocked bool
 	// writesStarted counts a write from before it reaches the network. A write that fails
 	// without the kernel having taken a byte is not counted.
 	writesStarted uint64
+	// head looks at what is read since startHeader.
+	head headScanner
 }
 
 // Write counts the write and passes it on. After blockWrites it returns
@@ -45,6 +47,29 @@
 	return n, err
 }
 
+// Read reads from the server and has head look at it.
+func (c *countingConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.head.scan(buffer[:n])
+	return n, err
+}
+
+// startHeader prepares for the header of the next response.
+func (c *countingConn) startHeader() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.head = headScanner{}
+}
+
+// hasTransferEncoding reports whether the header of the response has a Transfer-Encoding.
+func (c *countingConn) hasTransferEncoding() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.head.hasTransferEncoding
+}
+
 // Close closes the connection and calls onClose the first time.
 func (c *countingConn) Close() error {
 	defer c.closeOnce.Do(c.onClose)
--- a/transport/backend/pooledconn.go
+++ b/transport/backend/pooledconn.go
@@ -26,6 +26,8 @@
 	// It does not apply unless readsHeader is set.
 	headerBytesLeft int
 	readsHeader     bool
+	// head looks at what is read meanwhile.
+	head headScanner
 	// isReused says that the connection has carried an earlier request.
 	isReused bool
 	// expiresAt is when the pool stops using the connection, because the server may close
@@ -40,12 +42,13 @@
 	return c
 }
 
-// startHeader limits what is read until endHeader to maxResponseHeaderBytes.
+// startHeader limits what is read until endHeader to maxResponseHeaderBytes and has head look at
+// it.
 func (c *pooledConn) startHeader() {
-	c.headerBytesLeft, c.readsHeader = maxResponseHeaderBytes, true
+	c.headerBytesLeft, c.readsHeader, c.head = maxResponseHeaderBytes, true, headScanner{}
 }
 
-// endHeader ends the limit that startHeader set.
+// endHeader ends what startHeader began.
 func (c *pooledConn) endHeader() {
 	c.readsHeader = false
 }
@@ -61,6 +64,7 @@
 	}
 	n, err := c.Conn.Read(buffer[:min(len(buffer), c.headerBytesLeft)])
 	c.headerBytesLeft -= n
+	c.head.scan(buffer[:n])
 	return n, err
 }
 
--- a/transport/backend/rawresponse.go
+++ b/transport/backend/rawresponse.go
@@ -39,9 +39,8 @@
 }
 
 // readHead reads the header of the final response and skips informational responses.
-// All of them together have at most maxResponseHeaderBytes.
+// All of them together have at most maxResponseHeaderBytes. startHeader must have been called.
 func readHead(conn *pooledConn, method string) (*http.Response, error) {
-	conn.startHeader()
 	defer conn.endHeader()
 	for range maxResponsesPerRequest {
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
@@ -49,7 +48,7 @@
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
-			return response, nil
+			return response, checkHead(response, conn.head.hasTransferEncoding)
 		}
 	}
 	return nil, errors.New("received 8 informational responses, expected a final response")
--- /dev/null
+++ b/transport/front/framing_test.go
@@ -0,0 +1,65 @@
+package front
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+// framedHead has the fields of a sound success, with no length.
+const framedHead = "X-Attempt-Id: id-1\r\nX-Response-Signature: s\r\n"
+
+// startWriting starts a server that writes the answer to each request and closes the connection.
+func startWriting(c *quicktest.C, answer string) *backendServer {
+	return startBackend(c, func(_ int, conn net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, answer)
+		return false
+	})
+}
+
+// checkNotPassedOn checks that the answer of a plain route is a failure without a body.
+func checkNotPassedOn(c *quicktest.C, method, answer string) {
+	got, body, err := sendRequest(startFront(c, syncedViews(), startWriting(c, answer)), method, "/unsafe/x", "")
+	c.Assert(err, quicktest.IsNil)
+	c.Check(got.StatusCode, quicktest.Equals, http.StatusBadGateway, quicktest.Commentf("%q", answer))
+	c.Check(body, quicktest.Equals, "")
+}
+
+// TestOldAnswerInChunksIsNotPassedOn guards against a body that reaches its caller together with
+// its chunk framing: net/http ignores the Transfer-Encoding of an answer of HTTP/1.0.
+func TestOldAnswerInChunksIsNotPassedOn(t *testing.T) {
+	for _, fields := range []string{
+		"Transfer-Encoding: chunked\r\n",
+		"transfer-encoding:chunked\r\n",
+		"X-Long: " + strings.Repeat("x", 9<<10) + "\r\nTransfer-Encoding: chunked\r\n",
+		"Transfer-Encoding: chunked\r\nContent-Length: 5\r\nConnection: keep-alive\r\n",
+	} {
+		for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1               100 Continue\r\n\r\n", "HTTP/1.0 103 Early Hints\r\nLink: x\r\n\r\n"} {
+			c := quicktest.New(t)
+			checkNotPassedOn(c, http.MethodPost, before+"HTTP/1.0 200 OK\r\n"+framedHead+fields+"\r\n5\r\nhello\r\n0\r\n\r\n")
+		}
+	}
+}
+
+// TestOldAnswerIsPassedOn guards against a sound answer of HTTP/1.0 that is taken for a faulty one:
+// one with a length, or one that ends with its connection, also if its body looks like a header.
+func TestOldAnswerIsPassedOn(t *testing.T) {
+	for _, test := range []struct{ fields, body string }{
+		{"", "hello"},
+		{"", "\r\nTransfer-Encoding: chunked\r\n\r\n"},
+		{"Content-Length: 5\r\n", "hello"},
+		{"Content-Length: 5\r\nConnection: keep-alive\r\n", "hello"},
+		{"X-Note: Transfer-Encoding: chunked\r\n", "hello"},
+	} {
+		c := quicktest.New(t)
+		host := startFront(c, syncedViews(), startWriting(c, "HTTP/1.0 200 OK\r\n"+framedHead+test.fields+"\r\n"+test.body))
+		got, body, err := sendRequest(host, "POST", "/unsafe/x", "")
+		c.Assert(err, quicktest.IsNil)
+		c.Check(got.StatusCode, quicktest.Equals, http.StatusOK)
+		c.Check(body, quicktest.Equals, test.body)
+	}
+}
