backend: no field name of an answer has a space

What callers saw: `5\r\nhello\r\n0\r\n\r\n` for `hello` after `Transfer-Encoding : chunked`, the whole connection after `Content-Length : 3`, and an answer with a second attempt id in `X-Attempt-Id : other`.

Cause: net/http takes a field name with a space, also one before the colon, for a name of its own, so that neither it nor the host sees the field. Clients that remove the space, as RFC 9112, 5.1, asks of a proxy, would read another framing.

Change: a response with such a name is an error, in ConnectionPool and Client.

--- a/transport/backend/framing_test.go
+++ b/transport/backend/framing_test.go
@@ -47,3 +47,11 @@
 		c.Assert(client.Close(), quicktest.IsNil)
 	}
 }
+
+// TestSpaceInFieldNameIsAnError guards against a body that is returned together with its chunk
+// framing, because net/http takes a field name that a space follows for another name.
+func TestSpaceInFieldNameIsAnError(t *testing.T) {
+	c := quicktest.New(t)
+	checkRefused(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	checkRefused(c, "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nhello")
+}
--- a/transport/backend/responsehead.go
+++ b/transport/backend/responsehead.go
@@ -3,11 +3,17 @@
 import (
 	"errors"
 	"net/http"
+	"strings"
 )
 
-// errOldTransferEncoding means that a response older than HTTP/1.1 has a Transfer-Encoding,
-// which makes its framing faulty (RFC 9112, 6.1).
-var errOldTransferEncoding = errors.New("response older than HTTP/1.1 has a transfer encoding")
+var (
+	// errOldTransferEncoding means that a response older than HTTP/1.1 has a
+	// Transfer-Encoding, which makes its framing faulty (RFC 9112, 6.1).
+	errOldTransferEncoding = errors.New("response older than HTTP/1.1 has a transfer encoding")
+	// errSpaceInName means that a field name has a space in it or before its colon. net/http
+	// takes `Transfer-Encoding :` for a name of its own (RFC 9112, 5.1).
+	errSpaceInName = errors.New("response header has a field name with a space")
+)
 
 // checkHead returns an error for a header that net/http accepts although it does not say
 // where the body begins and ends.
@@ -15,5 +21,10 @@
 	if hasTransferEncoding && !response.ProtoAtLeast(1, 1) {
 		return errOldTransferEncoding
 	}
+	for name := range response.Header {
+		if strings.Contains(name, " ") {
+			return errSpaceInName
+		}
+	}
 	return nil
 }
--- a/transport/front/framing_test.go
+++ b/transport/front/framing_test.go
@@ -63,3 +63,18 @@
 		c.Check(body, quicktest.Equals, test.body)
 	}
 }
+
+// TestAnswerWithSpaceInFieldNameIsNotPassedOn guards against a body that reaches its caller together
+// with its chunk framing, a length that is not kept and a second attempt id that is not seen, because
+// net/http takes a field name that a space follows for another name.
+func TestAnswerWithSpaceInFieldNameIsNotPassedOn(t *testing.T) {
+	c := quicktest.New(t)
+	for _, rest := range []string{
+		"Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"Content-Length : 3\r\n\r\nhello",
+		"X-Attempt-Id : other\r\nContent-Length: 5\r\n\r\nhello",
+		"some garbage: x\r\nContent-Length: 5\r\n\r\nhello",
+	} {
+		checkNotPassedOn(c, http.MethodPost, "HTTP/1.1 200 OK\r\n"+framedHead+rest)
+	}
+}
