backend: an answer has major version 1

What callers saw: the body of an answer that calls itself HTTP/2.0, HTTP/9.9 or HTTP/0.9, framed as if it were HTTP/1.1 or 1.0.

Cause: net/http accepts every digit as a version. What frames a body of another major version is unknown (RFC 9112, 2.3).

Change: a response of another major version is an error, in ConnectionPool and Client.

--- a/transport/backend/framing_test.go
+++ b/transport/backend/framing_test.go
@@ -55,3 +55,11 @@
 	checkRefused(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
 	checkRefused(c, "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nhello")
 }
+
+// TestOtherVersionIsAnError guards against bytes in the framing of another protocol that are taken
+// for an answer of HTTP/1: net/http accepts every digit as a version.
+func TestOtherVersionIsAnError(t *testing.T) {
+	c := quicktest.New(t)
+	checkRefused(c, "HTTP/0.9 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+	checkRefused(c, "HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+}
--- a/transport/backend/responsehead.go
+++ b/transport/backend/responsehead.go
@@ -7,6 +7,8 @@
 )
 
 var (
+	// errOtherVersion means that the major version is not 1, so that the framing is unknown.
+	errOtherVersion = errors.New("response is not one of HTTP/1")
 	// errOldTransferEncoding means that a response older than HTTP/1.1 has a
 	// Transfer-Encoding, which makes its framing faulty (RFC 9112, 6.1).
 	errOldTransferEncoding = errors.New("response older than HTTP/1.1 has a transfer encoding")
@@ -18,6 +20,9 @@
 // checkHead returns an error for a header that net/http accepts although it does not say
 // where the body begins and ends.
 func checkHead(response *http.Response, hasTransferEncoding bool) error {
+	if response.ProtoMajor != 1 {
+		return errOtherVersion
+	}
 	if hasTransferEncoding && !response.ProtoAtLeast(1, 1) {
 		return errOldTransferEncoding
 	}
--- a/transport/front/framing_test.go
+++ b/transport/front/framing_test.go
@@ -78,3 +78,12 @@
 		checkNotPassedOn(c, http.MethodPost, "HTTP/1.1 200 OK\r\n"+framedHead+rest)
 	}
 }
+
+// TestAnswerOfOtherVersionIsNotPassedOn guards against bytes in the framing of another protocol that
+// are taken for an answer of HTTP/1: net/http accepts every digit as a version.
+func TestAnswerOfOtherVersionIsNotPassedOn(t *testing.T) {
+	c := quicktest.New(t)
+	for _, version := range []string{"HTTP/0.0", "HTTP/0.9", "HTTP/2.0", "HTTP/9.9"} {
+		checkNotPassedOn(c, http.MethodPost, version+" 200 OK\r\n"+framedHead+"Content-Length: 5\r\n\r\nhello")
+	}
+}
