backend: status 101 or below 100 is no informational one

What callers saw: an answer that stands after `101 Switching Protocols`, where another protocol goes on, or inside the body of one with status 042.

Cause: readHead skips each response with a status below 200 and reads a further header where its body, if any, begins. net/http accepts every three digits, also a sign and two digits.

Change: a response with status 101 or below 100 is an error. The others with status 1xx are skipped as before.

TestAnswerAfterNoInformationalStatusIsNotPassedOn was red in 5 of 5 parts (status 200) and passes; TestInformationalAnswerIsSkipped passes before and after.

--- a/transport/backend/rawresponse.go
+++ b/transport/backend/rawresponse.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -47,7 +48,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch status := response.StatusCode; {
+		case status < http.StatusContinue, status == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("received status %d, after which no response follows", status)
+		case status >= http.StatusOK:
 			return response, checkHead(response, conn.head.hasTransferEncoding)
 		}
 	}
--- a/transport/front/framing_test.go
+++ b/transport/front/framing_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -87,3 +88,32 @@
 		checkNotPassedOn(c, http.MethodPost, version+" 200 OK\r\n"+framedHead+"Content-Length: 5\r\n\r\nhello")
 	}
 }
+
+// TestAnswerAfterNoInformationalStatusIsNotPassedOn guards against bytes of another protocol, or of
+// a body, that are taken for the final answer: only statuses from 100 to 199 without 101 announce
+// one.
+func TestAnswerAfterNoInformationalStatusIsNotPassedOn(t *testing.T) {
+	c := quicktest.New(t)
+	final := "HTTP/1.1 200 OK\r\n" + framedHead + "Content-Length: 5\r\n\r\nhello"
+	for _, first := range []string{
+		"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n",
+		"HTTP/1.1 000 Zero\r\n\r\n",
+		"HTTP/1.1 042 Low\r\nContent-Length: " + strconv.Itoa(len(final)) + "\r\n\r\n",
+		"HTTP/1.1 +20 Sign\r\n\r\n",
+		"HTTP/1.1 -00 Sign\r\n\r\n",
+	} {
+		checkNotPassedOn(c, http.MethodPost, first+final)
+	}
+}
+
+// TestInformationalAnswerIsSkipped guards against a sound answer that is lost because others with
+// status 1xx come before it.
+func TestInformationalAnswerIsSkipped(t *testing.T) {
+	c := quicktest.New(t)
+	host := startFront(c, syncedViews(), startWriting(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+
+		"HTTP/1.1 200 OK\r\n"+framedHead+"Content-Length: 5\r\n\r\nhello"))
+	got, body, err := sendRequest(host, "POST", "/unsafe/x", "")
+	c.Assert(err, quicktest.IsNil)
+	c.Check(got.StatusCode, quicktest.Equals, http.StatusOK)
+	c.Check(body, quicktest.Equals, "hello")
+}
