--- a/transport/front/framing_test.go
+++ b/transport/front/framing_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/frankban/quicktest"
@@ -117,3 +118,45 @@
 	c.Check(got.StatusCode, quicktest.Equals, http.StatusOK)
 	c.Check(body, quicktest.Equals, "hello")
 }
+
+// TestConnectionAfterAnnouncedBodyIsClosed guards against a request that fails because the host
+// reads a kept connection out of step: an answer with status 204, which has no body, announces one
+// that comes late.
+func TestConnectionAfterAnnouncedBodyIsClosed(t *testing.T) {
+	for _, test := range []struct {
+		fields, late string
+		conns        int
+	}{
+		{"Content-Length: 5\r\n", "hello", 2},
+		{"Transfer-Encoding: chunked\r\n", "5\r\nhello\r\n0\r\n\r\n", 2},
+		{"Content-Length: 0\r\n", "", 1},
+		{"", "", 1},
+	} {
+		c := quicktest.New(t)
+		var mutex sync.Mutex
+		late := make(map[net.Conn]string)
+		b := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool {
+			mutex.Lock()
+			defer mutex.Unlock()
+			_, _ = io.WriteString(conn, late[conn])
+			late[conn] = ""
+			if r.Header.Get("X-Attempt-Id") == "next" {
+				return success(conn, r, "next")
+			}
+			late[conn] = test.late
+			_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n"+framedHead+test.fields+"\r\n")
+			return true
+		})
+		host := startFront(c, syncedViews(), b)
+		got, _, err := sendRequest(host, "POST", "/unsafe/x", "")
+		c.Assert(err, quicktest.IsNil)
+		c.Check(got.StatusCode, quicktest.Equals, http.StatusNoContent)
+		got, body, err := sendRequestAs("next", host, "POST", "/unsafe/x", "")
+		c.Assert(err, quicktest.IsNil)
+		c.Check(got.StatusCode, quicktest.Equals, http.StatusOK)
+		c.Check(body, quicktest.Equals, "next")
+		mutex.Lock()
+		c.Check(late, quicktest.HasLen, test.conns)
+		mutex.Unlock()
+	}
+}
