forward: status 206 answers only a request for a range

What callers saw: a part of a body, with its signature, as the success of a request that asked for the whole one.

Cause: each success of a plain route was passed on with its body. Status 206 says that the body is a part (RFC 9110, 15.3.7).

Change: a success with status 206 to a request without Range is an answer that broke off. With Range it is passed on as before. A Content-Range on another status has no meaning (RFC 9110, 14.4) and is passed on.

TestPartOfBodyIsNotPassedOn was red (status 206) and passes; so does coordination/forward.

--- a/coordination/forward/delivery.go
+++ b/coordination/forward/delivery.go
@@ -19,6 +19,8 @@
 	errNotSigned = errors.New("successful response has not one signature")
 	// errEncoded means that the body of a success is encoded, which clients do not ask for.
 	errEncoded = errors.New("successful response has a content encoding")
+	// errPart means that a success has a part of a body although the request asked for the whole.
+	errPart = errors.New("successful response has a part of the body that was not asked for")
 	// errContradiction means that a server calls a request not executed that it answers with a
 	// success.
 	errContradiction = errors.New("successful response to a request that was not executed")
@@ -106,6 +108,8 @@
 		return errNotSigned
 	case isSuccess && head.IsEncoded:
 		return errEncoded
+	case isSuccess && head.IsPart:
+		return errPart
 	case p.isStream(head) && (head.Status != statusOK || !head.IsEventStream):
 		return fmt.Errorf("%w: status is %d, content type is %q", errNoEventStream, head.Status, shortened(head.ContentType))
 	case !p.isStream(head) && p.client.ResponseStarted():
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -65,6 +65,8 @@
 	IsSigned bool
 	// IsEncoded means that the body is encoded, for example compressed.
 	IsEncoded bool
+	// IsPart means that the body is a part of the whole one, for which the request did not ask.
+	IsPart bool
 	// NotRun means that the server states that it did not execute the request. ProvesNotRun
 	// decides whether that is believed.
 	NotRun bool
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -188,6 +188,7 @@
 	signatures := r.incoming.Header.Values(platform.HeaderResponseSignature)
 	head.IsSigned = len(signatures) == 1 && signatures[0] != ""
 	head.IsEncoded = len(r.incoming.Header.Values("Content-Encoding")) > 0
+	head.IsPart = r.incoming.StatusCode == http.StatusPartialContent && r.exchange.request.Header.Get("Range") == ""
 	instanceID := r.incoming.Header.Get(platform.HeaderInstanceID)
 	head.FromExpectedServer = instanceID == "" || instanceID == r.expectedServer
 	if running, waiting, slots, ok := platform.DecodeServerLoad(r.incoming.Header.Get(platform.HeaderServerLoad)); ok {
--- a/transport/front/framing_test.go
+++ b/transport/front/framing_test.go
@@ -160,3 +160,15 @@
 		mutex.Unlock()
 	}
 }
+
+// TestPartOfBodyIsNotPassedOn guards against a part of a body that counts as the whole one: status
+// 206 answers only a request for a range.
+func TestPartOfBodyIsNotPassedOn(t *testing.T) {
+	c := quicktest.New(t)
+	answer := "HTTP/1.1 206 Partial Content\r\n" + framedHead + "Content-Range: bytes 0-4/10\r\nContent-Length: 5\r\n\r\nhello"
+	checkNotPassedOn(c, http.MethodPost, answer)
+	got, body, err := sendRequest(startFront(c, syncedViews(), startWriting(c, answer)), "POST", "/unsafe/x", "", "Range: bytes=0-4")
+	c.Assert(err, quicktest.IsNil)
+	c.Check(got.StatusCode, quicktest.Equals, http.StatusPartialContent)
+	c.Check(body, quicktest.Equals, "hello")
+}
