backend: an answer has a length or chunks, not both

What callers saw: `hello` as a success although its server says both that the body has 3 bytes and, in chunks, that it has 5.

Cause: net/http drops the Content-Length of a response in chunks without an error. No sender may send both; RFC 9112, 6.3, says that such a message ought to be handled as an error.

Change: headScanner sees both fields, and a response that has both is an error, in ConnectionPool and Client.

--- a/transport/backend/attempt.go
+++ b/transport/backend/attempt.go
@@ -36,7 +36,11 @@
 // checkHead returns an error if the header of the response does not say where its body begins
 // and ends.
 func (a *attempt) checkHead(response *http.Response) error {
-	return checkHead(response, a.connection != nil && a.connection.hasTransferEncoding())
+	var fields framingFields
+	if a.connection != nil {
+		fields = a.connection.headerFields()
+	}
+	return checkHead(response, fields)
 }
 
 // finish blocks further writes and reports whether a byte of the request may have been
--- a/transport/backend/countingconn.go
+++ b/transport/backend/countingconn.go
@@ -63,11 +63,11 @@
 	c.head = headScanner{}
 }
 
-// hasTransferEncoding reports whether the header of the response has a Transfer-Encoding.
-func (c *countingConn) hasTransferEncoding() bool {
+// headerFields returns which framing fields the header of the response has.
+func (c *countingConn) headerFields() framingFields {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.head.hasTransferEncoding
+	return c.head.fields
 }
 
 // Close closes the connection and calls onClose the first time.
--- a/transport/backend/framing_test.go
+++ b/transport/backend/framing_test.go
@@ -63,3 +63,10 @@
 	checkRefused(c, "HTTP/0.9 200 OK\r\nContent-Length: 5\r\n\r\nhello")
 	checkRefused(c, "HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\nhello")
 }
+
+// TestLengthAndChunksAreAnError guards against a body whose server gives two ends for it: net/http
+// drops the length without an error.
+func TestLengthAndChunksAreAnError(t *testing.T) {
+	c := quicktest.New(t)
+	checkRefused(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+}
--- a/transport/backend/headscanner.go
+++ b/transport/backend/headscanner.go
@@ -2,15 +2,21 @@
 
 import "bytes"
 
-// transferEncodingField begins the field that headScanner looks for.
-const transferEncodingField = "Transfer-Encoding:"
+// The begins of the fields that headScanner looks for.
+var (
+	transferEncodingField = []byte("Transfer-Encoding:")
+	contentLengthField    = []byte("Content-Length:")
+)
 
-// A headScanner looks for a Transfer-Encoding field in the headers of the responses to one
-// request, up to that of the final response. net/http drops this field without an error from
-// responses older than HTTP/1.1. The zero value is ready for use.
+// maxScannedBytes is how much of each line headScanner keeps, the size of transferEncodingField.
+const maxScannedBytes = 18
+
+// A headScanner looks for framing fields in the header of the final response to one request.
+// net/http drops a Transfer-Encoding without an error from responses older than HTTP/1.1, and a
+// Content-Length from those in chunks. The zero value is ready for use.
 type headScanner struct {
 	// line has the begin of the current line, and lineBytes is its size.
-	line      [len(transferEncodingField)]byte
+	line      [maxScannedBytes]byte
 	lineBytes int
 	// inFields says that the status line has been read.
 	inFields bool
@@ -18,8 +24,14 @@
 	isInformational bool
 	// ended says that the final header has been read.
 	ended bool
-	// hasTransferEncoding says that a header has the field.
+	// fields are those that the current header has.
+	fields framingFields
+}
+
+// framingFields says which framing fields a header has.
+type framingFields struct {
 	hasTransferEncoding bool
+	hasContentLength    bool
 }
 
 // scan looks at the next bytes from the server. It ignores those after the final header.
@@ -44,10 +56,12 @@
 	switch {
 	case !s.inFields:
 		s.isInformational = len(line) > len("HTTP/1.1") && line[len("HTTP/1.1")] == '1'
-		s.inFields = true
+		s.inFields, s.fields = true, framingFields{}
 	case len(bytes.TrimSuffix(line, []byte("\r"))) == 0:
 		s.inFields, s.ended = false, !s.isInformational
-	case bytes.EqualFold(line, []byte(transferEncodingField)):
-		s.hasTransferEncoding = true
+	case bytes.EqualFold(line, transferEncodingField):
+		s.fields.hasTransferEncoding = true
+	case len(line) >= len(contentLengthField) && bytes.EqualFold(line[:len(contentLengthField)], contentLengthField):
+		s.fields.hasContentLength = true
 	}
 }
--- a/transport/backend/rawresponse.go
+++ b/transport/backend/rawresponse.go
@@ -52,7 +52,7 @@
 		case status < http.StatusContinue, status == http.StatusSwitchingProtocols:
 			return nil, fmt.Errorf("received status %d, after which no response follows", status)
 		case status >= http.StatusOK:
-			return response, checkHead(response, conn.head.hasTransferEncoding)
+			return response, checkHead(response, conn.head.fields)
 		}
 	}
 	return nil, errors.New("received 8 informational responses, expected a final response")
--- a/transport/backend/responsehead.go
+++ b/transport/backend/responsehead.go
@@ -12,6 +12,9 @@
 	// errOldTransferEncoding means that a response older than HTTP/1.1 has a
 	// Transfer-Encoding, which makes its framing faulty (RFC 9112, 6.1).
 	errOldTransferEncoding = errors.New("response older than HTTP/1.1 has a transfer encoding")
+	// errTwoLengths means that a response has a Transfer-Encoding and a Content-Length, which
+	// ought to be handled as an error (RFC 9112, 6.3).
+	errTwoLengths = errors.New("response has a transfer encoding and a content length")
 	// errSpaceInName means that a field name has a space in it or before its colon. net/http
 	// takes `Transfer-Encoding :` for a name of its own (RFC 9112, 5.1).
 	errSpaceInName = errors.New("response header has a field name with a space")
@@ -19,13 +22,16 @@
 
 // checkHead returns an error for a header that net/http accepts although it does not say
 // where the body begins and ends.
-func checkHead(response *http.Response, hasTransferEncoding bool) error {
+func checkHead(response *http.Response, fields framingFields) error {
 	if response.ProtoMajor != 1 {
 		return errOtherVersion
 	}
-	if hasTransferEncoding && !response.ProtoAtLeast(1, 1) {
+	if fields.hasTransferEncoding && !response.ProtoAtLeast(1, 1) {
 		return errOldTransferEncoding
 	}
+	if fields.hasTransferEncoding && fields.hasContentLength {
+		return errTwoLengths
+	}
 	for name := range response.Header {
 		if strings.Contains(name, " ") {
 			return errSpaceInName
--- a/transport/front/framing_test.go
+++ b/transport/front/framing_test.go
@@ -172,3 +172,17 @@
 	c.Check(got.StatusCode, quicktest.Equals, http.StatusPartialContent)
 	c.Check(body, quicktest.Equals, "hello")
 }
+
+// TestAnswerWithLengthAndChunksIsNotPassedOn guards against a body whose server gives two ends for
+// it: net/http drops the length without an error.
+func TestAnswerWithLengthAndChunksIsNotPassedOn(t *testing.T) {
+	c := quicktest.New(t)
+	for _, fields := range []string{
+		"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+		"Transfer-Encoding: chunked\r\ncontent-length:900\r\n",
+	} {
+		for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+			checkNotPassedOn(c, http.MethodPost, before+"HTTP/1.1 200 OK\r\n"+framedHead+fields+"\r\n5\r\nhello\r\n0\r\n\r\n")
+		}
+	}
+}
