front: an answer to HEAD keeps its length

What callers saw: `Content-Length: 0` in the answer to HEAD whatever the server had stated.

Cause: deliverWhole reads the body, which HEAD has none of, and states what it has read.

Change: the length of an answer to HEAD is that of the server, or not stated.

TestLengthOfHeadAnswerIsKept was red in 3 of 4 parts and passes.

--- a/transport/front/framing_test.go
+++ b/transport/front/framing_test.go
@@ -186,3 +186,20 @@
 		}
 	}
 }
+
+// TestLengthOfHeadAnswerIsKept guards against an answer to HEAD that states another length than its
+// server does: it has no body, but states the length that one would have.
+func TestLengthOfHeadAnswerIsKept(t *testing.T) {
+	for _, test := range []struct {
+		fields string
+		length int64
+	}{{"Content-Length: 5\r\n", 5}, {"Content-Length: 0\r\n", 0}, {"Transfer-Encoding: chunked\r\n", -1}, {"", -1}} {
+		c := quicktest.New(t)
+		host := startFront(c, syncedViews(), startWriting(c, "HTTP/1.1 200 OK\r\n"+framedHead+test.fields+"\r\n"))
+		got, body, err := sendRequest(host, http.MethodHead, "/unsafe/x", "")
+		c.Assert(err, quicktest.IsNil)
+		c.Check(got.StatusCode, quicktest.Equals, http.StatusOK)
+		c.Check(got.ContentLength, quicktest.Equals, test.length, quicktest.Commentf("%q", test.fields))
+		c.Check(body, quicktest.Equals, "")
+	}
+}
--- a/transport/front/wholebody.go
+++ b/transport/front/wholebody.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
@@ -26,6 +27,11 @@
 	if err != nil {
 		return &forward.IncompleteError{Cause: err}
 	}
+	if r.exchange.request.Method == http.MethodHead {
+		// There is no body, and the length is that of the one that GET would get.
+		r.writeHeader(r.incoming.ContentLength)
+		return nil
+	}
 	if isWhole {
 		// The whole body has been read, so its length is known even if the server
 		// sent no Content-Length.
