service: status 206 is no answer

What callers saw: a part of a body as the success of a call to a plain service, with status 206. Calls to services ask for no range.

Cause: interpret takes each status from 200 to 299 for an answer.

Change: status 206 is an error, as redirects are; the request may have run.

TestPartialBodyIsNoAnswer was red (no error) and passes; so does transport/service.

--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -199,8 +199,9 @@
 
 // interpret turns a complete HTTP response into the response to the request, or into an
 // error. A redirect, an overload status or a server error is an error; it proves that
-// the request did not run only if the configuration lists the status. An encoded body is an error
-// too, because the response to the request does not name its encoding.
+// the request did not run only if the configuration lists the status. A part of a body is an error
+// too, because no request asks for a range, and so is an encoded body, because the response to the
+// request does not name its encoding.
 func (a *attempt) interpret(response *http.Response, body []byte) (request.Response, *verdict.Error) {
 	for _, id := range response.Header.Values(headerRequestID) {
 		if id != "" && id != string(a.request.ID) {
@@ -214,7 +215,7 @@
 		failure.RetryAfter = parseRetryAfter(response)
 		return request.Response{}, failure
 	}
-	answered := status >= 200 && status < 300 || status >= 400 && status < 500 &&
+	answered := status >= 200 && status < 300 && status != http.StatusPartialContent || status >= 400 && status < 500 &&
 		status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
 	if !answered {
 		failure := verdict.NewMayHaveRun(verdict.CodeBackendRefused, nil, "server %s: status %d", a.server.Name, status)
