backend: no header line of an answer is folded

What callers saw: `5\r\nhello\r\n0\r\n\r\n` for `hello`, because the line with Transfer-Encoding begins with a space. The signature before it became `s Transfer-Encoding: chunked`; a second attempt id was hidden in the same way.

Cause: net/http joins a line that begins with a space or a tab to the field before. RFC 9112, 5.2, lets a proxy refuse such a response.

Change: headScanner sees such lines, and a response that has one is an error, in ConnectionPool and Client.

--- a/transport/backend/framing_test.go
+++ b/transport/backend/framing_test.go
@@ -119,3 +119,11 @@
 	}()
 	return listener.Addr().String()
 }
+
+// TestFoldedFieldIsAnError guards against a framing field that becomes a part of the field before it,
+// because its line begins with a space.
+func TestFoldedFieldIsAnError(t *testing.T) {
+	c := quicktest.New(t)
+	checkRefused(c, "HTTP/1.1 200 OK\r\nX-Other: a\r\n Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	checkRefused(c, "HTTP/1.1 200 OK\r\nX-Other: a\r\n\tContent-Length: 3\r\n\r\nhello")
+}
--- a/transport/backend/headscanner.go
+++ b/transport/backend/headscanner.go
@@ -11,9 +11,10 @@
 // maxScannedBytes is how much of each line headScanner keeps, the size of transferEncodingField.
 const maxScannedBytes = 18
 
-// A headScanner looks for framing fields in the header of the final response to one request.
-// net/http drops a Transfer-Encoding without an error from responses older than HTTP/1.1, and a
-// Content-Length from those in chunks. The zero value is ready for use.
+// A headScanner looks for framing fields and folded lines in the header of the final response to
+// one request. net/http drops a Transfer-Encoding without an error from responses older than
+// HTTP/1.1, and a Content-Length from those in chunks; it joins folded lines. The zero value is
+// ready for use.
 type headScanner struct {
 	// line has the begin of the current line, and lineBytes is its size.
 	line      [maxScannedBytes]byte
@@ -24,14 +25,16 @@
 	isInformational bool
 	// ended says that the final header has been read.
 	ended bool
-	// fields are those that the current header has.
+	// fields is what the current header has.
 	fields framingFields
 }
 
-// framingFields says which framing fields a header has.
+// framingFields says which framing fields a header has, and whether some may be hidden.
 type framingFields struct {
 	hasTransferEncoding bool
 	hasContentLength    bool
+	// hasFoldedLine says that a line begins with a space or a tab.
+	hasFoldedLine bool
 }
 
 // scan looks at the next bytes from the server. It ignores those after the final header.
@@ -59,6 +62,8 @@
 		s.inFields, s.fields = true, framingFields{}
 	case len(bytes.TrimSuffix(line, []byte("\r"))) == 0:
 		s.inFields, s.ended = false, !s.isInformational
+	case line[0] == ' ' || line[0] == '\t':
+		s.fields.hasFoldedLine = true
 	case bytes.EqualFold(line, transferEncodingField):
 		s.fields.hasTransferEncoding = true
 	case len(line) >= len(contentLengthField) && bytes.EqualFold(line[:len(contentLengthField)], contentLengthField):
--- a/transport/backend/headscanner_test.go
+++ b/transport/backend/headscanner_test.go
@@ -17,6 +17,7 @@
 		{"HTTP/1.0 200 OK\ncontent-length:5\n\nhello", framingFields{hasContentLength: true}},
 		{"HTTP/1.1   100 Continue\r\nContent-Length: 1\r\n\r\nHTTP/1.0 200 OK\r\nTRANSFER-ENCODING:x\r\n\r\n", framingFields{hasTransferEncoding: true}},
 		{"HTTP/1.0 200 OK\r\nX: y\r\n\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n", framingFields{}},
+		{"HTTP/1.0 200 OK\r\nX: y\r\n Content-Length: 5\r\n\r\n", framingFields{hasFoldedLine: true}},
 		{"HTTP/1.0 200 OK\r\nContent-Lengths: 5\r\nX-Transfer-Encoding: chunked\r\n\r\n", framingFields{}},
 	} {
 		for size := 1; size <= len(test.data); size++ {
--- a/transport/backend/responsehead.go
+++ b/transport/backend/responsehead.go
@@ -12,6 +12,10 @@
 	// errOldTransferEncoding means that a response older than HTTP/1.1 has a
 	// Transfer-Encoding, which makes its framing faulty (RFC 9112, 6.1).
 	errOldTransferEncoding = errors.New("response older than HTTP/1.1 has a transfer encoding")
+	// errFoldedLine means that a line of the header begins with a space or a tab, so that the
+	// field that it may have is taken for a part of the one before. RFC 9112, 5.2, allows
+	// refusing the response.
+	errFoldedLine = errors.New("response header has a folded line")
 	// errTwoLengths means that a response has a Transfer-Encoding and a Content-Length, which
 	// ought to be handled as an error (RFC 9112, 6.3).
 	errTwoLengths = errors.New("response has a transfer encoding and a content length")
@@ -29,6 +33,9 @@
 	if fields.hasTransferEncoding && !response.ProtoAtLeast(1, 1) {
 		return errOldTransferEncoding
 	}
+	if fields.hasFoldedLine {
+		return errFoldedLine
+	}
 	if fields.hasTransferEncoding && fields.hasContentLength {
 		return errTwoLengths
 	}
--- a/transport/front/framing_test.go
+++ b/transport/front/framing_test.go
@@ -203,3 +203,16 @@
 		c.Check(body, quicktest.Equals, "")
 	}
 }
+
+// TestAnswerWithFoldedFieldIsNotPassedOn guards against a framing field, an id or a signature that
+// becomes a part of the field before it, because its line begins with a space.
+func TestAnswerWithFoldedFieldIsNotPassedOn(t *testing.T) {
+	c := quicktest.New(t)
+	for _, rest := range []string{
+		" Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"\tContent-Length: 3\r\n\r\nhello",
+		"X-Other: a\r\n X-Attempt-Id: other\r\nContent-Length: 5\r\n\r\nhello",
+	} {
+		checkNotPassedOn(c, http.MethodPost, "HTTP/1.1 200 OK\r\n"+framedHead+rest)
+	}
+}
