claim: a stop waits for abandoned claims that another host's claim blocks

What callers saw: retries of a request got claim-unresolved for the life of its id, although every attempt of it had been told not-run. Before that, a host had refused an attempt whose claim write was late, and had then been stopped as planned.

Cause: while the claim of another host was in the table, a stopping host forgot its abandoned claims at once, on the assumption that this claim makes the late insert fail. It does so only until the other host releases its claim. That host knows of no late insert and deletes the record; the late insert then creates a claim of a process that has ended, which no host can resolve.

Change: the cleanup goes on during a stop, up to CloseTimeout, as Close and the page for operators say. Its delay is at most 500 ms then, and the delay that runs when the stop begins, of up to 30 s, is cut short. A stop may therefore last up to CloseTimeout where it ended at once before.

--- a/coordination/claim/abandonment.go
+++ b/coordination/claim/abandonment.go
@@ -39,7 +39,8 @@
 // nextCleanup returns the next operation that removes abandoned claims from the table or
 // makes their late inserts fail. It continues until the table confirms that none is left.
 // While a claim of another host prevents the write, the record is read again after a
-// delay of 20 ms that grows to 30 s.
+// delay of 20 ms that grows to 30 s, or to 500 ms during a stop. The claim of the other
+// host does not end the cleanup: that host may delete it, and a late insert then succeeds.
 func (e *entry) nextCleanup(now time.Time, stopping bool) operation {
 	if len(e.abandoned) == 0 || now.Before(e.dueTime) {
 		return operation{}
@@ -58,13 +59,21 @@
 		return e.newDeleteWrite()
 	case own || !e.lastRecord.isUnresolved() || e.lastRecord.claim.Token == e.replaceableToken:
 		return e.newReleaseWrite(booking.ClaimToken(uuid.NewString()), now)
-	case stopping:
-		// The claim of the other host makes the late insert fail as long as it exists.
-		e.abandoned = nil
-		return operation{}
 	default:
+		maxDelay := 30 * time.Second
+		if stopping {
+			maxDelay = 500 * time.Millisecond
+		}
 		e.lastRecordCurrent = false
-		e.scheduleRetry(now, 20*time.Millisecond, 30*time.Second)
+		e.scheduleRetry(now, 20*time.Millisecond, maxDelay)
 		return operation{}
 	}
 }
+
+// endCleanupDelay makes the next operation of the cleanup due at once. It is called when a
+// stop begins, because a delay of up to 30 s may exceed CloseTimeout.
+func (e *entry) endCleanupDelay() {
+	if e.phase == phaseIdle {
+		e.dueTime = time.Time{}
+	}
+}
--- a/coordination/claim/loop.go
+++ b/coordination/claim/loop.go
@@ -76,6 +76,7 @@
 			defer closeTimer.Stop()
 			closeTimeoutPassed = closeTimer.C
 			for _, e := range l.snapshotEntries() {
+				e.endCleanupDelay()
 				l.stepEntry(e, time.Now())
 			}
 		case <-closeTimeoutPassed:
