--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -36,7 +36,7 @@
 	Chaos  time.Duration `long:"chaos" default:"10s" description:"length of the faults of a run"`
 	Calm   time.Duration `long:"calm" default:"12s" description:"length of the planned work after them"`
 	Output string        `long:"output" description:"directory that keeps the logs and records of failed runs"`
-	Port   int           `long:"first-port" default:"24000" description:"first port on loopback; runs beside each other need ports 3000 apart"`
+	Port   int           `long:"first-port" default:"24000" description:"first port on loopback; runs beside each other need ports 3000 apart, below 32768"`
 	size
 }
 
@@ -44,6 +44,10 @@
 // the first port.
 const portCount = 2500
 
+// lowestEphemeralPort is the first of the ports that Linux gives to connections by default. A
+// process of a run cannot listen on such a port while a connection has it.
+const lowestEphemeralPort = 32768
+
 func main() {
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
@@ -64,6 +68,9 @@
 
 // runAll makes the runs and returns the number of runs that broke a promise.
 func (o *options) runAll() (failed int, err error) {
+	if o.Port+portCount >= lowestEphemeralPort {
+		return 0, fmt.Errorf("first port is %d, expected at most %d", o.Port, lowestEphemeralPort-portCount-1)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	programs, err := os.MkdirTemp("", "soak")
