--- a/transport/front/firstevent_test.go
+++ b/transport/front/firstevent_test.go
@@ -44,7 +44,7 @@
 				c.Check(answer.Header.Get("X-Response-Signature"), quicktest.Equals, "")
 				c.Check(body, quicktest.Equals, "")
 				c.Check(time.Since(began) < 2*time.Second, quicktest.IsTrue)
-				c.Check(b.count(), quicktest.Equals, 1)
+				c.Check(b.count(), quicktest.Equals, 1, quicktest.Commentf("%s", b.received()))
 			})
 		}
 	}
--- a/transport/front/fixture_test.go
+++ b/transport/front/fixture_test.go
@@ -79,6 +79,17 @@
 	return len(b.requests)
 }
 
+// received describes the requests of the server for messages of tests.
+func (b *backendServer) received() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var list []string
+	for _, r := range b.requests {
+		list = append(list, fmt.Sprintf("%s %s%s with id %q", r.Method, r.Host, r.RequestURI, r.Header.Get("X-Attempt-Id")))
+	}
+	return strings.Join(list, ", ")
+}
+
 // success writes a response with a signature and a Content-Length.
 func success(conn net.Conn, r *http.Request, body string) bool {
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s\r\nContent-Length: %d\r\n\r\n%s",
