forward, front: log and count each refusal with the reason to doubt it

The line of a refusal had its status alone, and no metric counted refusals.

coordination/refusal.Evidence holds what an answer and its connection say about whether the request ran; its Doubt is logged with each refusal and counted by persimmonmux.refusals. What is believed does not change.

--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
+	"github.com/persimmonmux/persimmonmux/coordination/refusal"
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
@@ -70,6 +71,8 @@
 	// NotRun means that the server states that it did not execute the request. ProvesNotRun
 	// decides whether that is believed.
 	NotRun bool
+	// Evidence is what the response says about whether the request ran.
+	Evidence refusal.Evidence
 	// Misdirected means that another server has the address now, or that the
 	// engine does not hold the adapter in the expected version.
 	Misdirected bool
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -10,6 +10,7 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
 	"github.com/persimmonmux/persimmonmux/coordination/duty"
+	"github.com/persimmonmux/persimmonmux/coordination/refusal"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
@@ -60,6 +61,9 @@
 	// long it waited for loads and admissions. failure is nil if the response was
 	// delivered.
 	RecordRequest(route *site.Route, service site.ServiceName, arrived time.Time, sends int, placementWait time.Duration, failure *verdict.Error)
+	// RecordRefusal is called for each response of a server that states that its request did not
+	// run. doubt is why that is not proved, or refusal.None.
+	RecordRefusal(service site.ServiceName, doubt refusal.Doubt)
 }
 
 // RunEnds learns which requests for adapters have ended on engines.
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
+	"github.com/persimmonmux/persimmonmux/coordination/refusal"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
@@ -79,6 +80,7 @@
 func (r *fakeSystem) BlockedFor(site.ServiceName, []string) time.Duration         { return 0 }
 func (r *fakeSystem) RecordInterruption(context.Context, *site.Server, []string)  {}
 func (r *fakeSystem) RecordSound(site.ServiceName, []string)                      {}
+func (r *fakeSystem) RecordRefusal(site.ServiceName, refusal.Doubt)               {}
 func (r *fakeSystem) AllowRetry(string) bool                                      { r.retriesLeft--; return r.retriesLeft >= 0 }
 func (r *fakeSystem) RecordRequest(*site.Route, site.ServiceName, time.Time, int, time.Duration, *verdict.Error) {
 }
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -38,6 +38,9 @@
 	if !head.Misdirected || head.FromExpectedServer {
 		f.recordStatements(server, head)
 	}
+	if head.Evidence.IsStated {
+		f.recordRefusal(p, server, head)
+	}
 	if head.ProvesNotRun() {
 		response.Discard()
 		return f.recordRejection(p, server, want, head)
@@ -103,11 +106,18 @@
 	}
 }
 
+// recordRefusal logs and counts a response stating that the request did not run.
+func (f *Forwarder) recordRefusal(p *progress, server *site.Server, head ResponseHead) {
+	doubt := head.Evidence.Doubt()
+	f.Recorder.RecordRefusal(p.service, doubt)
+	f.Log.Info().Str("request", p.request.AttemptID).Str("route", p.route.Name).Str("server", string(server.ID)).Int("status", head.Status).
+		Str("doubt", string(doubt)).Bool("believed", head.ProvesNotRun()).Bool("reused", head.Evidence.OnReusedConnection).Bool("named", !head.Evidence.NamesNoRequest).
+		Int("sends", p.sends).Str("adapter", p.request.Adapter.Name).Msg("server refused the request")
+}
+
 // recordRejection records a response stating that the request did not run, and
 // returns the failure of the attempt.
 func (f *Forwarder) recordRejection(p *progress, server *site.Server, want balance.ServerRequirements, head ResponseHead) *verdict.Error {
-	f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Int("status", head.Status).
-		Str("adapter", want.Adapter.Name).Int("version", want.MinVersion).Msg("server refused the request")
 	if head.Misdirected && head.FromExpectedServer && want.Adapter.Model != "" {
 		f.Balancer.RecordNotLoaded(server, want.Adapter)
 		p.adapterMissingAt = server.ID
--- a/internal/fronthost/recorder.go
+++ b/internal/fronthost/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/persimmonmux/persimmonmux/coordination/refusal"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/request"
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -28,3 +29,8 @@
 	r.metricsRecorder.RecordRequest(ended, request.Response{LoadStall: stalled}, failure)
 	r.metricsRecorder.RecordRepeatedSends(ended.Application, sends-1)
 }
+
+// RecordRefusal records a server's response stating that a request did not run.
+func (r *recorder) RecordRefusal(service site.ServiceName, doubt refusal.Doubt) {
+	r.metricsRecorder.RecordRefusal(configuration.ApplicationName(service), string(doubt))
+}
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
+	"github.com/persimmonmux/persimmonmux/coordination/refusal"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
@@ -62,16 +63,16 @@
 		}
 		return nil, failure
 	}
-	r := &response{exchange: e, incoming: in}
+	r := &response{exchange: e, incoming: in, expectedServer: string(server.ID)}
+	r.evidence = r.readEvidence()
 	if !r.belongsTo(e.request) {
 		in.Finish(false)
-		return nil, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil, "server %s: attempt ids of the response are %q, not that of the request",
-			server.ID, in.Header.Values(platform.HeaderAttemptID))
+		return nil, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil, "server %s: response with status %d has attempt ids %q, not that of the request",
+			server.ID, in.StatusCode, in.Header.Values(platform.HeaderAttemptID))
 	}
 	if r.provesNotRun() {
 		e.refusedBy = append(e.refusedBy, server.ID)
 	}
-	r.expectedServer = string(server.ID)
 	return r, nil
 }
 
@@ -148,6 +149,8 @@
 	incoming *backend.RawResponse
 	// expectedServer is the id of the server that the request was sent to.
 	expectedServer string
+	// evidence is what the response says about whether the request ran.
+	evidence refusal.Evidence
 	// deliveredBytes is how much of the body was sent to the caller.
 	deliveredBytes int64
 }
@@ -182,6 +185,7 @@
 		Status:      r.incoming.StatusCode,
 		ContentType: r.incoming.Header.Get("Content-Type"),
 		NotRun:      r.statesNotRun(),
+		Evidence:    r.evidence,
 		Misdirected: r.incoming.StatusCode == http.StatusMisdirectedRequest,
 	}
 	head.IsEventStream = platform.IsEventStream(head.ContentType)
--- /dev/null
+++ b/transport/front/refusal.go
@@ -0,0 +1,47 @@
+package front
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/persimmonmux/persimmonmux/coordination/refusal"
+	"github.com/persimmonmux/persimmonmux/platform"
+)
+
+// readEvidence returns what the head of the response says about whether the request ran.
+func (r *response) readEvidence() refusal.Evidence {
+	status, header := r.incoming.StatusCode, r.incoming.Header
+	id := r.exchange.request.Header.Get(platform.HeaderAttemptID)
+	ids := header.Values(platform.HeaderAttemptID)
+	isMisdirected := status == http.StatusMisdirectedRequest
+	stated, denied := platform.DecodeNotExecuted(header)
+	return refusal.Evidence{
+		IsStated:           stated || denied || isMisdirected,
+		IsDenied:           denied,
+		HasOtherStatus:     !platform.IsRefusalStatus(status, id != ""),
+		NamesOtherRequest:  slices.ContainsFunc(ids, func(other string) bool { return other != id }),
+		NamesNoRequest:     len(ids) == 0,
+		OnReusedConnection: r.incoming.OnReusedConnection(),
+		NamesWrongServer:   r.namesWrongServer(isMisdirected),
+		IsSigned:           len(header.Values(platform.HeaderResponseSignature)) > 0,
+		HasResult:          platform.IsEventStream(header.Get("Content-Type")) || len(header.Values("Content-Encoding")) > 0,
+	}
+}
+
+// namesWrongServer reports whether the response names a server that does not refuse the request in
+// this way. A server that is not the expected one answers with status 421 only; the expected one
+// does so only for a model or an adapter that it does not hold.
+func (r *response) namesWrongServer(isMisdirected bool) bool {
+	servers := r.incoming.Header.Values(platform.HeaderInstanceID)
+	if len(servers) == 0 {
+		return false
+	}
+	isExpected := servers[0] == r.expectedServer
+	if slices.ContainsFunc(servers, func(other string) bool { return other != servers[0] }) {
+		return true
+	}
+	if isMisdirected {
+		return isExpected && r.exchange.request.Header.Get(platform.HeaderModel) == ""
+	}
+	return !isExpected
+}
--- a/transport/metrics/recorder.go
+++ b/transport/metrics/recorder.go
@@ -44,6 +44,7 @@
 	duration      metric.Float64Histogram
 	loadStall     metric.Float64Histogram
 	repeatedSends metric.Int64Counter
+	refusals      metric.Int64Counter
 	// optionsByKey holds an *instrumentOptions for each outcomeKey, because attribute
 	// sets are too expensive to build for each request.
 	optionsByKey sync.Map
@@ -106,6 +107,10 @@
 		metric.WithDescription("Sends beyond the first of a request, by application.")); err != nil {
 		return err
 	}
+	if r.refusals, err = meter.Int64Counter("persimmonmux.refusals",
+		metric.WithDescription("Responses of servers stating that their request did not run, by application and doubt.")); err != nil {
+		return err
+	}
 	if r.InFlight == nil {
 		return nil
 	}
@@ -154,6 +159,12 @@
 	}
 }
 
+// RecordRefusal counts a response of a server stating that its request did not run. doubt is the
+// reason for which it is no proof, or empty.
+func (r *Recorder) RecordRefusal(application configuration.ApplicationName, doubt string) {
+	r.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("application", string(application)), attribute.String("doubt", doubt)))
+}
+
 // Close shuts the meter provider down. Nothing may be recorded afterwards.
 func (r *Recorder) Close() error {
 	return r.provider.Shutdown(context.Background())
--- a/transport/metrics/recorder_test.go
+++ b/transport/metrics/recorder_test.go
@@ -31,6 +31,7 @@
 	r.RecordRequest(ended, request.Response{}, verdict.NewNotRun(verdict.CodeOverloaded, "full"))
 	r.RecordRepeatedSends("chat", 2)
 	r.RecordRepeatedSends("chat", -1)
+	r.RecordRefusal("chat", "signed")
 	recorder := httptest.NewRecorder()
 	r.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 	text := recorder.Body.String()
@@ -41,6 +42,7 @@
 		`verdict="not-run"} 1`,
 		`persimmonmux_requests_in_flight`,
 		`persimmonmux_repeated_sends_total{application="chat",`,
+		`persimmonmux_refusals_total{application="chat",doubt="signed",`,
 		`persimmonmux_load_stall_seconds_bucket{application="chat",kind="quote",`,
 		`persimmonmux_request_duration_seconds_count{application="chat",kind="quote",`,
 	} {
