forward, front: believe that a request did not run only if its answer says nothing else

Callers got 200 for a request that may run once and that had run twice, or 503 for one that had run. The first server's answer stated that it did not run the request, and something else in the head contradicted that: the signature of a run, a second value that takes the statement back, status 400 to a request with an id or status 408, the name of another server, an event stream or an encoded body.

The host believed the statement with a fitting status, and weighed nothing else. One of two things that an answer says is wrong if they contradict each other, and only a second run cannot be undone. forward now believes a refusal only if refusal.Evidence raises no doubt. The request ends with 502 otherwise, or goes to another server if it may run again, as one that may have run.

--- a/coordination/forward/delivery.go
+++ b/coordination/forward/delivery.go
@@ -32,7 +32,6 @@
 	statusOK = 200
 	// lowestRedirectStatus is the status above those of successes.
 	lowestRedirectStatus  = 300
-	statusBadRequest      = 400
 	statusRequestTimeout  = 408
 	statusMisdirected     = 421
 	statusTooManyRequests = 429
@@ -102,7 +101,7 @@
 func (p *progress) checkHead(head ResponseHead) error {
 	isSuccess := head.IsSuccess()
 	switch {
-	case isSuccess && head.NotRun:
+	case isSuccess && head.Evidence.IsStated:
 		return errContradiction
 	case isSuccess && !head.IsSigned:
 		return errNotSigned
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -68,9 +68,6 @@
 	IsEncoded bool
 	// IsPart means that the body is a part of the whole one, for which the request did not ask.
 	IsPart bool
-	// NotRun means that the server states that it did not execute the request. ProvesNotRun
-	// decides whether that is believed.
-	NotRun bool
 	// Evidence is what the response says about whether the request ran.
 	Evidence refusal.Evidence
 	// Misdirected means that another server has the address now, or that the
@@ -95,11 +92,9 @@
 	return h.Status < lowestRedirectStatus
 }
 
-// ProvesNotRun reports whether the response proves that the request did not run. A server refuses
-// only with the statuses of refusals; that it did not execute a request that it answers with
-// another status contradicts that status.
+// ProvesNotRun reports whether the response proves that the request did not run.
 func (h ResponseHead) ProvesNotRun() bool {
-	return h.Status == statusMisdirected || h.NotRun && (h.Status == statusBadRequest || h.PromisesNotRun())
+	return h.Evidence.Doubt() == refusal.None
 }
 
 // PromisesNotRun reports whether the status promises a client that its request has not run and
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -302,7 +302,7 @@
 		r := newFakeSystem(chatRoute)
 		r.onSend = func(n int) (Response, error) {
 			if n == 1 {
-				return fakeResponse{head: ResponseHead{Status: 421, Misdirected: true, FromExpectedServer: true}}, nil
+				return fakeResponse{head: ResponseHead{Status: 421, Evidence: refusal.Evidence{IsStated: true}, Misdirected: true, FromExpectedServer: true}}, nil
 			}
 			return fakeResponse{head: ResponseHead{Status: 200, IsSigned: true, IsEventStream: true}}, nil
 		}
@@ -318,7 +318,9 @@
 // attempts.
 func TestRetriesKeepToRouteAndBudget(t *testing.T) {
 	lost := func(int) (Response, error) { return nil, verdict.NewMayHaveRun(verdict.CodeBackendLost, nil, "lost") }
-	full := func(int) (Response, error) { return fakeResponse{head: ResponseHead{Status: 503, NotRun: true}}, nil }
+	full := func(int) (Response, error) {
+		return fakeResponse{head: ResponseHead{Status: 503, Evidence: refusal.Evidence{IsStated: true}}}, nil
+	}
 	for _, test := range []struct {
 		name    string
 		kind    site.Kind
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -54,9 +54,11 @@
 		f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Int("status", head.Status).Msg("server responded with an error; retrying at another server")
 		return f.resend(ctx, p)
 	}
-	if head.PromisesNotRun() && !p.route.Repeatable() {
+	if head.PromisesNotRun() && (!p.route.Repeatable() || head.Evidence.IsStated) {
 		response.Discard()
-		return verdict.NewMayHaveRun(verdict.CodeBackendRefused, nil, "server %s responded with status %d without a statement that the request did not run", server.ID, head.Status)
+		p.tried = append(p.tried, server.ID)
+		return verdict.NewMayHaveRun(verdict.CodeBackendRefused, nil, "server %s responded with status %d, which does not prove that the request did not run: %s",
+			server.ID, head.Status, head.Evidence.Doubt())
 	}
 	return f.deliver(sendContext, p, server, response, head)
 }
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -65,12 +65,12 @@
 	}
 	r := &response{exchange: e, incoming: in, expectedServer: string(server.ID)}
 	r.evidence = r.readEvidence()
-	if !r.belongsTo(e.request) {
+	if !r.isOwn() {
 		in.Finish(false)
 		return nil, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil, "server %s: response with status %d has attempt ids %q, not that of the request",
 			server.ID, in.StatusCode, in.Header.Values(platform.HeaderAttemptID))
 	}
-	if r.provesNotRun() {
+	if r.evidence.Doubt() == refusal.None {
 		e.refusedBy = append(e.refusedBy, server.ID)
 	}
 	return r, nil
@@ -155,36 +155,12 @@
 	deliveredBytes int64
 }
 
-// belongsTo reports whether the response has the attempt id of the request and no other one. A
-// refusal may lack an id if no earlier request can be meant.
-func (r *response) belongsTo(request *http.Request) bool {
-	id := r.incoming.Header.Get(platform.HeaderAttemptID)
-	if slices.ContainsFunc(r.incoming.Header.Values(platform.HeaderAttemptID), func(other string) bool { return other != id }) {
-		return false
-	}
-	if id == "" && r.provesNotRun() {
-		return !r.incoming.OnReusedConnection()
-	}
-	return id == request.Header.Get(platform.HeaderAttemptID)
-}
-
-// provesNotRun reports whether the response proves that the server did not run the request.
-func (r *response) provesNotRun() bool {
-	return forward.ResponseHead{Status: r.incoming.StatusCode, NotRun: r.statesNotRun()}.ProvesNotRun()
-}
-
-// statesNotRun reports whether the server states that it did not execute the request.
-func (r *response) statesNotRun() bool {
-	return r.incoming.Header.Get(platform.HeaderNotExecuted) != ""
-}
-
 // Head returns the status and those headers of the response that decide whether it
 // is delivered.
 func (r *response) Head() forward.ResponseHead {
 	head := forward.ResponseHead{
 		Status:      r.incoming.StatusCode,
 		ContentType: r.incoming.Header.Get("Content-Type"),
-		NotRun:      r.statesNotRun(),
 		Evidence:    r.evidence,
 		Misdirected: r.incoming.StatusCode == http.StatusMisdirectedRequest,
 	}
--- a/transport/front/refusal.go
+++ b/transport/front/refusal.go
@@ -45,3 +45,15 @@
 	}
 	return !isExpected
 }
+
+// isOwn reports whether the response has the attempt id of the request and no other one. Only a
+// refusal may lack an id.
+func (r *response) isOwn() bool {
+	switch {
+	case r.evidence.NamesOtherRequest:
+		return false
+	case r.evidence.IsStated:
+		return !r.evidence.NamesNoRequest || r.evidence.Doubt() == refusal.None
+	}
+	return !r.evidence.NamesNoRequest || r.exchange.request.Header.Get(platform.HeaderAttemptID) == ""
+}
