front: a refusal counts as a whole, and only if nothing follows it

Callers got 200 for a request that may run once and that had run twice. The first server's refusal had a sound head, but a body that broke off or did not end, the signature of a run in its trailer, or a second answer right after it.

The host decided on the head alone and dropped the body afterwards. A refusal whose head raises no doubt is now read to its end, within 200 ms and 16 KiB, before it is believed, and bytes after it contradict it.

The tests close the listeners of their hosts, because thousands of hosts take all ports.

--- a/standin/answer/form.go
+++ b/standin/answer/form.go
@@ -312,18 +312,18 @@
 	case Success:
 		text += success(r)
 	}
-	if _, err := conn.Write([]byte(text)); err != nil || f.Sequel == EndOfChannel {
+	if _, err := conn.Write([]byte(text)); err != nil {
 		return false
 	}
-	if f.Framing == ResetBody && f.hasBody() {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			// Closing then resets the connection.
-			_ = tcp.SetLinger(0)
-		}
+	if tcp, ok := conn.(*net.TCPConn); ok && f.Framing == ResetBody && f.hasBody() {
+		// Closing then resets the connection.
+		_ = tcp.SetLinger(0)
+	}
+	if !keep || f.Sequel == EndOfChannel {
 		return false
 	}
-	if !keep || f.Sequel != LateCopy && f.Sequel != LateSuccess {
-		return keep
+	if f.Sequel != LateCopy && f.Sequel != LateSuccess {
+		return true
 	}
 	time.Sleep(lateDelay)
 	if f.Sequel == LateSuccess {
--- a/transport/backend/pooledconn.go
+++ b/transport/backend/pooledconn.go
@@ -68,23 +68,49 @@
 	return n, err
 }
 
+// An input is what waits on a connection to be read.
+type input int
+
+const (
+	// inputNone means that nothing waits.
+	inputNone input = iota
+	// inputData means that bytes wait.
+	inputData
+	// inputEnd means that the connection has ended or failed.
+	inputEnd
+)
+
 // hasNoInput reports whether nothing has arrived on an unused connection: neither its
-// end nor bytes that belong to no request. It does not consume input.
+// end nor bytes that belong to no request.
 func (c *pooledConn) hasNoInput() bool {
+	return c.peek() == inputNone
+}
+
+// peek returns what waits on the connection without consuming it. It takes nothing to wait on a
+// connection that is none of the operating system.
+func (c *pooledConn) peek() input {
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return inputNone
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return inputEnd
 	}
-	clean := false
+	waiting := inputEnd
 	err = control.Read(func(descriptor uintptr) bool {
 		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		clean = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			waiting = inputNone
+		case err == nil && n > 0:
+			waiting = inputData
+		}
 		return true
 	})
-	return err == nil && clean
+	if err != nil {
+		return inputEnd
+	}
+	return waiting
 }
--- a/transport/backend/rawresponse.go
+++ b/transport/backend/rawresponse.go
@@ -101,9 +101,21 @@
 // DiscardBody reads a short rest of the body, so that the connection can be used again,
 // and finishes the response. If the body does not end soon, the connection is closed.
 func (in *RawResponse) DiscardBody() {
-	_ = in.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	in.Finish(in.ReadToEnd(discardTimeout))
+}
+
+// ReadToEnd reads a short rest of the body and drops it. It reports whether the body has ended
+// properly within the timeout.
+func (in *RawResponse) ReadToEnd(timeout time.Duration) bool {
+	_ = in.conn.SetReadDeadline(time.Now().Add(timeout))
 	n, err := io.Copy(io.Discard, io.LimitReader(in.Body, maxDiscardBytes))
-	in.Finish(err == nil && n < maxDiscardBytes)
+	return err == nil && n < maxDiscardBytes
+}
+
+// HasFurtherInput reports whether bytes have arrived after the response, whose body must have been
+// read to its end.
+func (in *RawResponse) HasFurtherInput() bool {
+	return in.conn.reader.Buffered() > 0 || in.conn.peek() == inputData
 }
 
 // isReusable reports whether the connection can carry another request: request and
--- a/transport/front/fixture_test.go
+++ b/transport/front/fixture_test.go
@@ -221,6 +221,10 @@
 	c.Assert(err, quicktest.IsNil)
 	checks, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
+	c.Cleanup(func() {
+		callers.Close()
+		checks.Close()
+	})
 	return &Server{
 		Listener: callers, ReadyListener: checks, Views: views, ConnectionPool: &backend.ConnectionPool{}, ShutdownTimeout: stopNoticeDelay + time.Second, Log: zerolog.Nop(),
 		BufferQuota: &buffering.Quota{MaxBytes: testBufferQuota},
--- a/transport/front/refusal.go
+++ b/transport/front/refusal.go
@@ -3,13 +3,30 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/persimmonmux/persimmonmux/coordination/refusal"
 	"github.com/persimmonmux/persimmonmux/platform"
 )
 
-// readEvidence returns what the head of the response says about whether the request ran.
+// refusalTimeout bounds the time for the body of a refusal. The request goes on only after it.
+const refusalTimeout = 200 * time.Millisecond
+
+// readEvidence returns what the response says about whether the request ran. It reads the body of a
+// response whose head proves that it did not, since a refusal counts only as a whole.
 func (r *response) readEvidence() refusal.Evidence {
+	e := r.readHeadEvidence()
+	if e.Doubt() != refusal.None {
+		return e
+	}
+	e.IsIncomplete = !r.incoming.ReadToEnd(refusalTimeout)
+	e.HasFurtherInput = r.incoming.HasFurtherInput()
+	e.IsSigned = len(r.incoming.Trailer.Values(platform.HeaderResponseSignature)) > 0
+	return e
+}
+
+// readHeadEvidence returns what the head of the response says about whether the request ran.
+func (r *response) readHeadEvidence() refusal.Evidence {
 	status, header := r.incoming.StatusCode, r.incoming.Header
 	id := r.exchange.request.Header.Get(platform.HeaderAttemptID)
 	ids := header.Values(platform.HeaderAttemptID)
