backend: a request that takes a retired connection goes over another one

net/http may give a connection that a refusal has retired to another request before it is closed. That request failed as not run without need.

Send tries again as long as net/http has chosen a retired connection and no byte was written, with a body that is read anew.

--- a/transport/backend/attempt.go
+++ b/transport/backend/attempt.go
@@ -13,6 +13,8 @@
 	writesBefore uint64
 	// isReused says that the connection has carried an earlier request.
 	isReused bool
+	// tookRetired says that net/http chose a retired connection.
+	tookRetired bool
 	// wrote says that a byte of the request may have been written.
 	wrote bool
 }
@@ -31,6 +33,7 @@
 		a.finish()
 		used.blockWrites()
 	}
+	a.tookRetired = a.tookRetired || used.wasRetired()
 	used.startHeader()
 	a.connection, a.writesBefore = used, used.writeCount()
 }
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -75,15 +75,30 @@
 	}
 }
 
-// Send makes one attempt to send the request; it must be called between BeginCall and
-// the end of that call. With an error, wrote says whether a byte of the request may
-// have been written; false proves that none was written and none will be. With a nil
-// error, the body of the response has to be closed.
+// maxSendTries bounds the unused connections that one Send finds retired, each of which it removes.
+const maxSendTries = 32
+
+// Send sends a request of NewRequest once; it must be called between BeginCall and the end of that
+// call. With an error, wrote says whether a byte of the request may have been written; false proves
+// that none was written and none will be. With a nil error, the body of the response has to be
+// closed.
 func (c *Client) Send(r *http.Request) (response *Response, wrote bool, err error) {
 	// net/http resends a request that has one of these headers.
 	r.Header.Del("Idempotency-Key")
 	r.Header.Del("X-Idempotency-Key")
-	a := &attempt{}
+	for range maxSendTries {
+		a := &attempt{}
+		response, wrote, err = c.try(r, a)
+		if err == nil || wrote || !a.tookRetired {
+			break
+		}
+		r = renew(r)
+	}
+	return response, wrote, err
+}
+
+// try sends the request over one connection.
+func (c *Client) try(r *http.Request, a *attempt) (response *Response, wrote bool, err error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		a.isReused = info.Reused
 		a.attach(info.Conn)
--- a/transport/backend/countingconn.go
+++ b/transport/backend/countingconn.go
@@ -21,6 +21,8 @@
 	// mutex guards the fields below.
 	mutex         sync.Mutex
 	writesBlocked bool
+	// isRetired says that the connection must not carry another request.
+	isRetired bool
 	// writesStarted counts a write from before it reaches the network. A write that fails
 	// without the kernel having taken a byte is not counted.
 	writesStarted uint64
@@ -77,11 +79,18 @@
 	return c.head.bodyBytes
 }
 
-// refuseWrites makes further writes fail with errWritesBlocked.
-func (c *countingConn) refuseWrites() {
+// retire makes further writes fail with errWritesBlocked.
+func (c *countingConn) retire() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.writesBlocked = true
+	c.isRetired, c.writesBlocked = true, true
+}
+
+// wasRetired reports whether retire was called.
+func (c *countingConn) wasRetired() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.isRetired
 }
 
 // Close closes the connection and calls onClose the first time.
--- a/transport/backend/response.go
+++ b/transport/backend/response.go
@@ -35,14 +35,14 @@
 // response without an id may belong.
 func (r *Response) OnReusedConnection() bool { return r.isReused }
 
-// Retire keeps the connection from carrying another request. It is closed with the body. Retire is
-// called before the body is read, because net/http uses the connection again after that; a request
-// that has already taken it fails without a byte written.
+// Retire keeps the connection from carrying another request. It is closed with the body, which
+// Retire replaces. It is called before the body is read, because net/http may use the connection
+// again after that.
 func (r *Response) Retire() {
 	if r.connection == nil {
 		return
 	}
-	r.connection.refuseWrites()
+	r.connection.retire()
 	r.Body = retiredBody{ReadCloser: r.Body, connection: r.connection}
 }
 
