engine: weigh all of an engine's refusal before it counts as one

Behind serve, a completion that may run once could run again at another engine: its engine answered unknown-instance in an event stream, in an encoded body, beside a completion, or with a second answer behind it, or it wrote an earlier refusal of the same run once more on a kept connection.

The client looked at status and code. It now fills in a refusal.Evidence, and a connection that carried a refusal carries no further request.

--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/persimmonmux/persimmonmux/coordination/refusal"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/protocol/engineapi"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
@@ -238,23 +239,34 @@
 )
 
 // refusalError returns the error for a response with another status than 200. Its verdict is
-// NotRun only if the code is one of the proofs and comes with the status of a refusal.
+// NotRun only if the code is one of the proofs and nothing else in the response contradicts it.
 func refusalError(engine fleet.EngineName, response *backend.Response, body []byte, proofs proofs) *verdict.Error {
-	var failure engineapi.ErrorBody
+	var failure errorResponse
 	if err := json.Unmarshal(body, &failure); err != nil {
 		failure.Error.Message = "error body is not valid JSON"
 	}
-	code, proved := proofs[failure.Error.Code]
-	if response.StatusCode < http.StatusBadRequest || failure.Error.Code == engineapi.CodeUnknownInstance && response.StatusCode != http.StatusNotFound {
-		proved = false
-	}
-	if !proved {
-		return verdict.NewMayHaveRun(unprovenCode(failure.Error.Code), nil, "engine %s: status %d, code %q: %s",
-			engine, response.StatusCode, failure.Error.Code, failure.Error.Message)
+	code, isStated := proofs[failure.Error.Code]
+	doubt := refusal.Evidence{
+		IsStated: isStated,
+		HasOtherStatus: response.StatusCode < http.StatusBadRequest ||
+			failure.Error.Code == engineapi.CodeUnknownInstance && response.StatusCode != http.StatusNotFound,
+		HasResult:       backend.HasResult(response.Header) || len(failure.Choices) > 0,
+		HasFurtherInput: response.HasFurtherInput(),
+	}.Doubt()
+	if doubt != refusal.None {
+		return verdict.NewMayHaveRun(unprovenCode(failure.Error.Code), nil, "engine %s: status %d, code %q, no proof: %s: %s",
+			engine, response.StatusCode, failure.Error.Code, doubt, failure.Error.Message)
 	}
 	return verdict.NewNotRun(code, "engine %s: %s", engine, failure.Error.Message)
 }
 
+// An errorResponse is the body of a refusal. Choices is what only the response of a run has.
+type errorResponse struct {
+	engineapi.ErrorBody
+
+	Choices []json.RawMessage `json:"choices"`
+}
+
 // unprovenCode returns the code of a failure that does not prove that the request did
 // not run. An engine cancels a request early at the time limit sent with it or when the
 // owner cancels it at the end of its grant. That may reach the client before its own
--- a/transport/engine/complete.go
+++ b/transport/engine/complete.go
@@ -135,6 +135,10 @@
 	if err != nil {
 		return request.Response{}, c.lostResponseError(parent, wrote, err)
 	}
+	if response.StatusCode != http.StatusOK {
+		// The engine may write its refusal once more, when the request is sent again with the same id.
+		response.Retire()
+	}
 	defer response.Body.Close() //nolint:errcheck // The body was read to its end or is discarded.
 	if ids := response.Header.Values(engineapi.HeaderRequestID); !c.isOwn(ids) {
 		return request.Response{}, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil,
