engine: orders have connections of their own

A run could go on at another engine while the first one still worked on it: the order to cancel it was answered by a second copy of the answer to an earlier order, on a kept connection. Answers to orders name no request, so that nothing tells whose they are.

Each order now has a connection of its own (backend.Client.SingleUse). TestAnswerOfEarlierOrderIsNotBelieved failed before: Cancel returned nil.

--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -34,6 +34,9 @@
 	// DialTimeout bounds a connection attempt; zero means 2 s. It must not change after
 	// the first call.
 	DialTimeout time.Duration
+	// SingleUse means that each connection carries one request, so that no response to an earlier
+	// request can be taken for that of a later one. It must not change after the first call.
+	SingleUse bool
 
 	mutex     sync.Mutex
 	transport *http.Transport
@@ -69,6 +72,7 @@
 	c.transport = &http.Transport{
 		DialContext:            c.dial,
 		DisableCompression:     true,
+		DisableKeepAlives:      c.SingleUse,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -69,27 +69,37 @@
 	// only each response by itself is bounded.
 	BufferQuota *buffering.Quota
 
-	once       sync.Once
-	httpClient backend.Client
+	once sync.Once
+	// httpClient sends completions and reads reports. orderClient sends orders, whose responses name
+	// no request.
+	httpClient, orderClient backend.Client
 }
 
 // Close refuses new calls, waits until the calls in flight have ended and closes all
 // connections.
 func (c *Client) Close() error {
-	return c.httpClient.Close()
+	return errors.Join(c.httpClient.Close(), c.orderClient.Close())
 }
 
 // beginCall registers a call that Close waits for, and returns the function that ends
 // it. Its error is a *verdict.Error.
 func (c *Client) beginCall() (func(), error) {
-	c.once.Do(func() { c.httpClient.DialTimeout = c.DialTimeout })
+	c.once.Do(func() {
+		c.httpClient.DialTimeout, c.orderClient.DialTimeout = c.DialTimeout, c.DialTimeout
+		c.orderClient.SingleUse = true
+	})
 	endCall, err := c.httpClient.BeginCall()
 	if err != nil {
-		return nil, verdict.NewNotRun(verdict.CodeStopping, "engine client: closed")
+		return nil, errClosed()
 	}
 	return endCall, nil
 }
 
+// errClosed returns the error of a call after Close.
+func errClosed() *verdict.Error {
+	return verdict.NewNotRun(verdict.CodeStopping, "engine client: closed")
+}
+
 // Load loads the adapter of the instance. The error is a *verdict.Error; verdict NotRun
 // proves that this order did not load the instance.
 func (c *Client) Load(ctx context.Context, engine fleet.Engine, instance fleet.Instance, epoch fleet.Epoch) error {
@@ -142,7 +152,7 @@
 	defer endCall()
 	ctx, cancel := context.WithTimeout(ctx, orDefault(c.OrderTimeout, defaultOrderTimeout))
 	defer cancel()
-	body, err := c.roundTrip(ctx, engine, http.MethodGet, engineapi.PathReport, nil, nil)
+	body, err := c.roundTrip(ctx, &c.httpClient, engine, http.MethodGet, engineapi.PathReport, nil, nil)
 	if err != nil {
 		return fleet.EngineReport{}, err
 	}
@@ -171,14 +181,19 @@
 	if epoch != nil {
 		header.Set(engineapi.HeaderFencingNumber, strconv.FormatUint(uint64(*epoch), 10))
 	}
-	_, err = c.roundTrip(ctx, engine, http.MethodPost, path, header, content)
+	endCall, err := c.orderClient.BeginCall()
+	if err != nil {
+		return errClosed()
+	}
+	defer endCall()
+	_, err = c.roundTrip(ctx, &c.orderClient, engine, http.MethodPost, path, header, content)
 	return err
 }
 
 // roundTrip sends one request and returns the whole body of a response with status 200.
 // It must run between beginCall and the end of that call. Its error is a
 // *verdict.Error.
-func (c *Client) roundTrip(ctx context.Context, engine fleet.Engine, method, path string, header http.Header, content []byte) ([]byte, error) {
+func (c *Client) roundTrip(ctx context.Context, client *backend.Client, engine fleet.Engine, method, path string, header http.Header, content []byte) ([]byte, error) {
 	r, err := backend.NewRequest(ctx, method, "http://"+engine.Address+path, content)
 	if err != nil {
 		return nil, verdict.NewNotRun(verdict.CodeInternal, "engine %s: address %q: %v", engine.Name, engine.Address, err)
@@ -186,7 +201,7 @@
 	for name, values := range header {
 		r.Header[name] = values
 	}
-	response, wrote, err := c.httpClient.Send(r)
+	response, wrote, err := client.Send(r)
 	if err != nil {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.httpClient.CloseIdleConnections()
--- a/transport/engine/unsoundrefusal_test.go
+++ b/transport/engine/unsoundrefusal_test.go
@@ -88,3 +88,17 @@
 	f.assertVerdict(f.completeRaw("a"), verdict.NotRun, verdict.CodeUnknownInstance)
 	f.Check(f.completeRaw("a"), quicktest.IsNil)
 }
+
+// TestAnswerOfEarlierOrderIsNotBelieved guards against a run that counts as canceled, so that it
+// goes on at another engine, because its engine writes the answer to an earlier order once more.
+func TestAnswerOfEarlierOrderIsNotBelieved(t *testing.T) {
+	f := newRawFixture(quicktest.New(t), func(conn net.Conn, r *http.Request, onReused bool) bool {
+		if onReused || r.URL.Path == engineapi.PathLoad {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			return true
+		}
+		return false
+	})
+	f.Assert(f.client.Load(context.Background(), f.engine, f.instance, 7), quicktest.IsNil)
+	f.assertVerdict(f.client.Cancel(context.Background(), f.engine, "a"), verdict.MayHaveRun, verdict.CodeBackendLost)
+}
