adapter: a test of orders that an engine refuses and carries out late

An engine that answers an order as if it did not carry it out, and does so later, is the same class of fault as a request that runs after its refusal. It does no harm: each order states the number of orders accepted before it, so that the engine carries out one of two.

--- a/coordination/adapter/controller_test.go
+++ b/coordination/adapter/controller_test.go
@@ -105,6 +105,33 @@
 	})
 }
 
+// TestRefusedOrderThatIsCarriedOutLate guards against an engine that exceeds its adapter slots
+// because it carries out orders that it has answered as if it did not.
+func TestRefusedOrderThatIsCarriedOutLate(t *testing.T) {
+	for _, outcome := range []site.OrderOutcome{site.OrderRefused, site.OrderConflict, site.OrderMisdirected} {
+		for delay := range 8 {
+			f := newFakeSite(1, 1)
+			runWithController(t, f, func(c *quicktest.C, o *Controller) {
+				e := f.engines["engine-0"]
+				for i := range 6 {
+					f.mutex.Lock()
+					e.ordersToIgnore, e.ignoredOutcome = 1, outcome
+					f.mutex.Unlock()
+					_ = place(o, f, "engine-0", lora(i), time.Duration(delay+1)*50*time.Millisecond)
+					_ = place(o, f, "engine-0", lora(i+100), time.Duration(delay+1)*100*time.Millisecond)
+					f.mutex.Lock()
+					for _, order := range e.ignoredOrders {
+						e.execute(order)
+					}
+					e.ignoredOrders = nil
+					f.mutex.Unlock()
+					c.Assert(e.crashed, quicktest.IsFalse, quicktest.Commentf("%s, delay %d", outcome, delay))
+				}
+			})
+		}
+	}
+}
+
 // TestQueuedRequestsCauseNoOrders guards against load orders for an adapter that
 // is already loaded, caused by requests that wait for the engine to admit their
 // prompts.
--- a/coordination/adapter/fake_test.go
+++ b/coordination/adapter/fake_test.go
@@ -1,6 +1,7 @@
 package adapter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -26,9 +27,10 @@
 	readyAt           map[site.Adapter]time.Time
 	requestedVersions map[site.Adapter]int
 	inUse             map[site.Adapter]bool
-	// ordersToIgnore is the number of next orders that are neither answered nor
-	// carried out.
+	// ordersToIgnore is the number of next orders that are not carried out. Their outcome is
+	// ignoredOutcome, or OrderUnknown if that is empty.
 	ordersToIgnore int
+	ignoredOutcome site.OrderOutcome
 	// ignoredOrders are the ignored orders, which a test may carry out later.
 	ignoredOrders []site.Order
 	// crashed means that more adapters were loaded than fit.
@@ -119,7 +121,7 @@
 	if e.ordersToIgnore > 0 {
 		e.ordersToIgnore--
 		e.ignoredOrders = append(e.ignoredOrders, o)
-		return site.OrderUnknown, errNoAnswer
+		return cmp.Or(e.ignoredOutcome, site.OrderUnknown), errNoAnswer
 	}
 	return e.execute(o), nil
 }
