relay: a connection that is reset at one end is reset at the other

An answer without a length that its server reset looked whole through the relay, which ended the other connection properly. TestResetIsPassedOn failed before.

--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -4,9 +4,11 @@
 package relay
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -204,9 +206,18 @@
 		}
 		if err != nil {
 			if !drop {
-				_ = to.Close()
+				closeLike(to, err)
 			}
 			return
 		}
 	}
 }
+
+// closeLike closes a connection as the other one has ended: with a TCP reset if that was reset. An
+// answer without a length that was reset would look whole otherwise.
+func closeLike(conn net.Conn, err error) {
+	if tcp, ok := conn.(*net.TCPConn); ok && errors.Is(err, syscall.ECONNRESET) {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
