soak: servers answer some requests that may run once in a random form

The promise that a booking runs at most once was tested against processes and connections that fail, never against answers that contradict themselves: the stand-ins spoiled the bodies of streams only.

One request in 25 of bookings and of streams that may not be resumed now gets an answer that standin/answer draws; its server has run the request unless the answer is a sound refusal.

--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -31,6 +31,9 @@
 	zoneCount      = 3
 	// spoiledOneIn is the number of streams of which an engine spoils one.
 	spoiledOneIn = 50
+	// unsoundOneIn is the number of requests that may run once of which a server answers one in a
+	// random form, which may contradict itself.
+	unsoundOneIn = 25
 )
 
 // zoneRegions has the region of each failure domain.
@@ -212,7 +215,8 @@
 	s.startMilliseconds = time.Now().UnixMilli()
 	s.arguments = []string{
 		"site", "--listen", s.address, "--id", s.id, "--service", s.service, "--record", s.recordPath, "--born", strconv.FormatInt(s.startMilliseconds, 10),
-		"--events", strconv.Itoa(eventsPerStream),
+		"--events", strconv.Itoa(eventsPerStream), "--unsound-one-in", strconv.Itoa(unsoundOneIn),
+		"--unsound-path", "/" + string(booking) + "/", "--unsound-path", "/" + string(adviser) + "/",
 	}
 	if s.service == engineService {
 		s.arguments = append(s.arguments, "--model", modelName, "--spoiled-one-in", strconv.Itoa(spoiledOneIn))
--- a/standin/main.go
+++ b/standin/main.go
@@ -14,6 +14,8 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/standin/answer"
 )
 
 // headerReadTimeout bounds the time to read the header of a request.
@@ -50,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout, ConnContext: answer.ConnContext}
 	logger.Info().Str("address", listener.Addr().String()).Msg("listening")
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/persimmonmux/persimmonmux/standin/answer"
 )
 
 // Settings are the settings of a Server, as flags of the standin command.
@@ -34,7 +36,11 @@
 	Events   int           `long:"events" default:"12" description:"events of a stream"`
 	EventGap time.Duration `long:"event-gap" default:"20ms" description:"time between two events"`
 	// SpoiledOneIn is the number of streams of which an engine spoils one; 0 means none.
-	SpoiledOneIn int           `long:"spoiled-one-in" description:"number of streams of which one is spoiled; 0 for none"`
+	SpoiledOneIn int `long:"spoiled-one-in" description:"number of streams of which one is spoiled; 0 for none"`
+	// UnsoundOneIn is the number of requests of which one gets an answer in a random form, which may
+	// contradict itself. It concerns the requests whose path begins with one of UnsoundPaths.
+	UnsoundOneIn int           `long:"unsound-one-in" description:"number of requests of which one gets a random answer; 0 for none"`
+	UnsoundPaths []string      `long:"unsound-path" description:"begin of the paths of such requests; may be repeated"`
 	RunDuration  time.Duration `long:"work" default:"20ms" description:"time of a request to a plain service"`
 }
 
@@ -107,6 +113,7 @@
 // request to the service.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.initialize()
+	onReused := answer.MarkUsed(r.Context())
 	attempt := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", attempt)
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.ID {
@@ -121,9 +128,9 @@
 	case route == "GET /healthz":
 		w.Header().Set("X-Instance-Id", s.ID)
 	case s.Model != "":
-		s.serveStream(w, r, attempt)
+		s.serveStream(w, r, attempt, s.drawAnswer(r, attempt, onReused))
 	default:
-		s.serveServiceRequest(w, r, attempt)
+		s.serveServiceRequest(w, r, attempt, s.drawAnswer(r, attempt, onReused))
 	}
 }
 
@@ -154,14 +161,23 @@
 	s.running--
 }
 
-// serveServiceRequest runs a request to a plain service, if a slot is free.
-func (s *Server) serveServiceRequest(w http.ResponseWriter, r *http.Request, attempt string) {
+// serveServiceRequest runs a request to a plain service, if a slot is free. It sends the drawn
+// answer if that is not nil.
+func (s *Server) serveServiceRequest(w http.ResponseWriter, r *http.Request, attempt string, drawn *drawnAnswer) {
 	if !s.acquireSlot(w) {
 		return
 	}
 	defer s.releaseSlot()
+	if drawn.isRefusal() {
+		drawn.write(w)
+		return
+	}
 	s.Record(Record{Kind: Ran, Server: s.ID, Service: s.Service, Born: s.Born, Attempt: attempt, Target: r.RequestURI})
 	time.Sleep(s.RunDuration)
+	if drawn != nil {
+		drawn.write(w)
+		return
+	}
 	w.Header().Set("X-Response-Signature", "signed-"+attempt)
 	body := Body(attempt)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -169,8 +185,8 @@
 }
 
 // serveStream runs a request to an engine and streams its events, after the last event
-// that the client has.
-func (s *Server) serveStream(w http.ResponseWriter, r *http.Request, attempt string) {
+// that the client has. It sends the drawn answer if that is not nil.
+func (s *Server) serveStream(w http.ResponseWriter, r *http.Request, attempt string, drawn *drawnAnswer) {
 	model, name, _ := strings.Cut(r.Header.Get("X-Model"), "/")
 	expected, _ := strconv.Atoi(r.Header.Get("X-Expect-Version"))
 	version, ok := s.acquireAdapter(model, name, expected)
@@ -183,11 +199,19 @@
 		return
 	}
 	defer s.releaseSlot()
+	if drawn.isRefusal() {
+		drawn.write(w)
+		return
+	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	s.Record(Record{
 		Kind: Ran, Server: s.ID, Service: s.Service, Born: s.Born, Attempt: attempt, Target: r.RequestURI,
 		Adapter: name, Version: version, LastEvent: last,
 	})
+	if drawn != nil {
+		drawn.write(w)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Response-Signature", "signed-"+attempt)
 	w.Header().Set("X-Weight-Versions", strconv.Itoa(version))
