forward, front: requests that may run once survive refusals without an id

A server that refuses without an attempt id, as the platform's own example of a full server does, cost its callers a 502 for each request that may run once and went there on a kept connection: such a refusal may belong to an earlier request on that connection, and proves nothing.

--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -50,6 +50,8 @@
 	Timeout time.Duration
 	// Version is the adapter version that the engine must hold; 0 means any.
 	Version int
+	// NewConnection means that the request goes over a connection that has carried no other one.
+	NewConnection bool
 	// Priority ranges from 0, the most urgent, to 9. A negative value means that
 	// no priority is sent.
 	Priority int
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -138,6 +138,8 @@
 	RunEnds  RunEnds
 	Recorder Recorder
 	Log      zerolog.Logger
+
+	namelessRefusals namelessRefusals
 }
 
 // ErrHostStopping is the cause of the end of a request's context that is not due to its client:
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -12,8 +12,9 @@
 // send sends the request to a server once and handles the response.
 func (f *Forwarder) send(ctx context.Context, p *progress, server *site.Server, want balance.ServerRequirements) *verdict.Error {
 	options := SendOptions{
-		Timeout:  time.Until(p.deadline),
-		Priority: -1,
+		Timeout:       time.Until(p.deadline),
+		Priority:      -1,
+		NewConnection: !p.route.Repeatable() && f.namelessRefusals.has(server.ID, time.Now()),
 	}
 	if want.Adapter.Model != "" {
 		options.Priority = min(2*p.route.Priority, 9)
@@ -41,6 +42,9 @@
 	if head.Evidence.IsStated {
 		f.recordRefusal(p, server, head)
 	}
+	if head.Evidence.IsStated && head.Evidence.NamesNoRequest {
+		f.namelessRefusals.record(server.ID, time.Now())
+	}
 	if head.ProvesNotRun() {
 		response.Discard()
 		return f.recordRejection(p, server, want, head)
@@ -55,7 +59,7 @@
 		return f.resend(ctx, p)
 	}
 	if head.PromisesNotRun() && (!p.route.Repeatable() || head.Evidence.IsStated) {
-		response.Discard()
+		response.Abort()
 		p.tried = append(p.tried, server.ID)
 		return verdict.NewMayHaveRun(verdict.CodeBackendRefused, nil, "server %s responded with status %d, which does not prove that the request did not run: %s",
 			server.ID, head.Status, head.Evidence.Doubt())
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -53,7 +53,7 @@
 		Body:    e.body,
 		// A server that repeats its refusal on a kept connection cannot be told from one
 		// that refuses the request again.
-		NewConnection: slices.Contains(e.refusedBy, server.ID),
+		NewConnection: options.NewConnection || slices.Contains(e.refusedBy, server.ID),
 	}
 	in, wrote, err := e.server.ConnectionPool.Do(ctx, out)
 	if err != nil {
--- a/transport/front/refusal.go
+++ b/transport/front/refusal.go
@@ -65,13 +65,17 @@
 }
 
 // isOwn reports whether the response has the attempt id of the request and no other one. Only a
-// refusal may lack an id.
+// refusal may lack an id, also one that proves nothing for that reason.
 func (r *response) isOwn() bool {
-	switch {
-	case r.evidence.NamesOtherRequest:
+	if r.evidence.NamesOtherRequest {
 		return false
-	case r.evidence.IsStated:
-		return !r.evidence.NamesNoRequest || r.evidence.Doubt() == refusal.None
 	}
-	return !r.evidence.NamesNoRequest || r.exchange.request.Header.Get(platform.HeaderAttemptID) == ""
+	if !r.evidence.NamesNoRequest {
+		return true
+	}
+	if !r.evidence.IsStated {
+		return r.exchange.request.Header.Get(platform.HeaderAttemptID) == ""
+	}
+	doubt := r.evidence.Doubt()
+	return doubt == refusal.None || doubt == refusal.UnnamedRequest
 }
--- a/transport/front/repeatedrefusal_test.go
+++ b/transport/front/repeatedrefusal_test.go
@@ -61,3 +61,34 @@
 	c.Check(body, quicktest.Equals, "answer")
 	c.Check(runs, quicktest.Equals, 1)
 }
+
+// TestNamelessRefusalsCostFewRequests guards against requests that may run once and fail each time
+// that their server refuses them without an attempt id: on a kept connection such a refusal may
+// belong to another request.
+func TestNamelessRefusalsCostFewRequests(t *testing.T) {
+	c := quicktest.New(t)
+	refused := make(map[string]bool)
+	b := startBackend(c, func(_ int, conn net.Conn, r *http.Request) bool {
+		if id := r.Header.Get("X-Attempt-Id"); r.URL.Path != "/safe/x" && !refused[id] {
+			refused[id] = true
+			fmt.Fprint(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		return success(conn, r, "answer")
+	})
+	front := startFront(c, syncedViews(), b)
+	failed := 0
+	for n := range 10 {
+		// Leaves a kept connection behind.
+		_, _, err := sendRequestAs(fmt.Sprintf("safe-%d", n), front, "GET", "/safe/x", "")
+		c.Assert(err, quicktest.IsNil)
+		answer, _, err := sendRequestAs(fmt.Sprintf("unsafe-%d", n), front, "POST", "/unsafe/x", "body")
+		c.Assert(err, quicktest.IsNil)
+		if answer.StatusCode != http.StatusOK {
+			c.Check(answer.StatusCode, quicktest.Equals, http.StatusBadGateway)
+			failed++
+		}
+	}
+	c.Check(failed, quicktest.Equals, 1)
+	c.Check(b.count(), quicktest.Equals, 29)
+}
