soak: no two engines work on one stream for long

Engines record the end of each run now, and a stream at which an engine still works 400 ms after another one has begun breaks a promise, outside faults that keep the close of its connection from the engine.

--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -179,7 +179,7 @@
 	}
 	sort.Strings(list)
 	return fmt.Sprintf("%d requests, %d answered, %d refused, %d other; %d runs; %d promises of planned work; faults: %s",
-		len(e.attempts), whole, refused, other, len(e.records), len(e.promises), strings.Join(list, ", "))
+		len(e.attempts), whole, refused, other, e.countRuns(), len(e.promises), strings.Join(list, ", "))
 }
 
 // must panics on an error of the soak test itself, which makes the run meaningless.
--- a/internal/soak/verify.go
+++ b/internal/soak/verify.go
@@ -31,6 +31,17 @@
 	promises []promise
 }
 
+// countRuns returns the number of runs at all servers.
+func (e *evidence) countRuns() int {
+	count := 0
+	for i := range e.records {
+		if e.records[i].Kind == site.Ran {
+			count++
+		}
+	}
+	return count
+}
+
 // attemptsPerRequest is the maxAttempts of the routes whose requests may run again.
 const attemptsPerRequest = 2
 
@@ -45,22 +56,54 @@
 	for _, a := range e.attempts {
 		byID[a.id] = a
 	}
-	runs := make(map[string][]*run)
+	runs, ends := make(map[string][]*run), make(map[string][]*site.Record)
 	for i := range e.records {
 		r := &e.records[i]
-		if r.Kind == site.Fault {
+		switch r.Kind {
+		case site.Fault:
 			note("orders", "%s: %s", r.Server, r.Reason)
 			continue
+		case site.Ended:
+			ends[r.Attempt] = append(ends[r.Attempt], r)
+			continue
 		}
 		runs[r.Attempt] = append(runs[r.Attempt], r)
 		checkRun(e, r, byID[r.Attempt], note)
 	}
 	for _, a := range e.attempts {
 		checkAttempt(e, a, runs[a.id], note)
+		checkOverlap(e, a, runs[a.id], ends[a.id], note)
 	}
 	return broken
 }
 
+// overlapLimit is how long an engine may work on a stream after another one has begun to.
+const overlapLimit = 400 * time.Millisecond
+
+// checkOverlap checks that no two servers work on an attempt at once, unless faults keep the first
+// one from learning that its connection is closed.
+func checkOverlap(e *evidence, a *attempt, runs []*run, ends []*site.Record, note func(promise, format string, arguments ...any)) {
+	for _, end := range ends {
+		for _, r := range runs {
+			if r.Server == end.Server || !r.At.After(startOf(end, runs)) || end.At.Sub(r.At) <= overlapLimit || !e.isCalm(a.sent) || !e.isCalm(end.At) {
+				continue
+			}
+			note("one server at a time", "%s %s at %s: %s worked on it for %s after %s had begun", a.kind, a.id, a.host, end.Server, end.At.Sub(r.At), r.Server)
+		}
+	}
+}
+
+// startOf returns the start of the run with the end: the last one before it at its server.
+func startOf(end *site.Record, runs []*run) time.Time {
+	var start time.Time
+	for _, r := range runs {
+		if r.Server == end.Server && r.Born == end.Born && r.At.Before(end.At) && r.At.After(start) {
+			start = r.At
+		}
+	}
+	return start
+}
+
 // checkRun checks a run against the attempt that it belongs to, and against the
 // promises of the planned work. The attempt is nil if no caller made it.
 func checkRun(e *evidence, r *run, a *attempt, note func(promise, format string, arguments ...any)) {
--- a/internal/soak/verify_test.go
+++ b/internal/soak/verify_test.go
@@ -27,11 +27,25 @@
 	onAdapter.Adapter = "a2"
 	elsewhere := ran("1", booking, time.Second)
 	elsewhere.Target = "/booking/y?id=1"
+	resumed := &attempt{id: "1", kind: chat, sent: at(1), ended: at(2 * time.Second), status: http.StatusOK, complete: true}
+	runOn := func(server string, after time.Duration) site.Record {
+		r := ran("1", chat, after)
+		r.Server = server
+		return r
+	}
+	ended := func(after time.Duration) site.Record {
+		return site.Record{Kind: site.Ended, At: at(after), Server: "s1", Attempt: "1"}
+	}
 	for _, test := range []struct {
 		name string
 		e    evidence
 		want string
 	}{
+		{"resumed after the end", evidence{calm: calm, attempts: []*attempt{resumed}, records: []site.Record{runOn("s1", 2), ended(3), runOn("s2", 4)}}, ""},
+		{"resumed just before the end", evidence{calm: calm, attempts: []*attempt{resumed}, records: []site.Record{runOn("s1", 2), runOn("s2", 4), ended(overlapLimit)}}, ""},
+		{"resumed while it runs", evidence{calm: calm, attempts: []*attempt{resumed}, records: []site.Record{runOn("s1", 2), runOn("s2", 4), ended(time.Second)}}, "one server at a time"},
+		{"begun before, ended later", evidence{calm: calm, attempts: []*attempt{resumed}, records: []site.Record{runOn("s2", 2), runOn("s1", 4), ended(time.Second)}}, ""},
+		{"resumed while it runs beside faults", evidence{attempts: []*attempt{resumed}, records: []site.Record{runOn("s1", 2), runOn("s2", 4), ended(time.Second)}}, ""},
 		{"answered once", evidence{attempts: []*attempt{answered}, records: []site.Record{ran("1", booking, time.Second)}}, ""},
 		{"wrong answer", evidence{attempts: []*attempt{{id: "1", kind: booking, status: 200, complete: true, mismatch: "body"}}, records: []site.Record{ran("1", booking, 0)}}, "own answer"},
 		{"answered without a run", evidence{attempts: []*attempt{answered}}, "own answer"},
--- a/standin/site/record.go
+++ b/standin/site/record.go
@@ -16,13 +16,15 @@
 const (
 	// Ran is the start of the run of a request.
 	Ran RecordKind = "ran"
+	// Ended is the end of a run on an engine.
+	Ended RecordKind = "ended"
 	// Fault is a protocol violation by the sender of an order, which the server
 	// detected itself.
 	Fault RecordKind = "fault"
 )
 
 // A Record is one event on a server, as a line of its record file. Adapter, Version and
-// LastEvent are set for runs on engines, Reason for faults.
+// LastEvent are set for the start of runs on engines, Reason for faults.
 type Record struct {
 	Kind    RecordKind `json:"kind"`
 	At      time.Time  `json:"at"`
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -208,6 +208,7 @@
 		Kind: Ran, Server: s.ID, Service: s.Service, Born: s.Born, Attempt: attempt, Target: r.RequestURI,
 		Adapter: name, Version: version, LastEvent: last,
 	})
+	defer s.Record(Record{Kind: Ended, Server: s.ID, Service: s.Service, Born: s.Born, Attempt: attempt})
 	if drawn != nil {
 		drawn.write(w)
 		return
--- a/standin/site/server_test.go
+++ b/standin/site/server_test.go
@@ -72,15 +72,17 @@
 	qt.Check(t, status, qt.Equals, http.StatusMisdirectedRequest)
 	status, _ = stream("X-Expect-Instance", "other")
 	qt.Check(t, status, qt.Equals, http.StatusMisdirectedRequest)
-	qt.Assert(t, f.records, qt.HasLen, 1)
+	qt.Assert(t, f.records, qt.HasLen, 2)
+	qt.Check(t, f.records[1].Kind, qt.Equals, Ended)
+	qt.Check(t, f.records[1].Attempt, qt.Equals, "1")
 
 	qt.Check(t, load("a2", "h1", "5", "1"), qt.Equals, http.StatusConflict)
 	qt.Check(t, load("a1", "h2", "5", "1"), qt.Equals, http.StatusOK)
 	qt.Check(t, load("a1", "h2", "4", "1"), qt.Equals, http.StatusOK)
-	qt.Assert(t, f.records, qt.HasLen, 4)
-	qt.Check(t, f.records[1].Reason, qt.Matches, ".* beyond the slots")
-	qt.Check(t, f.records[2].Reason, qt.Matches, "order of h2 after one of h1 .*")
+	qt.Assert(t, f.records, qt.HasLen, 5)
+	qt.Check(t, f.records[2].Reason, qt.Matches, ".* beyond the slots")
 	qt.Check(t, f.records[3].Reason, qt.Matches, "order of h2 after one of h1 .*")
+	qt.Check(t, f.records[4].Reason, qt.Matches, "order of h2 after one of h1 .*")
 }
 
 // TestSpoiledStreams guards against a stand-in that spoils nothing, or every stream, or in some
