--- a/coordination/refusal/evidence.go
+++ b/coordination/execution/evidence.go
@@ -1,6 +1,6 @@
-// Package refusal decides whether an answer proves that its request did not run. It depends on no
+// Package execution decides whether an answer proves that its request did not run. It depends on no
 // encoding of answers: each transport fills in an Evidence from what its protocol has.
-package refusal
+package execution
 
 // An Evidence is all that an answer and its connection say about whether the request ran. The zero
 // value is that of an answer that does not speak of it.
--- a/coordination/refusal/evidence_test.go
+++ b/coordination/execution/evidence_test.go
@@ -1,4 +1,4 @@
-package refusal
+package execution
 
 import (
 	"reflect"
--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
-	"github.com/persimmonmux/persimmonmux/coordination/refusal"
+	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
@@ -71,7 +71,7 @@
 	// IsPart means that the body is a part of the whole one, for which the request did not ask.
 	IsPart bool
 	// Evidence is what the response says about whether the request ran.
-	Evidence refusal.Evidence
+	Evidence execution.Evidence
 	// Misdirected means that another server has the address now, or that the
 	// engine does not hold the adapter in the expected version.
 	Misdirected bool
@@ -96,7 +96,7 @@
 
 // ProvesNotRun reports whether the response proves that the request did not run.
 func (h ResponseHead) ProvesNotRun() bool {
-	return h.Evidence.Doubt() == refusal.None
+	return h.Evidence.Doubt() == execution.None
 }
 
 // PromisesNotRun reports whether the status promises a client that its request has not run and
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -9,7 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
-	"github.com/persimmonmux/persimmonmux/coordination/refusal"
+	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
@@ -61,8 +61,8 @@
 	// delivered.
 	RecordRequest(route *site.Route, service site.ServiceName, arrived time.Time, sends int, placementWait time.Duration, failure *verdict.Error)
 	// RecordRefusal is called for each response of a server that states that its request did not
-	// run. doubt is why that is not proved, or refusal.None.
-	RecordRefusal(service site.ServiceName, doubt refusal.Doubt)
+	// run. doubt is why that is not proved, or execution.None.
+	RecordRefusal(service site.ServiceName, doubt execution.Doubt)
 }
 
 // RunEnds learns which requests for adapters have ended on engines.
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
-	"github.com/persimmonmux/persimmonmux/coordination/refusal"
+	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
@@ -80,7 +80,7 @@
 func (r *fakeSystem) BlockedFor(site.ServiceName, []string) time.Duration         { return 0 }
 func (r *fakeSystem) RecordInterruption(context.Context, *site.Server, []string)  {}
 func (r *fakeSystem) RecordSound(site.ServiceName, []string)                      {}
-func (r *fakeSystem) RecordRefusal(site.ServiceName, refusal.Doubt)               {}
+func (r *fakeSystem) RecordRefusal(site.ServiceName, execution.Doubt)             {}
 func (r *fakeSystem) AllowRetry(string) bool                                      { r.retriesLeft--; return r.retriesLeft >= 0 }
 func (r *fakeSystem) RecordRequest(*site.Route, site.ServiceName, time.Time, int, time.Duration, *verdict.Error) {
 }
@@ -302,7 +302,7 @@
 		r := newFakeSystem(chatRoute)
 		r.onSend = func(n int) (Response, error) {
 			if n == 1 {
-				return fakeResponse{head: ResponseHead{Status: 421, Evidence: refusal.Evidence{IsStated: true}, Misdirected: true, FromExpectedServer: true}}, nil
+				return fakeResponse{head: ResponseHead{Status: 421, Evidence: execution.Evidence{IsStated: true}, Misdirected: true, FromExpectedServer: true}}, nil
 			}
 			return fakeResponse{head: ResponseHead{Status: 200, IsSigned: true, IsEventStream: true}}, nil
 		}
@@ -319,7 +319,7 @@
 func TestRetriesKeepToRouteAndBudget(t *testing.T) {
 	lost := func(int) (Response, error) { return nil, verdict.NewMayHaveRun(verdict.CodeBackendLost, nil, "lost") }
 	full := func(int) (Response, error) {
-		return fakeResponse{head: ResponseHead{Status: 503, Evidence: refusal.Evidence{IsStated: true}}}, nil
+		return fakeResponse{head: ResponseHead{Status: 503, Evidence: execution.Evidence{IsStated: true}}}, nil
 	}
 	for _, test := range []struct {
 		name    string
--- a/coordination/forward/ratelimit_test.go
+++ b/coordination/forward/ratelimit_test.go
@@ -15,7 +15,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/adapter"
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
 	"github.com/persimmonmux/persimmonmux/coordination/duty"
-	"github.com/persimmonmux/persimmonmux/coordination/refusal"
+	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
@@ -167,7 +167,7 @@
 func (s *limitedSite) BlockedFor(site.ServiceName, []string) time.Duration        { return 0 }
 func (s *limitedSite) RecordInterruption(context.Context, *site.Server, []string) {}
 func (s *limitedSite) RecordSound(site.ServiceName, []string)                     {}
-func (s *limitedSite) RecordRefusal(site.ServiceName, refusal.Doubt)              {}
+func (s *limitedSite) RecordRefusal(site.ServiceName, execution.Doubt)            {}
 
 func (s *limitedSite) RecordRequest(*site.Route, site.ServiceName, time.Time, int, time.Duration, *verdict.Error) {
 }
--- a/internal/fronthost/recorder.go
+++ b/internal/fronthost/recorder.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/persimmonmux/persimmonmux/coordination/refusal"
+	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/request"
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -31,6 +31,6 @@
 }
 
 // RecordRefusal records a server's response stating that a request did not run.
-func (r *recorder) RecordRefusal(service site.ServiceName, doubt refusal.Doubt) {
+func (r *recorder) RecordRefusal(service site.ServiceName, doubt execution.Doubt) {
 	r.metricsRecorder.RecordRefusal(configuration.ApplicationName(service), string(doubt))
 }
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/persimmonmux/persimmonmux/coordination/refusal"
+	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/protocol/engineapi"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
@@ -261,14 +261,14 @@
 		failure.Error.Message = "error body is not valid JSON"
 	}
 	code, isStated := proofs[failure.Error.Code]
-	doubt := refusal.Evidence{
+	doubt := execution.Evidence{
 		IsStated: isStated,
 		HasOtherStatus: response.StatusCode < http.StatusBadRequest ||
 			failure.Error.Code == engineapi.CodeUnknownInstance && response.StatusCode != http.StatusNotFound,
 		HasResult:       backend.HasResult(response.Header) || len(failure.Choices) > 0,
 		HasFurtherInput: response.HasFurtherInput(),
 	}.Doubt()
-	if doubt != refusal.None {
+	if doubt != execution.None {
 		return verdict.NewMayHaveRun(unprovenCode(failure.Error.Code), nil, "engine %s: status %d, code %q, no proof: %s: %s",
 			engine, response.StatusCode, failure.Error.Code, doubt, failure.Error.Message)
 	}
--- a/transport/front/refusal.go
+++ b/transport/front/evidence.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/persimmonmux/persimmonmux/coordination/refusal"
+	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/transport/backend"
 )
@@ -15,9 +15,9 @@
 
 // readEvidence returns what the response says about whether the request ran. It reads the body of a
 // response whose head proves that it did not, since a refusal counts only as a whole.
-func (r *response) readEvidence() refusal.Evidence {
+func (r *response) readEvidence() execution.Evidence {
 	e := r.readHeadEvidence()
-	if e.Doubt() != refusal.None {
+	if e.Doubt() != execution.None {
 		return e
 	}
 	e.IsIncomplete = !r.incoming.ReadToEnd(refusalTimeout)
@@ -27,13 +27,13 @@
 }
 
 // readHeadEvidence returns what the head of the response says about whether the request ran.
-func (r *response) readHeadEvidence() refusal.Evidence {
+func (r *response) readHeadEvidence() execution.Evidence {
 	status, header := r.incoming.StatusCode, r.incoming.Header
 	id := r.exchange.request.Header.Get(platform.HeaderAttemptID)
 	ids := header.Values(platform.HeaderAttemptID)
 	isMisdirected := status == http.StatusMisdirectedRequest
 	stated, denied := platform.DecodeNotExecuted(header)
-	return refusal.Evidence{
+	return execution.Evidence{
 		IsStated:           stated || denied || isMisdirected,
 		IsDenied:           denied,
 		HasOtherStatus:     !platform.IsRefusalStatus(status, id != ""),
@@ -77,5 +77,5 @@
 		return r.exchange.request.Header.Get(platform.HeaderAttemptID) == ""
 	}
 	doubt := r.evidence.Doubt()
-	return doubt == refusal.None || doubt == refusal.UnnamedRequest
+	return doubt == execution.None || doubt == execution.UnnamedRequest
 }
--- a/transport/front/exchange.go
+++ b/transport/front/exchange.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"slices"
 
+	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
-	"github.com/persimmonmux/persimmonmux/coordination/refusal"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
@@ -64,7 +64,7 @@
 		return nil, verdict.NewMayHaveRun(verdict.CodeWrongInstance, nil, "server %s: response with status %d has attempt ids %q, not that of the request",
 			server.ID, in.StatusCode, in.Header.Values(platform.HeaderAttemptID))
 	}
-	if r.evidence.Doubt() == refusal.None {
+	if r.evidence.Doubt() == execution.None {
 		e.refusedBy = append(e.refusedBy, server.ID)
 	}
 	return r, nil
--- a/transport/front/fixture_test.go
+++ b/transport/front/fixture_test.go
@@ -15,8 +15,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
+	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
-	"github.com/persimmonmux/persimmonmux/coordination/refusal"
 	"github.com/persimmonmux/persimmonmux/coordination/retry"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
@@ -132,7 +132,7 @@
 func (noRecorder) RecordRequest(*site.Route, site.ServiceName, time.Time, int, time.Duration, *verdict.Error) {
 }
 
-func (noRecorder) RecordRefusal(site.ServiceName, refusal.Doubt) {}
+func (noRecorder) RecordRefusal(site.ServiceName, execution.Doubt) {}
 
 // testIdleTimeout is the idle timeout in the desired state of the tests.
 const testIdleTimeout = 300 * time.Millisecond
--- a/transport/front/response.go
+++ b/transport/front/response.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
+	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
-	"github.com/persimmonmux/persimmonmux/coordination/refusal"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/transport/backend"
 )
@@ -23,7 +23,7 @@
 	// expectedServer is the id of the server that the request was sent to.
 	expectedServer string
 	// evidence is what the response says about whether the request ran.
-	evidence refusal.Evidence
+	evidence execution.Evidence
 	// deliveredBytes is how much of the body was sent to the caller.
 	deliveredBytes int64
 }
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/persimmonmux/persimmonmux/coordination/refusal"
+	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
@@ -218,7 +218,7 @@
 	status := response.StatusCode
 	if a.isRefusal(response) {
 		failure := verdict.NewNotRun(verdict.CodeBackendRefused, "server %s: status %d", a.server.Name, status)
-		if doubt := a.readEvidence(response).Doubt(); doubt != refusal.None {
+		if doubt := a.readEvidence(response).Doubt(); doubt != execution.None {
 			failure = verdict.NewMayHaveRun(verdict.CodeBackendRefused, nil, "server %s: status %d, which does not prove that the request did not run: %s",
 				a.server.Name, status, doubt)
 		}
@@ -244,9 +244,9 @@
 }
 
 // readEvidence returns what a refusal, whose body was read whole, says about whether the request ran.
-func (a *attempt) readEvidence(response *backend.Response) refusal.Evidence {
+func (a *attempt) readEvidence(response *backend.Response) execution.Evidence {
 	ids := response.Header.Values(headerRequestID)
-	return refusal.Evidence{
+	return execution.Evidence{
 		IsStated:           true,
 		NamesOtherRequest:  slices.ContainsFunc(ids, func(id string) bool { return id != string(a.request.ID) }),
 		NamesNoRequest:     len(ids) == 0,
