engine: a refusal whose body has fields of the wrong type proves nothing

encoding/json keeps what it has decoded before a field of the wrong type, so that a body with a completion in an odd form counted as a refusal. The part 'with a malformed completion' of TestUnsoundRefusalIsNoProof was red before.

--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -258,6 +258,7 @@
 func refusalError(engine fleet.EngineName, response *backend.Response, body []byte, proofs proofs) *verdict.Error {
 	var failure errorResponse
 	if err := json.Unmarshal(body, &failure); err != nil {
+		failure = errorResponse{}
 		failure.Error.Message = "error body is not valid JSON"
 	}
 	code, isStated := proofs[failure.Error.Code]
--- a/transport/engine/unsoundrefusal_test.go
+++ b/transport/engine/unsoundrefusal_test.go
@@ -55,6 +55,7 @@
 		{"event stream", rawRefusal("a", "Content-Type: text/event-stream\r\n", unknownInstance), verdict.MayHaveRun},
 		{"encoded", rawRefusal("a", "Content-Encoding: identity\r\n", unknownInstance), verdict.MayHaveRun},
 		{"with a completion", rawRefusal("a", "", `{"model":"kurs@3#7","choices":[{"index":0}],"error":{"code":"unknown-instance"}}`), verdict.MayHaveRun},
+		{"with a malformed completion", rawRefusal("a", "", `{"choices":"x","error":{"code":"unknown-instance"}}`), verdict.MayHaveRun},
 		{"followed by another answer", sound + sound, verdict.MayHaveRun},
 	} {
 		t.Run(test.name, func(t *testing.T) {
