--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -42,9 +42,6 @@
 	if head.Evidence.IsStated {
 		f.recordRefusal(p, server, head)
 	}
-	if head.Evidence.IsStated && head.Evidence.NamesNoRequest {
-		f.namelessRefusals.record(server.ID, time.Now())
-	}
 	if head.ProvesNotRun() {
 		response.Discard()
 		return f.recordRejection(p, server, want, head)
@@ -112,8 +109,12 @@
 	}
 }
 
-// recordRefusal logs and counts a response stating that the request did not run.
+// recordRefusal logs and counts a response stating that the request did not run, and remembers its
+// server if it does not name the request.
 func (f *Forwarder) recordRefusal(p *progress, server *site.Server, head ResponseHead) {
+	if head.Evidence.NamesNoRequest {
+		f.namelessRefusals.record(server.ID, time.Now())
+	}
 	doubt := head.Evidence.Doubt()
 	f.Recorder.RecordRefusal(p.service, doubt)
 	f.Log.Info().Str("request", p.request.AttemptID).Str("route", p.route.Name).Str("server", string(server.ID)).Int("status", head.Status).
