--- a/standin/site/unsound_test.go
+++ b/standin/site/unsound_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -19,10 +20,15 @@
 // unsoundly, so that the soak shows nothing.
 func TestUnsoundAnswers(t *testing.T) {
 	c := qt.New(t)
+	var mutex sync.Mutex
 	records := make(map[string]int)
 	s := &Server{
 		Settings: Settings{ID: "s", Slots: 8, UnsoundOneIn: 4, UnsoundPaths: []string{"/booking/"}},
-		Record:   func(r Record) { records[r.Attempt]++ },
+		Record: func(r Record) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			records[r.Attempt]++
+		},
 	}
 	server := httptest.NewUnstartedServer(s)
 	server.Config.ConnContext = answer.ConnContext
@@ -45,12 +51,14 @@
 				drawn++
 				c.Check(status, qt.Equals, d.form.Status)
 			}
+			want := 1
 			if d.isRefusal() {
 				refusals++
-				c.Check(records[attempt], qt.Equals, 0)
-				continue
+				want = 0
 			}
-			c.Check(records[attempt], qt.Equals, 1)
+			mutex.Lock()
+			c.Check(records[attempt], qt.Equals, want)
+			mutex.Unlock()
 		}
 	}
 	c.Check(drawn > 20 && drawn < 100, qt.IsTrue, qt.Commentf("%d", drawn))
--- a/transport/front/unsoundrefusal_test.go
+++ b/transport/front/unsoundrefusal_test.go
@@ -38,6 +38,8 @@
 	// sound refusal. The server has run the request otherwise.
 	answered, refused bool
 	runs              int
+	// otherRuns counts the runs of the other requests by id.
+	otherRuns map[string]int
 }
 
 // serve answers one request. It implements the function of a backendServer.
@@ -50,7 +52,10 @@
 	if inForm {
 		d.answered, d.refused = true, d.form.IsRefusal(request)
 	}
-	if isDrawn && (!inForm || !d.refused) {
+	switch {
+	case !isDrawn:
+		d.otherRuns[request.ID]++
+	case !inForm || !d.refused:
 		d.runs++
 	}
 	d.mutex.Unlock()
@@ -73,10 +78,29 @@
 	return false
 }
 
+// sendLater sends requests after the drawn one, whose server may still write on the connections. It
+// checks that each gets its own answer or none, and runs once at most if it may not be repeated.
+func sendLater(c *quicktest.C, d *drawnServer, host, route string) {
+	for n := range 3 {
+		id := fmt.Sprintf("later-%d", n)
+		response, _, err := sendRequestAs(id, host, "POST", route, "body")
+		d.mutex.Lock()
+		comment := quicktest.Commentf("%s after %s: %v", route, d.form, err)
+		if err == nil && response.StatusCode == http.StatusOK {
+			c.Check(response.Header.Get("X-Attempt-Id"), quicktest.Equals, id, comment)
+		}
+		if route == "/unsafe/x" || route == "/once/x" {
+			c.Check(d.otherRuns[id] <= 1, quicktest.IsTrue, comment)
+			c.Check(response != nil && isPromise(response.StatusCode) && d.otherRuns[id] > 0, quicktest.IsFalse, comment)
+		}
+		d.mutex.Unlock()
+	}
+}
+
 // TestUnsoundRefusalDoesNotRunRequestTwice guards against a second run of a request that may run
 // once, and against a status that says it has not run, because its server's answer states so and
 // something else in it, or on its connection, contradicts that. The request of a sound refusal has
-// to be answered by the other server.
+// to be answered by the other server. The requests after it are checked as well.
 func TestUnsoundRefusalDoesNotRunRequestTwice(t *testing.T) {
 	for seed := *firstForm; seed < *firstForm+uint64(*formCount); seed++ {
 		random := rand.New(rand.NewPCG(seed, 0))
@@ -84,7 +108,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			c := quicktest.New(t)
-			d := &drawnServer{form: form, isStream: route == "/once/x" || route == "/stream/x", used: make(map[net.Conn]bool)}
+			d := &drawnServer{form: form, isStream: route == "/once/x" || route == "/stream/x", used: make(map[net.Conn]bool), otherRuns: make(map[string]int)}
 			host := startFront(c, syncedViews(), startBackend(c, d.serve), startBackend(c, d.serve))
 			if warm {
 				for n := range 4 {
@@ -97,6 +121,7 @@
 			if response != nil {
 				status = response.StatusCode
 			}
+			sendLater(c, d, host, route)
 			d.mutex.Lock()
 			defer d.mutex.Unlock()
 			comment := quicktest.Commentf("%s, warm %t: %s; runs %d, status %d, error %v", route, warm, form, d.runs, status, err)
