--- a/internal/soak/faultfree.go
+++ b/internal/soak/faultfree.go
@@ -41,6 +41,10 @@
 	isBroken func(r *run, a *attempt) bool
 }
 
+// recoveryMark is in the attempt ids of the requests that show the recovery. Servers answer these
+// soundly: a host cannot serve a request whose only server answers it wrongly.
+const recoveryMark = "-recovery-"
+
 // awaitRecovery waits until every host serves every kind of request, which each host
 // has to within recoveryTimeout after the faults have ended. It returns a description
 // of the requests that were not served, empty if all were.
@@ -53,7 +57,7 @@
 		missing = ""
 		for i, h := range d.hosts {
 			for _, k := range kinds {
-				a := &attempt{id: fmt.Sprintf("%x-recovery-%d-%d-%s", seed, n, i, k), kind: k, host: h.name, adapter: "a1"}
+				a := &attempt{id: fmt.Sprintf("%x%s%d-%d-%s", seed, recoveryMark, n, i, k), kind: k, host: h.name, adapter: "a1"}
 				c.makeAttempt(client, h, a, false)
 				if !a.complete || a.mismatch != "" {
 					missing += fmt.Sprintf(" %s at %s: status %d %s %v;", k, h.name, a.status, a.mismatch, a.failure)
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -39,9 +39,12 @@
 	SpoiledOneIn int `long:"spoiled-one-in" description:"number of streams of which one is spoiled; 0 for none"`
 	// UnsoundOneIn is the number of requests of which one gets an answer in a random form, which may
 	// contradict itself. It concerns the requests whose path begins with one of UnsoundPaths.
-	UnsoundOneIn int           `long:"unsound-one-in" description:"number of requests of which one gets a random answer; 0 for none"`
-	UnsoundPaths []string      `long:"unsound-path" description:"begin of the paths of such requests; may be repeated"`
-	RunDuration  time.Duration `long:"work" default:"20ms" description:"time of a request to a plain service"`
+	UnsoundOneIn int      `long:"unsound-one-in" description:"number of requests of which one gets a random answer; 0 for none"`
+	UnsoundPaths []string `long:"unsound-path" description:"begin of the paths of such requests; may be repeated"`
+	// SoundMark is a part of the attempt ids of requests that are answered soundly in any case; empty
+	// for none.
+	SoundMark   string        `long:"sound-mark" description:"part of the attempt ids of requests that are answered soundly"`
+	RunDuration time.Duration `long:"work" default:"20ms" description:"time of a request to a plain service"`
 }
 
 // A Server is one stand-in backend server. It implements http.Handler and is safe for
@@ -93,6 +96,11 @@
 	return fmt.Sprintf("id: %d\ndata: %016x\n\n", number, xxhash.Sum64String(attempt+"/"+strconv.Itoa(number)))
 }
 
+// isSpared reports whether the request of an attempt is answered soundly in any case.
+func (s *Server) isSpared(attempt string) bool {
+	return s.SoundMark != "" && strings.Contains(attempt, s.SoundMark)
+}
+
 // Body returns the body of a plain service's answer to an attempt.
 func Body(attempt string) string {
 	return fmt.Sprintf("%s answered %016x", attempt, xxhash.Sum64String(attempt))
