--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -4,16 +4,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
-	"github.com/persimmonmux/persimmonmux/protocol/engineapi"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 	"github.com/persimmonmux/persimmonmux/transport/backend"
@@ -100,96 +96,6 @@
 	return verdict.NewNotRun(verdict.CodeStopping, "engine client: closed")
 }
 
-// Load loads the adapter of the instance. The error is a *verdict.Error; verdict NotRun
-// proves that this order did not load the instance.
-func (c *Client) Load(ctx context.Context, engine fleet.Engine, instance fleet.Instance, epoch fleet.Epoch) error {
-	endCall, err := c.beginCall()
-	if err != nil {
-		return err
-	}
-	defer endCall()
-	order := engineapi.LoadRequest{LoraName: instance.String(), LoraPath: instance.Adapter.String()}
-	return c.sendOrder(ctx, engine, engineapi.PathLoad, order, &epoch, orDefault(c.LoadTimeout, defaultLoadTimeout))
-}
-
-// Unload removes the instance from the engine and frees its adapter slot. The error is
-// a *verdict.Error; code unknown-instance means that the instance was not loaded.
-func (c *Client) Unload(ctx context.Context, engine fleet.Engine, instance fleet.Instance, epoch fleet.Epoch) error {
-	endCall, err := c.beginCall()
-	if err != nil {
-		return err
-	}
-	defer endCall()
-	order := engineapi.UnloadRequest{LoraName: instance.String()}
-	return c.sendOrder(ctx, engine, engineapi.PathUnload, order, &epoch, orDefault(c.OrderTimeout, defaultOrderTimeout))
-}
-
-// Cancel stops a request on the engine. A nil error means that the request does not run
-// there. The error is a *verdict.Error.
-func (c *Client) Cancel(ctx context.Context, engine fleet.Engine, request fleet.RequestID) error {
-	endCall, err := c.beginCall()
-	if err != nil {
-		return err
-	}
-	defer endCall()
-	return c.sendCancel(ctx, engine, request)
-}
-
-// sendCancel sends a cancel order. It is Cancel for code that has already called
-// beginCall.
-func (c *Client) sendCancel(ctx context.Context, engine fleet.Engine, request fleet.RequestID) error {
-	order := engineapi.CancelRequest{RequestID: string(request)}
-	return c.sendOrder(ctx, engine, engineapi.PathCancel, order, nil, orDefault(c.OrderTimeout, defaultOrderTimeout))
-}
-
-// ReadReport returns the start number, instances and load that the engine reports. The
-// error is a *verdict.Error.
-func (c *Client) ReadReport(ctx context.Context, engine fleet.Engine) (fleet.EngineReport, error) {
-	endCall, err := c.beginCall()
-	if err != nil {
-		return fleet.EngineReport{}, err
-	}
-	defer endCall()
-	ctx, cancel := context.WithTimeout(ctx, orDefault(c.OrderTimeout, defaultOrderTimeout))
-	defer cancel()
-	body, err := c.roundTrip(ctx, &c.httpClient, engine, http.MethodGet, engineapi.PathReport, nil, nil)
-	if err != nil {
-		return fleet.EngineReport{}, err
-	}
-	var report engineapi.EngineReport
-	if err := json.Unmarshal(body, &report); err != nil {
-		return fleet.EngineReport{}, verdict.NewMayHaveRun(verdict.CodeIncomplete, err, "engine %s: report is not valid JSON", engine.Name)
-	}
-	return fleet.EngineReport{
-		Start:     fleet.StartNumber(report.Start),
-		Instances: report.Instances,
-		Running:   report.Running,
-		Waiting:   report.Waiting,
-	}, nil
-}
-
-// sendOrder sends an order as JSON and waits until the engine has carried it out. A
-// non-nil epoch is sent as the fencing number. Its error is a *verdict.Error.
-func (c *Client) sendOrder(ctx context.Context, engine fleet.Engine, path string, order any, epoch *fleet.Epoch, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	content, err := json.Marshal(order)
-	if err != nil {
-		return verdict.NewNotRun(verdict.CodeInternal, "engine %s: encode order: %v", engine.Name, err)
-	}
-	header := http.Header{"Content-Type": {contentTypeJSON}}
-	if epoch != nil {
-		header.Set(engineapi.HeaderFencingNumber, strconv.FormatUint(uint64(*epoch), 10))
-	}
-	endCall, err := c.orderClient.BeginCall()
-	if err != nil {
-		return errClosed()
-	}
-	defer endCall()
-	_, err = c.roundTrip(ctx, &c.orderClient, engine, http.MethodPost, path, header, content)
-	return err
-}
-
 // roundTrip sends one request and returns the whole body of a response with status 200.
 // It must run between beginCall and the end of that call. Its error is a
 // *verdict.Error.
@@ -236,64 +142,6 @@
 	return failure
 }
 
-// proofs has the codes of refusals that prove that an engine did nothing.
-type proofs map[string]verdict.Code
-
-// The proofs depend on what was sent, and not on the response alone: a code that belongs to
-// another kind of request proves nothing.
-var (
-	completionProofs = proofs{
-		engineapi.CodeUnknownInstance: verdict.CodeUnknownInstance,
-	}
-	orderProofs = proofs{
-		engineapi.CodeUnknownInstance:    verdict.CodeUnknownInstance,
-		engineapi.CodeStaleFencingNumber: verdict.CodeNotOwner,
-		engineapi.CodeNoFreeSlot:         verdict.CodeLoadFailed,
-		engineapi.CodeLoadFailed:         verdict.CodeLoadFailed,
-	}
-)
-
-// refusalError returns the error for a response with another status than 200. Its verdict is
-// NotRun only if the code is one of the proofs and nothing else in the response contradicts it.
-func refusalError(engine fleet.EngineName, response *backend.Response, body []byte, proofs proofs) *verdict.Error {
-	var failure errorResponse
-	if err := json.Unmarshal(body, &failure); err != nil {
-		failure = errorResponse{}
-		failure.Error.Message = "error body is not valid JSON"
-	}
-	code, isStated := proofs[failure.Error.Code]
-	doubt := execution.Evidence{
-		IsStated: isStated,
-		HasOtherStatus: response.StatusCode < http.StatusBadRequest ||
-			failure.Error.Code == engineapi.CodeUnknownInstance && response.StatusCode != http.StatusNotFound,
-		HasResult:       backend.HasResult(response.Header) || len(failure.Choices) > 0,
-		HasFurtherInput: response.HasFurtherInput(),
-	}.Doubt()
-	if doubt != execution.None {
-		return verdict.NewMayHaveRun(unprovenCode(failure.Error.Code), nil, "engine %s: status %d, code %q, no proof: %s: %s",
-			engine, response.StatusCode, failure.Error.Code, doubt, failure.Error.Message)
-	}
-	return verdict.NewNotRun(code, "engine %s: %s", engine, failure.Error.Message)
-}
-
-// An errorResponse is the body of a refusal. Choices is what only the response of a run has.
-type errorResponse struct {
-	engineapi.ErrorBody
-
-	Choices []json.RawMessage `json:"choices"`
-}
-
-// unprovenCode returns the code of a failure that does not prove that the request did
-// not run. An engine cancels a request early at the time limit sent with it or when the
-// owner cancels it at the end of its grant. That may reach the client before its own
-// deadline, so a cancellation counts as a passed deadline.
-func unprovenCode(code string) verdict.Code {
-	if code == engineapi.CodeCanceled {
-		return verdict.CodeDeadline
-	}
-	return verdict.CodeBackendRefused
-}
-
 // orDefault returns the configured timeout, or the default if it is zero.
 func orDefault(configured, defaultTimeout time.Duration) time.Duration {
 	if configured == 0 {
