backend: bytes after a response in chunks are seen as well

A booking behind serve could run twice after a refusal in chunks that was followed by an answer: Response.HasFurtherInput knew only of bodies with a length. chunkScanner follows the sizes of chunks. The part 'in chunks, followed by an answer' of TestUnsoundRefusalIsNoProof was red before.

--- a/transport/backend/countingconn.go
+++ b/transport/backend/countingconn.go
@@ -72,11 +72,15 @@
 	return c.head.fields
 }
 
-// bodyBytes returns how many bytes were read after the header of the response.
-func (c *countingConn) bodyBytes() int64 {
+// bytesAfter returns how many bytes were read after a body of the given length, or after a body in
+// chunks if the length is less than 0.
+func (c *countingConn) bytesAfter(length int64) int64 {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.head.bodyBytes
+	if length < 0 {
+		return c.head.chunks.bytesAfter
+	}
+	return c.head.bodyBytes - length
 }
 
 // retire makes further writes fail with errWritesBlocked.
--- a/transport/backend/headscanner.go
+++ b/transport/backend/headscanner.go
@@ -27,8 +27,10 @@
 	ended bool
 	// fields is what the current header has.
 	fields framingFields
-	// bodyBytes is the number of bytes after the final header.
+	// bodyBytes is the number of bytes after the final header, and chunks follows them if it has a
+	// Transfer-Encoding.
 	bodyBytes int64
+	chunks    chunkScanner
 }
 
 // framingFields says which framing fields a header has, and whether some may be hidden.
@@ -39,7 +41,8 @@
 	hasFoldedLine bool
 }
 
-// scan looks at the next bytes from the server. It only counts those after the final header.
+// scan looks at the next bytes from the server. Of those after the final
+// header it follows only the framing.
 func (s *headScanner) scan(data []byte) {
 	for !s.ended && len(data) > 0 {
 		part, rest, lineEnded := bytes.Cut(data, []byte("\n"))
@@ -55,6 +58,9 @@
 		data = rest
 	}
 	s.bodyBytes += int64(len(data))
+	if s.fields.hasTransferEncoding {
+		s.chunks.scan(data)
+	}
 }
 
 // endLine looks at the begin of a line.
--- a/transport/backend/response.go
+++ b/transport/backend/response.go
@@ -47,12 +47,12 @@
 }
 
 // HasFurtherInput reports whether bytes have arrived after the response, whose body must have been
-// read to its end. It knows only of responses with a length that are not answers to HEAD.
+// read to its end. An answer to HEAD has no body to tell them from.
 func (r *Response) HasFurtherInput() bool {
-	if r.connection == nil || r.ContentLength < 0 || r.Request.Method == http.MethodHead {
+	if r.connection == nil || r.Request.Method == http.MethodHead {
 		return false
 	}
-	return r.connection.bodyBytes() > r.ContentLength
+	return r.connection.bytesAfter(r.ContentLength) > 0
 }
 
 // A retiredBody closes its connection when it is closed.
--- a/transport/service/unsoundrefusal_test.go
+++ b/transport/service/unsoundrefusal_test.go
@@ -48,6 +48,8 @@
 		{"encoded", refusalHead + own + "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbusy", false, verdict.MayHaveRun},
 		{"cut off", refusalHead + own + "Content-Length: 9\r\n\r\nbusy", false, verdict.MayHaveRun},
 		{"followed by an answer", refusalHead + own + "Content-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + own + "Content-Length: 2\r\n\r\n{}", false, verdict.MayHaveRun},
+		{"sound in chunks", refusalHead + own + "Transfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n", false, verdict.NotRun},
+		{"in chunks, followed by an answer", refusalHead + own + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n" + own + "Content-Length: 2\r\n\r\n{}", false, verdict.MayHaveRun},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newFixture(t)
