--- a/standin/answer/write.go
+++ b/standin/answer/write.go
@@ -11,34 +11,51 @@
 // lateDelay is the time after which a late sequel follows.
 const lateDelay = 5 * time.Millisecond
 
+// The values of the fields whose form does not depend on the request.
+var (
+	statementValues = map[Statement][]string{
+		Stated: {"1"}, StatedInWords: {"full"}, EmptyStatement: {""}, Denied: {"0"}, StatedAndDenied: {"1", "0"},
+	}
+	receiptValues = map[Receipt][]string{Signed: {"s"}, EmptySignature: {""}}
+)
+
+// idValues returns the values of the field that names the request.
+func (f Form) idValues(r Request) []string {
+	return map[ID][]string{
+		OwnID: {r.ID}, EmptyID: {""}, OtherID: {"other"}, OwnAndOtherID: {r.ID, "other"}, OtherAndOwnID: {"other", r.ID}, OwnAndEmptyID: {r.ID, ""},
+	}[f.ID]
+}
+
+// serverValues returns the values of the field that names the server.
+func (f Form) serverValues(r Request) []string {
+	return map[Server][]string{
+		ExpectedServer: {r.ExpectedServer}, OtherServer: {"i-other"}, ExpectedAndOtherOne: {r.ExpectedServer, "i-other"},
+	}[f.Server]
+}
+
+// writeFields writes a line of the head for each value, unless the protocol has no such field.
+func writeFields(head *strings.Builder, name string, values []string) {
+	if name == "" {
+		return
+	}
+	for _, value := range values {
+		fmt.Fprintf(head, "%s: %s\r\n", name, value)
+	}
+}
+
 // head returns the status line and the fields of the form.
 func (f Form) head(r Request) string {
 	var head strings.Builder
 	fmt.Fprintf(&head, "HTTP/1.1 %d Status\r\n", f.Status)
-	add := func(name string, values map[string][]string, key string) {
-		for _, value := range values[key] {
-			if name == "" {
-				continue
-			}
-			fmt.Fprintf(&head, "%s: %s\r\n", name, value)
-		}
-	}
-	add(r.Names.ID, map[string][]string{
-		string(OwnID): {r.ID}, string(EmptyID): {""}, string(OtherID): {"other"}, string(OwnAndOtherID): {r.ID, "other"},
-		string(OtherAndOwnID): {"other", r.ID}, string(OwnAndEmptyID): {r.ID, ""},
-	}, string(f.ID))
-	add(r.Names.Statement, map[string][]string{
-		string(Stated): {"1"}, string(StatedInWords): {"full"}, string(EmptyStatement): {""}, string(Denied): {"0"}, string(StatedAndDenied): {"1", "0"},
-	}, string(f.Statement))
-	add(r.Names.Receipt, map[string][]string{string(Signed): {"s"}, string(EmptySignature): {""}}, string(f.Receipt))
-	add(r.Names.Server, map[string][]string{
-		string(ExpectedServer): {r.ExpectedServer}, string(OtherServer): {"i-other"}, string(ExpectedAndOtherOne): {r.ExpectedServer, "i-other"},
-	}, string(f.Server))
+	writeFields(&head, r.Names.ID, f.idValues(r))
+	writeFields(&head, r.Names.Statement, statementValues[f.Statement])
+	writeFields(&head, r.Names.Receipt, receiptValues[f.Receipt])
+	writeFields(&head, r.Names.Server, f.serverValues(r))
 	if f.ContentType != "" {
-		head.WriteString("Content-Type: " + f.ContentType + "\r\n")
+		writeFields(&head, "Content-Type", []string{f.ContentType})
 	}
 	if f.Encoding != "" {
-		head.WriteString("Content-Encoding: " + f.Encoding + "\r\n")
+		writeFields(&head, "Content-Encoding", []string{f.Encoding})
 	}
 	return head.String()
 }
