--- a/internal/coordination/quarantine/exchange.go
+++ b/internal/coordination/quarantine/exchange.go
@@ -47,7 +47,12 @@
 			limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
 			defer cancel()
 			reply, err := q.Peers.ExchangeQuarantine(limited, address, report)
-			if err == nil && len(reply.Ends) > 0 {
+			if err != nil {
+				q.Log.Info().Err(err).Str("address", address).Int("ends", len(report.Ends)).Int("sound-traits", len(report.SoundTraits)).
+					Dur("duration", time.Since(now)).Msg("evidence could not be exchanged")
+				return
+			}
+			if len(reply.Ends) > 0 {
 				q.messages.Offer(peerReport(reply))
 			}
 		})
