quarantine: hosts send each other only the observations that the other one lacks

Cause: each exchange of evidence carried all that a host knows, in both directions, with two hosts every 0.3 s, and every 0.05 s while it changes. After 38 ends of engines with 30 waiting requests each a report has 128 KB. Hosts have links of 10 Mbit/s, the regions 60 Mbit/s together.

Each observation, an end of an engine under a request or an answer that clears one, now has the process that made it and a number. Hosts exchange how far they know the observations of each process, and then only what the other one lacks. One of the two hosts of an exchange is of the own region. Messages that wait are decided on together, because a decision about blocks takes up to 12 ms. Hosts of earlier versions exchange nothing with this one while a site is upgraded.

The tests' hosts now have the start numbers that processes have.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -113,16 +113,34 @@
 	return changed
 }
 
-// addSound records an answer that began to a request with the traits and reports whether
-// it clears them of an end. Other answers are not kept, so that their times do not grow
-// while hosts exchange them.
-func (e *evidence) addSound(set traitSet, at time.Time) bool {
-	last, ok := e.newestEnds()[set]
-	if !ok || !at.After(last) || e.soundAt[set].After(last) {
-		return false
+// addSound records an answer that began to a request with the sorted traits.
+func (e *evidence) addSound(service site.ServiceName, traits []string, at time.Time) {
+	for set := range traitSets(service, traits) {
+		if at.After(e.soundAt[set]) {
+			e.soundAt[set] = at
+		}
 	}
-	e.soundAt[set] = at
-	return true
+}
+
+// isCleared reports whether an answer that begins now to a request with the sorted traits
+// clears any of them of an end.
+func (e *evidence) isCleared(service site.ServiceName, traits []string, now time.Time) bool {
+	for set := range traitSets(service, traits) {
+		if last, ok := e.newestEnds()[set]; ok && now.After(last) && !e.soundAt[set].After(last) {
+			return true
+		}
+	}
+	return false
+}
+
+// clears reports whether any of the sorted traits is among the suspects of an end.
+func (e *evidence) clears(service site.ServiceName, traits []string) bool {
+	for set := range traitSets(service, traits) {
+		if _, ok := e.newestEnds()[set]; ok {
+			return true
+		}
+	}
+	return false
 }
 
 // newestEnds returns, for each set of suspect traits, the time of the newest end with it.
@@ -277,8 +295,9 @@
 		e.newest = nil
 	}
 	newest := e.newestEnds()
-	for set := range e.soundAt {
-		if _, ok := newest[set]; !ok {
+	for set, at := range e.soundAt {
+		// The end of which an answer clears its request may arrive later than the answer.
+		if _, ok := newest[set]; !ok && now.Sub(at) >= unusedEndAge {
 			delete(e.soundAt, set)
 		}
 	}
@@ -299,35 +318,3 @@
 	}
 	return true
 }
-
-// report returns the evidence in the form in which hosts exchange it.
-func (e *evidence) report(now time.Time) site.QuarantineReport {
-	var r site.QuarantineReport
-	for engine, known := range e.ends {
-		r.Ends = append(r.Ends, site.EngineEnd{Engine: engine, Service: known.service, Age: now.Sub(known.at), Suspects: slices.Clone(known.suspects)})
-	}
-	for set, at := range e.soundAt {
-		r.SoundTraits = append(r.SoundTraits, site.SoundTraits{Service: set.service, Traits: set.traits(), Age: now.Sub(at)})
-	}
-	return r
-}
-
-// merge adds a report of another host and reports whether it says anything new.
-func (e *evidence) merge(r site.QuarantineReport, now time.Time) bool {
-	changed := false
-	for _, reported := range r.Ends {
-		if reported.Age < 0 || reported.Age >= maxEndAge {
-			continue
-		}
-		if e.addEnd(reported.Engine, reported.Service, now.Add(-reported.Age), reported.Suspects) {
-			changed = true
-		}
-	}
-	for _, sound := range r.SoundTraits {
-		set, ok := newTraitSet(sound.Service, sound.Traits)
-		if ok && sound.Age >= 0 && e.addSound(set, now.Add(-sound.Age)) {
-			changed = true
-		}
-	}
-	return changed
-}
--- a/internal/coordination/quarantine/evidence_test.go
+++ b/internal/coordination/quarantine/evidence_test.go
@@ -32,15 +32,26 @@
 	return observation{after: after, sound: parts}
 }
 
-// apply adds the observation to the evidence.
-func (o observation) apply(e *evidence, start time.Time) {
+// apply adds the observation to the ledger.
+func (o observation) apply(l *ledger, start time.Time) {
 	at := start.Add(o.after)
-	soundAnswer{service: testService, traits: slices.Sorted(slices.Values(o.sound))}.apply(e, at)
-	if len(o.suspects) > 0 {
-		e.addEnd(testEngine(o.engine), testService, at, o.suspects)
+	l.recordSound(testService, slices.Sorted(slices.Values(o.sound)), at)
+	for _, suspect := range o.suspects {
+		l.recordEnd(testEngine(o.engine), testService, suspect, at)
 	}
 }
 
+// newTestLedger returns the ledger of the process of a host.
+func newTestLedger(host int) *ledger {
+	return newLedger(site.Process{Host: hostName(host), Start: 1})
+}
+
+// receiveFrom merges what the other ledger has and this one lacks, and reports whether there
+// was anything.
+func (l *ledger) receiveFrom(other *ledger, now time.Time) bool {
+	return l.merge(other.published().missing(l.published().known(), now), now)
+}
+
 func testEngine(n int) site.Incarnation {
 	return site.Incarnation{ID: site.ServerID(fmt.Sprintf("engine-%d", n)), StartUnixMilli: 1}
 }
@@ -158,11 +169,11 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := quicktest.New(t)
-			e, start := newEvidence(), time.Now()
+			l, start := newTestLedger(0), time.Now()
 			for _, o := range test.observations {
-				o.apply(e, start)
+				o.apply(l, start)
 			}
-			c.Assert(blockedTraits(e.blocks(start.Add(test.after))), quicktest.DeepEquals, test.want)
+			c.Assert(blockedTraits(l.evidence.blocks(start.Add(test.after))), quicktest.DeepEquals, test.want)
 		})
 	}
 }
@@ -172,7 +183,7 @@
 func TestHostsReachTheSameBlocks(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		start := time.Now()
-		hosts := []*evidence{newEvidence(), newEvidence(), newEvidence()}
+		hosts := []*ledger{newTestLedger(0), newTestLedger(1), newTestLedger(2)}
 		parts := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d"}), 1, 3, rapid.ID[string])
 		for n := range rapid.IntRange(1, 12).Draw(r, "ends") {
 			suspects := rapid.SliceOfN(parts, 1, 3).Draw(r, "suspects")
@@ -182,17 +193,17 @@
 		now := start.Add(time.Minute)
 		for range 2 {
 			for _, pair := range rapid.Permutation([][2]int{{0, 1}, {1, 2}, {2, 0}, {1, 0}, {2, 1}, {0, 2}}).Draw(r, "exchanges") {
-				hosts[pair[0]].merge(hosts[pair[1]].report(now), now)
+				hosts[pair[0]].receiveFrom(hosts[pair[1]], now)
 			}
 		}
-		want := blockedTraits(hosts[0].blocks(now))
+		want := blockedTraits(hosts[0].evidence.blocks(now))
 		for _, host := range hosts[1:] {
-			if got := blockedTraits(host.blocks(now)); fmt.Sprint(got) != fmt.Sprint(want) {
+			if got := blockedTraits(host.evidence.blocks(now)); fmt.Sprint(got) != fmt.Sprint(want) {
 				r.Fatalf("blocks %v and %v", want, got)
 			}
 		}
-		if hosts[0].merge(hosts[1].report(now), now) {
-			r.Fatalf("a report that is known changes the evidence")
+		if hosts[0].receiveFrom(hosts[1], now) {
+			r.Fatalf("a host that knows everything is sent something")
 		}
 	})
 }
@@ -201,22 +212,24 @@
 // end for other reasons, and against blocks that are lost by this.
 func TestEvidenceIsBounded(t *testing.T) {
 	c := quicktest.New(t)
-	e, start := newEvidence(), time.Now()
+	l, start := newTestLedger(0), time.Now()
+	e := l.evidence
 	for n := range 3 {
-		ended(time.Duration(n)*time.Second, n, []string{"bad"}).apply(e, start)
+		ended(time.Duration(n)*time.Second, n, []string{"bad"}).apply(l, start)
 	}
 	var now time.Time
 	for n := 3; n < 1000; n++ {
 		now = start.Add(time.Duration(n) * 300 * time.Millisecond)
-		ended(now.Sub(start), n, []string{fmt.Sprintf("part-%d", n)}).apply(e, start)
-		e.prune(e.blocks(now), now)
+		ended(now.Sub(start), n, []string{fmt.Sprintf("part-%d", n)}).apply(l, start)
+		l.prune(e.blocks(now), now)
 	}
 	c.Check(len(e.ends) <= maxEnds, quicktest.IsTrue, quicktest.Commentf("%d ends", len(e.ends)))
 	for n := range 2 * maxSuspectsPerEnd {
-		ended(now.Sub(start), 2000, []string{fmt.Sprintf("part-%d", n)}).apply(e, start)
+		ended(now.Sub(start), 2000, []string{fmt.Sprintf("part-%d", n)}).apply(l, start)
 	}
 	c.Check(len(e.ends[testEngine(2000)].suspects), quicktest.Equals, maxSuspectsPerEnd)
-	e.prune(nil, now.Add(maxEndAge))
+	l.prune(nil, now.Add(maxEndAge))
 	c.Check(e.ends, quicktest.HasLen, 0)
+	c.Check(l.size, quicktest.Equals, 0)
 	c.Check(e.soundAt, quicktest.HasLen, 0)
 }
--- a/internal/coordination/quarantine/exchange.go
+++ b/internal/coordination/quarantine/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -20,7 +21,7 @@
 	activeDuration = 5 * time.Second
 	quietInterval  = 2 * time.Second
 	// minExchangeInterval bounds the exchanges while the evidence changes often.
-	minExchangeInterval = 50 * time.Millisecond
+	minExchangeInterval = 100 * time.Millisecond
 	// exchangeTimeout bounds one exchange. It is less than quietInterval, so that the
 	// exchanges with silent hosts do not add up.
 	exchangeTimeout = time.Second
@@ -34,40 +35,78 @@
 	if active {
 		q.nextExchange = now.Add(activeInterval)
 	}
-	if len(q.evidence.ends) > 0 && !active {
+	if len(q.ledger.evidence.ends) > 0 && !active {
 		// Blocks end and evidence is forgotten with time.
 		q.publish(now)
 	}
-	if q.Peers == nil || len(q.evidence.ends) == 0 && !active {
+	if q.Peers == nil || len(q.ledger.evidence.ends) == 0 && !active {
 		return
 	}
-	report := q.report()
 	for _, address := range q.choosePeers() {
-		q.lifecycle.Go(func() {
-			limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
-			defer cancel()
-			reply, err := q.Peers.ExchangeQuarantine(limited, address, report)
-			if err != nil {
-				q.Log.Info().Err(err).Str("address", address).Int("ends", len(report.Ends)).Int("sound-traits", len(report.SoundTraits)).
-					Dur("duration", time.Since(now)).Msg("evidence could not be exchanged")
-				return
-			}
-			if len(reply.Ends) > 0 {
-				q.messages.Offer(peerReport(reply))
-			}
-		})
+		q.lifecycle.Go(func() { q.exchangeWith(ctx, address) })
 	}
 }
 
-// choosePeers returns the addresses of peersPerExchange other hosts, chosen at random.
+// exchangeWith asks the host at the address for the observations that this host lacks, and
+// sends it those that it lacks.
+func (q *Quarantine) exchangeWith(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	began := time.Now()
+	request := site.QuarantineReport{Known: q.published.Load().ledger.known()}
+	reply, err := q.Peers.ExchangeQuarantine(ctx, address, request)
+	if err == nil {
+		q.receive(reply)
+		request = q.answer(reply)
+		if len(request.Observations) > 0 {
+			_, err = q.Peers.ExchangeQuarantine(ctx, address, request)
+		}
+	}
+	if err != nil {
+		q.Log.Info().Err(err).Str("address", address).Int("processes", len(request.Observations)).
+			Dur("duration", time.Since(began)).Msg("evidence could not be exchanged")
+	}
+}
+
+// Receive records the report of another host and returns what that host lacks.
+func (q *Quarantine) Receive(report site.QuarantineReport) site.QuarantineReport {
+	q.prepare()
+	q.receive(report)
+	return q.answer(report)
+}
+
+// receive records the observations of a report. Those that the full ring refuses are sent
+// again, because this host goes on to tell that it lacks them.
+func (q *Quarantine) receive(report site.QuarantineReport) {
+	if len(report.Observations) > 0 {
+		q.messages.Offer(peerReport(report.Observations))
+	}
+}
+
+// answer returns a report with what the sender of the given one lacks.
+func (q *Quarantine) answer(report site.QuarantineReport) site.QuarantineReport {
+	l := q.published.Load().ledger
+	return site.QuarantineReport{Known: l.known(), Observations: l.missing(report.Known, time.Now())}
+}
+
+// choosePeers returns the addresses of peersPerExchange other hosts, chosen at random. The first
+// one is of the region of this host if there is one, because links between regions are narrow.
 func (q *Quarantine) choosePeers() []string {
+	hosts := q.Views.View().Hosts
+	region := ""
+	if self := hosts[q.Self]; self != nil {
+		region = self.Region
+	}
 	var others []*site.Host
-	for _, host := range q.Views.View().Hosts {
+	for _, host := range hosts {
 		if host.Name != q.Self {
 			others = append(others, host)
 		}
 	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	if near := slices.IndexFunc(others, func(host *site.Host) bool { return host.Region == region }); near > 0 {
+		others[0], others[near] = others[near], others[0]
+	}
 	var addresses []string
 	for _, host := range others[:min(len(others), peersPerExchange)] {
 		addresses = append(addresses, host.Address)
--- /dev/null
+++ b/internal/coordination/quarantine/ledger.go
@@ -0,0 +1,203 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+// maxObservations bounds the observations that a host keeps for others, to about 0.5 MB.
+const maxObservations = 4096
+
+// A ledger has the observations of all processes that this host knows, and the evidence that
+// follows from them. Each observation has one process and one number for good, so that hosts
+// can tell each other what they lack. The goroutine of Quarantine.Run owns it.
+type ledger struct {
+	self     site.Process
+	evidence *evidence
+	logs     map[site.Process]processLog
+	// size is the number of observations in all logs.
+	size int
+}
+
+// A processLog has the observations of one process. Its entries are appended to and replaced
+// but not modified, because snapshots share them.
+type processLog struct {
+	// completeThrough is the number up to which the observations are known, and heardAt when
+	// it last grew.
+	completeThrough uint64
+	heardAt         time.Time
+	// entries are sorted by their numbers.
+	entries []entry
+}
+
+// An entry is an observation with the time at which it was made. The Age of the observation
+// is not used.
+type entry struct {
+	observation site.Observation
+	at          time.Time
+}
+
+func newLedger(self site.Process) *ledger {
+	return &ledger{self: self, evidence: newEvidence(), logs: make(map[site.Process]processLog)}
+}
+
+// recordEnd records an observation of this process, that an engine ended under a request with
+// the traits, and reports whether it is new.
+func (l *ledger) recordEnd(engine site.Incarnation, service site.ServiceName, traits []string, now time.Time) bool {
+	if !l.evidence.addEnd(engine, service, now, [][]string{traits}) {
+		return false
+	}
+	l.append(site.Observation{Service: service, Engine: engine, Traits: traits}, now)
+	return true
+}
+
+// recordSound records an observation of this process, that an answer has begun to a request
+// with the sorted traits, and reports whether it clears any of them of an end. Other answers
+// are not kept.
+func (l *ledger) recordSound(service site.ServiceName, traits []string, now time.Time) bool {
+	if !l.evidence.isCleared(service, traits, now) {
+		return false
+	}
+	l.evidence.addSound(service, traits, now)
+	l.append(site.Observation{Service: service, Traits: traits}, now)
+	return true
+}
+
+// append adds an observation of this process.
+func (l *ledger) append(o site.Observation, at time.Time) {
+	own := l.logs[l.self]
+	own.completeThrough++
+	o.Number = own.completeThrough
+	own.entries = append(own.entries, entry{observation: o, at: at})
+	l.logs[l.self] = own
+	l.size++
+	l.bound()
+}
+
+// merge adds the observations of other processes that are not known yet, and reports whether
+// there were any.
+func (l *ledger) merge(lists []site.ProcessObservations, now time.Time) bool {
+	changed := false
+	for _, list := range lists {
+		log := l.logs[list.Process]
+		if list.Process == l.self || list.CompleteThrough <= log.completeThrough {
+			continue
+		}
+		for _, o := range list.Observations {
+			if o.Number <= log.completeThrough || o.Number > list.CompleteThrough || o.Age < 0 || o.Age >= maxEndAge {
+				continue
+			}
+			at := now.Add(-o.Age)
+			l.apply(o, at)
+			log.entries = append(log.entries, entry{observation: o, at: at})
+			l.size++
+			changed = true
+		}
+		log.completeThrough, log.heardAt = list.CompleteThrough, now
+		l.logs[list.Process] = log
+	}
+	l.bound()
+	return changed
+}
+
+// apply adds an observation of another process to the evidence. An answer is kept although
+// the end of which it clears a request may not have arrived yet.
+func (l *ledger) apply(o site.Observation, at time.Time) {
+	if o.Engine != (site.Incarnation{}) {
+		l.evidence.addEnd(o.Engine, o.Service, at, [][]string{o.Traits})
+		return
+	}
+	traits := slices.Sorted(slices.Values(o.Traits[:min(len(o.Traits), maxTraitsPerSuspect)]))
+	l.evidence.addSound(o.Service, traits, at)
+}
+
+// bound drops the oldest observations of the longest logs beyond maxObservations. The evidence
+// keeps what they say.
+func (l *ledger) bound() {
+	for l.size > maxObservations {
+		var longest site.Process
+		for process, log := range l.logs {
+			if len(log.entries) > len(l.logs[longest].entries) {
+				longest = process
+			}
+		}
+		log := l.logs[longest]
+		dropped := (len(log.entries) + 1) / 2
+		log.entries = log.entries[dropped:]
+		l.logs[longest] = log
+		l.size -= dropped
+	}
+}
+
+// prune forgets what the evidence no longer needs. It keeps how far the observations of each
+// process are known until no host has them any more, so that they are not sent again.
+func (l *ledger) prune(blocks []block, now time.Time) {
+	l.evidence.prune(blocks, now)
+	for process, log := range l.logs {
+		if len(log.entries) == 0 && process != l.self && now.Sub(log.heardAt) >= maxEndAge {
+			delete(l.logs, process)
+			continue
+		}
+		if !slices.ContainsFunc(log.entries, func(e entry) bool { return !l.isNeeded(e, now) }) {
+			continue
+		}
+		kept := slices.DeleteFunc(slices.Clone(log.entries), func(e entry) bool { return !l.isNeeded(e, now) })
+		l.size -= len(log.entries) - len(kept)
+		log.entries = kept
+		l.logs[process] = log
+	}
+}
+
+// isNeeded reports whether the evidence still holds what the observation says.
+func (l *ledger) isNeeded(e entry, now time.Time) bool {
+	if e.observation.Engine != (site.Incarnation{}) {
+		return l.evidence.ends[e.observation.Engine] != nil
+	}
+	return now.Sub(e.at) < unusedEndAge || l.evidence.clears(e.observation.Service, slices.Sorted(slices.Values(e.observation.Traits)))
+}
+
+// A published ledger is what other goroutines read of a ledger. It is not modified.
+type publishedLedger struct {
+	self site.Process
+	logs map[site.Process]processLog
+}
+
+func (l *ledger) published() publishedLedger {
+	return publishedLedger{self: l.self, logs: maps.Clone(l.logs)}
+}
+
+// known returns the number up to which the observations of each process are known.
+func (p publishedLedger) known() map[site.Process]uint64 {
+	known := make(map[site.Process]uint64, len(p.logs))
+	for process, log := range p.logs {
+		known[process] = log.completeThrough
+	}
+	return known
+}
+
+// missing returns the observations that a host lacks which knows those of each process up to
+// the given number.
+func (p publishedLedger) missing(known map[site.Process]uint64, now time.Time) []site.ProcessObservations {
+	var lists []site.ProcessObservations
+	for process, log := range p.logs {
+		after := known[process]
+		first, _ := slices.BinarySearchFunc(log.entries, after+1, func(e entry, number uint64) int {
+			return cmp.Compare(e.observation.Number, number)
+		})
+		if first == len(log.entries) {
+			continue
+		}
+		list := site.ProcessObservations{Process: process, CompleteThrough: log.completeThrough}
+		for _, e := range log.entries[first:] {
+			o := e.observation
+			o.Age = now.Sub(e.at)
+			list.Observations = append(list.Observations, o)
+		}
+		lists = append(lists, list)
+	}
+	return lists
+}
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -49,8 +49,9 @@
 // A Quarantine is the duty that collects the evidence and decides on the blocks. Its
 // exported fields are set before Run.
 type Quarantine struct {
-	// Self is the name of this host.
+	// Self is the name of this host, and Start the start number of this process.
 	Self   string
+	Start  int64
 	Views  ViewSource
 	Prober EngineProber
 	// Peers is nil for a host without others.
@@ -65,7 +66,7 @@
 	published atomic.Pointer[snapshot]
 	watches   watchList
 	// The fields below belong to the goroutine of Run.
-	evidence *evidence
+	ledger *ledger
 	// changedAt is when the evidence last changed, or the start of Run.
 	changedAt                  time.Time
 	lastExchange, nextExchange time.Time
@@ -78,21 +79,21 @@
 	// answer since.
 	suspects map[traitSet]time.Time
 	// ended has the engines that are known to have ended.
-	ended  map[site.Incarnation]bool
-	report site.QuarantineReport
-	at     time.Time
+	ended map[site.Incarnation]bool
+	// ledger has the observations that hosts exchange.
+	ledger publishedLedger
 }
 
 // A message is an input of the duty, handled on the goroutine of Run. It reports
-// whether the evidence has changed.
+// whether anything was not known before.
 type message interface {
-	apply(e *evidence, now time.Time) bool
+	apply(l *ledger, now time.Time) bool
 }
 
 func (q *Quarantine) prepare() {
 	q.once.Do(func() {
 		q.messages = ring.New[message](messageCapacity)
-		q.evidence = newEvidence()
+		q.ledger = newLedger(site.Process{Host: q.Self, Start: q.Start})
 		q.published.Store(&snapshot{})
 	})
 }
@@ -178,31 +179,6 @@
 	}
 }
 
-// Receive records the report of another host and returns the report of this host.
-func (q *Quarantine) Receive(report site.QuarantineReport) site.QuarantineReport {
-	q.prepare()
-	if len(report.Ends) > 0 {
-		q.messages.Offer(peerReport(report))
-	}
-	return q.report()
-}
-
-// report returns the published report with the present ages.
-func (q *Quarantine) report() site.QuarantineReport {
-	s := q.published.Load()
-	passed := time.Since(s.at)
-	var r site.QuarantineReport
-	for _, known := range s.report.Ends {
-		known.Age += passed
-		r.Ends = append(r.Ends, known)
-	}
-	for _, sound := range s.report.SoundTraits {
-		sound.Age += passed
-		r.SoundTraits = append(r.SoundTraits, sound)
-	}
-	return r
-}
-
 // An interruption is a request whose server ended before the answer had begun.
 type interruption struct {
 	engine  site.Incarnation
@@ -212,8 +188,8 @@
 	done chan struct{}
 }
 
-func (i *interruption) apply(e *evidence, now time.Time) bool {
-	return e.addEnd(i.engine, i.service, now, [][]string{i.traits})
+func (i *interruption) apply(l *ledger, now time.Time) bool {
+	return l.recordEnd(i.engine, i.service, i.traits, now)
 }
 
 // A soundAnswer is an answer that has begun. traits is sorted.
@@ -222,21 +198,15 @@
 	traits  []string
 }
 
-func (s soundAnswer) apply(e *evidence, now time.Time) bool {
-	changed := false
-	for set := range traitSets(s.service, s.traits) {
-		if e.addSound(set, now) {
-			changed = true
-		}
-	}
-	return changed
+func (s soundAnswer) apply(l *ledger, now time.Time) bool {
+	return l.recordSound(s.service, s.traits, now)
 }
 
-// A peerReport is the report of another host.
-type peerReport site.QuarantineReport
+// A peerReport has observations that another host sent.
+type peerReport []site.ProcessObservations
 
-func (p peerReport) apply(e *evidence, now time.Time) bool {
-	return e.merge(site.QuarantineReport(p), now)
+func (p peerReport) apply(l *ledger, now time.Time) bool {
+	return l.merge(p, now)
 }
 
 func (q *Quarantine) loop(ctx context.Context) error {
@@ -256,10 +226,20 @@
 	}
 }
 
-// handle applies a message and publishes the evidence if it has changed.
-func (q *Quarantine) handle(m message) {
+// handle applies a message and those that wait behind it, and publishes the evidence if it
+// has changed. After an end many messages come at once, and each decision about blocks takes
+// milliseconds.
+func (q *Quarantine) handle(first message) {
 	now := time.Now()
-	if m.apply(q.evidence, now) {
+	batch := []message{first}
+	for range q.messages.Len() {
+		batch = append(batch, <-q.messages.Messages())
+	}
+	changed := false
+	for _, m := range batch {
+		changed = m.apply(q.ledger, now) || changed
+	}
+	if changed {
 		q.changedAt = now
 		q.publish(now)
 		// Engines end until all hosts know, so a change is passed on at once.
@@ -267,23 +247,26 @@
 			q.nextExchange = soon
 		}
 	}
-	if i, ok := m.(*interruption); ok {
-		close(i.done)
+	for _, m := range batch {
+		if i, ok := m.(*interruption); ok {
+			close(i.done)
+		}
 	}
 }
 
 // publish decides on the blocks, logs those that begin or end, and publishes a snapshot.
 func (q *Quarantine) publish(now time.Time) {
-	blocks := q.evidence.blocks(now)
-	q.evidence.prune(blocks, now)
+	e := q.ledger.evidence
+	blocks := e.blocks(now)
+	q.ledger.prune(blocks, now)
 	q.logChanges(q.published.Load().blocks, blocks)
-	s := &snapshot{blocks: blocks, suspects: make(map[traitSet]time.Time), ended: make(map[site.Incarnation]bool), report: q.evidence.report(now), at: now}
-	for set, at := range q.evidence.newestEnds() {
-		if !q.evidence.soundAt[set].After(at) {
+	s := &snapshot{blocks: blocks, suspects: make(map[traitSet]time.Time), ended: make(map[site.Incarnation]bool), ledger: q.ledger.published()}
+	for set, at := range e.newestEnds() {
+		if !e.soundAt[set].After(at) {
 			s.suspects[set] = at
 		}
 	}
-	for engine := range q.evidence.ends {
+	for engine := range e.ends {
 		s.ended[engine] = true
 	}
 	q.published.Store(s)
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -26,6 +26,8 @@
 	// mutex guards hosts, which has the running process of each host.
 	mutex sync.Mutex
 	hosts map[string]*Quarantine
+	// starts is the number of processes that were started.
+	starts int64
 	// silent has the hosts that do not reply.
 	silent map[string]bool
 	// listening means that the engines still accept connections.
@@ -53,7 +55,8 @@
 	if earlier := s.host(name); earlier != nil {
 		c.Assert(earlier.Close(), quicktest.IsNil)
 	}
-	q := &Quarantine{Self: name, Views: s, Prober: s, Peers: s, Log: zerolog.Nop()}
+	s.starts++
+	q := &Quarantine{Self: name, Start: s.starts, Views: s, Prober: s, Peers: s, Log: zerolog.Nop()}
 	s.mutex.Lock()
 	s.hosts[name] = q
 	s.mutex.Unlock()
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -143,7 +143,7 @@
 		h.newController,
 		h.newRetryBudget,
 		func(cache *watch.Cache, client *peer.Client) *quarantine.Quarantine {
-			return &quarantine.Quarantine{Self: h.Settings.HostName, Views: cache, Prober: backend.Prober{}, Peers: client, Log: h.Log}
+			return &quarantine.Quarantine{Self: h.Settings.HostName, Start: h.Start, Views: cache, Prober: backend.Prober{}, Peers: client, Log: h.Log}
 		},
 		func(cache *watch.Cache, controller *adapter.Controller, client *peer.Client) *completion.Notifier {
 			return &completion.Notifier{Self: h.Settings.HostName, Views: cache, Owner: controller, Peers: client}
--- a/protocol/peer/convertquarantine.go
+++ b/protocol/peer/convertquarantine.go
@@ -9,39 +9,57 @@
 // FromQuarantineReport converts a quarantine report to its message.
 func FromQuarantineReport(r site.QuarantineReport) *QuarantineReport {
 	message := &QuarantineReport{}
-	for _, end := range r.Ends {
-		encoded := &EngineEnd{Engine: fromIncarnation(end.Engine), Service: string(end.Service), AgeNanoseconds: int64(end.Age)}
-		for _, traits := range end.Suspects {
-			encoded.Suspects = append(encoded.Suspects, &Suspect{Traits: traits})
-		}
-		message.Ends = append(message.Ends, encoded)
+	for process, number := range r.Known {
+		message.Known = append(message.Known, &ProcessObservations{Process: fromProcess(process), CompleteThrough: number})
 	}
-	for _, sound := range r.SoundTraits {
-		message.SoundTraits = append(message.SoundTraits, &SoundTraits{Service: string(sound.Service), Traits: sound.Traits, AgeNanoseconds: int64(sound.Age)})
+	for _, list := range r.Observations {
+		encoded := &ProcessObservations{Process: fromProcess(list.Process), CompleteThrough: list.CompleteThrough}
+		for _, o := range list.Observations {
+			encoded.Observations = append(encoded.Observations, fromObservation(o))
+		}
+		message.Observations = append(message.Observations, encoded)
 	}
 	return message
 }
 
 // ToQuarantineReport converts a message to a quarantine report.
 func ToQuarantineReport(message *QuarantineReport) site.QuarantineReport {
-	var r site.QuarantineReport
-	for _, encoded := range message.GetEnds() {
-		end := site.EngineEnd{
-			Engine:  toIncarnation(encoded.GetEngine()),
-			Service: site.ServiceName(encoded.GetService()),
-			Age:     time.Duration(encoded.GetAgeNanoseconds()),
-		}
-		for _, suspect := range encoded.GetSuspects() {
-			end.Suspects = append(end.Suspects, suspect.GetTraits())
-		}
-		r.Ends = append(r.Ends, end)
+	r := site.QuarantineReport{Known: make(map[site.Process]uint64, len(message.GetKnown()))}
+	for _, known := range message.GetKnown() {
+		r.Known[toProcess(known.GetProcess())] = known.GetCompleteThrough()
 	}
-	for _, encoded := range message.GetSoundTraits() {
-		r.SoundTraits = append(r.SoundTraits, site.SoundTraits{
-			Service: site.ServiceName(encoded.GetService()),
-			Traits:  encoded.GetTraits(),
-			Age:     time.Duration(encoded.GetAgeNanoseconds()),
-		})
+	for _, encoded := range message.GetObservations() {
+		list := site.ProcessObservations{Process: toProcess(encoded.GetProcess()), CompleteThrough: encoded.GetCompleteThrough()}
+		for _, o := range encoded.GetObservations() {
+			list.Observations = append(list.Observations, toObservation(o))
+		}
+		r.Observations = append(r.Observations, list)
 	}
 	return r
 }
+
+func fromObservation(o site.Observation) *Observation {
+	message := &Observation{Number: o.Number, AgeNanoseconds: int64(o.Age), Service: string(o.Service), Traits: o.Traits}
+	if o.Engine != (site.Incarnation{}) {
+		message.Engine = fromIncarnation(o.Engine)
+	}
+	return message
+}
+
+func toObservation(message *Observation) site.Observation {
+	return site.Observation{
+		Number:  message.GetNumber(),
+		Age:     time.Duration(message.GetAgeNanoseconds()),
+		Service: site.ServiceName(message.GetService()),
+		Engine:  toIncarnation(message.GetEngine()),
+		Traits:  message.GetTraits(),
+	}
+}
+
+func fromProcess(p site.Process) *Process {
+	return &Process{Host: p.Host, Start: p.Start}
+}
+
+func toProcess(message *Process) site.Process {
+	return site.Process{Host: message.GetHost(), Start: message.GetStart()}
+}
--- a/protocol/peer/fuzz_test.go
+++ b/protocol/peer/fuzz_test.go
@@ -14,7 +14,7 @@
 		FromFollowRequest(site.FollowRequest{Host: "h", InFlight: []site.InFlight{{Server: "e", Adapters: map[site.Adapter]int{{Model: "m", Name: "a"}: 1}}}}),
 		FromFollowReply(site.FollowReply{Changes: []site.Changes{{Table: "t", Rows: []site.Row{{Key: "k", Value: []byte("v")}}}}, Sequence: 3}),
 		FromPlaceRequest(site.PlaceRequest{Host: "h", PromptTokens: 5}),
-		FromQuarantineReport(site.QuarantineReport{Ends: []site.EngineEnd{{Service: "s", Suspects: [][]string{{"a"}}}}}),
+		FromQuarantineReport(site.QuarantineReport{Observations: []site.ProcessObservations{{Observations: []site.Observation{{Number: 1, Traits: []string{"a"}}}}}}),
 		FromEndedRuns([]site.EndedRuns{{Server: "e", Count: 2}}),
 	} {
 		encoded, err := proto.Marshal(message)
--- a/state/site/quarantine.go
+++ b/state/site/quarantine.go
@@ -2,35 +2,45 @@
 
 import "time"
 
-// An EngineEnd is the end of an engine process, with the requests that may have caused
-// it.
-type EngineEnd struct {
-	// Engine is the process that ended, and Service the service that it belonged to.
-	Engine  Incarnation
-	Service ServiceName
-	// Age is the time since the end was noticed.
-	Age time.Duration
-	// Suspects has the traits of each request whose answer had not begun when the
-	// engine ended: its adapter, the parts of its prompt and others that requests may
-	// share.
-	Suspects [][]string
+// A Process is one process of an entry host.
+type Process struct {
+	// Host is the name of the host.
+	Host string
+	// Start is the start number of the process; a later process of the host has a higher one.
+	Start int64
 }
 
-// SoundTraits are traits of a request whose answer an engine has begun.
-type SoundTraits struct {
-	// Service is the service of the engine.
+// An Observation is what a process has seen of a request that may or may not crash engines:
+// an engine that ended before the answer had begun, or an answer that has begun.
+type Observation struct {
+	// Number numbers the observations of the process, from 1.
+	Number uint64
+	// Age is the time since the observation was made.
+	Age time.Duration
+	// Service is the service that the request was for.
 	Service ServiceName
-	// Traits has one or two sorted traits.
+	// Engine is the engine that ended. It is the zero value for an answer that has begun.
+	Engine Incarnation
+	// Traits are what the request may share with others: its adapter, the parts of its prompt
+	// and its content.
 	Traits []string
-	// Age is the time since the answer had begun.
-	Age time.Duration
 }
 
-// A QuarantineReport is the evidence from which a host decides which requests crash
-// engines. Hosts exchange it.
+// ProcessObservations are observations that one process has made.
+type ProcessObservations struct {
+	Process Process
+	// Observations are sorted by their numbers. Those that no longer matter are left out.
+	Observations []Observation
+	// CompleteThrough is the number up to which the sender knows the observations.
+	CompleteThrough uint64
+}
+
+// A QuarantineReport has observations from which hosts decide which requests crash engines.
+// Hosts exchange what the other one does not know yet, because a report of everything takes
+// tens of kilobytes after some ends of engines.
 type QuarantineReport struct {
-	// Ends are the known ends of engines, and SoundTraits the traits that they do not
-	// make suspect, because an answer to such a request has begun since.
-	Ends        []EngineEnd
-	SoundTraits []SoundTraits
+	// Known has, for each process, the number up to which the sender knows its observations.
+	Known map[Process]uint64
+	// Observations are what the sender knows and the receiver did not when it last told.
+	Observations []ProcessObservations
 }
--- a/transport/peer/quarantine_test.go
+++ b/transport/peer/quarantine_test.go
@@ -26,11 +26,16 @@
 	c.Assert(server.Close(), quicktest.IsNil)
 
 	server, address = startServerWith(c, &Server{QuarantineHandler: echoReports{}}, "127.0.0.1:0")
+	process := site.Process{Host: "h", Start: 3}
 	report := site.QuarantineReport{
-		Ends: []site.EngineEnd{{
-			Engine: site.Incarnation{ID: "e", StartUnixMilli: 7}, Service: "s", Age: time.Second, Suspects: [][]string{{"a", "b"}, {"c"}},
+		Known: map[site.Process]uint64{process: 5, {Host: "i", Start: 4}: 2},
+		Observations: []site.ProcessObservations{{
+			Process: process, CompleteThrough: 9,
+			Observations: []site.Observation{
+				{Number: 7, Age: time.Second, Service: "s", Engine: site.Incarnation{ID: "e", StartUnixMilli: 7}, Traits: []string{"a", "b"}},
+				{Number: 8, Age: time.Millisecond, Service: "s", Traits: []string{"c"}},
+			},
 		}},
-		SoundTraits: []site.SoundTraits{{Service: "s", Traits: []string{"a", "b"}, Age: time.Millisecond}},
 	}
 	reply, err := client.ExchangeQuarantine(context.Background(), address, report)
 	c.Assert(err, quicktest.IsNil)
