quarantine, forward: a new host asks others for their evidence before its first request

Cause: a host that has just started knows nothing until its first exchange, up to 0.3 s after its view is known, and sends whatever comes.

The first request with traits makes the host ask five others and waits for their replies, at most 0.3 s. TestNewHostAsksBeforeItsFirstRequest guards it; the method it calls did not exist before.

--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -79,6 +79,7 @@
 // Quarantine knows the requests that crash servers by their traits. Its methods are
 // described at quarantine.Quarantine.
 type Quarantine interface {
+	AwaitEvidence(ctx context.Context)
 	BlockedFor(service site.ServiceName, traits []string) time.Duration
 	Watch(service site.ServiceName, traits []string, onBlock func()) (stop func())
 	RecordInterruption(ctx context.Context, server *site.Server, traits []string)
@@ -177,6 +178,9 @@
 	}
 	limited, cancel := context.WithDeadline(ctx, p.deadline.Add(-finalResponseMargin))
 	defer cancel()
+	if len(p.traits) > 0 {
+		f.Quarantine.AwaitEvidence(limited)
+	}
 	err := f.run(limited, p)
 	f.Recorder.RecordRequest(route, p.service, request.Arrived, p.sends, p.placementWait, verdict.FromError(err))
 	if err != nil && ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrHostStopping) {
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -77,6 +77,7 @@
 func (r *fakeSystem) CountRequest(string)                                         {}
 func (r *fakeSystem) ResponseStarted() bool                                       { return false }
 func (r *fakeSystem) Watch(site.ServiceName, []string, func()) func()             { return func() {} }
+func (r *fakeSystem) AwaitEvidence(context.Context)                               {}
 func (r *fakeSystem) BlockedFor(site.ServiceName, []string) time.Duration         { return 0 }
 func (r *fakeSystem) RecordInterruption(context.Context, *site.Server, []string)  {}
 func (r *fakeSystem) RecordSound(site.ServiceName, []string)                      {}
@@ -367,6 +368,7 @@
 	}
 	return func() {}
 }
+func (q *fakeQuarantine) AwaitEvidence(context.Context)                       {}
 func (q *fakeQuarantine) BlockedFor(site.ServiceName, []string) time.Duration { return q.blockedFor }
 func (q *fakeQuarantine) RecordSound(site.ServiceName, []string)              { q.sound++ }
 func (q *fakeQuarantine) RecordInterruption(context.Context, *site.Server, []string) {
--- a/coordination/forward/ratelimit_test.go
+++ b/coordination/forward/ratelimit_test.go
@@ -164,6 +164,7 @@
 func (s *limitedSite) CountRequest(string)                                        {}
 func (s *limitedSite) AllowRetry(string) bool                                     { return false }
 func (s *limitedSite) Watch(site.ServiceName, []string, func()) func()            { return func() {} }
+func (s *limitedSite) AwaitEvidence(context.Context)                              {}
 func (s *limitedSite) BlockedFor(site.ServiceName, []string) time.Duration        { return 0 }
 func (s *limitedSite) RecordInterruption(context.Context, *site.Server, []string) {}
 func (s *limitedSite) RecordSound(site.ServiceName, []string)                     {}
--- a/internal/coordination/quarantine/exchange.go
+++ b/internal/coordination/quarantine/exchange.go
@@ -42,7 +42,7 @@
 	if q.Peers == nil || len(q.ledger.evidence.ends) == 0 && !active {
 		return
 	}
-	for _, address := range q.choosePeers() {
+	for _, address := range q.choosePeers(peersPerExchange) {
 		q.lifecycle.Go(func() { q.exchangeWith(ctx, address) })
 	}
 }
@@ -89,9 +89,9 @@
 	return site.QuarantineReport{Known: l.known(), Observations: l.missing(report.Known, time.Now())}
 }
 
-// choosePeers returns the addresses of peersPerExchange other hosts, chosen at random. The first
+// choosePeers returns the addresses of up to count other hosts, chosen at random. The first
 // one is of the region of this host if there is one, because links between regions are narrow.
-func (q *Quarantine) choosePeers() []string {
+func (q *Quarantine) choosePeers(count int) []string {
 	hosts := q.Views.View().Hosts
 	region := ""
 	if self := hosts[q.Self]; self != nil {
@@ -108,7 +108,7 @@
 		others[0], others[near] = others[near], others[0]
 	}
 	var addresses []string
-	for _, host := range others[:min(len(others), peersPerExchange)] {
+	for _, host := range others[:min(len(others), count)] {
 		addresses = append(addresses, host.Address)
 	}
 	return addresses
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -65,6 +65,9 @@
 	// change and never modified.
 	published atomic.Pointer[snapshot]
 	watches   watchList
+	// askOnce starts the goroutine that asks other hosts and then closes asked.
+	askOnce sync.Once
+	asked   chan struct{}
 	// The fields below belong to the goroutine of Run.
 	ledger *ledger
 	// changedAt is when the evidence last changed, or the start of Run.
@@ -95,6 +98,7 @@
 		q.messages = ring.New[message](messageCapacity)
 		q.ledger = newLedger(site.Process{Host: q.Self, Start: q.Start})
 		q.published.Store(&snapshot{})
+		q.asked = make(chan struct{})
 	})
 }
 
@@ -248,8 +252,11 @@
 		}
 	}
 	for _, m := range batch {
-		if i, ok := m.(*interruption); ok {
-			close(i.done)
+		switch m := m.(type) {
+		case *interruption:
+			close(m.done)
+		case barrier:
+			close(m)
 		}
 	}
 }
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -153,6 +153,29 @@
 	})
 }
 
+// TestNewHostAsksBeforeItsFirstRequest guards against engines that end after the restart of
+// hosts, although the other hosts refuse the requests that crash them.
+func TestNewHostAsksBeforeItsFirstRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		s := startSite(c, 9, 3)
+		defer s.close()
+		for n := range 3 {
+			s.end(0, n, "bad")
+			time.Sleep(150 * time.Millisecond)
+		}
+		time.Sleep(time.Minute)
+		s.start(c, hostName(1))
+		began := time.Now()
+		s.host(hostName(1)).AwaitEvidence(context.Background())
+		c.Check(s.host(hostName(1)).BlockedFor(testService, []string{"bad"}) > 0, quicktest.IsTrue)
+		c.Check(time.Since(began) <= startTimeout, quicktest.IsTrue)
+		began = time.Now()
+		s.host(hostName(1)).AwaitEvidence(context.Background())
+		c.Check(time.Since(began), quicktest.Equals, time.Duration(0))
+	})
+}
+
 // TestInterruptionAtLiveEngineTeachesNothing guards against blocks because of engines that
 // close connections and go on.
 func TestInterruptionAtLiveEngineTeachesNothing(t *testing.T) {
