watch, platform: a position of the store carries the history that it is from

Cause: positions were compared as if there were one history. A whole table with a lower position was dropped, the next watch on the old position got 410, and so on; a reader below the new head would have got no 410 at all. Hosts compared the positions of their tables in the same way.

table.Version, which is site.Position too, now holds the era of a history above the number of the transaction, so that each comparison, of rows, gaps, tombstones and conditions of writes, in the process and between hosts, ranks a later history first. The store's client takes the era from Store-Era, drops answers of lost histories, never sends a condition on a number of another history as such, and calls a write unknown whose condition held in a history that it did not know. A table goes over to a new history as a whole. Of the rows known before, those stay in use that their writers are expected to write again: lost servers for 2 s, registrations for 5 s, higher versions; a server that leaves does not come back with the copy.

The stand-in of the store can be restored.

--- a/coordination/watch/cache.go
+++ b/coordination/watch/cache.go
@@ -14,6 +14,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/duty"
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
 	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/table"
 )
 
 const (
@@ -217,19 +218,15 @@
 	changes := a.changes
 	w.mutex.Lock()
 	c := w.tables[changes.Table]
-	if c == nil || changes.FullTable && changes.CompleteThrough < c.completeThrough {
+	if c == nil || w.isOutdated(c, a) {
 		w.mutex.Unlock()
 		return false
 	}
-	for _, row := range changes.Rows {
-		changed = w.applyRow(c, changes.Table, row, now) || changed
-	}
-	c.addGapOf(changes)
-	if changes.FullTable {
-		for _, deletion := range c.deletionsIn(changes) {
-			changed = w.applyRow(c, changes.Table, deletion, now) || changed
-		}
-		c.wasFullyRead = true
+	if changes.CompleteThrough.Era() > c.completeThrough.Era() && c.wasFullyRead {
+		w.enterHistory(c, a, now)
+		changed = true
+	} else {
+		changed = w.applyRows(c, changes, now)
 	}
 	age := now.Sub(c.confirmedAt)
 	c.confirm(changes.CompleteThrough, a.confirmedAt)
@@ -249,6 +246,21 @@
 	return changed
 }
 
+// applyRows applies changes within one history and reports whether there were any.
+func (w *Cache) applyRows(c *tableState, changes site.Changes, now time.Time) (changed bool) {
+	for _, row := range changes.Rows {
+		changed = w.applyRow(c, changes.Table, row, now) || changed
+	}
+	c.addGapOf(changes)
+	if changes.FullTable {
+		for _, deletion := range c.deletionsIn(changes) {
+			changed = w.applyRow(c, changes.Table, deletion, now) || changed
+		}
+		c.wasFullyRead = true
+	}
+	return changed
+}
+
 // applyRow stores a row that is newer than the known one and reports whether it
 // did.
 func (w *Cache) applyRow(c *tableState, table site.Table, row site.Row, now time.Time) bool {
@@ -256,30 +268,40 @@
 	if known != nil && known.row.Position >= row.Position {
 		return false
 	}
-	e := &rowEntry{row: row}
-	if row.Deleted {
-		e.deletedAt = now
-		if known != nil && known.decoded.Server != nil && known.decoded.Server.State == site.Ready &&
-			time.Since(w.started)-time.Duration(w.lastOutage.Load()) < postOutageWindow {
-			e.decoded, e.usableUntil = known.decoded, now.Add(expiredServerGracePeriod)
-		}
-		c.rows[row.Key] = e
+	if !row.Deleted {
+		c.rows[row.Key] = &rowEntry{row: row, decoded: w.decode(table, row, known)}
 		return true
 	}
-	decoded, err := w.Decoder.Decode(table, row)
-	if err != nil {
-		w.Log.Warn().Err(err).Str("table", string(table)).Str("key", row.Key).
-			Uint64("position", uint64(row.Position)).Msg("row cannot be decoded and is left out")
+	e := &rowEntry{row: row, deletedAt: now}
+	if known != nil && known.row.Deleted {
+		e.gone, e.carried, e.carriedUntil = known.gone, known.carried, known.carriedUntil
 	}
-	if decoded.Desired == nil && err != nil && known != nil && known.decoded.Desired != nil {
-		// The last desired state that could be read stays applied.
-		decoded = known.decoded
+	if known != nil && known.decoded.Server != nil {
+		e.gone = known.decoded.Server.Incarnation
+		isExpiry := time.Since(w.started)-time.Duration(w.lastOutage.Load()) < postOutageWindow
+		if known.decoded.Server.State == site.Ready && isExpiry {
+			e.carried, e.carriedUntil = known.decoded, now.Add(expiredServerGracePeriod)
+		}
 	}
-	e.decoded = decoded
 	c.rows[row.Key] = e
 	return true
 }
 
+// decode decodes a row that is not deleted. The last desired state that could be read stays
+// applied if the row has one that cannot. known may be nil.
+func (w *Cache) decode(table site.Table, row site.Row, known *rowEntry) DecodedRow {
+	decoded, err := w.Decoder.Decode(table, row)
+	if err == nil {
+		return decoded
+	}
+	w.Log.Warn().Err(err).Str("table", string(table)).Str("key", row.Key).Uint64("position", row.Position.Transaction()).
+		Uint64("era", uint64(row.Position.Era())).Msg("row cannot be decoded and is left out")
+	if decoded.Desired == nil && known != nil && known.decoded.Desired != nil {
+		return known.decoded
+	}
+	return decoded
+}
+
 // dropTombstones deletes tombstones past their retention time and returns the time
 // until the next grace period of an expired server or the next retention time ends, or
 // an hour if there is none.
@@ -294,7 +316,8 @@
 }
 
 // publish builds a view from the rows and replaces the published one. It returns
-// both. The version of the desired state never decreases.
+// both. The version of the desired state never decreases: operators number desired states
+// upwards and write the newest one again after the store has lost it.
 func (w *Cache) publish() (before, next *site.View) {
 	now := time.Now()
 	before = w.view.Load()
@@ -306,10 +329,7 @@
 	w.mutex.Lock()
 	for _, c := range w.tables {
 		for _, e := range c.rows {
-			if e.row.Deleted && !now.Before(e.usableUntil) {
-				continue
-			}
-			addDecodedRow(next, e.decoded)
+			addDecodedRow(next, e.current(now))
 		}
 	}
 	w.mutex.Unlock()
@@ -334,3 +354,12 @@
 		view.Versions[decoded.Adapter] = decoded.Version
 	}
 }
+
+// Era returns the highest era of the known tables.
+func (w *Cache) Era() table.Era {
+	var era table.Era
+	for _, position := range w.Positions() {
+		era = max(era, position.Era())
+	}
+	return era
+}
--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -110,7 +110,7 @@
 	isLeaving      bool
 	isLost         bool
 	// isStale means that the last reply to a request for changes came from an owner
-	// whose own tables are too old.
+	// whose own tables are too old, or of a history that the store has lost.
 	isStale bool
 	// orderingZones lists the zones in which the owner sends orders.
 	orderingZones []string
@@ -329,13 +329,15 @@
 // owner is stale.
 func (f *Follower) applyChanges(l *ownerState, r followResult, now time.Time) {
 	ages := make(map[site.Table]time.Duration, len(r.reply.Changes))
+	hasLostHistory := false
 	for _, changes := range r.reply.Changes {
 		ages[changes.Table] = changes.Age
+		hasLostHistory = hasLostHistory || changes.CompleteThrough.Era() < f.Cache.Position(changes.Table).Era()
 		// The owner wrote the reply after the request was sent.
 		changes.Age += now.Sub(r.sentAt)
 		f.Cache.Enqueue(changes, r.host)
 	}
-	l.isStale = f.Cache.isStaleOwner(ages)
+	l.isStale = hasLostHistory || f.Cache.isStaleOwner(ages)
 }
 
 // publishLiveOwners replaces the map that Alive and GivesOrders read.
--- a/coordination/watch/storereader.go
+++ b/coordination/watch/storereader.go
@@ -156,6 +156,8 @@
 		began := time.Now()
 		changes, err := r.read(ctx, table, reread, failures)
 		if errors.Is(err, r.ErrHistoryGone) {
+			r.Log.Info().Str("table", string(table)).Uint64("known-position", r.Cache.Position(table).Transaction()).
+				Uint64("known-era", uint64(r.Cache.Position(table).Era())).Msg("store no longer has the changes; table is read again")
 			reread = true
 			continue
 		}
--- a/coordination/watch/tablestate.go
+++ b/coordination/watch/tablestate.go
@@ -18,7 +18,8 @@
 	// that there were no changes after completeThrough, in its reply to this host or
 	// to the host that sent the changes.
 	confirmedAt time.Time
-	// completeThrough is the position up to which all changes are known.
+	// completeThrough is the position up to which all changes are known. All rows are of its
+	// history.
 	completeThrough site.Position
 	rows            map[string]*rowEntry
 	// wasFullyRead means that the whole table was received at least once.
@@ -32,24 +33,46 @@
 
 // A rowEntry is a row with its decoded value.
 type rowEntry struct {
-	row     site.Row
+	row site.Row
+	// decoded is empty for a deleted row.
 	decoded DecodedRow
-	// usableUntil is the end of the grace period of a server whose row expired
-	// around an outage of the store. It is zero for all other rows.
-	usableUntil time.Time
-	// deletedAt is when the deletion was applied here.
+	// carried is used in place of decoded until carriedUntil: the row as it was before an outage
+	// of the store, whose writer is expected to write it again. It is empty for all other rows.
+	carried      DecodedRow
+	carriedUntil time.Time
+	// deletedAt is when the deletion was applied here, and gone is the server that the row was
+	// of, if it was one.
 	deletedAt time.Time
+	gone      site.Incarnation
+}
+
+// current returns what the row stands for at the given time.
+func (e *rowEntry) current(now time.Time) DecodedRow {
+	if now.Before(e.carriedUntil) {
+		return e.carried
+	}
+	return e.decoded
+}
+
+// latest returns what the row stood for when it was last known, also if it has been deleted
+// since.
+func (e *rowEntry) latest() DecodedRow {
+	if e.carriedUntil.IsZero() {
+		return e.decoded
+	}
+	return e.carried
 }
 
 // maxGaps bounds the number of gaps of a table. Beyond it the two oldest become one.
 const maxGaps = 8
 
 // changesSince returns the changes of the table after a position, and the whole table if
-// a tombstone that is needed may be missing. Rows of a whole table that have not changed
+// a tombstone that is needed may be missing or if the position is of another history. Rows of a whole table that have not changed
 // since the position have no value, because the host that asks has it.
 func (c *tableState) changesSince(name site.Table, after site.Position) site.Changes {
 	changes := site.Changes{Table: name, CompleteThrough: c.completeThrough, Age: time.Since(c.confirmedAt)}
-	changes.FullTable = c.completeThrough > after && (after < c.tombstonesDroppedThrough || after == 0 || c.isInGap(after))
+	changes.FullTable = c.completeThrough > after &&
+		(after < c.tombstonesDroppedThrough || after == 0 || after.Era() != c.completeThrough.Era() || c.isInGap(after))
 	if !changes.FullTable {
 		changes.Gap = c.gapAfter(after)
 	}
@@ -141,12 +164,12 @@
 func (c *tableState) dropTombstones(now time.Time) time.Duration {
 	wait := time.Hour
 	for key, e := range c.rows {
+		if now.Before(e.carriedUntil) {
+			wait = min(wait, e.carriedUntil.Sub(now))
+		}
 		if !e.row.Deleted {
 			continue
 		}
-		if now.Before(e.usableUntil) {
-			wait = min(wait, e.usableUntil.Sub(now))
-		}
 		retention := tombstoneRetentionTime - now.Sub(e.deletedAt)
 		if retention > 0 {
 			wait = min(wait, retention)
--- a/standin/platform/rows.go
+++ b/standin/platform/rows.go
@@ -62,7 +62,7 @@
 // slash and the row's key.
 func rowFromRecord(record table.Record) row {
 	name, key, _ := strings.Cut(string(record.Key), "/")
-	version := uint64(record.Version)
+	version := record.Version.Transaction()
 	return row{Table: name, Key: key, Value: record.Value, Ver: &version}
 }
 
@@ -71,12 +71,13 @@
 	return table.Key(r.Table + "/" + r.Key)
 }
 
-// tableTransaction returns the transaction in the form that Table.Commit takes.
+// tableTransaction returns the transaction in the form that Table.Commit takes. Its conditions are
+// numbers, of whatever history.
 func (t *rowsTransaction) tableTransaction() table.Transaction {
 	expected := make(map[table.Key]table.Version, len(t.Expect))
 	for _, e := range t.Expect {
 		if e.Ver != nil {
-			expected[e.recordKey()] = table.Version(*e.Ver)
+			expected[e.recordKey()] = table.NewVersion(0, min(*e.Ver, table.MaxTransaction))
 		}
 	}
 	var transaction table.Transaction
@@ -145,7 +146,7 @@
 		return
 	}
 	transaction := body.tableTransaction()
-	results, err := s.Table.Commit(r.Context(), transaction)
+	results, _, err := s.Table.commit(r.Context(), transaction, numberHolds)
 	if err != nil {
 		replyError(w, err)
 		return
@@ -282,7 +283,7 @@
 	if t.faults.Unavailable {
 		return nil, 0, nil, table.ErrUnavailable
 	}
-	if after < t.droppedThrough {
+	if after < t.droppedThrough || after > t.writes {
 		return nil, 0, nil, errHistoryGone
 	}
 	newest := make(map[table.Key]uint64)
@@ -295,7 +296,7 @@
 			continue
 		}
 		record := t.current(change.key)
-		record.Version = table.Version(change.version)
+		record.Version = table.NewVersion(t.era, change.version)
 		changed := rowFromRecord(record)
 		changed.Tombstone = change.deleted
 		rows = append(rows, changed)
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -67,6 +67,10 @@
 // PathFaults and PathRows for tests.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	method, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if method != "standin" {
+		// Calls of tests set faults, also a restore.
+		w = newEraWriter(w, s.Table)
+	}
 	switch r.Method + " /" + method {
 	case "GET /rows-get":
 		s.getRows(w, r)
@@ -182,7 +186,7 @@
 	if !decode(w, r, &body) {
 		return
 	}
-	s.Table.apply(body.tableTransaction())
+	s.Table.apply(body.tableTransaction(), numberHolds)
 	reply(w, newRowsResponse(s.Table.version(), nil))
 }
 
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -33,6 +33,9 @@
 	LateDelay time.Duration `long:"late-delay" json:"late-delay"`
 	// Delay is the duration of each operation.
 	Delay time.Duration `long:"delay" json:"delay"`
+	// RestoreAge, if it is more than 0, makes the table come back from a copy of that age once,
+	// when the faults are set. See Restore.
+	RestoreAge time.Duration `long:"restore-age" json:"restore-age"`
 	// ForgetHistory drops the history once, when the faults are set, so that readers
 	// of changes have to read the whole tables again.
 	ForgetHistory bool `long:"forget-history" json:"forget-history"`
@@ -55,6 +58,10 @@
 	droppedThrough uint64
 	// changed is closed and replaced when history changes.
 	changed chan struct{}
+	// era is that of the present history. It rises with each Restore.
+	era table.Era
+	// copies are the older states that Restore may come back with, oldest first.
+	copies []tableCopy
 }
 
 // NewTable returns an empty table. Faults that are set later are drawn at random from
@@ -72,6 +79,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.faults = faults
+	if faults.RestoreAge > 0 {
+		t.restoreLocked(faults.RestoreAge)
+	}
 	if faults.ForgetHistory {
 		t.dropHistory()
 	}
@@ -130,29 +140,48 @@
 // Commit carries out a transaction. After table.ErrUnavailable it had no effect; after
 // table.ErrOutcomeUnknown it may have had one or may still get one.
 func (t *Table) Commit(ctx context.Context, transaction table.Transaction) ([]table.WriteResult, error) {
+	results, _, err := t.commit(ctx, transaction, versionHolds)
+	return results, err
+}
+
+// A condition reports whether the version of a record is the one that a write depends on.
+type condition func(current, expected table.Version) bool
+
+// versionHolds compares whole versions.
+func versionHolds(current, expected table.Version) bool { return current == expected }
+
+// numberHolds compares the numbers of versions. The store does not know from which history the
+// sender of a condition has its number.
+func numberHolds(current, expected table.Version) bool {
+	return current.Transaction() == expected.Transaction()
+}
+
+// commit carries out a transaction as Commit does. It returns the era of the history in which
+// that happened too.
+func (t *Table) commit(ctx context.Context, transaction table.Transaction, holds condition) ([]table.WriteResult, table.Era, error) {
 	if err := t.waitDelay(ctx); err != nil {
-		return nil, fmt.Errorf("commit: %w: %w", table.ErrOutcomeUnknown, err)
+		return nil, 0, fmt.Errorf("commit: %w: %w", table.ErrOutcomeUnknown, err)
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.faults.Unavailable {
-		return nil, fmt.Errorf("commit: %w", table.ErrUnavailable)
+		return nil, 0, fmt.Errorf("commit: %w", table.ErrUnavailable)
 	}
 	draw := t.random.Float64()
 	if draw < t.faults.LostRequest {
-		return nil, fmt.Errorf("commit: %w", table.ErrOutcomeUnknown)
+		return nil, 0, fmt.Errorf("commit: %w", table.ErrOutcomeUnknown)
 	}
 	draw -= t.faults.LostRequest
 	if draw < t.faults.LateWrite {
-		time.AfterFunc(t.faults.LateDelay, func() { t.apply(transaction) })
-		return nil, fmt.Errorf("commit: %w", table.ErrOutcomeUnknown)
+		time.AfterFunc(t.faults.LateDelay, func() { t.apply(transaction, holds) })
+		return nil, 0, fmt.Errorf("commit: %w", table.ErrOutcomeUnknown)
 	}
 	draw -= t.faults.LateWrite
-	results := t.applyLocked(transaction)
+	results := t.applyLocked(transaction, holds)
 	if draw < t.faults.LostReply {
-		return nil, fmt.Errorf("commit: %w", table.ErrOutcomeUnknown)
+		return nil, 0, fmt.Errorf("commit: %w", table.ErrOutcomeUnknown)
 	}
-	return results, nil
+	return results, t.era, nil
 }
 
 // waitDelay waits for the delay of an operation, or returns the error of ctx.
@@ -164,21 +193,22 @@
 }
 
 // apply carries out a transaction without faults.
-func (t *Table) apply(transaction table.Transaction) {
+func (t *Table) apply(transaction table.Transaction, holds condition) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.applyLocked(transaction)
+	t.applyLocked(transaction, holds)
 }
 
 // applyLocked carries out a transaction. Unless its writes are independent, none is applied
 // if the condition of one fails. The mutex is held.
-func (t *Table) applyLocked(transaction table.Transaction) []table.WriteResult {
+func (t *Table) applyLocked(transaction table.Transaction, holds condition) []table.WriteResult {
 	results := make([]table.WriteResult, len(transaction.Writes))
 	all := true
 	for i, write := range transaction.Writes {
-		results[i].Applied = write.Unconditional || t.records[write.Key].Version == write.Expected
+		results[i].Applied = write.Unconditional || holds(t.records[write.Key].Version, write.Expected)
 		all = all && results[i].Applied
 	}
+	t.keepCopy()
 	t.writes++
 	for i, write := range transaction.Writes {
 		if !all && !transaction.Independent {
@@ -201,7 +231,7 @@
 	}
 	t.records[write.Key] = table.Record{
 		Key:     write.Key,
-		Version: table.Version(t.writes),
+		Version: t.versionLocked(),
 		Value:   slices.Clone(write.Value),
 	}
 }
--- a/state/site/row.go
+++ b/state/site/row.go
@@ -1,13 +1,18 @@
 package site
 
-import "time"
+import (
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/table"
+)
 
 // A Table names a table of the platform's store.
 type Table string
 
-// A Position is the number of a transaction of the store. Later transactions
-// have higher numbers; 0 stands for the time before the first one.
-type Position uint64
+// A Position is a point in the history of the store. Positions of a new history, after the
+// store has come back from an older copy, are higher than all positions of the one before; 0
+// stands for the time before the first transaction.
+type Position = table.Version
 
 // A Row is a row of the store, or a tombstone if it was deleted.
 type Row struct {
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -6,11 +6,6 @@
 // kind of record, such as lease, and is in kebab case.
 type Key string
 
-// A Version is the number of the transaction that wrote a record last. It grows
-// over the whole table, so that a record which was deleted and written again
-// never has a version that it had before. An absent record has version 0.
-type Version uint64
-
 // A Record is the result of reading a key, whether or not the table has a record
 // under it.
 type Record struct {
