lease: holders and epochs stay unique when the table comes back from a copy

Cause: the record of a lease is compared with what was read in a history that the store has lost. A copy may name a former holder, or call a lease released that another host has taken since. That host lost its lease although it was still valid, others took it at once, and the next holder got an epoch that was used in the lost history: two hosts give orders, under one epoch.

A record now has the era of the table that its writer knew. One of an earlier era proves neither a holder nor a release. A holder whose lease is valid writes it again under the same epoch; all others wait for the length of a lease from when they learned of the new history, which also outlasts writes that are carried out late and find the number that they expect by chance. A lease that is taken over gets an epoch of the present era, above all epochs of earlier ones. A take-over from an older record says that the predecessor is unknown, so that orders wait as after another host.

The state machine test restores the table, from a copy of up to 20 s, amid pauses, restarts, lost and late writes, with clients that learn of it from answers only.

--- a/coordination/lease/acquiring.go
+++ b/coordination/lease/acquiring.go
@@ -42,12 +42,23 @@
 // this process as the holder.
 func (m *Manager) takeoverTime(l *lease) time.Time {
 	delay := time.Duration(l.rank) * m.RenewalInterval
+	duration := max(m.Duration, time.Duration(l.record.DurationMilliseconds)*time.Millisecond)
+	if m.isOfEarlierHistory(l.record) {
+		return later(l.firstSeen, m.eraSince).Add(duration + m.SafetyMargin + delay)
+	}
 	if l.record.Holder == "" {
 		return l.firstSeen.Add(delay)
 	}
 	if m.PredecessorsEnded && l.record.Holder == m.Host {
 		return l.firstSeen
 	}
-	duration := max(m.Duration, time.Duration(l.record.DurationMilliseconds)*time.Millisecond)
 	return l.firstSeen.Add(duration + m.SafetyMargin + delay)
 }
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/coordination/lease/event.go
+++ b/coordination/lease/event.go
@@ -31,6 +31,9 @@
 	// Released means that PreviousHolder released the lease itself; set with
 	// Gained.
 	Released bool
+	// IsPredecessorUnknown means that another process than PreviousHolder may have held the
+	// lease last, in a history that the table has lost; set with Gained.
+	IsPredecessorUnknown bool
 	// Holder is the host that holds the lease now, as far as known; set with Lost.
 	Holder fleet.HostName
 }
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -71,14 +71,22 @@
 		m.Logger.Error().Err(err).Msg("lease record is malformed and is not overwritten")
 		return
 	}
+	m.updateEra(now)
+	if m.keepLease(l, parsed, record.Version, now) {
+		return
+	}
 	if !l.recordKnown || record.Version != l.version {
 		l.firstSeen = at
 	}
 	l.recordKnown, l.record, l.version = true, parsed, record.Version
 	if l.unresolvedVersion != 0 && l.version != l.unresolvedVersion {
 		l.unresolvedVersion = 0
+		if m.isOfEarlierHistory(parsed) {
+			// The transfer may have taken effect in the history that is lost.
+			l.held = false
+		}
 	}
-	if !m.isOwn(parsed) {
+	if !m.isOwned(l) {
 		m.loseLease(l, parsed.Holder)
 		l.releasing = false
 		return
@@ -113,7 +121,7 @@
 		l.reportedEpoch = r.Epoch
 		m.queueEvent(Event{
 			Name: l.name, Type: Gained, Epoch: r.Epoch,
-			PreviousHolder: r.PreviousHolder, PreviousStart: r.PreviousStart, Released: r.Released,
+			PreviousHolder: r.PreviousHolder, PreviousStart: r.PreviousStart, Released: r.Released, IsPredecessorUnknown: r.IsPredecessorUnknown,
 		})
 	}
 	l.held, l.expires, m.publishPending = true, expires, true
--- a/coordination/lease/manager.go
+++ b/coordination/lease/manager.go
@@ -55,6 +55,8 @@
 type Table interface {
 	Read(ctx context.Context, keys []table.Key) ([]table.Record, error)
 	Commit(ctx context.Context, transaction table.Transaction) ([]table.WriteResult, error)
+	// Era returns the highest era that the table has answered from.
+	Era() table.Era
 }
 
 // A Manager is the duty that holds all leases of one host. Its exported fields
@@ -109,6 +111,9 @@
 	// The fields below belong to the goroutine of Run.
 	leases          map[Name]*lease
 	lastWriteNumber uint64
+	// era is the era of the table, and eraSince when this process first knew of it.
+	era      table.Era
+	eraSince time.Time
 	// sentAt holds the time just before each write was sent, by write number.
 	// Entries older than Duration are dropped.
 	sentAt      map[uint64]time.Time
@@ -193,6 +198,7 @@
 
 // step does all work that is due and returns the time until the next work is due.
 func (m *Manager) step(ctx context.Context, now time.Time) time.Duration {
+	m.updateEra(now)
 	m.expireLeases(now)
 	m.startOperations(ctx)
 	if !m.roundPending {
--- a/coordination/lease/manager_test.go
+++ b/coordination/lease/manager_test.go
@@ -93,6 +93,8 @@
 	return nil, table.ErrUnavailable
 }
 
+func (a *unavailableTable) Era() table.Era { return 0 }
+
 // A silentTable answers no read until isAvailable is set.
 type silentTable struct {
 	Table
@@ -277,7 +279,7 @@
 // gets its reply before the lease is valid.
 func TestAcceptedLeaseIsValidWithTheReply(t *testing.T) {
 	c := quicktest.New(t)
-	k := &Manager{Host: "b", Start: 7}
+	k := &Manager{Host: "b", Start: 7, Table: &unavailableTable{}}
 	k.setup()
 	l := k.markWanted("e", 0)
 	k.pendingOperations++
--- a/coordination/lease/operation.go
+++ b/coordination/lease/operation.go
@@ -112,10 +112,10 @@
 	}
 	version := l.version
 	l.unresolvedVersion, m.publishPending = version, true
-	transfer := l.record.nextHolderRecord(o.to, o.start, m.Duration, 0)
+	transfer := l.record.nextHolderRecord(o.to, o.start, m.Duration, 0, m.era)
 	number := m.nextWriteNumber()
 	renewed := l.record
-	renewed.WriteNumber = number
+	renewed.WriteNumber, renewed.Era = number, m.era
 	m.publishValidLeases()
 	m.startWorker(l, func() operationResult {
 		r := operationResult{operation: o, lease: l}
@@ -157,7 +157,7 @@
 		}
 		// The transfer may have been seen by others before this read, so the
 		// lease is counted from a write of this host.
-		record.WriteNumber, record.DurationMilliseconds = number, m.Duration.Milliseconds()
+		record.WriteNumber, record.DurationMilliseconds, record.Era = number, m.Duration.Milliseconds(), m.Table.Era()
 		r.observation, r.err = m.replaceRecord(ctx, o.name, records[0].Version, record)
 		return r
 	})
--- a/coordination/lease/record.go
+++ b/coordination/lease/record.go
@@ -24,8 +24,8 @@
 	Holder fleet.HostName `json:"holder"`
 	// Start identifies the process of Holder.
 	Start fleet.StartNumber `json:"start"`
-	// Epoch is at least 1 and grows by one with each change of holder. It does not
-	// change with a release.
+	// Epoch is at least 1 and grows with each change of holder: by one, or to the first epoch of
+	// the table's era. It does not change with a release.
 	Epoch fleet.Epoch `json:"epoch"`
 	// PreviousHolder and PreviousStart identify the process that held the lease
 	// before, with the epoch before Epoch; PreviousHolder is empty for epoch 1. In
@@ -38,6 +38,11 @@
 	// hosts wait for this time if it is longer than their own, because hosts with
 	// different settings may share a table.
 	DurationMilliseconds int64 `json:"duration-milliseconds"`
+	// Era is the era of the table that the writer knew. A record with an earlier era than that of
+	// the table may be a copy: other holders may have followed in a history that is lost.
+	Era table.Era `json:"era,omitempty"`
+	// IsPredecessorUnknown means that the lease was taken over from a record with an earlier era.
+	IsPredecessorUnknown bool `json:"predecessor-unknown,omitempty"`
 	// WriteNumber numbers the writes of the holder's process, so that the holder
 	// knows which of its writes it reads back. It is 0 in a record that was written
 	// by another host.
@@ -69,13 +74,24 @@
 	return r, nil
 }
 
+// epochBits is the number of bits of an epoch that count the holders within one era.
+const epochBits = 32
+
+// firstEpoch returns the lowest epoch with which a lease is taken over in an era. No holder of an
+// earlier era had it, whatever the table has lost of these.
+func firstEpoch(era table.Era) fleet.Epoch {
+	return fleet.Epoch(era)<<epochBits + 1
+}
+
 // nextHolderRecord returns the record with which the given process takes the
-// lease over.
-func (r Record) nextHolderRecord(holder fleet.HostName, start fleet.StartNumber, duration time.Duration, write uint64) Record {
+// lease over in the given era.
+func (r Record) nextHolderRecord(holder fleet.HostName, start fleet.StartNumber, duration time.Duration, write uint64, era table.Era) Record {
 	n := Record{
 		Holder:               holder,
 		Start:                start,
-		Epoch:                r.Epoch + 1,
+		Epoch:                max(r.Epoch+1, firstEpoch(era)),
+		Era:                  era,
+		IsPredecessorUnknown: r.Era < era,
 		PreviousHolder:       r.Holder,
 		PreviousStart:        r.Start,
 		DurationMilliseconds: duration.Milliseconds(),
@@ -87,7 +103,7 @@
 	return n
 }
 
-// releasedRecord returns the record with which the holder releases the lease.
-func (r Record) releasedRecord() Record {
-	return Record{Epoch: r.Epoch, PreviousHolder: r.Holder, PreviousStart: r.Start, Released: true, DurationMilliseconds: r.DurationMilliseconds}
+// releasedRecord returns the record with which the holder releases the lease in the given era.
+func (r Record) releasedRecord(era table.Era) Record {
+	return Record{Epoch: r.Epoch, Era: era, PreviousHolder: r.Holder, PreviousStart: r.Start, Released: true, DurationMilliseconds: r.DurationMilliseconds}
 }
--- a/coordination/lease/releasing.go
+++ b/coordination/lease/releasing.go
@@ -25,7 +25,7 @@
 		return
 	}
 	l.wanted = false
-	if l.recordKnown && m.isOwn(l.record) && !l.releasing {
+	if m.isOwned(l) && !l.releasing {
 		now := m.now()
 		l.releasing, l.releaseDeadline, l.nextAccess = true, now.Add(m.Duration), now
 	}
@@ -38,7 +38,7 @@
 	var writes []table.Write
 	for _, l := range m.leases {
 		if l.held && !l.accessPending && l.unresolvedVersion == 0 {
-			writes = append(writes, table.Write{Key: l.name.Key(), Expected: l.version, Value: l.record.releasedRecord().encode()})
+			writes = append(writes, table.Write{Key: l.name.Key(), Expected: l.version, Value: l.record.releasedRecord(m.era).encode()})
 		}
 		m.loseLease(l, "")
 	}
--- a/coordination/lease/round.go
+++ b/coordination/lease/round.go
@@ -76,19 +76,19 @@
 	if l.held && !l.releasing {
 		due = r.renewal
 	}
-	own := l.recordKnown && m.isOwn(l.record)
+	own := m.isOwned(l)
 	switch {
 	case !due:
 	case !l.recordKnown || l.malformed:
 		r.read = append(r.read, l)
 	case l.releasing && own:
-		r.addWrite(l, l.record.releasedRecord())
+		r.addWrite(l, l.record.releasedRecord(m.era))
 	case own:
 		renewed := l.record
-		renewed.WriteNumber, renewed.DurationMilliseconds = number, m.Duration.Milliseconds()
+		renewed.WriteNumber, renewed.DurationMilliseconds, renewed.Era = number, m.Duration.Milliseconds(), m.era
 		r.addWrite(l, renewed)
 	case l.wanted && !now.Before(m.takeoverTime(l)):
-		r.addWrite(l, l.record.nextHolderRecord(m.Host, m.Start, m.Duration, number))
+		r.addWrite(l, l.record.nextHolderRecord(m.Host, m.Start, m.Duration, number, m.era))
 	default:
 		r.read = append(r.read, l)
 	}
@@ -186,7 +186,7 @@
 		// an unavailable table less often.
 		return now.Add(m.jitter(min(m.RenewalInterval/8<<min(m.failedRounds-1, 2), m.RenewalInterval/2)) * rank)
 	}
-	if l.recordKnown && !l.malformed && m.isOwn(l.record) {
+	if !l.malformed && m.isOwned(l) {
 		// The record names this process but the lease is not held yet.
 		return now
 	}
--- a/coordination/lease/statemachine_test.go
+++ b/coordination/lease/statemachine_test.go
@@ -89,7 +89,7 @@
 	i := rapid.IntRange(0, len(m.hosts)-1).Draw(t, "host")
 	h := m.hosts[i]
 	name := rapid.SampledFrom(m.names).Draw(t, "name")
-	switch rapid.SampledFrom([]string{"pass", "long", "want", "want", "release", "transfer", "stall", "resume", "resume", "restart", "faults", "repair"}).Draw(t, "action") {
+	switch rapid.SampledFrom([]string{"pass", "long", "want", "want", "release", "transfer", "stall", "resume", "resume", "restart", "faults", "repair", "restore"}).Draw(t, "action") {
 	case "pass":
 		m.advanceAndCheck(time.Duration(rapid.IntRange(50, 2000).Draw(t, "milliseconds")) * time.Millisecond)
 	case "long":
@@ -109,7 +109,7 @@
 		h.table.isStalled.Store(false)
 		h.Close()
 		m.start++
-		m.hosts[i] = startHost(m.table, h.Host, m.start)
+		m.hosts[i] = startHost(&platform.Client{Table: m.table}, h.Host, m.start)
 		for _, n := range m.names {
 			m.hosts[i].Acquire(n, i)
 		}
@@ -122,6 +122,8 @@
 		})
 	case "repair":
 		m.table.SetFaults(platform.TableFaults{})
+	case "restore":
+		m.table.Restore(time.Duration(rapid.IntRange(0, 20000).Draw(t, "age")) * time.Millisecond)
 	}
 	synctest.Wait()
 	m.checkValidLeases()
@@ -150,8 +152,8 @@
 }
 
 // TestManagerStateMachine guards against two holders, a reused epoch and a lease
-// that nobody gains once the table works, under pauses, restarts and table
-// faults.
+// that nobody gains once the table works, under pauses, restarts, table faults and tables that
+// come back from an older copy.
 func TestManagerStateMachine(t *testing.T) {
 	steps, used := 0, 0
 	synctest.Test(t, func(t *testing.T) {
@@ -161,7 +163,7 @@
 				tenures: map[string]string{}, highest: map[Name]fleet.Epoch{}, start: 3,
 			}
 			for i, host := range []fleet.HostName{"x", "y", "z"} {
-				m.hosts = append(m.hosts, startHost(m.table, host, fleet.StartNumber(i+1)))
+				m.hosts = append(m.hosts, startHost(&platform.Client{Table: m.table}, host, fleet.StartNumber(i+1)))
 			}
 			defer func() {
 				for _, h := range m.hosts {
--- a/coordination/ownership/statemachine_test.go
+++ b/coordination/ownership/statemachine_test.go
@@ -97,6 +97,8 @@
 	return h.deployment.table.Commit(ctx, transaction)
 }
 
+func (h *host) Era() table.Era { return h.deployment.table.Era() }
+
 // Load is delayed while the host is paused. The Owner has checked the lease before,
 // so the order may reach the engine after the lease expired.
 func (h *host) Load(ctx context.Context, engine fleet.Engine, instance fleet.Instance, epoch fleet.Epoch) error {
