zone: the registration of a host is written again in a new history of the store

Cause: the row was compared with what the host had written last, so that a row that the store had lost with its last seconds stayed lost, and with it the zones that the other hosts take from it.

A row of an earlier era than the newest that the host knows of, from the store or from other hosts, counts as unknown; the write then finds out what the store has. TestRegistrationIsWrittenAgainAfterRestore: a missing row, an older one, and an older one with the number of the host's last write.

--- a/coordination/zone/elector.go
+++ b/coordination/zone/elector.go
@@ -17,6 +17,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/table"
 )
 
 const (
@@ -44,6 +45,8 @@
 // A ViewSource returns the newest view of the site.
 type ViewSource interface {
 	View() *site.View
+	// Era returns the highest era of the tables that the view is built from.
+	Era() table.Era
 }
 
 // Owners reports which owners of zones reply to this host.
@@ -202,7 +205,7 @@
 		current, ok := (*e.heldZones.Load())[zone]
 		if !ok || current.epoch != uint64(epoch) {
 			current = heldZone{epoch: uint64(epoch), ordersFrom: now}
-			if event.PreviousHolder != "" && string(event.PreviousHolder) != e.Host.Name {
+			if event.IsPredecessorUnknown || event.PreviousHolder != "" && string(event.PreviousHolder) != e.Host.Name {
 				current.ordersFrom = now.Add(e.FirstOrderDelay)
 			}
 			e.Log.Info().Str("zone", zone).Uint64("epoch", uint64(epoch)).Msg("zone taken over")
--- a/coordination/zone/elector_test.go
+++ b/coordination/zone/elector_test.go
@@ -67,6 +67,7 @@
 }
 
 func (f *fakePlatform) View() *site.View  { return f.view }
+func (f *fakePlatform) Era() table.Era    { return 0 }
 func (f *fakePlatform) Alive(string) bool { return f.alive }
 func (f *fakePlatform) Commit(context.Context, table.Transaction) ([]table.WriteResult, error) {
 	return nil, errors.New("no store")
--- a/coordination/zone/registration.go
+++ b/coordination/zone/registration.go
@@ -24,6 +24,8 @@
 // written.
 type Table interface {
 	Commit(ctx context.Context, transaction table.Transaction) ([]table.WriteResult, error)
+	// Era returns the highest era that the table has answered from.
+	Era() table.Era
 }
 
 // A registration is what an Elector knows of the row of its host.
@@ -57,8 +59,14 @@
 	r.value, r.version = string(result.row.Value), result.row.Version
 }
 
-// register writes this host's registration, with the zones that it owns, if the row differs
-// and no write is pending. The first write of a process finds out the version of a row that an
+// era returns the era of the newest history of the store that this host knows of, from the store
+// or from other hosts.
+func (e *Elector) era() table.Era {
+	return max(e.Table.Era(), e.Views.Era())
+}
+
+// register writes this host's registration, with the zones that it owns, if the row differs or
+// is of a history that the store has lost, and no write is pending. The first write of a process finds out the version of a row that an
 // earlier process has left.
 func (e *Elector) register(ctx context.Context, now time.Time) {
 	host := e.Host
@@ -69,7 +77,8 @@
 		}
 	}
 	value, err := json.Marshal(host)
-	if err != nil || e.registration.isPending || string(value) == e.registration.value || now.Before(e.registration.retryAt) {
+	isCurrent := string(value) == e.registration.value && e.registration.version.Era() >= e.era()
+	if err != nil || e.registration.isPending || isCurrent || now.Before(e.registration.retryAt) {
 		return
 	}
 	e.registration.isPending = true
@@ -85,7 +94,7 @@
 		}
 		result := results[0]
 		if !result.Applied && result.Current.Version == write.Expected {
-			e.Log.Warn().Uint64("version", uint64(write.Expected)).Msg("store refused the registration of this host although its condition holds")
+			e.Log.Warn().Uint64("version", write.Expected.Transaction()).Msg("store refused the registration of this host although its condition holds")
 			e.registrationResults.Offer(registrationResult{isFailed: true})
 			return
 		}
--- a/coordination/zone/registration_test.go
+++ b/coordination/zone/registration_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/lease"
 	"github.com/persimmonmux/persimmonmux/coordination/ring"
+	standin "github.com/persimmonmux/persimmonmux/standin/platform"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/table"
@@ -60,6 +61,13 @@
 	return table.WriteResult{Applied: applied, Current: l.row}
 }
 
+// Era returns the era of the row's version. The table has no other rows.
+func (l *lossyTable) Era() table.Era {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.row.Version.Era()
+}
+
 // ownedZones returns the zones of the row.
 func (l *lossyTable) ownedZones(c *quicktest.C) map[string]uint64 {
 	l.mutex.Lock()
@@ -163,6 +171,8 @@
 	commits int
 }
 
+func (r *refusingTable) Era() table.Era { return 0 }
+
 func (r *refusingTable) Commit(_ context.Context, transaction table.Transaction) ([]table.WriteResult, error) {
 	r.commits++
 	time.Sleep(5 * time.Millisecond)
@@ -193,3 +203,60 @@
 		})
 	}
 }
+
+// TestRegistrationIsWrittenAgainAfterRestore guards against a zone that has no owner for the other
+// hosts, because the store has come back from a copy without the owner's row, or with an older
+// one, which may even have the version that the host wrote last.
+func TestRegistrationIsWrittenAgainAfterRestore(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// value is that of the row in the copy, or empty.
+		value string
+		// hasSameVersion means that the row has the number of the host's last write.
+		hasSameVersion bool
+	}{
+		{"row is missing", "", false},
+		{"row is older", `{"name":"host","zone":"east"}`, false},
+		{"row is older and has the version of the last write", `{"name":"host","zone":"east"}`, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				f := newFakePlatform()
+				f.events = ring.New[lease.Event](4)
+				rows := standin.NewTable(1)
+				client := &standin.Client{Table: rows}
+				elector := &Elector{
+					Host: site.Host{Name: "host", Zone: "east"}, Leases: f, LeaseEvents: f.events, Views: f, Owners: f, Table: client,
+					LinkMegabits: 200, Log: zerolog.Nop(),
+				}
+				done := make(chan error, 1)
+				go func() { done <- elector.Run(context.Background()) }()
+				time.Sleep(checkInterval)
+				f.setEpoch(LeaseName("east"), 2, "")
+				time.Sleep(10 * time.Second)
+				written, err := rows.Read(context.Background(), []table.Key{"hosts/host"})
+				c.Assert(err, quicktest.IsNil)
+				row := table.Record{Key: "hosts/host", Value: []byte(test.value)}
+				if test.value != "" {
+					row.Version = written[0].Version
+				}
+				if test.value != "" && !test.hasSameVersion {
+					row.Version--
+				}
+				rows.RestoreRecords(row.Version.Transaction(), row)
+				// The host learns of the new history with its next call, as from the renewal of a lease.
+				_, err = client.Read(context.Background(), []table.Key{"lease/east"})
+				c.Assert(err, quicktest.IsNil)
+				time.Sleep(time.Second)
+				records, err := rows.Read(context.Background(), []table.Key{"hosts/host"})
+				c.Assert(err, quicktest.IsNil)
+				var host site.Host
+				c.Assert(json.Unmarshal(records[0].Value, &host), quicktest.IsNil)
+				c.Check(host.OwnedZones, quicktest.DeepEquals, map[string]uint64{"east": 2})
+				c.Assert(elector.Close(), quicktest.IsNil)
+				c.Assert(<-done, quicktest.IsNil)
+			})
+		})
+	}
+}
