peer: compressed values are cached by key and position

Cause: rows of one transaction have the same position, and the cache of compressed values knew them by it alone, so that a host would have got the value of one large row under the key of another.

TestRowsOfOneTransactionKeepTheirValues fails before.

--- a/protocol/peer/compressvalue.go
+++ b/protocol/peer/compressvalue.go
@@ -23,11 +23,17 @@
 var (
 	// compressedMutex guards compressedValues.
 	compressedMutex sync.Mutex
-	// compressedValues caches compressed values by the position of their row. All
-	// conversions in this process share it.
-	compressedValues = make(map[site.Position][]byte)
+	// compressedValues caches compressed values. All conversions in this process share it.
+	compressedValues = make(map[compressedValue][]byte)
 )
 
+// A compressedValue identifies the value of a row. Rows of one transaction have the same
+// position.
+type compressedValue struct {
+	key      string
+	position site.Position
+}
+
 // compressValue returns the value of a row, compressed if it has at least
 // compressionThresholdBytes, and whether it is compressed. If the compression fails,
 // it returns the value as it is.
@@ -37,7 +43,8 @@
 	}
 	compressedMutex.Lock()
 	defer compressedMutex.Unlock()
-	if cached, ok := compressedValues[row.Position]; ok {
+	id := compressedValue{key: row.Key, position: row.Position}
+	if cached, ok := compressedValues[id]; ok {
 		return cached, true
 	}
 	var buffer bytes.Buffer
@@ -51,7 +58,7 @@
 	if len(compressedValues) >= maxCompressedValues {
 		clear(compressedValues)
 	}
-	compressedValues[row.Position] = buffer.Bytes()
+	compressedValues[id] = buffer.Bytes()
 	return buffer.Bytes(), true
 }
 
--- a/protocol/peer/convertfollow_test.go
+++ b/protocol/peer/convertfollow_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"math"
 	"testing"
 	"time"
@@ -23,3 +24,16 @@
 		c.Check(toStatedLimit(message), quicktest.Equals, site.StatedLimit{})
 	}
 }
+
+// TestRowsOfOneTransactionKeepTheirValues guards against a large value that arrives under the key
+// of another row, because one transaction wrote both.
+func TestRowsOfOneTransactionKeepTheirValues(t *testing.T) {
+	c := quicktest.New(t)
+	rows := []site.Row{
+		{Key: "config", Value: bytes.Repeat([]byte("a"), 2*compressionThresholdBytes), Position: 7},
+		{Key: "other", Value: bytes.Repeat([]byte("b"), 2*compressionThresholdBytes), Position: 7},
+	}
+	reply, err := ToFollowReply(FromFollowReply(site.FollowReply{Changes: []site.Changes{{Table: "op", Rows: rows}}}))
+	c.Assert(err, quicktest.IsNil)
+	c.Check(reply.Changes[0].Rows, quicktest.DeepEquals, rows)
+}
