--- a/internal/coordination/quarantine/traitset.go
+++ b/internal/coordination/quarantine/traitset.go
@@ -16,17 +16,6 @@
 	first, second string
 }
 
-// newTraitSet returns the set of one or two sorted traits, and false for any other list.
-func newTraitSet(service site.ServiceName, traits []string) (traitSet, bool) {
-	switch {
-	case len(traits) == 1 && traits[0] != "":
-		return traitSet{service: service, first: traits[0]}, true
-	case len(traits) == 2 && traits[0] != "" && traits[0] < traits[1]:
-		return traitSet{service: service, first: traits[0], second: traits[1]}, true
-	}
-	return traitSet{}, false
-}
-
 // size returns the number of traits in the set.
 func (s traitSet) size() int {
 	if s.second == "" {
--- a/state/table/version.go
+++ b/state/table/version.go
@@ -18,9 +18,10 @@
 	// transactionBits is the number of bits of a Version that hold the transaction: enough
 	// for 30 years at 1,200 transactions a second.
 	transactionBits = 40
-	// MaxTransaction and MaxEra are the highest values that a Version can hold.
+	// MaxTransaction is the highest number of a transaction that a Version can hold.
 	MaxTransaction = 1<<transactionBits - 1
-	MaxEra         = 1<<(64-transactionBits) - 1
+	// MaxEra is the highest era that a Version can hold.
+	MaxEra = 1<<(64-transactionBits) - 1
 )
 
 // NewVersion returns the version of a transaction. Neither value exceeds its maximum.
