--- a/internal/soak/desiredstate.go
+++ b/internal/soak/desiredstate.go
@@ -51,6 +51,24 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.stateVersion += 3
+	return d.writePresentState()
+}
+
+// rewriteOperatorRows writes the present desired state and the declared versions again, which the
+// store may have lost.
+func (d *deployment) rewriteOperatorRows() error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for adapter, version := range d.adapterVersions {
+		if err := d.writeVersion(adapter, version); err != nil {
+			return err
+		}
+	}
+	return d.writePresentState()
+}
+
+// writePresentState writes the desired state with its present version. The mutex is held.
+func (d *deployment) writePresentState() error {
 	route := func(name, kind, service string, priority, attempts int, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "hostname": callHost, "prefix": "/" + name + "/", "routeType": kind, "backend": service, "priority": priority,
@@ -98,5 +116,10 @@
 	d.adapterVersions[adapter] = max(d.adapterVersions[adapter], 1) + 1
 	version := d.adapterVersions[adapter]
 	d.mutex.Unlock()
-	return version, d.setRow("op", "version/"+modelName+"."+adapter, map[string]any{"model": modelName, "adapter": adapter, "version": version})
+	return version, d.writeVersion(adapter, version)
+}
+
+// writeVersion writes the row that declares a version of an adapter.
+func (d *deployment) writeVersion(adapter string, version int) error {
+	return d.setRow("op", "version/"+modelName+"."+adapter, map[string]any{"model": modelName, "adapter": adapter, "version": version})
 }
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -50,6 +50,7 @@
 	{"platform paused", 1, func(ctx context.Context, d *deployment, random *rand.Rand) {
 		freezeProcess(ctx, &d.platform, random, 3*time.Second)
 	}},
+	{"store restored", 2, restoreStore},
 	{"route moved", 1, func(_ context.Context, d *deployment, _ *rand.Rand) { _, _ = d.switchBookingTarget() }},
 	{"version declared", 2, func(_ context.Context, d *deployment, random *rand.Rand) {
 		_, _ = d.declareVersion(randomAdapter(random))
@@ -189,6 +190,38 @@
 	must(d.putJSON(standin.PathFaults, standin.ServerFaults{}))
 }
 
+// restoreStore takes the platform's store away for a moment and brings it back from a copy some
+// seconds old. The operator and the servers write their rows again at different moments after
+// that.
+func restoreStore(ctx context.Context, d *deployment, random *rand.Rand) {
+	age := randomDuration(random, 500*time.Millisecond, 12*time.Second)
+	absence := randomDuration(random, 100*time.Millisecond, 3*time.Second)
+	if !d.platform.faultMutex.TryLock() {
+		return
+	}
+	defer d.platform.faultMutex.Unlock()
+	must(d.putJSON(standin.PathFaults, standin.ServerFaults{Table: standin.TableFaults{Unavailable: true, RestoreAge: age}}))
+	sleep(ctx, absence)
+	must(d.putJSON(standin.PathFaults, standin.ServerFaults{}))
+	var group sync.WaitGroup
+	pause := randomDuration(random, 0, time.Second)
+	group.Go(func() {
+		sleep(ctx, pause)
+		must(d.rewriteOperatorRows())
+	})
+	for _, s := range d.servers {
+		pause := randomDuration(random, 0, 1500*time.Millisecond)
+		group.Go(func() {
+			sleep(ctx, pause)
+			// A server that is down or paused writes its row when it is back.
+			s.faultMutex.Lock()
+			defer s.faultMutex.Unlock()
+			must(d.writeServerRow(s, "ready"))
+		})
+	}
+	group.Wait()
+}
+
 // injectFaults injects random faults at random times until ctx ends, waits until the
 // last one is over and returns the number of faults by name.
 func injectFaults(ctx context.Context, d *deployment, random *rand.Rand) map[string]int {
