--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,48 +91,6 @@
 	liveOwners atomic.Pointer[map[string]liveOwner]
 }
 
-// A liveOwner is an owner's last reply as seen by Alive and GivesOrders.
-type liveOwner struct {
-	lastReply      time.Time
-	silenceTimeout time.Duration
-	// orderingZones lists the zones in which the owner sends orders.
-	orderingZones []string
-}
-
-// An ownerState is the state of one owner. It belongs to the goroutine of Run.
-type ownerState struct {
-	host           *site.Host
-	zones          map[string]bool
-	nextPoll       time.Time
-	requestPending bool
-	lastReply      time.Time
-	isLeaving      bool
-	isLost         bool
-	// isStale means that the last reply to a request for changes came from an owner
-	// whose own tables are too old, or of a history that the store has lost.
-	isStale bool
-	// orderingZones lists the zones in which the owner sends orders.
-	orderingZones []string
-	// isFallbackOnly means that the owner's engines are used only when those of
-	// this host's own region are full or lost. Such an owner is polled less often
-	// and without residencies.
-	isFallbackOnly bool
-	// knownSequence is the sequence number up to which the owner's residencies are
-	// known.
-	knownSequence uint64
-}
-
-// A followResult carries the outcome of a follow request to the goroutine of Run.
-type followResult struct {
-	host  string
-	start int64
-	// requestedChanges reports whether the request included changes of the tables.
-	requestedChanges bool
-	sentAt           time.Time
-	reply            site.FollowReply
-	err              error
-}
-
 func (f *Follower) prepare() {
 	f.once.Do(func() {
 		f.started = time.Now()
@@ -154,22 +111,6 @@
 	return f.lifecycle.Close()
 }
 
-// Alive reports whether the host is an owner that replied within its silence
-// timeout and is not about to stop.
-func (f *Follower) Alive(host string) bool {
-	f.prepare()
-	a, ok := (*f.liveOwners.Load())[host]
-	return ok && time.Since(a.lastReply) < a.silenceTimeout
-}
-
-// GivesOrders reports whether Alive is true for the host and its last reply
-// listed the zone among those in which it sends orders.
-func (f *Follower) GivesOrders(host, zone string) bool {
-	f.prepare()
-	a, ok := (*f.liveOwners.Load())[host]
-	return ok && time.Since(a.lastReply) < a.silenceTimeout && slices.Contains(a.orderingZones, zone)
-}
-
 func (f *Follower) loop(ctx context.Context) error {
 	timer := time.NewTimer(ownerCheckInterval)
 	defer timer.Stop()
@@ -229,15 +170,6 @@
 	}
 }
 
-// silenceTimeout returns the time without a reply after which the owner counts as
-// lost.
-func (l *ownerState) silenceTimeout() time.Duration {
-	if l.isFallbackOnly {
-		return ownerSilenceTimeout + fallbackPollInterval
-	}
-	return ownerSilenceTimeout
-}
-
 // poll sends a follow request to the owner on a worker goroutine.
 func (f *Follower) poll(ctx context.Context, l *ownerState, now time.Time) {
 	l.isFallbackOnly = f.Residencies.IsFallbackOnly(l.zones)
@@ -270,83 +202,3 @@
 		}
 	})
 }
-
-// replacesOwnZoneOwner reports whether this host requests changes from the
-// given owner in place of the owner of its own zone. It does so while that one does
-// not reply or is stale; before this host has synced, from owners of its own region
-// only, unless the store does not reply either.
-func (f *Follower) replacesOwnZoneOwner(l *ownerState, now time.Time) bool {
-	if f.isOwnZoneOwnerCurrent(now) {
-		return false
-	}
-	return f.Cache.HasSynced() || l.host.Region == f.Region || f.Cache.StoreAge() > freshReplyAge
-}
-
-// isOwnZoneOwnerCurrent reports whether the owner of this host's zone, which may be
-// this host, replies and is not stale.
-func (f *Follower) isOwnZoneOwnerCurrent(now time.Time) bool {
-	if host := f.Cache.View().Owners[f.Zone]; host != nil && host.Name == f.Self {
-		return !f.Cache.isStaleOwner(f.Cache.tableAges())
-	}
-	for _, l := range f.owners {
-		if l.zones[f.Zone] && !l.isStale && now.Sub(l.lastReply) <= freshReplyAge {
-			return true
-		}
-	}
-	return false
-}
-
-// handleResult applies the reply to a follow request.
-func (f *Follower) handleResult(r followResult, now time.Time) {
-	l := f.owners[r.host]
-	if l == nil || l.host.Start != r.start {
-		return
-	}
-	l.requestPending = false
-	if r.err != nil {
-		return
-	}
-	if l.isLost {
-		f.Log.Info().Str("owner", r.host).Msg("owner regained")
-	}
-	l.lastReply, l.isLeaving, l.isLost, l.orderingZones = now, r.reply.Leaving, false, r.reply.OrderingZones
-	f.publishLiveOwners()
-	if r.requestedChanges {
-		f.applyChanges(l, r, now)
-	}
-	f.Residencies.UpdateRunningCounts(r.reply.RunningRequests)
-	f.Residencies.UpdateLeaving(r.reply.LeavingServers)
-	known := true
-	for _, residency := range r.reply.Residencies {
-		known = f.Residencies.UpdateResidency(residency) && known
-	}
-	if known {
-		l.knownSequence = r.reply.Sequence
-	}
-}
-
-// applyChanges passes the changes of a reply to the cache and records whether the
-// owner is stale.
-func (f *Follower) applyChanges(l *ownerState, r followResult, now time.Time) {
-	ages := make(map[site.Table]time.Duration, len(r.reply.Changes))
-	hasLostHistory := false
-	for _, changes := range r.reply.Changes {
-		ages[changes.Table] = changes.Age
-		hasLostHistory = hasLostHistory || changes.CompleteThrough.Era() < f.Cache.Position(changes.Table).Era()
-		// The owner wrote the reply after the request was sent.
-		changes.Age += now.Sub(r.sentAt)
-		f.Cache.Enqueue(changes, r.host)
-	}
-	l.isStale = hasLostHistory || f.Cache.isStaleOwner(ages)
-}
-
-// publishLiveOwners replaces the map that Alive and GivesOrders read.
-func (f *Follower) publishLiveOwners() {
-	alive := make(map[string]liveOwner, len(f.owners))
-	for name, l := range f.owners {
-		if !l.isLeaving && !l.isLost {
-			alive[name] = liveOwner{lastReply: l.lastReply, silenceTimeout: l.silenceTimeout(), orderingZones: l.orderingZones}
-		}
-	}
-	f.liveOwners.Store(&alive)
-}
--- a/coordination/zone/registration_test.go
+++ b/coordination/zone/registration_test.go
@@ -77,6 +77,24 @@
 	return host.OwnedZones
 }
 
+// startOwner runs the Elector of host "host" of zone "east", which gains the lease of its zone with
+// epoch 2, for 10 s. The returned function closes it.
+func startOwner(c *quicktest.C, f *fakePlatform, rows Table) (stop func()) {
+	elector := &Elector{
+		Host: site.Host{Name: "host", Zone: "east"}, Leases: f, LeaseEvents: f.events, Views: f, Owners: f, Table: rows,
+		LinkMegabits: 200, Log: zerolog.Nop(),
+	}
+	done := make(chan error, 1)
+	go func() { done <- elector.Run(context.Background()) }()
+	time.Sleep(checkInterval)
+	f.setEpoch(LeaseName("east"), 2, "")
+	time.Sleep(10 * time.Second)
+	return func() {
+		c.Assert(elector.Close(), quicktest.IsNil)
+		c.Assert(<-done, quicktest.IsNil)
+	}
+}
+
 // TestLateRegistrationDoesNotReplaceNewerOne guards against a zone that has no owner for good,
 // because a write of the owner's row without the zone got no answer and was carried out after
 // the write with the zone.
@@ -98,20 +116,10 @@
 					f := newFakePlatform()
 					f.events = ring.New[lease.Event](4)
 					rows := &lossyTable{lost: test.lost, lateDelay: lateDelay, row: test.row}
-					elector := &Elector{
-						Host: site.Host{Name: "host", Zone: "east"}, Leases: f, LeaseEvents: f.events, Views: f, Owners: f, Table: rows,
-						LinkMegabits: 200, Log: zerolog.Nop(),
-					}
-					done := make(chan error, 1)
-					go func() { done <- elector.Run(context.Background()) }()
-					time.Sleep(checkInterval)
-					f.setEpoch(LeaseName("east"), 2, "")
-					time.Sleep(10 * time.Second)
+					defer startOwner(c, f, rows)()
 					c.Check(rows.ownedZones(c), quicktest.DeepEquals, map[string]uint64{"east": 2})
 					const mostCommits = 8
 					c.Check(rows.commits <= mostCommits, quicktest.IsTrue, quicktest.Commentf("%d writes", rows.commits))
-					c.Assert(elector.Close(), quicktest.IsNil)
-					c.Assert(<-done, quicktest.IsNil)
 				})
 			})
 		}
@@ -226,15 +234,7 @@
 				f.events = ring.New[lease.Event](4)
 				rows := standin.NewTable(1)
 				client := &standin.Client{Table: rows}
-				elector := &Elector{
-					Host: site.Host{Name: "host", Zone: "east"}, Leases: f, LeaseEvents: f.events, Views: f, Owners: f, Table: client,
-					LinkMegabits: 200, Log: zerolog.Nop(),
-				}
-				done := make(chan error, 1)
-				go func() { done <- elector.Run(context.Background()) }()
-				time.Sleep(checkInterval)
-				f.setEpoch(LeaseName("east"), 2, "")
-				time.Sleep(10 * time.Second)
+				defer startOwner(c, f, client)()
 				written, err := rows.Read(context.Background(), []table.Key{"hosts/host"})
 				c.Assert(err, quicktest.IsNil)
 				row := table.Record{Key: "hosts/host", Value: []byte(test.value)}
@@ -254,8 +254,6 @@
 				var host site.Host
 				c.Assert(json.Unmarshal(records[0].Value, &host), quicktest.IsNil)
 				c.Check(host.OwnedZones, quicktest.DeepEquals, map[string]uint64{"east": 2})
-				c.Assert(elector.Close(), quicktest.IsNil)
-				c.Assert(<-done, quicktest.IsNil)
 			})
 		})
 	}
--- /dev/null
+++ b/internal/coordination/quarantine/block.go
@@ -0,0 +1,161 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+// A block is a set of traits. Requests that have all of them are refused.
+type block struct {
+	service site.ServiceName
+	// traits is sorted and not empty.
+	traits []string
+	// ends is the number of engines that ended under such requests.
+	ends int
+	// until is when the block ends unless another engine ends.
+	until time.Time
+}
+
+// key identifies the traits of the block.
+func (b *block) key() string {
+	return string(b.service) + "\x00" + strings.Join(b.traits, "\x00")
+}
+
+// A suspicion is what speaks against one set of traits.
+type suspicion struct {
+	set traitSet
+	// ends are the ends with such a request among the suspects and no answer to one
+	// since, by ascending time.
+	ends []*end
+	// common has the set, and those other traits that all these suspect requests share and
+	// that no answer has cleared since.
+	common []string
+}
+
+// suspicions collects what speaks against each set of traits.
+func (e *evidence) suspicions() map[traitSet]*suspicion {
+	all := make(map[traitSet]*suspicion)
+	for _, known := range e.ends {
+		for _, traits := range known.suspects {
+			open := e.openTraits(traits, known)
+			for set := range traitSets(known.service, traits) {
+				if !e.isSuspect(set, known) {
+					continue
+				}
+				blamed := set.union(open)
+				s := all[set]
+				if s == nil {
+					s = &suspicion{set: set, common: blamed}
+					all[set] = s
+				}
+				s.common = intersect(s.common, blamed)
+				if !slices.Contains(s.ends, known) {
+					s.ends = append(s.ends, known)
+				}
+			}
+		}
+	}
+	for _, s := range all {
+		slices.SortFunc(s.ends, func(a, b *end) int { return a.at.Compare(b.at) })
+	}
+	return all
+}
+
+// openTraits returns those traits of a suspect request that no answer has cleared since the
+// end.
+func (e *evidence) openTraits(traits []string, known *end) []string {
+	var open []string
+	for _, trait := range traits {
+		if e.isSuspect(traitSet{service: known.service, first: trait}, known) {
+			open = append(open, trait)
+		}
+	}
+	return open
+}
+
+// intersect returns the strings that are in both sorted lists.
+func intersect(a, b []string) []string {
+	var both []string
+	for _, text := range a {
+		if _, found := slices.BinarySearch(b, text); found {
+			both = append(both, text)
+		}
+	}
+	return both
+}
+
+// countMoments returns the number of ends, where ends within sameMomentWindow count
+// once. The ends are sorted by time.
+func countMoments(ends []*end) int {
+	count := 0
+	var last time.Time
+	for _, known := range ends {
+		if count == 0 || known.at.Sub(last) >= sameMomentWindow {
+			count++
+			last = known.at
+		}
+	}
+	return count
+}
+
+// blocks returns the blocks that follow from the evidence, sorted by their keys. A pair of
+// traits is blocked only for ends that no single trait explains, and a wider set only for
+// ends that narrower ones do not explain: traits that the requests share with sound ones
+// stay in use.
+func (e *evidence) blocks(now time.Time) []block {
+	candidates := e.candidates()
+	explained := make(map[*end]bool)
+	byKey := make(map[string]block)
+	for _, s := range candidates {
+		open := slices.DeleteFunc(slices.Clone(s.ends), func(known *end) bool { return explained[known] })
+		if countMoments(open) < minEnds {
+			continue
+		}
+		for _, known := range s.ends {
+			explained[known] = true
+		}
+		newest := s.ends[len(s.ends)-1]
+		b := block{service: newest.service, traits: s.common, ends: len(s.ends), until: newest.at.Add(blockDuration)}
+		if now.Before(b.until) {
+			byKey[b.key()] = b
+		}
+	}
+	return slices.SortedFunc(maps.Values(byKey), func(a, b block) int { return strings.Compare(a.key(), b.key()) })
+}
+
+// candidates returns the suspicions with at least minEnds ends: those against one trait
+// before those against pairs, then those against the most traits together, then those with
+// the most ends.
+func (e *evidence) candidates() []*suspicion {
+	var list []*suspicion
+	for _, s := range e.suspicions() {
+		if countMoments(s.ends) >= minEnds {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b *suspicion) int {
+		return cmp.Or(a.set.size()-b.set.size(), len(b.common)-len(a.common), len(b.ends)-len(a.ends), slices.Compare(a.common, b.common))
+	})
+	return list
+}
+
+// dependsOn reports whether a request that the block refuses is among the suspects of
+// the end.
+func (b *block) dependsOn(known *end) bool {
+	return known.service == b.service && slices.ContainsFunc(known.suspects, b.matches)
+}
+
+// matches reports whether a request with the traits is refused.
+func (b *block) matches(traits []string) bool {
+	for _, trait := range b.traits {
+		if !slices.Contains(traits, trait) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -87,12 +87,6 @@
 	ledger publishedLedger
 }
 
-// A message is an input of the duty, handled on the goroutine of Run. It reports
-// whether anything was not known before.
-type message interface {
-	apply(l *ledger, now time.Time) bool
-}
-
 func (q *Quarantine) prepare() {
 	q.once.Do(func() {
 		q.messages = ring.New[message](messageCapacity)
@@ -183,36 +177,6 @@
 	}
 }
 
-// An interruption is a request whose server ended before the answer had begun.
-type interruption struct {
-	engine  site.Incarnation
-	service site.ServiceName
-	traits  []string
-	// done is closed when the evidence is published.
-	done chan struct{}
-}
-
-func (i *interruption) apply(l *ledger, now time.Time) bool {
-	return l.recordEnd(i.engine, i.service, i.traits, now)
-}
-
-// A soundAnswer is an answer that has begun. traits is sorted.
-type soundAnswer struct {
-	service site.ServiceName
-	traits  []string
-}
-
-func (s soundAnswer) apply(l *ledger, now time.Time) bool {
-	return l.recordSound(s.service, s.traits, now)
-}
-
-// A peerReport has observations that another host sent.
-type peerReport []site.ProcessObservations
-
-func (p peerReport) apply(l *ledger, now time.Time) bool {
-	return l.merge(p, now)
-}
-
 func (q *Quarantine) loop(ctx context.Context) error {
 	q.changedAt = time.Now()
 	timer := time.NewTimer(0)
