--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -67,7 +67,7 @@
 // PathFaults and PathRows for tests.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	method, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	if strings.HasPrefix(method, "rows-") || strings.HasPrefix(method, "blob-") {
+	if isStoreCall := strings.HasPrefix(method, "rows-") || strings.HasPrefix(method, "blob-"); isStoreCall && s.Table != nil {
 		w = newEraWriter(w, s.Table)
 	}
 	switch r.Method + " /" + method {
