lease: epochs follow from the version of the record, copies of transfers are not accepted

Cause: a host that has not heard of a restore sends a write whose number is met by chance in the new history. The record of a holder is replaced by one of the earlier era, and the next holder began with the first epoch of the era again. The epoch now holds the number of the record that is replaced, which such a write can only raise.

A record of an earlier era is no transfer. A lease that has run out but is not yet marked so is not kept either.

--- a/coordination/lease/history.go
+++ b/coordination/lease/history.go
@@ -14,7 +14,7 @@
 //     Its holder, if its lease is still valid, writes it again under the same epoch. All others
 //     wait for the duration of a lease from when they learned of the history.
 //   - A lease that is taken over gets an epoch of the present era, which is higher than all
-//     epochs of earlier ones.
+//     epochs of earlier ones, and within it one that grows with the version of the record.
 //
 // The wait also outlasts writes of an earlier history that are carried out late, when a record
 // may have the version that they expect by chance.
@@ -39,7 +39,7 @@
 // keepLease keeps a held lease whose record in the table is of an earlier history, and has it
 // written again. It reports whether it did.
 func (m *Manager) keepLease(l *lease, found Record, version table.Version, now time.Time) bool {
-	if !l.held || l.releasing || l.unresolvedVersion != 0 || !m.isOfEarlierHistory(found) || l.version == version {
+	if !l.held || !now.Before(l.expires) || l.releasing || l.unresolvedVersion != 0 || !m.isOfEarlierHistory(found) || l.version == version {
 		return false
 	}
 	l.version = version
--- a/coordination/lease/operation.go
+++ b/coordination/lease/operation.go
@@ -112,7 +112,7 @@
 	}
 	version := l.version
 	l.unresolvedVersion, m.publishPending = version, true
-	transfer := l.record.nextHolderRecord(o.to, o.start, m.Duration, 0, m.era)
+	transfer := l.record.nextHolderRecord(o.to, o.start, m.Duration, 0, version, m.era)
 	number := m.nextWriteNumber()
 	renewed := l.record
 	renewed.WriteNumber, renewed.Era = number, m.era
@@ -151,7 +151,9 @@
 		}
 		r.observation = &observation{record: records[0], at: m.now()}
 		record, err := decode(records[0])
-		if err != nil || !m.isOwn(record) || record.Epoch != o.acceptedEpoch {
+		// A copy of the transfer may be older than a holder that followed in a lost history.
+		isCopy := record.Era < m.Table.Era()
+		if err != nil || !m.isOwn(record) || record.Epoch != o.acceptedEpoch || isCopy {
 			r.err = errors.Join(err, ErrNotHeld)
 			return r
 		}
--- a/coordination/lease/record.go
+++ b/coordination/lease/record.go
@@ -24,8 +24,8 @@
 	Holder fleet.HostName `json:"holder"`
 	// Start identifies the process of Holder.
 	Start fleet.StartNumber `json:"start"`
-	// Epoch is at least 1 and grows with each change of holder: by one, or to the first epoch of
-	// the table's era. It does not change with a release.
+	// Epoch is at least 1 and grows with each change of holder: by one, or to the epoch that
+	// lowestEpoch returns. It does not change with a release.
 	Epoch fleet.Epoch `json:"epoch"`
 	// PreviousHolder and PreviousStart identify the process that held the lease
 	// before, with the epoch before Epoch; PreviousHolder is empty for epoch 1. In
@@ -74,22 +74,28 @@
 	return r, nil
 }
 
-// epochBits is the number of bits of an epoch that count the holders within one era.
-const epochBits = 32
+// epochBits is the number of bits of an epoch that count the holders within one era. It is the
+// number of bits of a transaction in a version.
+const epochBits = 40
 
-// firstEpoch returns the lowest epoch with which a lease is taken over in an era. No holder of an
-// earlier era had it, whatever the table has lost of these.
-func firstEpoch(era table.Era) fleet.Epoch {
-	return fleet.Epoch(era)<<epochBits + 1
+// lowestEpoch returns the lowest epoch with which a lease is taken over whose record has the
+// version, or is absent, in the given era. It follows from the version and not from the record:
+// a late write of an earlier era may have replaced the record of a holder, but not lowered its
+// version. No two holders replace the same version, and none of an earlier era had the epoch.
+func lowestEpoch(version table.Version, era table.Era) fleet.Epoch {
+	if era == 0 {
+		return 1
+	}
+	return fleet.Epoch(era)<<epochBits + fleet.Epoch(version.Transaction()) + 1
 }
 
 // nextHolderRecord returns the record with which the given process takes the
-// lease over in the given era.
-func (r Record) nextHolderRecord(holder fleet.HostName, start fleet.StartNumber, duration time.Duration, write uint64, era table.Era) Record {
+// lease over in the given era. version is that of the record that it replaces.
+func (r Record) nextHolderRecord(holder fleet.HostName, start fleet.StartNumber, duration time.Duration, write uint64, version table.Version, era table.Era) Record {
 	n := Record{
 		Holder:               holder,
 		Start:                start,
-		Epoch:                max(r.Epoch+1, firstEpoch(era)),
+		Epoch:                max(r.Epoch+1, lowestEpoch(version, era)),
 		Era:                  era,
 		IsPredecessorUnknown: r.Era < era,
 		PreviousHolder:       r.Holder,
--- a/coordination/lease/round.go
+++ b/coordination/lease/round.go
@@ -88,7 +88,7 @@
 		renewed.WriteNumber, renewed.DurationMilliseconds, renewed.Era = number, m.Duration.Milliseconds(), m.era
 		r.addWrite(l, renewed)
 	case l.wanted && !now.Before(m.takeoverTime(l)):
-		r.addWrite(l, l.record.nextHolderRecord(m.Host, m.Start, m.Duration, number, m.era))
+		r.addWrite(l, l.record.nextHolderRecord(m.Host, m.Start, m.Duration, number, l.version, m.era))
 	default:
 		r.read = append(r.read, l)
 	}
--- a/spec/histories.pml
+++ b/spec/histories.pml
@@ -18,14 +18,14 @@
  * Bounds: RESTORES restores, numbers up to NUMBERS in each history, SENDS writes of
  * each host.
  *
- * Known limit of the protocol: with LATE_LEARNER a host may send writes for longer
- * than a lease without learning of the new history. Such a write can find the number
- * that it expects by chance and replace a record of the new history; the next holder
- * then counts epochs from the replaced record, and the assertion fails.
+ * Other bounds: with LATE_LEARNER a host may send writes for longer than a lease
+ * without learning of the new history. Such a write can find the number that it
+ * expects by chance and replace a record of the new history.
  *
  * Broken variants:
  *   NO_LABEL       records of an earlier era count as any other record
- *   OLD_EPOCHS     epochs of a new era go on from the epoch of the copy
+ *   OLD_EPOCHS     epochs of a new era go on from the epoch of the copy, whatever the
+ *                  number of the row
  *   NUMBERS_ONLY   conditions of an earlier era are sent, and an answer from a new
  *                  era proves that the write took effect on the row that was seen
  */
@@ -125,7 +125,7 @@
 #ifdef OLD_EPOCHS
 #define first_epoch(h) 1
 #else
-#define first_epoch(h) (known_era[h] * ERA_EPOCHS + 1)
+#define first_epoch(h) (known_era[h] > 0 -> known_era[h] * ERA_EPOCHS + seen[h].number + 1 : 1)
 #endif
 
 proctype Host(byte h) {
