watch: no server stays in use longer than 3 s after an outage of the store

Cause: a deletion within 3 s after the last failure of the store, here turned away until 18.0 s, counts as an expiry, and the server stayed in use for 2 s from the deletion, up to 5 s after the outage. Entries of servers that live are back within about 2 s of the return; one that is still missing then is gone.

The grace period ends 3 s after the last failure at the latest.

--- a/coordination/watch/apply.go
+++ b/coordination/watch/apply.go
@@ -73,9 +73,10 @@
 	}
 	if known != nil && known.decoded.Server != nil {
 		e.gone = known.decoded.Server.Incarnation
-		isExpiry := time.Since(w.started)-time.Duration(w.lastOutage.Load()) < postOutageWindow
-		if known.decoded.Server.State == site.Ready && isExpiry {
-			e.carried, e.carriedUntil = known.decoded, now.Add(expiredServerGracePeriod)
+		outage := w.started.Add(time.Duration(w.lastOutage.Load()))
+		until := earlier(now.Add(expiredServerGracePeriod), outage.Add(postOutageWindow))
+		if known.decoded.Server.State == site.Ready && now.Before(until) {
+			e.carried, e.carriedUntil = known.decoded, until
 		}
 	}
 	c.rows[row.Key] = e
@@ -96,3 +97,11 @@
 	}
 	return decoded
 }
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/coordination/watch/cache.go
+++ b/coordination/watch/cache.go
@@ -27,7 +27,8 @@
 	// rows again within 2 s.
 	expiredServerGracePeriod = 2 * time.Second
 	// postOutageWindow is the time after an outage of the store during which the
-	// deletion of a server's row counts as its expiry.
+	// deletion of a server's row counts as its expiry. No grace period goes on after it, because
+	// a server that is still missing then is gone.
 	postOutageWindow = 3 * time.Second
 )
 
--- a/coordination/watch/cache_test.go
+++ b/coordination/watch/cache_test.go
@@ -139,3 +139,21 @@
 		c.Assert(follower.Close(), quicktest.IsNil)
 	})
 }
+
+// TestServerThatLeavesAfterOutageIsGone guards against requests to a server that left some seconds
+// after an outage of the store, because its deletion counts as an expiry.
+func TestServerThatLeavesAfterOutageIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		w := newTestCache()
+		go w.Run(context.Background())
+		enqueue(w, serverTable(1, serverRow("server", 1)), StoreSource)
+		w.RecordOutage()
+		time.Sleep(postOutageWindow - 500*time.Millisecond)
+		enqueue(w, site.Changes{Table: "servers", CompleteThrough: 2, Rows: []site.Row{{Key: "server", Position: 2, Deleted: true}}}, StoreSource)
+		time.Sleep(501 * time.Millisecond)
+		synctest.Wait()
+		c.Check(w.View().Servers, quicktest.HasLen, 0)
+		c.Assert(w.Close(), quicktest.IsNil)
+	})
+}
