site, forward: organisations, their keys and quotas as plain types

Change: the desired state and the view have organisations with digests of keys; the forwarder identifies the organisation of a request before its first send and takes its units from a quota, behind two interfaces declared there. Nothing sets them yet. Result: builds; behaviour is unchanged while no desired state requires keys.

--- a/coordination/forward/exchange.go
+++ b/coordination/forward/exchange.go
@@ -21,6 +21,9 @@
 	// Host is the requested host name in lower case, without a port. Path is
 	// unchanged from the client's request.
 	Host, Path string
+	// HasKey says that the request has an API key, and Key is its digest.
+	HasKey bool
+	Key    site.KeyDigest
 	// Adapter is the requested adapter. Its Model is empty for requests to
 	// services without engines.
 	Adapter site.Adapter
@@ -52,6 +55,8 @@
 	Version int
 	// NewConnection means that the request goes over a connection that has carried no other one.
 	NewConnection bool
+	// Organisation is the organisation that the request belongs to, or empty.
+	Organisation site.OrganisationName
 	// Priority ranges from 0, the most urgent, to 9. A negative value means that
 	// no priority is sent.
 	Priority int
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -134,6 +134,9 @@
 	Placer      Placer
 	RetryBudget RetryBudget
 	Quarantine  Quarantine
+	// Identifier and Quotas are used for desired states that have organisations.
+	Identifier Identifier
+	Quotas     Quotas
 	// RunEnds may be nil.
 	RunEnds  RunEnds
 	Recorder Recorder
@@ -166,6 +169,9 @@
 		request: request, client: client, route: route, service: pickWeightedService(route),
 		quarantine: f.Quarantine, traits: request.traits(), order: newEventOrder(request.LastEventID),
 	}
+	if failure := f.identify(ctx, view, p); failure != nil {
+		return failure
+	}
 	limit := route.Timeout
 	if request.MaxWait > 0 && request.MaxWait < limit {
 		limit = request.MaxWait
@@ -181,7 +187,7 @@
 	if len(p.traits) > 0 {
 		f.Quarantine.AwaitEvidence(limited)
 	}
-	err := f.run(limited, p)
+	err := f.runWithinQuota(limited, p)
 	f.Recorder.RecordRequest(route, p.service, request.Arrived, p.sends, p.placementWait, verdict.FromError(err))
 	if err != nil && ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrHostStopping) {
 		f.Log.Info().Str("request", request.AttemptID).Str("route", route.Name).Str("service", string(p.service)).
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -27,6 +27,10 @@
 	client  Exchange
 	route   *site.Route
 	service site.ServiceName
+	// organisation is the organisation that the request belongs to; nil on public routes
+	// and where no keys are required. charge is what was taken from its quota.
+	organisation *site.Organisation
+	charge       site.QuotaCharge
 	// At deadline the request gets its final response. A request that has not been
 	// sent to any server by unsentDeadline is refused then.
 	deadline, unsentDeadline time.Time
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -13,6 +13,7 @@
 func (f *Forwarder) send(ctx context.Context, p *progress, server *site.Server, want balance.ServerRequirements) *verdict.Error {
 	options := SendOptions{
 		Timeout:       time.Until(p.deadline),
+		Organisation:  p.organisationName(),
 		Priority:      -1,
 		NewConnection: !p.route.Repeatable() && f.namelessRefusals.has(server.ID, time.Now()),
 	}
--- a/state/site/desiredstate.go
+++ b/state/site/desiredstate.go
@@ -63,6 +63,8 @@
 	// MaxAttempts is the largest number of servers that may run one request; at
 	// least 1.
 	MaxAttempts int
+	// Public says that requests need no key. They belong to no organisation.
+	Public bool
 }
 
 // Repeatable says whether a request on the route may run more than once.
@@ -153,4 +155,9 @@
 	Services map[ServiceName]*Service
 	// Limits bound what clients may send.
 	Limits Limits
+	// RequiresKeys says that requests need the key of an organisation, except those on
+	// public routes.
+	RequiresKeys bool
+	// Organisations are the organisations whose keys are valid, in no order.
+	Organisations []Organisation
 }
--- a/state/site/view.go
+++ b/state/site/view.go
@@ -40,6 +40,7 @@
 
 	routesByHost     map[string][]*Route
 	serversByService map[ServiceName][]*Server
+	organisations    map[KeyDigest]*Organisation
 }
 
 // BuildIndex sets Owners and the maps behind Route and ServersOf from the other
@@ -52,6 +53,15 @@
 			v.routesByHost[r.Host] = append(v.routesByHost[r.Host], r)
 		}
 	}
+	v.organisations = make(map[KeyDigest]*Organisation)
+	if v.Desired != nil {
+		for i := range v.Desired.Organisations {
+			o := &v.Desired.Organisations[i]
+			for _, key := range o.Keys {
+				v.organisations[key] = o
+			}
+		}
+	}
 	v.serversByService = make(map[ServiceName][]*Server)
 	for _, server := range v.Servers {
 		v.serversByService[server.Service] = append(v.serversByService[server.Service], server)
@@ -78,6 +88,12 @@
 	return best
 }
 
+// OrganisationOf returns the organisation that the key belongs to, or nil if no
+// organisation has it.
+func (v *View) OrganisationOf(key KeyDigest) *Organisation {
+	return v.organisations[key]
+}
+
 // ServersOf returns the servers of a service, draining ones included, in no order.
 // The slice belongs to the view and must not be modified.
 func (v *View) ServersOf(service ServiceName) []*Server {
--- a/state/verdict/error.go
+++ b/state/verdict/error.go
@@ -44,6 +44,7 @@
 	CodeHostUnreachable   Code = "host-unreachable"
 	CodePromptBlocked     Code = "prompt-blocked"
 	CodeRateLimited       Code = "rate-limited"
+	CodeQuotaExceeded     Code = "quota-exceeded"
 )
 
 // An Error is the failure of a request, with the verdict on whether the request ran.
