--- a/coordination/watch/apply.go
+++ b/coordination/watch/apply.go
@@ -88,6 +88,10 @@
 func (w *Cache) decode(table site.Table, row site.Row, known *rowEntry) DecodedRow {
 	decoded, err := w.Decoder.Decode(table, row)
 	if err == nil {
+		if decoded.Problems != "" {
+			w.Log.Warn().Str("table", string(table)).Str("key", row.Key).Uint64("position", row.Position.Transaction()).
+				Uint64("era", uint64(row.Position.Era())).Str("problems", decoded.Problems).Msg("row has malformed parts, which are left out")
+		}
 		return decoded
 	}
 	w.Log.Warn().Err(err).Str("table", string(table)).Str("key", row.Key).Uint64("position", row.Position.Transaction()).
--- a/coordination/watch/cache.go
+++ b/coordination/watch/cache.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +48,9 @@
 	// Version is the declared version of Adapter; 0 if the row declares none.
 	Adapter site.Adapter
 	Version int
+	// Problems describes malformed parts of the row that are left out. It is empty if
+	// there are none, and holds nothing of their values.
+	Problems string
 }
 
 // A Cache is the duty that applies changes of the site's tables and publishes the
@@ -87,8 +91,13 @@
 	source string
 	// confirmedAt is when the store confirmed that the changes are complete.
 	confirmedAt time.Time
+	// applied is closed once the changes are applied. It may be nil.
+	applied chan struct{}
 }
 
+// errCacheBusy means that too many changes wait for the cache.
+var errCacheBusy = errors.New("too many changes wait to be applied")
+
 // StoreSource is the source of changes that this host read from the store itself.
 const StoreSource = "store"
 
@@ -134,6 +143,21 @@
 	return w.arrivals.Offer(arrival{changes: changes, source: source, confirmedAt: time.Now().Add(-changes.Age)})
 }
 
+// Apply does the same and waits until the changes are applied, or ctx ends.
+func (w *Cache) Apply(ctx context.Context, changes site.Changes, source string) error {
+	w.prepare()
+	applied := make(chan struct{})
+	if !w.arrivals.Offer(arrival{changes: changes, source: source, confirmedAt: time.Now().Add(-changes.Age), applied: applied}) {
+		return errCacheBusy
+	}
+	select {
+	case <-applied:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // RecordOutage records that the store could not be reached just now.
 func (w *Cache) RecordOutage() {
 	w.prepare()
@@ -202,7 +226,11 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case a := <-w.arrivals.Messages():
-			if !w.apply(a, time.Now()) {
+			changed := w.apply(a, time.Now())
+			if a.applied != nil {
+				close(a.applied)
+			}
+			if !changed {
 				continue
 			}
 		case <-timer.C:
--- a/coordination/watch/storereader.go
+++ b/coordination/watch/storereader.go
@@ -94,6 +94,26 @@
 	storeInRegion atomic.Bool
 }
 
+// Refresh reads the changes of a table once and applies them, without waiting for changes
+// to come. It fails if the table is not known yet or has to be read as a whole, which
+// readRepeatedly does. Each call is paid for.
+func (r *StoreReader) Refresh(ctx context.Context, table site.Table) error {
+	after := r.Cache.Position(table)
+	if after == 0 {
+		return errTableUnknown
+	}
+	began := time.Now()
+	changes, err := r.Store.WatchTable(ctx, table, after, 0)
+	if err != nil {
+		return err
+	}
+	changes.Age = time.Since(began)
+	return r.Cache.Apply(ctx, changes, StoreSource)
+}
+
+// errTableUnknown means that a table was never read.
+var errTableUnknown = errors.New("table is not known yet")
+
 // Run reads the store, with a goroutine for each table, until ctx ends or Close
 // is called.
 func (r *StoreReader) Run(ctx context.Context) error {
--- a/coordination/watch/viewlog.go
+++ b/coordination/watch/viewlog.go
@@ -13,8 +13,12 @@
 	if next.Desired == nil || before.Desired != nil && before.Desired.Version == next.Desired.Version {
 		return
 	}
+	if !next.Desired.RequiresKeys && before.Desired != nil && before.Desired.RequiresKeys {
+		w.Log.Warn().Int64("version", next.Desired.Version).Int64("version-before", before.Desired.Version).
+			Msg("desired state has no organisations any more: requests need no key")
+	}
 	w.Log.Info().Int64("version", next.Desired.Version).Int("routes", len(next.Desired.Routes)).
-		Str("source", source).Dur("table-age", age).Msg("desired state in force")
+		Int("organisations", len(next.Desired.Organisations)).Int("keys", next.KeyCount()).Str("source", source).Dur("table-age", age).Msg("desired state in force")
 }
 
 // logChanges logs how the servers, owners and adapter versions of two successive
--- a/state/site/view.go
+++ b/state/site/view.go
@@ -26,6 +26,9 @@
 type View struct {
 	// Desired is nil until a desired state is known.
 	Desired *DesiredState
+	// HasRequiredKeys says that this desired state or an earlier one that this process
+	// knew requires keys, so that callers may send them.
+	HasRequiredKeys bool
 	// Servers has the servers that have announced themselves, draining ones included.
 	Servers map[ServerID]*Server
 	// Versions has the versions of adapters and base models that operators
@@ -88,6 +91,11 @@
 	return best
 }
 
+// KeyCount returns the number of keys of all organisations.
+func (v *View) KeyCount() int {
+	return len(v.organisations)
+}
+
 // OrganisationOf returns the organisation that the key belongs to, or nil if no
 // organisation has it.
 func (v *View) OrganisationOf(key KeyDigest) *Organisation {
