forward, front: check keys before the body is read

Cause: requests run without a check of their key, and servers are shown it. Change: organisation.Directory reads the newest desired state at a bounded rate before a key counts as unknown; 401 without a body, 503 if the host cannot know, 429 with Retry-After for quotas. X-Tenant is set by the host only and Authorization removed while keys are required. The priority of the organisation goes before that of the route.

--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -63,6 +63,8 @@
 	// RecordRefusal is called for each response of a server that states that its request did not
 	// run. doubt is why that is not proved, or execution.None.
 	RecordRefusal(service site.ServiceName, doubt execution.Doubt)
+	// RecordKeyRefusal is called for each request that is refused for its key.
+	RecordKeyRefusal(reason KeyRefusal)
 }
 
 // RunEnds learns which requests for adapters have ended on engines.
@@ -169,9 +171,11 @@
 		request: request, client: client, route: route, service: pickWeightedService(route),
 		quarantine: f.Quarantine, traits: request.traits(), order: newEventOrder(request.LastEventID),
 	}
-	if failure := f.identify(ctx, view, p); failure != nil {
+	organisation, failure := f.identify(ctx, view, route, request)
+	if failure != nil {
 		return failure
 	}
+	p.organisation = organisation
 	limit := route.Timeout
 	if request.MaxWait > 0 && request.MaxWait < limit {
 		limit = request.MaxWait
@@ -195,7 +199,7 @@
 			Dur("after", time.Since(request.Arrived)).Msg("client left")
 		return ErrClientGone
 	}
-	if failure := verdict.FromError(err); failure != nil {
+	if failure = verdict.FromError(err); failure != nil {
 		f.Log.Info().Str("request", request.AttemptID).Str("route", route.Name).Int64("desired", view.Desired.Version).
 			Str("service", string(p.service)).Int("sends", p.sends).Str("verdict", string(failure.Verdict)).Str("code", string(failure.Code)).
 			Dur("after", time.Since(request.Arrived)).Err(failure).Msg("request failed")
--- a/coordination/forward/forwarder_test.go
+++ b/coordination/forward/forwarder_test.go
@@ -82,6 +82,7 @@
 func (r *fakeSystem) RecordInterruption(context.Context, *site.Server, []string)  {}
 func (r *fakeSystem) RecordSound(site.ServiceName, []string)                      {}
 func (r *fakeSystem) RecordRefusal(site.ServiceName, execution.Doubt)             {}
+func (r *fakeSystem) RecordKeyRefusal(KeyRefusal)                                 {}
 func (r *fakeSystem) AllowRetry(string) bool                                      { r.retriesLeft--; return r.retriesLeft >= 0 }
 func (r *fakeSystem) RecordRequest(*site.Route, site.ServiceName, time.Time, int, time.Duration, *verdict.Error) {
 }
--- a/coordination/forward/organisation.go
+++ b/coordination/forward/organisation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
@@ -25,20 +26,70 @@
 	Return(charge site.QuotaCharge)
 }
 
-// identify sets the organisation of the request, or returns why it is refused.
-func (f *Forwarder) identify(ctx context.Context, view *site.View, p *progress) *verdict.Error {
-	if !view.Desired.RequiresKeys || p.route.Public {
+// A KeyRefusal is why a request is refused for its key.
+type KeyRefusal string
+
+// The reasons for which a request is refused for its key.
+const (
+	// KeyMissing means that the request has no key.
+	KeyMissing KeyRefusal = "missing"
+	// KeyUnknown means that no organisation has the key.
+	KeyUnknown KeyRefusal = "unknown"
+	// KeyUndecided means that the host cannot know whether an organisation has the key.
+	KeyUndecided KeyRefusal = "undecided"
+)
+
+// Authorize returns why a request is refused for its key, or nil. It needs neither the body
+// nor the deadline of the request. Forward decides again, because the desired state may
+// change until the body is read.
+func (f *Forwarder) Authorize(ctx context.Context, request *Request) *verdict.Error {
+	view := f.Views.View()
+	route := view.Route(request.Host, request.Path)
+	if route == nil {
 		return nil
 	}
-	if !p.request.HasKey {
-		return verdict.NewNotRun(verdict.CodeUnauthorized, "request has no key")
+	_, failure := f.identify(ctx, view, route, request)
+	return failure
+}
+
+// identify returns the organisation of a request, which is nil if it needs no key, or why
+// the request is refused.
+func (f *Forwarder) identify(ctx context.Context, view *site.View, route *site.Route, request *Request) (*site.Organisation, *verdict.Error) {
+	if !needsKey(view, route) {
+		return nil, nil
 	}
-	if p.organisation = view.OrganisationOf(p.request.Key); p.organisation != nil {
-		return nil
+	if !request.HasKey {
+		return nil, f.refuseKey(request, route, KeyMissing, verdict.NewNotRun(verdict.CodeUnauthorized, "request has no key"))
+	}
+	if organisation := view.OrganisationOf(request.Key); organisation != nil {
+		return organisation, nil
 	}
-	organisation, err := f.Identifier.Identify(ctx, p.request.Key)
-	p.organisation = organisation
-	return verdict.FromError(err)
+	organisation, err := f.Identifier.Identify(ctx, request.Key)
+	if err == nil {
+		return organisation, nil
+	}
+	if newest := f.Views.View(); newest != view && !needsKey(newest, newest.Route(request.Host, request.Path)) {
+		return nil, nil
+	}
+	failure, reason := verdict.FromError(err), KeyUndecided
+	if failure.Code == verdict.CodeUnauthorized {
+		reason = KeyUnknown
+	}
+	return nil, f.refuseKey(request, route, reason, failure)
+}
+
+// needsKey reports whether requests on the route need a key. A route that is not known
+// needs one, in case it was private before.
+func needsKey(view *site.View, route *site.Route) bool {
+	return view.Desired != nil && view.Desired.RequiresKeys && (route == nil || !route.Public)
+}
+
+// refuseKey records that a request is refused for its key and returns the failure.
+func (f *Forwarder) refuseKey(request *Request, route *site.Route, reason KeyRefusal, failure *verdict.Error) *verdict.Error {
+	f.Recorder.RecordKeyRefusal(reason)
+	f.Log.Info().Str("request", request.AttemptID).Str("route", route.Name).Str("reason", string(reason)).Str("code", string(failure.Code)).
+		Dur("after", time.Since(request.Arrived)).Msg("request refused for its key")
+	return failure
 }
 
 // runWithinQuota runs a request once its units are taken from the quota of its
--- a/coordination/forward/placement.go
+++ b/coordination/forward/placement.go
@@ -56,7 +56,7 @@
 		Server:         pick.Server.Incarnation,
 		Adapter:        want.Adapter,
 		MinVersion:     want.MinVersion,
-		Priority:       p.route.Priority,
+		Priority:       site.NewUrgency(p.organisation, p.route).Queue,
 		PromptTokens:   p.request.PromptTokens,
 		SlackTime:      time.Until(p.request.Arrived.Add(p.route.TargetLatency)),
 		MaxWait:        time.Until(until),
--- a/coordination/forward/ratelimit_test.go
+++ b/coordination/forward/ratelimit_test.go
@@ -168,6 +168,7 @@
 func (s *limitedSite) BlockedFor(site.ServiceName, []string) time.Duration        { return 0 }
 func (s *limitedSite) RecordInterruption(context.Context, *site.Server, []string) {}
 func (s *limitedSite) RecordSound(site.ServiceName, []string)                     {}
+func (s *limitedSite) RecordKeyRefusal(KeyRefusal)                                {}
 func (s *limitedSite) RecordRefusal(site.ServiceName, execution.Doubt)            {}
 
 func (s *limitedSite) RecordRequest(*site.Route, site.ServiceName, time.Time, int, time.Duration, *verdict.Error) {
--- a/internal/fronthost/gauges.go
+++ b/internal/fronthost/gauges.go
@@ -10,7 +10,9 @@
 	"github.com/persimmonmux/persimmonmux/coordination/watch"
 	"github.com/persimmonmux/persimmonmux/coordination/zone"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/organisation"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
+	"github.com/persimmonmux/persimmonmux/platform"
 )
 
 // A countGauge is a gauge of a whole number.
@@ -20,10 +22,10 @@
 }
 
 // registerGauges adds gauges to the meter that show the state on which the host bases its
-// decisions: the age of its data, the version of the desired state, the servers it knows and
-// what they state, the zones in which it sends orders, the requests that it refuses and what it
-// holds of responses.
-func registerGauges(meter metric.Meter, cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, quota *buffering.Quota) error {
+// decisions: the age of its data, the version of the desired state, the keys and servers it
+// knows and what servers state, the zones in which it sends orders, the requests that it refuses
+// and what it holds of responses.
+func registerGauges(meter metric.Meter, cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, quota *buffering.Quota, directory *organisation.Directory) error {
 	counts := []countGauge{
 		{"persimmonmux.desired.version", "Version of the desired state in force; 0 before one is known.", func() int64 {
 			if desired := cache.View().Desired; desired != nil {
@@ -31,6 +33,8 @@
 			}
 			return 0
 		}},
+		{"persimmonmux.keys", "Keys of organisations known.", func() int64 { return int64(cache.View().KeyCount()) }},
+		{"persimmonmux.key.lookups", "Reads of the desired state since the start because of unknown keys.", directory.Refreshes},
 		{"persimmonmux.servers", "Servers known, leaving ones included.", func() int64 { return int64(len(cache.View().Servers)) }},
 		{"persimmonmux.zones.ordering", "Failure domains whose engines this host gives orders to.", func() int64 { return int64(len(elector.OrderingZones())) }},
 		{"persimmonmux.prompt.blocks", "Sets of traits whose requests are refused because engines ended under them.", func() int64 { return int64(blocked.BlockCount()) }},
@@ -57,6 +61,15 @@
 	if err != nil {
 		return err
 	}
+	_, err = meter.Float64ObservableGauge("persimmonmux.desired.age", metric.WithUnit("s"),
+		metric.WithDescription("Time since the platform's store confirmed that the host has the newest desired state."),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(cache.TableAge(platform.OperatorTable).Seconds())
+			return nil
+		}))
+	if err != nil {
+		return err
+	}
 	_, err = meter.Float64ObservableGauge("persimmonmux.table.age", metric.WithUnit("s"),
 		metric.WithDescription("Time since the platform's store confirmed that the host has all changes of a table."),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -17,6 +17,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/zone"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/completion"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/organisation"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
@@ -74,6 +75,7 @@
 	Controller     *adapter.Controller
 	Quarantine     *quarantine.Quarantine
 	Completions    *completion.Notifier
+	Organisations  *organisation.Directory
 	PeerServer     *peer.Server
 	Recorder       *metrics.Recorder
 	Server         *front.Server
@@ -97,6 +99,7 @@
 		{"owner", p.Controller},
 		{"quarantine", p.Quarantine},
 		{"completions", p.Completions},
+		{"organisations", p.Organisations},
 		{"peer-server", p.PeerServer},
 		{"front", p.Server},
 	}
@@ -148,12 +151,15 @@
 		func(cache *watch.Cache, controller *adapter.Controller, client *peer.Client) *completion.Notifier {
 			return &completion.Notifier{Self: h.Settings.HostName, Views: cache, Owner: controller, Peers: client}
 		},
+		func(cache *watch.Cache, reader *watch.StoreReader) *organisation.Directory {
+			return &organisation.Directory{Views: cache, Source: &desiredStateSource{cache: cache, reader: reader}, Log: h.Log}
+		},
 		func() *backend.ConnectionPool { return &backend.ConnectionPool{} },
 		newRecorder,
-		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, blocked *quarantine.Quarantine, completions *completion.Notifier, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
+		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, blocked *quarantine.Quarantine, completions *completion.Notifier, directory *organisation.Directory, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
 			region := h.Settings.Regions[h.Settings.FailureDomain]
 			placer := &placer{self: h.Settings.HostName, region: region, cache: cache, controller: controller, client: client, owners: owners}
-			return &forward.Forwarder{Views: cache, Balancer: balancer, Placer: placer, RetryBudget: retries, Quarantine: blocked, RunEnds: completions, Recorder: &recorder{metricsRecorder: metricsRecorder}, Log: h.Log}
+			return &forward.Forwarder{Views: cache, Balancer: balancer, Placer: placer, RetryBudget: retries, Quarantine: blocked, Identifier: directory, RunEnds: completions, Recorder: &recorder{metricsRecorder: metricsRecorder}, Log: h.Log}
 		},
 		h.newPeerServer,
 		h.newServer,
@@ -253,7 +259,7 @@
 }
 
 // newRecorder starts the recorder of metrics and registers what it observes.
-func newRecorder(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, quota *buffering.Quota, client *peer.Client, server *peer.Server) (*metrics.Recorder, error) {
+func newRecorder(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, quota *buffering.Quota, directory *organisation.Directory, client *peer.Client, server *peer.Server) (*metrics.Recorder, error) {
 	recorder := &metrics.Recorder{}
 	if err := recorder.Start(); err != nil {
 		return nil, err
@@ -261,7 +267,7 @@
 	if err := registerTraffic(recorder.Meter(), client, server); err != nil {
 		return nil, err
 	}
-	return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer, quota)
+	return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer, quota, directory)
 }
 
 func (h *Host) newPeerServer(cache *watch.Cache, controller *adapter.Controller, elector *zone.Elector, balancer *balance.Balancer, blocked *quarantine.Quarantine) (*peer.Server, error) {
--- a/internal/fronthost/recorder.go
+++ b/internal/fronthost/recorder.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/coordination/execution"
+	"github.com/persimmonmux/persimmonmux/coordination/forward"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/request"
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -30,6 +31,11 @@
 	r.metricsRecorder.RecordRepeatedSends(ended.Application, sends-1)
 }
 
+// RecordKeyRefusal records a request that was refused for its key.
+func (r *recorder) RecordKeyRefusal(reason forward.KeyRefusal) {
+	r.metricsRecorder.RecordKeyRefusal(string(reason))
+}
+
 // RecordRefusal records a server's response stating that a request did not run.
 func (r *recorder) RecordRefusal(service site.ServiceName, doubt execution.Doubt) {
 	r.metricsRecorder.RecordRefusal(configuration.ApplicationName(service), string(doubt))
--- a/protocol/refusal/refusal.go
+++ b/protocol/refusal/refusal.go
@@ -68,6 +68,7 @@
 	verdict.CodeHostUnreachable:   {http.StatusServiceUnavailable, typeServer},
 	verdict.CodePromptBlocked:     {http.StatusServiceUnavailable, typeServer},
 	verdict.CodeRateLimited:       {http.StatusServiceUnavailable, typeServer},
+	verdict.CodeQuotaExceeded:     {http.StatusTooManyRequests, typeRateLimit},
 }
 
 // An ErrorBody is the JSON body of an error response.
--- a/transport/front/fixture_test.go
+++ b/transport/front/fixture_test.go
@@ -134,6 +134,8 @@
 
 func (noRecorder) RecordRefusal(site.ServiceName, execution.Doubt) {}
 
+func (noRecorder) RecordKeyRefusal(forward.KeyRefusal) {}
+
 // testIdleTimeout is the idle timeout in the desired state of the tests.
 const testIdleTimeout = 300 * time.Millisecond
 
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -28,6 +28,19 @@
 		writeStatus(w, http.StatusRequestHeaderFieldsTooLarge, 0)
 		return
 	}
+	request := &forward.Request{
+		AttemptID:   r.Header.Get(platform.HeaderAttemptID),
+		Host:        hostOf(r.Host),
+		Path:        rawPath(r.RequestURI),
+		Adapter:     platform.DecodeModel(r.Header.Get(platform.HeaderModel)),
+		LastEventID: r.Header.Get(platform.HeaderLastEventID),
+		Arrived:     arrived,
+	}
+	request.Key, request.HasKey = platform.DecodeKey(r.Header)
+	if failure := s.Forwarder.Authorize(r.Context(), request); failure != nil {
+		writeFailure(w, failure)
+		return
+	}
 	body, status := s.readBody(w, r)
 	if status != 0 {
 		writeStatus(w, status, 0)
@@ -38,14 +51,6 @@
 		writeStatus(w, http.StatusServiceUnavailable, stopRetryDelay)
 		return
 	}
-	request := &forward.Request{
-		AttemptID:   r.Header.Get(platform.HeaderAttemptID),
-		Host:        hostOf(r.Host),
-		Path:        rawPath(r.RequestURI),
-		Adapter:     platform.DecodeModel(r.Header.Get(platform.HeaderModel)),
-		LastEventID: r.Header.Get(platform.HeaderLastEventID),
-		Arrived:     arrived,
-	}
 	request.PromptTokens, request.MaxOutputTokens = platform.DecodeTokenCounts(r.Header.Get(platform.HeaderTokenCounts))
 	request.ContentID = contentID(r, body)
 	request.PromptParts = platform.DecodeSharedPromptParts(r.Header.Get(platform.HeaderPromptPrefix))
@@ -66,8 +71,16 @@
 		// Closing the connection shows the caller that the response is incomplete.
 		panic(http.ErrAbortHandler)
 	}
-	failure := verdict.FromError(err)
-	writeStatus(w, statusOf(failure), failure.RetryAfter)
+	writeFailure(w, verdict.FromError(err))
+}
+
+// writeFailure writes the response to a request that has failed without one.
+func writeFailure(w http.ResponseWriter, failure *verdict.Error) {
+	status := statusOf(failure)
+	if status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", platform.KeyScheme)
+	}
+	writeStatus(w, status, failure.RetryAfter)
 }
 
 // readBody reads the whole body of a request. If the request is refused, status is
@@ -102,6 +115,10 @@
 	switch {
 	case failure.Verdict == verdict.NotRun && failure.Code == verdict.CodeUnknownName:
 		return http.StatusNotFound
+	case failure.Verdict == verdict.NotRun && failure.Code == verdict.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case failure.Verdict == verdict.NotRun && failure.Code == verdict.CodeQuotaExceeded:
+		return http.StatusTooManyRequests
 	case failure.Verdict == verdict.NotRun:
 		return http.StatusServiceUnavailable
 	case failure.Code == verdict.CodeDeadline:
@@ -111,10 +128,10 @@
 	}
 }
 
-// writeStatus writes a response without a body. retryAfter is sent with status 503
-// only, and if it is more than 0.
+// writeStatus writes a response without a body. retryAfter is sent with status 503 and
+// 429 only, and if it is more than 0.
 func writeStatus(w http.ResponseWriter, status int, retryAfter time.Duration) {
-	if status == http.StatusServiceUnavailable && retryAfter > 0 {
+	if (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
 	w.Header().Set("Content-Length", "0")
--- a/transport/front/requestheader.go
+++ b/transport/front/requestheader.go
@@ -22,6 +22,12 @@
 			header[name] = values
 		}
 	}
+	if e.mayHaveKey() {
+		header.Del(platform.HeaderAuthorization)
+	}
+	if options.Organisation != "" {
+		header.Set(platform.HeaderTenant, string(options.Organisation))
+	}
 	header.Set(platform.HeaderRemainingTime, strconv.FormatInt(max(options.Timeout.Milliseconds(), 1), 10))
 	header.Set(platform.HeaderExpectInstance, string(server.ID))
 	if options.Version > 0 {
@@ -36,6 +42,17 @@
 	return header
 }
 
+// mayHaveKey reports whether the authorization of the request may be a key, which servers
+// must not get. While keys are required, no scheme shows that it is none. Once they are no
+// longer required, callers still send theirs.
+func (e *exchange) mayHaveKey() bool {
+	view := e.server.Views.View()
+	if view.Desired != nil && view.Desired.RequiresKeys {
+		return true
+	}
+	return view.HasRequiredKeys && platform.HasKey(e.request.Header)
+}
+
 // hopByHopHeaders apply to one connection only and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
--- a/transport/front/server.go
+++ b/transport/front/server.go
@@ -19,11 +19,14 @@
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
 	"github.com/persimmonmux/persimmonmux/transport/backend"
 )
 
 // A Forwarder selects servers for requests and forwards the requests to them.
 type Forwarder interface {
+	// Authorize returns why a request is refused for its key, or nil. It needs no body.
+	Authorize(ctx context.Context, request *forward.Request) *verdict.Error
 	// Forward runs a request until the caller has the whole response. An error
 	// is forward.ErrClientGone or has a verdict.
 	Forward(ctx context.Context, request *forward.Request, client forward.Exchange) error
--- a/transport/metrics/recorder.go
+++ b/transport/metrics/recorder.go
@@ -45,6 +45,7 @@
 	loadStall     metric.Float64Histogram
 	repeatedSends metric.Int64Counter
 	refusals      metric.Int64Counter
+	keyRefusals   metric.Int64Counter
 	// optionsByKey holds an *instrumentOptions for each outcomeKey, because attribute
 	// sets are too expensive to build for each request.
 	optionsByKey sync.Map
@@ -111,6 +112,10 @@
 		metric.WithDescription("Responses of servers stating that their request did not run, by application and doubt.")); err != nil {
 		return err
 	}
+	if r.keyRefusals, err = meter.Int64Counter("persimmonmux.key.refusals",
+		metric.WithDescription("Requests that were refused for their key, by reason.")); err != nil {
+		return err
+	}
 	if r.InFlight == nil {
 		return nil
 	}
@@ -165,6 +170,11 @@
 	r.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("application", string(application)), attribute.String("doubt", doubt)))
 }
 
+// RecordKeyRefusal counts a request that was refused for its key.
+func (r *Recorder) RecordKeyRefusal(reason string) {
+	r.keyRefusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 // Close shuts the meter provider down. Nothing may be recorded afterwards.
 func (r *Recorder) Close() error {
 	return r.provider.Shutdown(context.Background())
