--- /dev/null
+++ b/coordination/forward/organisation_test.go
@@ -0,0 +1,173 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// A fakeIdentifier answers for keys that the view does not have.
+type fakeIdentifier struct {
+	organisation *site.Organisation
+	err          error
+	// onAsk is called with each question; it may be nil.
+	onAsk func()
+	asked int
+}
+
+func (i *fakeIdentifier) Identify(context.Context, site.KeyDigest) (*site.Organisation, error) {
+	i.asked++
+	if i.onAsk != nil {
+		i.onAsk()
+	}
+	return i.organisation, i.err
+}
+
+// A keyedSystem is a fakeSystem whose desired state requires keys. It records refusals.
+type keyedSystem struct {
+	*fakeSystem
+
+	refusals []KeyRefusal
+}
+
+func (s *keyedSystem) RecordKeyRefusal(reason KeyRefusal) { s.refusals = append(s.refusals, reason) }
+
+// newKeyedSystem returns a system with the organisation "o", which has the key "known".
+func newKeyedSystem(route site.Route) *keyedSystem {
+	s := &keyedSystem{fakeSystem: newFakeSystem(route)}
+	s.onSend = func(int) (Response, error) { return fakeResponse{head: ResponseHead{Status: 200, IsSigned: true}}, nil }
+	s.view.Desired.RequiresKeys = true
+	s.view.Desired.Organisations = []site.Organisation{{Name: "o", Priority: 1, Keys: []site.KeyDigest{site.NewKeyDigest("known")}}}
+	s.view.BuildIndex()
+	return s
+}
+
+// forwardKey runs a request with the key, or without one if it is empty, as the front does.
+func (s *keyedSystem) forwardKey(key string, identifier *fakeIdentifier) error {
+	f := &Forwarder{
+		Views: s, Balancer: s, Placer: s, RetryBudget: s, Quarantine: s, Recorder: s, Identifier: identifier, Log: zerolog.Nop(),
+	}
+	request := &Request{AttemptID: "id", Host: "h", Path: "/x", Adapter: site.Adapter{Model: "m", Name: "a"}, Arrived: time.Now(), MaxWait: time.Second}
+	request.Key, request.HasKey = site.NewKeyDigest(key), key != ""
+	if failure := f.Authorize(context.Background(), request); failure != nil {
+		return failure
+	}
+	return f.Forward(context.Background(), request, s)
+}
+
+var plainRoute = site.Route{Name: "r", Kind: site.Safe, Timeout: time.Second, Priority: 2}
+
+// TestRequestRunsForItsOrganisation guards against a request that is sent without the name
+// of its organisation, or queues without its priority.
+func TestRequestRunsForItsOrganisation(t *testing.T) {
+	c := quicktest.New(t)
+	s, identifier := newKeyedSystem(plainRoute), &fakeIdentifier{}
+	c.Assert(s.forwardKey("known", identifier), quicktest.IsNil)
+	c.Check(identifier.asked, quicktest.Equals, 0)
+	c.Check(s.sent[0].Organisation, quicktest.Equals, site.OrganisationName("o"))
+	urgency := site.NewUrgency(&site.Organisation{Priority: 1}, &site.Route{Priority: 2})
+	c.Check(s.sent[0].Priority, quicktest.Equals, urgency.Engine)
+	c.Check(s.placed[0].Priority, quicktest.Equals, urgency.Queue)
+}
+
+// TestUnknownKeyIsAskedFor guards against a request with a new key that is refused, or that
+// runs for no organisation.
+func TestUnknownKeyIsAskedFor(t *testing.T) {
+	c := quicktest.New(t)
+	s, identifier := newKeyedSystem(plainRoute), &fakeIdentifier{organisation: &site.Organisation{Name: "new"}}
+	c.Assert(s.forwardKey("new-key", identifier), quicktest.IsNil)
+	c.Check(s.sent[0].Organisation, quicktest.Equals, site.OrganisationName("new"))
+}
+
+// TestRefusedKeyReachesNoServer guards against a request that runs although its key is
+// missing, unknown or cannot be judged, and against refusals that cannot be told apart.
+func TestRefusedKeyReachesNoServer(t *testing.T) {
+	for _, test := range []struct {
+		name, key string
+		err       error
+		code      verdict.Code
+		reason    KeyRefusal
+	}{
+		{"missing", "", nil, verdict.CodeUnauthorized, KeyMissing},
+		{"unknown", "k", verdict.NewNotRun(verdict.CodeUnauthorized, "unknown"), verdict.CodeUnauthorized, KeyUnknown},
+		{"undecided", "k", verdict.NewNotRun(verdict.CodeTableUnavailable, "old"), verdict.CodeTableUnavailable, KeyUndecided},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s := newKeyedSystem(plainRoute)
+			failure := verdict.FromError(s.forwardKey(test.key, &fakeIdentifier{err: test.err}))
+			c.Assert(failure, quicktest.IsNotNil)
+			c.Check(failure.Code, quicktest.Equals, test.code)
+			c.Check(failure.Verdict, quicktest.Equals, verdict.NotRun)
+			c.Check(s.sent, quicktest.HasLen, 0)
+			c.Check(s.placed, quicktest.HasLen, 0)
+			c.Check(s.refusals, quicktest.DeepEquals, []KeyRefusal{test.reason})
+		})
+	}
+}
+
+// TestKeyRemovedBetweenHeaderAndBody guards against a request that runs with a key that was
+// removed while its body arrived.
+func TestKeyRemovedBetweenHeaderAndBody(t *testing.T) {
+	c := quicktest.New(t)
+	s := newKeyedSystem(plainRoute)
+	f := &Forwarder{Views: s, Balancer: s, Placer: s, RetryBudget: s, Quarantine: s, Recorder: s, Log: zerolog.Nop(),
+		Identifier: &fakeIdentifier{err: verdict.NewNotRun(verdict.CodeUnauthorized, "unknown")}}
+	request := &Request{Host: "h", Path: "/x", Arrived: time.Now(), MaxWait: time.Second, HasKey: true, Key: site.NewKeyDigest("known")}
+	c.Assert(f.Authorize(context.Background(), request) == nil, quicktest.IsTrue)
+	s.view.Desired.Organisations = nil
+	s.view.BuildIndex()
+	failure := verdict.FromError(f.Forward(context.Background(), request, s))
+	c.Assert(failure, quicktest.IsNotNil)
+	c.Check(failure.Code, quicktest.Equals, verdict.CodeUnauthorized)
+	c.Check(s.sent, quicktest.HasLen, 0)
+}
+
+// TestPublicRouteNeedsNoKey guards against a public route that refuses requests, or on which
+// a key gives a request an organisation.
+func TestPublicRouteNeedsNoKey(t *testing.T) {
+	c := quicktest.New(t)
+	public := plainRoute
+	public.Public = true
+	for _, key := range []string{"", "known", "unknown"} {
+		s, identifier := newKeyedSystem(public), &fakeIdentifier{}
+		c.Assert(s.forwardKey(key, identifier), quicktest.IsNil)
+		c.Check(identifier.asked, quicktest.Equals, 0)
+		c.Check(s.sent[0].Organisation, quicktest.Equals, site.OrganisationName(""))
+		c.Check(s.sent[0].Priority, quicktest.Equals, 4)
+		c.Check(s.placed[0].Priority, quicktest.Equals, 2)
+	}
+}
+
+// TestRouteBecomesPublicWhileKeyIsAskedFor guards against a 401 on a route that the newest
+// desired state calls public.
+func TestRouteBecomesPublicWhileKeyIsAskedFor(t *testing.T) {
+	c := quicktest.New(t)
+	s := newKeyedSystem(plainRoute)
+	public := plainRoute
+	public.Public = true
+	next := newKeyedSystem(public).view
+	identifier := &fakeIdentifier{err: verdict.NewNotRun(verdict.CodeUnauthorized, "unknown"), onAsk: func() { s.view = next }}
+	c.Check(s.forwardKey("k", identifier), quicktest.IsNil)
+	c.Check(s.sent, quicktest.HasLen, 1)
+}
+
+// TestNoOrganisationsNoKeys guards against a desired state without organisations under which
+// requests are refused or asked for.
+func TestNoOrganisationsNoKeys(t *testing.T) {
+	c := quicktest.New(t)
+	s, identifier := newKeyedSystem(plainRoute), &fakeIdentifier{}
+	s.view.Desired.RequiresKeys, s.view.Desired.Organisations = false, nil
+	s.view.BuildIndex()
+	for _, key := range []string{"", "any"} {
+		c.Check(s.forwardKey(key, identifier), quicktest.IsNil)
+	}
+	c.Check(identifier.asked, quicktest.Equals, 0)
+	c.Check(s.sent[1].Organisation, quicktest.Equals, site.OrganisationName(""))
+}
