quota: owners of zones grant units of organisations' quotas

Cause: quotas have to hold over all hosts, and standing shares of hosts refuse falsely or overrun, because a host sees few requests of each organisation. Change: the owners of zones grant units from token buckets; a duty on each host asks them for each request and uses a small share without them. New call GrantQuota between hosts, new settings section, wired in the front host. Behaviour under faults is not measured yet.

--- /dev/null
+++ b/internal/coordination/quota/ask.go
@@ -0,0 +1,188 @@
+package quota
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/coordination/allowance"
+	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+const (
+	// minRetryAfter is the shortest time after which the caller of a refused request comes
+	// back.
+	minRetryAfter = 20 * time.Millisecond
+	// unreachableRetryDelay is the shortest time after which callers come back that no
+	// granter could be asked for.
+	unreachableRetryDelay = 300 * time.Millisecond
+)
+
+// An ask is a request that waits for units. The goroutine of Run owns its fields, except
+// that abandoned is set by the request.
+type ask struct {
+	organisation site.OrganisationName
+	quota        site.Quota
+	units        float64
+	// zones are those whose owners share the quota, in the order of preference.
+	zones []string
+	// tried are the zones whose owners have been asked.
+	tried []string
+	// isRefused means that an owner has refused the units, now or a moment ago, and
+	// retryAfter is the shortest time after which one of them has the units again.
+	isRefused  bool
+	retryAfter time.Duration
+	// isUnanswered means that the owner of one of the zones did not answer.
+	isUnanswered bool
+	// reply has room for one result.
+	reply chan takeResult
+	// abandoned means that the request no longer waits.
+	abandoned atomic.Bool
+}
+
+// A takeResult is the outcome of an ask.
+type takeResult struct {
+	charge site.QuotaCharge
+	err    *verdict.Error
+}
+
+// recordRefusal records that an owner has no room before the given time.
+func (a *ask) recordRefusal(retryAfter time.Duration) {
+	if !a.isRefused || retryAfter < a.retryAfter {
+		a.retryAfter = retryAfter
+	}
+	a.isRefused = true
+}
+
+// hasTried reports whether the owner of the zone has been asked.
+func (a *ask) hasTried(zone string) bool {
+	return slices.Contains(a.tried, zone)
+}
+
+// refusal returns the answer to a request for which there are no units. Without an answer of
+// any owner nothing is known of the quota, so that it is not called exceeded.
+func (a *ask) refusal() *verdict.Error {
+	if !a.isRefused {
+		delay := unreachableRetryDelay + rand.N(unreachableRetryDelay)
+		return &verdict.Error{
+			Verdict: verdict.NotRun, Code: verdict.CodeOverloaded, RetryAfter: delay,
+			Message: "the quota of organisation " + string(a.organisation) + " cannot be checked now",
+		}
+	}
+	delay := min(max(a.retryAfter, minRetryAfter), maxRetryAfter)
+	return &verdict.Error{
+		Verdict: verdict.NotRun, Code: verdict.CodeQuotaExceeded, RetryAfter: delay + rand.N(delay/4),
+		Message: "organisation " + string(a.organisation) + " has used up its quota",
+	}
+}
+
+// Take takes units from the quota of the organisation.
+func (l *Limiter) Take(ctx context.Context, organisation *site.Organisation, units float64) (site.QuotaCharge, error) {
+	l.prepare()
+	a := &ask{organisation: organisation.Name, quota: organisation.Quota, units: max(units, 0), reply: make(chan takeResult, 1)}
+	if !l.messages.Offer(a) {
+		return site.QuotaCharge{}, verdict.NewNotRun(verdict.CodeOverloaded, "too many requests wait for their quotas")
+	}
+	select {
+	case result := <-a.reply:
+		if result.err != nil {
+			return site.QuotaCharge{}, result.err
+		}
+		return result.charge, nil
+	case <-ctx.Done():
+	}
+	a.abandoned.Store(true)
+	select {
+	case result := <-a.reply:
+		l.Return(result.charge)
+	default:
+	}
+	return site.QuotaCharge{}, &verdict.Error{
+		Verdict: verdict.NotRun, Code: verdict.CodeDeadline, Cause: ctx.Err(),
+		Message: "no units of the quota of organisation " + string(organisation.Name) + " came in time",
+	}
+}
+
+// Return gives back the units of a request that no server ran. It does not wait.
+func (l *Limiter) Return(charge site.QuotaCharge) {
+	if charge.Units <= 0 {
+		return
+	}
+	l.prepare()
+	l.messages.Offer(returnedCharge(charge))
+}
+
+// A returnedCharge is the charge of a request that did not run.
+type returnedCharge site.QuotaCharge
+
+// handle records the charge for the next call to its granter.
+func (r returnedCharge) handle(_ context.Context, l *Limiter, now time.Time) {
+	l.recordReturn(site.QuotaCharge(r), now)
+}
+
+// handle has the ask's first owner asked.
+func (a *ask) handle(ctx context.Context, l *Limiter, now time.Time) {
+	a.zones = l.preferredZones(a, now)
+	l.forwardAsk(ctx, a, now)
+}
+
+// forwardAsk puts the ask into the next call to the next owner that may have the units, or
+// settles it if there is none.
+func (l *Limiter) forwardAsk(ctx context.Context, a *ask, now time.Time) {
+	if a.abandoned.Load() {
+		return
+	}
+	view := l.Views.View()
+	for _, zone := range a.zones {
+		if a.hasTried(zone) || len(a.tried) >= maxOwnersAsked {
+			continue
+		}
+		owner := view.Owners[zone]
+		state := l.granterOf(zone)
+		if owner == nil || state.isSilent(owner, now) {
+			a.isUnanswered = true
+			continue
+		}
+		if wait := state.knownWait(a, now); wait > 0 {
+			a.recordRefusal(max(wait, state.rooms[a.organisation].retryAfter))
+			continue
+		}
+		a.tried = append(a.tried, zone)
+		state.pending = append(state.pending, a)
+		l.call(ctx, zone, now)
+		return
+	}
+	l.settle(view, a, now)
+}
+
+// settle ends an ask that no owner grants.
+func (l *Limiter) settle(view *site.View, a *ask, now time.Time) {
+	counts := l.countsOf(a.organisation)
+	if a.isUnanswered && l.shares.take(view, a.organisation, a.quota, a.units, now) {
+		counts.ShareUnits += a.units
+		l.grant(a, "", now)
+		return
+	}
+	counts.RefusedRequests++
+	counts.RefusedUnits += a.units
+	a.reply <- takeResult{err: a.refusal()}
+}
+
+// grant ends an ask whose units were taken.
+func (l *Limiter) grant(a *ask, zone string, now time.Time) {
+	charge := site.QuotaCharge{Organisation: a.organisation, Units: a.units, Granter: zone, TakenAt: now}
+	l.countsOf(a.organisation).GrantedUnits += a.units
+	if a.abandoned.Load() {
+		l.recordReturn(charge, now)
+		return
+	}
+	a.reply <- takeResult{charge: charge}
+}
+
+// waitFor returns the time until the units are available at an owner with the given room.
+func waitFor(units, capacity, room, perSecond float64) time.Duration {
+	return allowance.WaitFor(min(units, capacity)-room, perSecond)
+}
--- /dev/null
+++ b/internal/coordination/quota/call.go
@@ -0,0 +1,99 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+// A callResult is the outcome of a call to the owner of a zone.
+type callResult struct {
+	zone  string
+	owner *site.Host
+	asks  []*ask
+	reply site.QuotaReply
+	err   error
+}
+
+// call sends what waits for the owner of a zone, unless enough calls to it are in flight.
+func (l *Limiter) call(ctx context.Context, zone string, now time.Time) {
+	state := l.granterOf(zone)
+	if state.inFlight >= maxCallsInFlight {
+		return
+	}
+	view := l.Views.View()
+	owner := view.Owners[zone]
+	request, asks := state.takeBatch(versionOf(view))
+	if owner == nil {
+		l.passOn(ctx, asks, now)
+		return
+	}
+	if len(request.Asks)+len(request.Returns) == 0 {
+		return
+	}
+	state.inFlight++
+	result := callResult{zone: zone, owner: owner, asks: asks}
+	if owner.Name == l.Self {
+		result.reply = l.Granter.Grant(request)
+		result.handle(ctx, l, now)
+		return
+	}
+	l.lifecycle.Go(func() {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		result.reply, result.err = l.Peers.GrantQuota(limited, owner.Address, request)
+		select {
+		case l.results <- result:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// handle applies the answers of an owner, or notes that it did not answer.
+func (r callResult) handle(ctx context.Context, l *Limiter, now time.Time) {
+	state := l.granterOf(r.zone)
+	state.inFlight--
+	if r.err != nil || r.reply.Epoch < r.owner.OwnedZones[r.zone] || len(r.reply.Answers) != len(r.asks) {
+		state.recordSilence(r.owner, now)
+		r.asks = append(r.asks, state.pending...)
+		state.pending = nil
+		l.passOn(ctx, r.asks, now)
+		return
+	}
+	for i, answer := range r.reply.Answers {
+		l.applyAnswer(ctx, r.zone, r.asks[i], answer, now)
+	}
+	if len(state.pending) > 0 {
+		l.call(ctx, r.zone, now)
+	}
+}
+
+// passOn has asks that an owner did not answer go to the next owner.
+func (l *Limiter) passOn(ctx context.Context, asks []*ask, now time.Time) {
+	for _, a := range asks {
+		a.isUnanswered = true
+		l.forwardAsk(ctx, a, now)
+	}
+}
+
+// applyAnswer ends an ask that was granted and has the next owner asked otherwise.
+func (l *Limiter) applyAnswer(ctx context.Context, zone string, a *ask, answer site.QuotaAnswer, now time.Time) {
+	state := l.granterOf(zone)
+	if answer.Verdict != site.QuotaUnknown {
+		state.rooms[a.organisation] = room{
+			part: l.Tolerance.partOf(a.quota, len(a.zones)), units: answer.Room, at: now,
+			retryAfter: answer.RetryAfter, isRefused: answer.Verdict == site.QuotaRefused,
+		}
+	}
+	switch answer.Verdict {
+	case site.QuotaGranted:
+		l.grant(a, zone, now)
+		return
+	case site.QuotaRefused:
+		a.recordRefusal(answer.RetryAfter)
+	default:
+		a.isUnanswered = true
+	}
+	l.forwardAsk(ctx, a, now)
+}
--- /dev/null
+++ b/internal/coordination/quota/granterstate.go
@@ -0,0 +1,85 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+)
+
+// A granterState is what this host knows of the owner of a zone as a granter, and what waits
+// for the next calls to it. The goroutine of Run owns it.
+type granterState struct {
+	pending []*ask
+	returns map[site.OrganisationName]site.QuotaReturn
+	// inFlight is the number of calls without an answer.
+	inFlight int
+	// silentUntil is the time until which silentOwner, the owner under silentEpoch, is not
+	// asked because it did not answer.
+	silentUntil time.Time
+	silentOwner string
+	silentEpoch uint64
+	rooms       map[site.OrganisationName]room
+	zone        string
+}
+
+// A room is what a granter had left of its part of a quota at a time.
+type room struct {
+	part
+	units float64
+	at    time.Time
+	// retryAfter is what the granter told the last caller that it refused.
+	retryAfter time.Duration
+	isRefused  bool
+}
+
+// isSilent reports whether the owner did not answer lately.
+func (g *granterState) isSilent(owner *site.Host, now time.Time) bool {
+	return now.Before(g.silentUntil) && owner.Name == g.silentOwner && owner.OwnedZones[g.zone] == g.silentEpoch
+}
+
+// recordSilence records that the owner did not answer.
+func (g *granterState) recordSilence(owner *site.Host, now time.Time) {
+	g.silentOwner, g.silentEpoch = owner.Name, owner.OwnedZones[g.zone]
+	g.silentUntil = now.Add(silenceDuration)
+}
+
+// knownWait returns the time for which the granter certainly does not have the units of the
+// ask, as far as its last answer tells.
+func (g *granterState) knownWait(a *ask, now time.Time) time.Duration {
+	known, ok := g.rooms[a.organisation]
+	if !ok || !known.isRefused {
+		return 0
+	}
+	return max(waitFor(a.units, known.capacity, known.units, known.perSecond)-now.Sub(known.at), 0)
+}
+
+// roomAt returns the units that the granter has if nobody has taken any since its last
+// answer.
+func (g *granterState) roomAt(name site.OrganisationName, p part, now time.Time) float64 {
+	known, ok := g.rooms[name]
+	if !ok {
+		return p.capacity
+	}
+	return min(known.units+known.perSecond*now.Sub(known.at).Seconds(), p.capacity)
+}
+
+// takeBatch removes the asks and returns of the next call. Asks whose requests no longer
+// wait are left out.
+func (g *granterState) takeBatch(version int64) (site.QuotaRequest, []*ask) {
+	request := site.QuotaRequest{Zone: g.zone, DesiredVersion: version}
+	var asks []*ask
+	for len(g.pending) > 0 && len(asks) < maxAsksPerCall {
+		a := g.pending[0]
+		g.pending = g.pending[1:]
+		if a.abandoned.Load() {
+			continue
+		}
+		asks = append(asks, a)
+		request.Asks = append(request.Asks, site.QuotaAsk{Organisation: a.organisation, Units: a.units})
+	}
+	for _, returned := range g.returns {
+		request.Returns = append(request.Returns, returned)
+	}
+	clear(g.returns)
+	return request, asks
+}
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -18,6 +18,7 @@
 	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/completion"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/quota"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -74,6 +75,7 @@
 	Controller     *adapter.Controller
 	Quarantine     *quarantine.Quarantine
 	Completions    *completion.Notifier
+	Quotas         *quota.Limiter
 	PeerServer     *peer.Server
 	Recorder       *metrics.Recorder
 	Server         *front.Server
@@ -97,6 +99,7 @@
 		{"owner", p.Controller},
 		{"quarantine", p.Quarantine},
 		{"completions", p.Completions},
+		{"quotas", p.Quotas},
 		{"peer-server", p.PeerServer},
 		{"front", p.Server},
 	}
@@ -148,12 +151,14 @@
 		func(cache *watch.Cache, controller *adapter.Controller, client *peer.Client) *completion.Notifier {
 			return &completion.Notifier{Self: h.Settings.HostName, Views: cache, Owner: controller, Peers: client}
 		},
+		h.newGranter,
+		h.newLimiter,
 		func() *backend.ConnectionPool { return &backend.ConnectionPool{} },
 		newRecorder,
-		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, blocked *quarantine.Quarantine, completions *completion.Notifier, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
+		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, blocked *quarantine.Quarantine, completions *completion.Notifier, quotas *quota.Limiter, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
 			region := h.Settings.Regions[h.Settings.FailureDomain]
 			placer := &placer{self: h.Settings.HostName, region: region, cache: cache, controller: controller, client: client, owners: owners}
-			return &forward.Forwarder{Views: cache, Balancer: balancer, Placer: placer, RetryBudget: retries, Quarantine: blocked, RunEnds: completions, Recorder: &recorder{metricsRecorder: metricsRecorder}, Log: h.Log}
+			return &forward.Forwarder{Views: cache, Balancer: balancer, Placer: placer, RetryBudget: retries, Quarantine: blocked, Quotas: quotas, RunEnds: completions, Recorder: &recorder{metricsRecorder: metricsRecorder}, Log: h.Log}
 		},
 		h.newPeerServer,
 		h.newServer,
@@ -243,6 +248,29 @@
 	}
 }
 
+func (h *Host) newGranter(cache *watch.Cache, elector *zone.Elector) *quota.Granter {
+	return &quota.Granter{Leases: elector, Views: cache, Regions: h.Settings.Regions, Tolerance: h.quotaTolerance()}
+}
+
+func (h *Host) newLimiter(cache *watch.Cache, granter *quota.Granter, client *peer.Client) *quota.Limiter {
+	return &quota.Limiter{
+		Self:      h.Settings.HostName,
+		Zone:      h.Settings.FailureDomain,
+		Regions:   h.Settings.Regions,
+		Tolerance: h.quotaTolerance(),
+		Views:     cache,
+		Granter:   granter,
+		Peers:     client,
+		Log:       h.Log,
+	}
+}
+
+// quotaTolerance returns how far quotas may be exceeded.
+func (h *Host) quotaTolerance() quota.Tolerance {
+	s := h.Settings.Quotas
+	return quota.Tolerance{Window: s.Window, OverShare: s.OverShare, Slack: s.Slack}
+}
+
 func (h *Host) newRetryBudget(cache *watch.Cache) *retry.WindowBudget {
 	return &retry.WindowBudget{
 		Window:     h.Settings.Repeats.Window,
@@ -264,7 +292,7 @@
 	return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer, quota)
 }
 
-func (h *Host) newPeerServer(cache *watch.Cache, controller *adapter.Controller, elector *zone.Elector, balancer *balance.Balancer, blocked *quarantine.Quarantine) (*peer.Server, error) {
+func (h *Host) newPeerServer(cache *watch.Cache, controller *adapter.Controller, elector *zone.Elector, balancer *balance.Balancer, blocked *quarantine.Quarantine, granter *quota.Granter) (*peer.Server, error) {
 	listener, err := net.Listen("tcp", h.Settings.PeerAddress.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for entry hosts")
@@ -273,6 +301,7 @@
 		Listener:          listener,
 		ZoneHandler:       &zoneHandler{cache: cache, controller: controller, elector: elector, balancer: balancer},
 		QuarantineHandler: blocked,
+		QuotaHandler:      granter,
 	}, nil
 }
 
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -26,6 +26,7 @@
 	GraceTime       time.Duration     `json:"grace-time" default:"8s" help:"Time between the request to stop and the end of the process."`
 	OrderPause      time.Duration     `json:"order-pause" default:"3s" help:"How long the new owner of a failure domain's engines waits before its first order."`
 	Repeats         Repeats           `json:"repeats" help:"Bounds on repeated sends; equal on all hosts of a deployment."`
+	Quotas          Quotas            `json:"quotas" help:"How far organisations may exceed their quotas; equal on all hosts of a deployment."`
 }
 
 // Repeats limits the repeated sends of each service: those beyond the first send of
@@ -36,6 +37,13 @@
 	Slack  float64       `json:"slack" default:"20" help:"Repeated sends of all hosts together that need no requests."`
 }
 
+// Quotas says how far the requests of an organisation that run may exceed its quota.
+type Quotas struct {
+	Window    time.Duration `json:"window" default:"8s" help:"Span in which the units of requests are counted."`
+	OverShare float64       `json:"over-share" default:"0.1" help:"Part of what a quota allows in a window that may be used beyond it."`
+	Slack     float64       `json:"slack" default:"0" help:"Tokens that may be used in a window beyond that. Quotas of requests have none."`
+}
+
 // DecodeFront decodes and checks the settings of a front host. File is used in
 // error messages only; data is the content of that file. A non-nil error is of
 // type Problems.
@@ -70,4 +78,7 @@
 	if !(s.Repeats.Share >= 0) || !(s.Repeats.Slack >= 0) || s.Repeats.Window <= 0 {
 		d.addProblem("repeats", "expected share and slack of at least 0 and a window above 0")
 	}
+	if !(s.Quotas.OverShare >= 0) || !(s.Quotas.Slack >= 0) || s.Quotas.Window <= 0 {
+		d.addProblem("quotas", "expected over-share and slack of at least 0 and a window above 0")
+	}
 }
--- a/protocol/peer/fuzz_test.go
+++ b/protocol/peer/fuzz_test.go
@@ -16,6 +16,8 @@
 		FromPlaceRequest(site.PlaceRequest{Host: "h", PromptTokens: 5}),
 		FromQuarantineReport(site.QuarantineReport{Observations: []site.ProcessObservations{{Observations: []site.Observation{{Number: 1, Traits: []string{"a"}}}}}}),
 		FromEndedRuns([]site.EndedRuns{{Server: "e", Count: 2}}),
+		FromQuotaRequest(site.QuotaRequest{Zone: "z", Asks: []site.QuotaAsk{{Organisation: "o", Units: 800}}, Returns: []site.QuotaReturn{{Organisation: "o", Units: 5}}}),
+		FromQuotaReply(site.QuotaReply{Epoch: 3, Answers: []site.QuotaAnswer{{Verdict: site.QuotaRefused, Room: -5, RetryAfter: 7}}}),
 	} {
 		encoded, err := proto.Marshal(message)
 		if err != nil {
@@ -39,5 +41,11 @@
 		if m := (&EndedRunsReport{}); proto.Unmarshal(data, m) == nil {
 			ToEndedRuns(m)
 		}
+		if m := (&QuotaRequest{}); proto.Unmarshal(data, m) == nil {
+			ToQuotaRequest(m)
+		}
+		if m := (&QuotaReply{}); proto.Unmarshal(data, m) == nil {
+			ToQuotaReply(m)
+		}
 	})
 }
--- a/state/site/organisation.go
+++ b/state/site/organisation.go
@@ -1,6 +1,9 @@
 package site
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"time"
+)
 
 // A KeyDigest is the SHA-256 digest of an API key. The key itself is not kept, so that
 // no log line, metric or message can hold it.
@@ -64,4 +67,6 @@
 	// Granter is the name of the zone whose owner granted the units, or empty if the host
 	// took them from its own share.
 	Granter string
+	// TakenAt is when the units were taken.
+	TakenAt time.Time
 }
--- a/state/site/peermessage.go
+++ b/state/site/peermessage.go
@@ -138,3 +138,63 @@
 	// next requests what the server states.
 	Limited bool
 }
+
+// A QuotaRequest asks the owner of a zone for units of organisations' quotas, and gives
+// back units of requests that did not run.
+type QuotaRequest struct {
+	// Zone is the zone whose owner is asked.
+	Zone string
+	// DesiredVersion is the version of the desired state that the asking host knows.
+	DesiredVersion int64
+	Asks           []QuotaAsk
+	Returns        []QuotaReturn
+}
+
+// A QuotaAsk asks for units for one request.
+type QuotaAsk struct {
+	Organisation OrganisationName
+	Units        float64
+}
+
+// QuotaReturn gives back units.
+type QuotaReturn struct {
+	Organisation OrganisationName
+	// Units were taken a moment ago, and LateUnits longer ago.
+	Units, LateUnits float64
+}
+
+// A QuotaReply is the answer to a QuotaRequest.
+type QuotaReply struct {
+	// Epoch is the epoch of the owner's lease, or 0 if the replying host does not own the
+	// zone and has granted nothing.
+	Epoch uint64
+	// DesiredVersion is the version of the desired state that the owner has applied.
+	DesiredVersion int64
+	// Answers has an answer to each of the asks, in their order.
+	Answers []QuotaAnswer
+}
+
+// A QuotaVerdict says what has become of a QuotaAsk.
+type QuotaVerdict int
+
+// The verdicts on asks.
+const (
+	// QuotaUnknown means that the owner does not know the organisation, or that its zone
+	// holds no part of the quota.
+	QuotaUnknown QuotaVerdict = iota
+	// QuotaGranted means that the units may be used now.
+	QuotaGranted
+	// QuotaRefused means that the owner's part of the quota has no such room.
+	QuotaRefused
+)
+
+// A QuotaAnswer is the answer to a QuotaAsk.
+type QuotaAnswer struct {
+	Verdict QuotaVerdict
+	// Room is the number of units that the owner has left; it is below 0 after a request
+	// that was larger than its part of the burst.
+	Room float64
+	// RetryAfter is the time after which the refused units are available, with those that
+	// were refused before.
+	RetryAfter time.Duration
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -111,6 +111,7 @@
 	LoadRateHandler      LoadRateHandler
 	ZoneHandler          ZoneHandler
 	QuarantineHandler    QuarantineHandler
+	QuotaHandler         QuotaHandler
 	// Log is called with errors of single connections; it may be nil.
 	Log func(error)
 	// Traffic counts the calls of other hosts.
