--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -19,6 +19,7 @@
 	"github.com/persimmonmux/persimmonmux/internal/coordination/completion"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/organisation"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/quota"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -76,11 +77,29 @@
 	Quarantine     *quarantine.Quarantine
 	Completions    *completion.Notifier
 	Organisations  *organisation.Directory
+	Quotas         *quota.Limiter
 	PeerServer     *peer.Server
 	Recorder       *metrics.Recorder
 	Server         *front.Server
 }
 
+// forwarderParts holds what the forwarder is built from. The dig container sets the fields.
+type forwarderParts struct {
+	dig.In
+
+	Cache         *watch.Cache
+	Balancer      *balance.Balancer
+	Controller    *adapter.Controller
+	PeerClient    *peer.Client
+	RetryBudget   *retry.WindowBudget
+	Quarantine    *quarantine.Quarantine
+	Organisations *organisation.Directory
+	Quotas        *quota.Limiter
+	Completions   *completion.Notifier
+	Owners        *ownerLiveness
+	Metrics       *metrics.Recorder
+}
+
 // A namedRunner is a duty with the name under which log lines and errors show it.
 type namedRunner struct {
 	name   string
@@ -100,6 +119,7 @@
 		{"quarantine", p.Quarantine},
 		{"completions", p.Completions},
 		{"organisations", p.Organisations},
+		{"quotas", p.Quotas},
 		{"peer-server", p.PeerServer},
 		{"front", p.Server},
 	}
@@ -154,12 +174,25 @@
 		func(cache *watch.Cache, reader *watch.StoreReader) *organisation.Directory {
 			return &organisation.Directory{Views: cache, Source: &desiredStateSource{cache: cache, reader: reader}, Log: h.Log}
 		},
+		h.newGranter,
+		h.newLimiter,
 		func() *backend.ConnectionPool { return &backend.ConnectionPool{} },
 		newRecorder,
-		func(cache *watch.Cache, balancer *balance.Balancer, controller *adapter.Controller, client *peer.Client, retries *retry.WindowBudget, blocked *quarantine.Quarantine, completions *completion.Notifier, directory *organisation.Directory, owners *ownerLiveness, metricsRecorder *metrics.Recorder) *forward.Forwarder {
+		func(p forwarderParts) *forward.Forwarder {
 			region := h.Settings.Regions[h.Settings.FailureDomain]
-			placer := &placer{self: h.Settings.HostName, region: region, cache: cache, controller: controller, client: client, owners: owners}
-			return &forward.Forwarder{Views: cache, Balancer: balancer, Placer: placer, RetryBudget: retries, Quarantine: blocked, Identifier: directory, RunEnds: completions, Recorder: &recorder{metricsRecorder: metricsRecorder}, Log: h.Log}
+			placer := &placer{self: h.Settings.HostName, region: region, cache: p.Cache, controller: p.Controller, client: p.PeerClient, owners: p.Owners}
+			return &forward.Forwarder{
+				Views:       p.Cache,
+				Balancer:    p.Balancer,
+				Placer:      placer,
+				RetryBudget: p.RetryBudget,
+				Quarantine:  p.Quarantine,
+				Identifier:  p.Organisations,
+				Quotas:      p.Quotas,
+				RunEnds:     p.Completions,
+				Recorder:    &recorder{metricsRecorder: p.Metrics},
+				Log:         h.Log,
+			}
 		},
 		h.newPeerServer,
 		h.newServer,
@@ -249,6 +282,29 @@
 	}
 }
 
+func (h *Host) newGranter(cache *watch.Cache, elector *zone.Elector) *quota.Granter {
+	return &quota.Granter{Leases: elector, Views: cache, Regions: h.Settings.Regions, Tolerance: h.quotaTolerance()}
+}
+
+func (h *Host) newLimiter(cache *watch.Cache, granter *quota.Granter, client *peer.Client) *quota.Limiter {
+	return &quota.Limiter{
+		Self:      h.Settings.HostName,
+		Zone:      h.Settings.FailureDomain,
+		Regions:   h.Settings.Regions,
+		Tolerance: h.quotaTolerance(),
+		Views:     cache,
+		Granter:   granter,
+		Peers:     client,
+		Log:       h.Log,
+	}
+}
+
+// quotaTolerance returns how far quotas may be exceeded.
+func (h *Host) quotaTolerance() quota.Tolerance {
+	s := h.Settings.Quotas
+	return quota.Tolerance{Window: s.Window, OverShare: s.OverShare, Slack: s.Slack}
+}
+
 func (h *Host) newRetryBudget(cache *watch.Cache) *retry.WindowBudget {
 	return &retry.WindowBudget{
 		Window:     h.Settings.Repeats.Window,
@@ -270,7 +326,7 @@
 	return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer, quota, directory)
 }
 
-func (h *Host) newPeerServer(cache *watch.Cache, controller *adapter.Controller, elector *zone.Elector, balancer *balance.Balancer, blocked *quarantine.Quarantine) (*peer.Server, error) {
+func (h *Host) newPeerServer(cache *watch.Cache, controller *adapter.Controller, elector *zone.Elector, balancer *balance.Balancer, blocked *quarantine.Quarantine, granter *quota.Granter) (*peer.Server, error) {
 	listener, err := net.Listen("tcp", h.Settings.PeerAddress.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for entry hosts")
@@ -279,6 +335,7 @@
 		Listener:          listener,
 		ZoneHandler:       &zoneHandler{cache: cache, controller: controller, elector: elector, balancer: balancer},
 		QuarantineHandler: blocked,
+		QuotaHandler:      granter,
 	}, nil
 }
 
