quarantine: the delay of reports no longer moves the ends of engines

Cause: an observation was dated by its age and the arrival of its report, so that the delay of each relay stayed in its time. Two ends that were 150 ms apart were 90 ms apart at a host that got them over different relays, counted as one moment, and made no block there, for good. TestRestartedHostLearnsInTime was right: callers can meet it.

Change: observations carry the reading of a clock of their process, and reports tell what the clocks of known processes show. Hosts keep the earliest zero of each clock that they hear and date all observations of the process by it. Hosts of earlier versions tell no clocks and are dated as before.

--- a/internal/coordination/quarantine/exchange.go
+++ b/internal/coordination/quarantine/exchange.go
@@ -53,7 +53,8 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	began := time.Now()
-	request := site.QuarantineReport{Known: q.published.Load().ledger.known()}
+	l := q.published.Load().ledger
+	request := site.QuarantineReport{Known: l.known(), Clocks: l.clocks(time.Now())}
 	reply, err := q.Peers.ExchangeQuarantine(ctx, address, request)
 	if err == nil {
 		q.receive(reply)
@@ -75,9 +76,12 @@
 	return q.answer(report)
 }
 
-// receive records the observations of a report. Those that the full ring refuses are sent
-// again, because this host goes on to tell that it lacks them.
+// receive records the observations of a report and the clocks in it. Those that the full ring
+// refuses are sent again, because this host goes on to tell that it lacks them.
 func (q *Quarantine) receive(report site.QuarantineReport) {
+	if zeros := q.published.Load().ledger.earlierClockZeros(report.Clocks, time.Now()); len(zeros) > 0 {
+		q.messages.Offer(clockZeros(zeros))
+	}
 	if len(report.Observations) > 0 {
 		q.messages.Offer(peerReport(report.Observations))
 	}
@@ -85,8 +89,8 @@
 
 // answer returns a report with what the sender of the given one lacks.
 func (q *Quarantine) answer(report site.QuarantineReport) site.QuarantineReport {
-	l := q.published.Load().ledger
-	return site.QuarantineReport{Known: l.known(), Observations: l.missing(report.Known, time.Now())}
+	l, now := q.published.Load().ledger, time.Now()
+	return site.QuarantineReport{Known: l.known(), Clocks: l.clocks(now), Observations: l.missing(report.Known, now)}
 }
 
 // choosePeers returns the addresses of up to count other hosts, chosen at random. The first
--- a/internal/coordination/quarantine/ledger.go
+++ b/internal/coordination/quarantine/ledger.go
@@ -12,6 +12,15 @@
 // maxObservations bounds the observations that a host keeps for others, to about 0.5 MB.
 const maxObservations = 4096
 
+const (
+	// firstClock is what the clock of a process shows at its start. It makes all readings
+	// positive.
+	firstClock = time.Second
+	// minClockGain is by how much a told zero of a clock has to be earlier than the known one
+	// to be taken over. It bounds how often a clock is adjusted.
+	minClockGain = 5 * time.Millisecond
+)
+
 // A ledger has the observations of all processes that this host knows, and the evidence that
 // follows from them. Each observation has one process and one number for good, so that hosts
 // can tell each other what they lack. The goroutine of Quarantine.Run owns it.
@@ -32,6 +41,10 @@
 	heardAt         time.Time
 	// entries are sorted by their numbers.
 	entries []entry
+	// clockZero is when the clock of the process showed 0, as far as this host knows: the
+	// earliest time that follows from any report, because reports arrive late. It is zero if
+	// no report told the clock.
+	clockZero time.Time
 }
 
 // An entry is an observation with the time at which it was made. The Age of the observation
@@ -42,7 +55,8 @@
 }
 
 func newLedger(self site.Process) *ledger {
-	return &ledger{self: self, evidence: newEvidence(), logs: make(map[site.Process]processLog)}
+	own := processLog{clockZero: time.Now().Add(-firstClock)}
+	return &ledger{self: self, evidence: newEvidence(), logs: map[site.Process]processLog{self: own}}
 }
 
 // recordEnd records an observation of this process, that an engine ended under a request with
@@ -71,7 +85,7 @@
 func (l *ledger) append(o site.Observation, at time.Time) {
 	own := l.logs[l.self]
 	own.completeThrough++
-	o.Number = own.completeThrough
+	o.Number, o.Clock = own.completeThrough, at.Sub(own.clockZero)
 	own.entries = append(own.entries, entry{observation: o, at: at})
 	l.logs[l.self] = own
 	l.size++
@@ -87,13 +101,14 @@
 		if list.Process == l.self || list.CompleteThrough <= log.completeThrough {
 			continue
 		}
+		changed = l.adjustClock(&log, clockZeroOf(list.Observations, now)) || changed
 		for _, o := range list.Observations {
 			if o.Number <= log.completeThrough || o.Number > list.CompleteThrough || o.Age < 0 || o.Age >= maxEndAge {
 				continue
 			}
-			at := now.Add(-o.Age)
-			l.apply(o, at)
-			log.entries = append(log.entries, entry{observation: o, at: at})
+			e := entry{observation: o, at: log.timeOf(o, now)}
+			l.apply(e)
+			log.entries = append(log.entries, e)
 			l.size++
 			changed = true
 		}
@@ -104,15 +119,66 @@
 	return changed
 }
 
+// clockZeroOf returns when the clock of a process showed 0 by what its reported observations
+// tell. It is the zero time if they do not tell its clock.
+func clockZeroOf(reported []site.Observation, now time.Time) time.Time {
+	var zero time.Time
+	for _, o := range reported {
+		if told := now.Add(-o.Age - o.Clock); o.Clock > 0 && (zero.IsZero() || told.Before(zero)) {
+			zero = told
+		}
+	}
+	return zero
+}
+
+// adjustClock takes over the zero of the clock of a process if it is earlier than the known
+// one, and reports whether this moves known observations.
+func (l *ledger) adjustClock(log *processLog, zero time.Time) bool {
+	if zero.IsZero() || !log.clockZero.IsZero() && !zero.Before(log.clockZero) {
+		return false
+	}
+	log.clockZero = zero
+	log.entries = slices.Clone(log.entries)
+	for n, known := range log.entries {
+		if known.observation.Clock > 0 {
+			log.entries[n].at = zero.Add(known.observation.Clock)
+			l.apply(log.entries[n])
+		}
+	}
+	return len(log.entries) > 0
+}
+
+// mergeClocks takes over the zeros of the clocks of other processes that are earlier than the
+// known ones, and reports whether this moves known observations.
+func (l *ledger) mergeClocks(zeros map[site.Process]time.Time) bool {
+	changed := false
+	for process, zero := range zeros {
+		if log, ok := l.logs[process]; ok && process != l.self {
+			changed = l.adjustClock(&log, zero) || changed
+			l.logs[process] = log
+		}
+	}
+	return changed
+}
+
+// timeOf returns when an observation was made whose report arrived at the given time.
+func (l *processLog) timeOf(o site.Observation, arrived time.Time) time.Time {
+	if o.Clock <= 0 {
+		return arrived.Add(-o.Age)
+	}
+	return l.clockZero.Add(o.Clock)
+}
+
 // apply adds an observation of another process to the evidence. An answer is kept although
 // the end of which it clears a request may not have arrived yet.
-func (l *ledger) apply(o site.Observation, at time.Time) {
+func (l *ledger) apply(e entry) {
+	o := e.observation
 	if o.Engine != (site.Incarnation{}) {
-		l.evidence.addEnd(o.Engine, o.Service, at, [][]string{o.Traits})
+		l.evidence.addEnd(o.Engine, o.Service, e.at, [][]string{o.Traits})
 		return
 	}
 	traits := slices.Sorted(slices.Values(o.Traits[:min(len(o.Traits), maxTraitsPerSuspect)]))
-	l.evidence.addSound(o.Service, traits, at)
+	l.evidence.addSound(o.Service, traits, e.at)
 }
 
 // bound drops the oldest observations of the longest logs beyond maxObservations. The evidence
@@ -179,6 +245,31 @@
 	return known
 }
 
+// clocks returns what the clocks of the processes show, without those that have no observations
+// and those that are not known.
+func (p publishedLedger) clocks(now time.Time) map[site.Process]time.Duration {
+	clocks := make(map[site.Process]time.Duration)
+	for process, log := range p.logs {
+		if len(log.entries) > 0 && !log.clockZero.IsZero() {
+			clocks[process] = now.Sub(log.clockZero)
+		}
+	}
+	return clocks
+}
+
+// earlierClockZeros returns when the told clocks showed 0, of those processes for which this is
+// earlier than known.
+func (p publishedLedger) earlierClockZeros(clocks map[site.Process]time.Duration, now time.Time) map[site.Process]time.Time {
+	zeros := make(map[site.Process]time.Time)
+	for process, clock := range clocks {
+		log, ok := p.logs[process]
+		if zero := now.Add(-clock); ok && process != p.self && zero.Add(minClockGain).Before(log.clockZero) {
+			zeros[process] = zero
+		}
+	}
+	return zeros
+}
+
 // missing returns the observations that a host lacks which knows those of each process up to
 // the given number.
 func (p publishedLedger) missing(known map[site.Process]uint64, now time.Time) []site.ProcessObservations {
--- a/internal/coordination/quarantine/message.go
+++ b/internal/coordination/quarantine/message.go
@@ -41,3 +41,10 @@
 func (p peerReport) apply(l *ledger, now time.Time) bool {
 	return l.merge(p, now)
 }
+
+// clockZeros are times at which the clocks of processes showed 0, as told by another host.
+type clockZeros map[site.Process]time.Time
+
+func (z clockZeros) apply(l *ledger, _ time.Time) bool {
+	return l.mergeClocks(z)
+}
--- a/protocol/peer/convertquarantine.go
+++ b/protocol/peer/convertquarantine.go
@@ -10,7 +10,8 @@
 func FromQuarantineReport(r site.QuarantineReport) *QuarantineReport {
 	message := &QuarantineReport{}
 	for process, number := range r.Known {
-		message.Known = append(message.Known, &ProcessObservations{Process: fromProcess(process), CompleteThrough: number})
+		known := &ProcessObservations{Process: fromProcess(process), CompleteThrough: number, ClockNanoseconds: int64(r.Clocks[process])}
+		message.Known = append(message.Known, known)
 	}
 	for _, list := range r.Observations {
 		encoded := &ProcessObservations{Process: fromProcess(list.Process), CompleteThrough: list.CompleteThrough}
@@ -26,7 +27,14 @@
 func ToQuarantineReport(message *QuarantineReport) site.QuarantineReport {
 	r := site.QuarantineReport{Known: make(map[site.Process]uint64, len(message.GetKnown()))}
 	for _, known := range message.GetKnown() {
-		r.Known[toProcess(known.GetProcess())] = known.GetCompleteThrough()
+		process := toProcess(known.GetProcess())
+		r.Known[process] = known.GetCompleteThrough()
+		if clock := known.GetClockNanoseconds(); clock > 0 {
+			if r.Clocks == nil {
+				r.Clocks = make(map[site.Process]time.Duration)
+			}
+			r.Clocks[process] = time.Duration(clock)
+		}
 	}
 	for _, encoded := range message.GetObservations() {
 		list := site.ProcessObservations{Process: toProcess(encoded.GetProcess()), CompleteThrough: encoded.GetCompleteThrough()}
@@ -39,7 +47,13 @@
 }
 
 func fromObservation(o site.Observation) *Observation {
-	message := &Observation{Number: o.Number, AgeNanoseconds: int64(o.Age), Service: string(o.Service), Traits: o.Traits}
+	message := &Observation{
+		Number:           o.Number,
+		AgeNanoseconds:   int64(o.Age),
+		ClockNanoseconds: int64(o.Clock),
+		Service:          string(o.Service),
+		Traits:           o.Traits,
+	}
 	if o.Engine != (site.Incarnation{}) {
 		message.Engine = fromIncarnation(o.Engine)
 	}
@@ -50,6 +64,7 @@
 	return site.Observation{
 		Number:  message.GetNumber(),
 		Age:     time.Duration(message.GetAgeNanoseconds()),
+		Clock:   time.Duration(message.GetClockNanoseconds()),
 		Service: site.ServiceName(message.GetService()),
 		Engine:  toIncarnation(message.GetEngine()),
 		Traits:  message.GetTraits(),
--- a/state/site/quarantine.go
+++ b/state/site/quarantine.go
@@ -15,8 +15,13 @@
 type Observation struct {
 	// Number numbers the observations of the process, from 1.
 	Number uint64
-	// Age is the time since the observation was made.
+	// Age is the time since the observation was made. It lacks the time that reports took to
+	// arrive.
 	Age time.Duration
+	// Clock is what a clock of the process showed when the observation was made. The times
+	// between the observations of a process follow from it exactly. It is positive, and 0 in
+	// observations of hosts of earlier versions.
+	Clock time.Duration
 	// Service is the service that the request was for.
 	Service ServiceName
 	// Engine is the engine that ended. It is the zero value for an answer that has begun.
@@ -41,6 +46,9 @@
 type QuarantineReport struct {
 	// Known has, for each process, the number up to which the sender knows its observations.
 	Known map[Process]uint64
+	// Clocks has, for each process in Known whose clock the sender knows, what it shows when
+	// the report is made.
+	Clocks map[Process]time.Duration
 	// Observations are what the sender knows and the receiver did not when it last told.
 	Observations []ProcessObservations
 }
