soak, deploy: organisations, keys, quotas and servers of varying speed

Cause: neither the stand-ins nor the soak know organisations, their keys and quotas, or servers whose speed changes. Stand-in servers record the organisation and whether they saw a key, and state their speed in load reports. Checks: no key at a server, the right organisation, nothing runs with an unknown or removed key, no valid key is refused, no window over the quota. Result: each check has a case that it refutes (go test ./internal/soak: ok).

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -59,8 +59,11 @@
 	kind    kind
 	host    string
 	adapter string
-	sent    time.Time
-	ended   time.Time
+	// organisation is the one that the key belongs to; empty if the key belongs to none.
+	organisation string
+	key          string
+	sent         time.Time
+	ended        time.Time
 	// status is the HTTP status, 0 if no answer came.
 	status int
 	// complete reports that a successful answer arrived to its end.
@@ -88,6 +91,7 @@
 type callers struct {
 	hosts []*host
 	seed  uint64
+	keys  *keyring
 
 	mutex      sync.Mutex
 	attempts   []*attempt
@@ -111,6 +115,7 @@
 				}
 				h := c.chooseHost(random, zone)
 				a.host = h.name
+				a.organisation, a.key = c.keys.choose(i, n)
 				c.makeAttempt(client, h, a, random.IntN(20) == 0)
 				c.mutex.Lock()
 				c.attempts = append(c.attempts, a)
@@ -155,6 +160,9 @@
 	}
 	r.Host = callHost
 	r.Header.Set("X-Attempt-Id", a.id)
+	r.Header.Set("Authorization", "Token "+a.key)
+	// Hosts replace what callers claim to be.
+	r.Header.Set("X-Tenant", trustedOrganisation)
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
 	if a.kind.isStreaming() {
 		r.Header.Set("X-Model", modelName+"/"+a.adapter)
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -57,6 +57,8 @@
 	// adapterVersions has the latest declared version of each adapter. An adapter
 	// without an entry has version 1.
 	adapterVersions map[string]int
+	// keys are the keys of the organisations.
+	keys keyring
 }
 
 // build compiles the programs under test into the directory.
--- a/internal/soak/desiredstate.go
+++ b/internal/soak/desiredstate.go
@@ -91,7 +91,8 @@
 			map[string]any{"name": bookingService, "healthPath": "/healthz", "maxConns": 100},
 			map[string]any{"name": otherService, "healthPath": "/healthz", "maxConns": 100},
 		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000},
+		"tenants": d.keys.organisations(),
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000},
 	})
 }
 
--- a/internal/soak/faultfree.go
+++ b/internal/soak/faultfree.go
@@ -50,7 +50,7 @@
 // of the requests that were not served, empty if all were.
 func (d *deployment) awaitRecovery(ctx context.Context, seed uint64) string {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	c := &callers{hosts: d.hosts}
+	c := &callers{hosts: d.hosts, keys: &d.keys}
 	end := time.Now().Add(recoveryTimeout)
 	missing := ""
 	for n := 0; ctx.Err() == nil && time.Now().Before(end); n++ {
@@ -58,6 +58,7 @@
 		for i, h := range d.hosts {
 			for _, k := range kinds {
 				a := &attempt{id: fmt.Sprintf("%x%s%d-%d-%s", seed, recoveryMark, n, i, k), kind: k, host: h.name, adapter: "a1"}
+				a.organisation, a.key = trustedOrganisation, trustedKey
 				c.makeAttempt(client, h, a, false)
 				if !a.complete || a.mismatch != "" {
 					missing += fmt.Sprintf(" %s at %s: status %d %s %v;", k, h.name, a.status, a.mismatch, a.failure)
@@ -79,7 +80,8 @@
 	end := time.Now().Add(length)
 	var group sync.WaitGroup
 	group.Go(func() { d.restartHosts(ctx, random.IntN(len(d.hosts)), end) })
-	var promises []promise
+	var promises, keyPromises []promise
+	group.Go(func() { keyPromises = d.rotateKeys(ctx, end) })
 	for ctx.Err() == nil && time.Now().Before(end) {
 		switch random.IntN(3) {
 		case 0:
@@ -92,7 +94,7 @@
 		sleep(ctx, randomDuration(random, 300*time.Millisecond, 2*time.Second))
 	}
 	group.Wait()
-	return promises
+	return append(promises, keyPromises...)
 }
 
 // restartHosts stops and starts hosts one after the other, as the rollout of a
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -39,6 +39,7 @@
 		"caller-address": addresses[0], "ready-address": addresses[1], "peer-address": addresses[2], "metrics-address": addresses[3],
 		"platform-address": platformRelay.Address,
 		"repeats":          map[string]any{"window": "10s", "share": 0.2, "slack": 60},
+		"quotas":           map[string]any{"window": quotaWindow.String(), "over-share": quotaOverShare, "slack": quotaSlack},
 	})
 	if err != nil {
 		return err
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -129,7 +129,7 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	calling, stopCalls := context.WithCancel(ctx)
 	defer stopCalls()
-	c := &callers{hosts: d.hosts, seed: seed}
+	c := &callers{hosts: d.hosts, seed: seed, keys: &d.keys}
 	c.start(calling, o.Callers)
 
 	faulty, endFaults := context.WithTimeout(ctx, o.Chaos)
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -51,7 +51,7 @@
 		"site", "--listen", s.address, "--id", s.id, "--service", s.service, "--record", s.recordPath, "--born", strconv.FormatInt(s.startMilliseconds, 10),
 		"--events", strconv.Itoa(eventsPerStream), "--unsound-one-in", strconv.Itoa(unsoundOneIn),
 		"--unsound-path", "/" + string(booking) + "/", "--unsound-path", "/" + string(adviser) + "/",
-		"--sound-mark=" + recoveryMark,
+		"--sound-mark=" + recoveryMark, "--varying-speed",
 	}
 	if s.service == engineService {
 		s.arguments = append(s.arguments, "--model", modelName, "--spoiled-one-in", strconv.Itoa(spoiledOneIn))
--- a/internal/soak/verify.go
+++ b/internal/soak/verify.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -70,6 +71,7 @@
 		runs[r.Attempt] = append(runs[r.Attempt], r)
 		checkRun(e, r, byID[r.Attempt], note)
 	}
+	checkQuota(e.records, note)
 	for _, a := range e.attempts {
 		checkAttempt(e, a, runs[a.id], note)
 		checkOverlap(e, a, runs[a.id], ends[a.id], note)
@@ -120,6 +122,14 @@
 	if a.kind.isStreaming() && r.Adapter != a.adapter {
 		note("adapter", "%s ran %s on adapter %s, not %s", r.Server, a.id, r.Adapter, a.adapter)
 	}
+	if a.organisation == "" {
+		note("keys", "%s ran %s, whose key belongs to no organisation", r.Server, a.id)
+	} else if r.Organisation != a.organisation {
+		note("keys", "%s ran %s of organisation %s as one of %q", r.Server, a.id, a.organisation, r.Organisation)
+	}
+	if r.HasKey {
+		note("keys", "%s got the key of %s", r.Server, a.id)
+	}
 	for _, p := range e.promises {
 		if r.At.After(p.from.Add(deliveryDelay)) && (p.until.IsZero() || r.At.Before(p.until)) && e.isCalm(r.At) && p.isBroken(r, a) {
 			note(p.name, "%s of %s ran %s on adapter %s@%d at %s, promised from %s", r.Server, r.Service, a.id, r.Adapter, r.Version,
@@ -139,6 +149,9 @@
 	if a.isRefused() && len(runs) > 0 {
 		note("refusals are true", "%s %s at %s was answered %d and ran on %s", a.kind, a.id, a.host, a.status, runs[0].Server)
 	}
+	if a.status == http.StatusUnauthorized && (a.organisation == trustedOrganisation || a.organisation == limitedOrganisation) {
+		note("keys", "%s %s at %s was refused for its key, which was valid all the time", a.kind, a.id, a.host)
+	}
 	if a.complete && len(runs) == 0 {
 		note("own answer", "%s %s at %s was answered and ran nowhere", a.kind, a.id, a.host)
 	}
--- a/internal/soak/verify_test.go
+++ b/internal/soak/verify_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"cmp"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -17,7 +19,7 @@
 	begin := time.Now()
 	at := func(after time.Duration) time.Time { return begin.Add(after) }
 	ran := func(id string, k kind, after time.Duration) site.Record {
-		return site.Record{Kind: site.Ran, At: at(after), Server: "s1", Service: bookingService, Attempt: id, Target: "/" + string(k) + "/x?id=" + id}
+		return site.Record{Kind: site.Ran, At: at(after), Server: "s1", Service: bookingService, Attempt: id, Target: "/" + string(k) + "/x?id=" + id, Organisation: trustedOrganisation}
 	}
 	calm := []span{{from: at(0), until: at(time.Minute)}}
 	answered := &attempt{id: "1", kind: booking, sent: at(time.Second), ended: at(2 * time.Second), status: http.StatusOK, complete: true}
@@ -36,11 +38,41 @@
 	ended := func(after time.Duration) site.Record {
 		return site.Record{Kind: site.Ended, At: at(after), Server: "s1", Attempt: "1"}
 	}
+	ofOther := ran("1", booking, time.Second)
+	ofOther.Organisation = limitedOrganisation
+	withKey := ran("1", booking, time.Second)
+	withKey.HasKey = true
+	ofNobody := &attempt{id: "1", kind: booking, key: unknownKey, status: http.StatusOK, complete: true}
+	denied := &attempt{id: "1", kind: booking, organisation: trustedOrganisation, status: http.StatusUnauthorized}
+	retired := &attempt{id: "1", kind: booking, organisation: trustedOrganisation, key: rotatingKey(0), sent: at(time.Second), status: http.StatusOK, complete: true}
+	removed := promise{name: "keys", from: at(0), isBroken: func(_ *run, a *attempt) bool { return a.key == rotatingKey(0) }}
+	most := maxQuotaRuns
+	allowed := int(most)
+	// quotaRuns returns runs of the limited organisation at equal distances, and their attempts.
+	quotaRuns := func(count int, within time.Duration) (e evidence) {
+		for n := range count {
+			id := strconv.Itoa(n)
+			r := ran(id, lookup, time.Duration(n)*within/time.Duration(count))
+			r.Organisation = limitedOrganisation
+			e.records = append(e.records, r)
+			e.attempts = append(e.attempts, &attempt{id: id, kind: lookup, organisation: limitedOrganisation, status: http.StatusOK, complete: true})
+		}
+		return e
+	}
 	for _, test := range []struct {
 		name string
 		e    evidence
 		want string
 	}{
+		{"run for another organisation", evidence{attempts: []*attempt{answered}, records: []site.Record{ofOther}}, "keys"},
+		{"run with the caller's key", evidence{attempts: []*attempt{answered}, records: []site.Record{withKey}}, "keys"},
+		{"run with an unknown key", evidence{attempts: []*attempt{ofNobody}, records: []site.Record{ran("1", booking, time.Second)}}, "keys"},
+		{"refused with a valid key", evidence{attempts: []*attempt{denied}}, "keys"},
+		{"run with a removed key", evidence{calm: calm, promises: []promise{removed}, attempts: []*attempt{retired}, records: []site.Record{ran("1", booking, time.Second)}}, "keys"},
+		{"run with a removed key beside faults", evidence{promises: []promise{removed}, attempts: []*attempt{retired}, records: []site.Record{ran("1", booking, time.Second)}}, ""},
+		{"quota exceeded", quotaRuns(allowed+1, quotaWindow), "quota"},
+		{"quota used up", quotaRuns(allowed, quotaWindow), ""},
+		{"quota used in two windows", quotaRuns(2*allowed, 3*quotaWindow), ""},
 		{"resumed after the end", evidence{calm: calm, attempts: []*attempt{resumed}, records: []site.Record{runOn("s1", 2), ended(3), runOn("s2", 4)}}, ""},
 		{"resumed just before the end", evidence{calm: calm, attempts: []*attempt{resumed}, records: []site.Record{runOn("s1", 2), runOn("s2", 4), ended(overlapLimit)}}, ""},
 		{"resumed while it runs", evidence{calm: calm, attempts: []*attempt{resumed}, records: []site.Record{runOn("s1", 2), runOn("s2", 4), ended(time.Second)}}, "one server at a time"},
@@ -66,6 +98,11 @@
 		{"old service beside faults", evidence{promises: []promise{moved}, attempts: []*attempt{answered}, records: []site.Record{ran("1", booking, time.Second)}}, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			for _, a := range test.e.attempts {
+				if a.key == "" {
+					a.organisation = cmp.Or(a.organisation, trustedOrganisation)
+				}
+			}
 			broken := findBrokenPromises(&test.e)
 			if test.want == "" {
 				qt.Check(t, broken, qt.HasLen, 0)
--- a/standin/site/record.go
+++ b/standin/site/record.go
@@ -41,6 +41,10 @@
 	// has received; zero for a new stream.
 	LastEvent int    `json:"after,omitempty"`
 	Reason    string `json:"reason,omitempty"`
+	// Organisation is the organisation that the request names. HasKey says that the key of
+	// its caller was passed on, too.
+	Organisation string `json:"organisation,omitempty"`
+	HasKey       bool   `json:"has-key,omitempty"`
 }
 
 // A Recorder appends records to a file as JSON lines, so that they outlive the process.
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -45,6 +45,9 @@
 	// for none.
 	SoundMark   string        `long:"sound-mark" description:"part of the attempt ids of requests that are answered soundly"`
 	RunDuration time.Duration `long:"work" default:"20ms" description:"time of a request to a plain service"`
+	// VaryingSpeed makes work take up to four times as long, differently many times a second.
+	// Load reports then state in a fourth figure how long it takes.
+	VaryingSpeed bool `long:"varying-speed" description:"work takes up to four times as long, and load reports state it"`
 }
 
 // A Server is one stand-in backend server. It implements http.Handler and is safe for
@@ -148,12 +151,48 @@
 	w.WriteHeader(http.StatusMisdirectedRequest)
 }
 
+// newRun returns the record of the start of a run.
+func (s *Server) newRun(r *http.Request, attempt string) Record {
+	return Record{
+		Kind: Ran, Server: s.ID, Service: s.Service, Born: s.Born, Attempt: attempt, Target: r.RequestURI,
+		Organisation: r.Header.Get("X-Tenant"), HasKey: r.Header.Get("Authorization") != "",
+	}
+}
+
+// slownessPeriod is the time after which the slowness of a server is drawn again.
+const slownessPeriod = 50 * time.Millisecond
+
+// slowness returns how long work takes now, in percent of the usual time. It changes many
+// times a second if VaryingSpeed is set.
+func (s *Server) slowness() int {
+	const usual = 100
+	if !s.VaryingSpeed {
+		return usual
+	}
+	period := time.Now().UnixNano() / int64(slownessPeriod)
+	return usual + int(xxhash.Sum64String(fmt.Sprintf("%s/%d", s.ID, period))%(3*usual))
+}
+
+// workTime returns how long work takes now that usually takes the given time.
+func (s *Server) workTime(usual time.Duration) time.Duration {
+	return usual * time.Duration(s.slowness()) / 100
+}
+
+// loadReport returns the value of X-Server-Load. The mutex is held.
+func (s *Server) loadReport() string {
+	report := fmt.Sprintf("%d,0,%d", s.running, s.Slots)
+	if s.VaryingSpeed {
+		report += fmt.Sprintf(",%d", s.slowness())
+	}
+	return report
+}
+
 // acquireSlot reserves a slot for a request. If all are taken, it answers that the
 // request was not executed and returns false.
 func (s *Server) acquireSlot(w http.ResponseWriter) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", s.running, s.Slots))
+	w.Header().Set("X-Server-Load", s.loadReport())
 	if s.running >= s.Slots {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -180,8 +219,8 @@
 		drawn.write(w)
 		return
 	}
-	s.Record(Record{Kind: Ran, Server: s.ID, Service: s.Service, Born: s.Born, Attempt: attempt, Target: r.RequestURI})
-	time.Sleep(s.RunDuration)
+	s.Record(s.newRun(r, attempt))
+	time.Sleep(s.workTime(s.RunDuration))
 	if drawn != nil {
 		drawn.write(w)
 		return
@@ -212,10 +251,9 @@
 		return
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	s.Record(Record{
-		Kind: Ran, Server: s.ID, Service: s.Service, Born: s.Born, Attempt: attempt, Target: r.RequestURI,
-		Adapter: name, Version: version, LastEvent: last,
-	})
+	run := s.newRun(r, attempt)
+	run.Adapter, run.Version, run.LastEvent = name, version, last
+	s.Record(run)
 	defer s.Record(Record{Kind: Ended, Server: s.ID, Service: s.Service, Born: s.Born, Attempt: attempt})
 	if drawn != nil {
 		drawn.write(w)
@@ -235,7 +273,7 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(s.EventGap):
+		case <-time.After(s.workTime(s.EventGap)):
 		}
 	}
 }
