front, explain: refuse a key before the body has arrived

Cause: net/http reads up to 256 KiB of a body before it sends the 401, so a caller without a key could have the host wait for its body. Change: a refused request with a body ends its connection. Full duplex was tried and left out: net/http then panics on the next request of the connection. explain tells why a key was refused.

--- a/internal/explain/explanation.go
+++ b/internal/explain/explanation.go
@@ -112,6 +112,14 @@
 	"canceled":         "its caller left",
 	"prompt-blocked":   "engines ended under requests with the same traits",
 	"rate-limited":     "the servers state limits of requests a second, and no turn came in time",
+	"quota-exceeded":   "its organisation had used up its quota",
+}
+
+// keyReasons says why a request was refused for its key, by the reason of its line.
+var keyReasons = map[string]string{
+	"missing":   "it had no key",
+	"unknown":   "no organisation had its key",
+	"undecided": "the host did not know its key and had no recent desired state",
 }
 
 // outcome returns a sentence on how the request ended, by its last line.
@@ -120,6 +128,9 @@
 	switch last.Message {
 	case "client left":
 		return fmt.Sprintf("The caller left after %s ms while the request waited for: %s.", last.fieldText("after"), cmp.Or(last.fieldText("waits"), "nothing known"))
+	case "request refused for its key":
+		return fmt.Sprintf("It has not run: %s (code %s), after %s ms.", cmp.Or(keyReasons[last.fieldText("reason")], "its key was refused"),
+			last.fieldText("code"), last.fieldText("after"))
 	case "request failed":
 		ran := map[string]string{
 			"not-run":      "It has not run",
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -38,6 +38,10 @@
 	}
 	request.Key, request.HasKey = platform.DecodeKey(r.Header)
 	if failure := s.Forwarder.Authorize(r.Context(), request); failure != nil {
+		if r.ContentLength != 0 {
+			// Otherwise net/http reads a body of up to 256 KiB before it answers.
+			w.Header().Set("Connection", "close")
+		}
 		writeFailure(w, failure)
 		return
 	}
--- a/transport/front/key_test.go
+++ b/transport/front/key_test.go
@@ -199,15 +199,46 @@
 // TestKeyIsCheckedBeforeTheBody guards against callers without a key that have the host wait
 // for their bodies and hold them.
 func TestKeyIsCheckedBeforeTheBody(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 10", "Content-Length: 4000000", "Transfer-Encoding: chunked", "Expect: 100-continue\r\nContent-Length: 10"} {
+		t.Run(framing, func(t *testing.T) {
+			c := quicktest.New(t)
+			conn, err := net.Dial("tcp", startKeyedFront(c, startEchoBackend(c), nil))
+			c.Assert(err, quicktest.IsNil)
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+			fmt.Fprintf(conn, "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id-1\r\n%s\r\n\r\n", framing)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, quicktest.IsNil)
+			c.Check(answer.StatusCode, quicktest.Equals, http.StatusUnauthorized)
+		})
+	}
+}
+
+// TestBodyOfRefusedRequestIsNoRequest guards against the body of a refused request that is
+// taken for the next request on its connection, and against requests without a body that cost
+// a new connection for each refusal.
+func TestBodyOfRefusedRequestIsNoRequest(t *testing.T) {
 	c := quicktest.New(t)
-	conn, err := net.Dial("tcp", startKeyedFront(c, startEchoBackend(c), nil))
+	b := startEchoBackend(c)
+	conn, err := net.Dial("tcp", startKeyedFront(c, b, nil))
 	c.Assert(err, quicktest.IsNil)
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
-	fmt.Fprint(conn, "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id-1\r\nContent-Length: 4000000\r\n\r\n")
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		fmt.Fprint(conn, "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token bad\r\n\r\n")
+		answer, err := http.ReadResponse(reader, nil)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(answer.StatusCode, quicktest.Equals, http.StatusUnauthorized)
+	}
+	inner := "POST /public/inner HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n\r\n"
+	fmt.Fprintf(conn, "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token bad\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner)
+	answer, err := http.ReadResponse(reader, nil)
 	c.Assert(err, quicktest.IsNil)
 	c.Check(answer.StatusCode, quicktest.Equals, http.StatusUnauthorized)
+	_, err = http.ReadResponse(reader, nil)
+	c.Check(err, quicktest.IsNotNil)
+	c.Check(b.count(), quicktest.Equals, 0, quicktest.Commentf("%s", b.received()))
 }
 
 // TestAuthorizationWithoutOrganisations guards against another treatment of requests than
