--- a/coordination/allowance/bucket.go
+++ b/coordination/allowance/bucket.go
@@ -1,5 +1,5 @@
 // Package allowance decides whether something may be sent now: a token bucket that fills at
-// a rate up to a capacity and may be overdrawn by a single large request.
+// a rate up to a capacity.
 package allowance
 
 import (
@@ -13,12 +13,10 @@
 // A Bucket holds units that become available at a rate. The zero value holds none and never
 // fills. It is not safe for concurrent use.
 //
-// In a time t it grants at most Capacity + PerSecond*t units, and with requests that are
-// larger than the capacity at most the size of the largest one + PerSecond*t, because the
-// overdraft is paid before the next grant.
+// In a time t it grants at most its capacity + its rate * t.
 type Bucket struct {
 	perSecond, capacity float64
-	// level is the number of units at the time at; it is below 0 after an overdraft.
+	// level is the number of units at the time at.
 	level float64
 	at    time.Time
 }
@@ -44,11 +42,11 @@
 	return b.level
 }
 
-// Take takes the units and reports whether it did. A request that is larger than the
-// capacity by at most maxOverdraft is granted by a full bucket, which it overdraws.
-func (b *Bucket) Take(units, maxOverdraft float64, now time.Time) bool {
+// Take takes the units and reports whether it did. It takes nothing if there are fewer, or
+// if the number is negative or not a number.
+func (b *Bucket) Take(units float64, now time.Time) bool {
 	b.advance(now)
-	if !(units >= 0) || units > b.capacity+maxOverdraft || b.level < min(units, b.capacity) {
+	if !(units >= 0 && units <= b.level) {
 		return false
 	}
 	b.level -= units
@@ -61,14 +59,14 @@
 	b.level = min(b.level+bounded(units), b.capacity)
 }
 
-// Wait returns the time until Take succeeds for the units if nobody else takes any. It is
-// math.MaxInt64 if the bucket does not fill.
+// Wait returns the time in which the units that are missing become available, whatever the
+// capacity, if nobody else takes any. It is math.MaxInt64 if they never do.
 func (b *Bucket) Wait(units float64, now time.Time) time.Duration {
 	b.advance(now)
-	return WaitFor(min(units, b.capacity)-b.level, b.perSecond)
+	return WaitFor(units-b.level, b.perSecond)
 }
 
-// WaitFor returns the time in which the missing units become available at a rate.
+// WaitFor returns the time in which missing units become available at a rate.
 func WaitFor(missing, perSecond float64) time.Duration {
 	if missing <= 0 {
 		return 0
--- a/internal/coordination/quota/ask.go
+++ b/internal/coordination/quota/ask.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/persimmonmux/persimmonmux/coordination/allowance"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
@@ -181,8 +180,3 @@
 	}
 	a.reply <- takeResult{charge: charge}
 }
-
-// waitFor returns the time until the units are available at an owner with the given room.
-func waitFor(units, capacity, room, perSecond float64) time.Duration {
-	return allowance.WaitFor(min(units, capacity)-room, perSecond)
-}
--- a/internal/coordination/quota/granter.go
+++ b/internal/coordination/quota/granter.go
@@ -212,7 +212,7 @@
 		return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: maxQuota}
 	case !a.isGranter:
 		return site.QuotaAnswer{Verdict: site.QuotaUnknown}
-	case a.bucket.Take(units, a.part.maxOverdraft, now):
+	case a.bucket.Take(units, now):
 		return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: a.bucket.Level(now)}
 	}
 	return site.QuotaAnswer{Verdict: site.QuotaRefused, Room: a.bucket.Level(now), RetryAfter: a.retryAfter(units, now)}
@@ -221,10 +221,10 @@
 // retryAfter returns when the refused units are available after those refused before. If
 // that is too far away, it is a time at random before the longest one.
 func (a *account) retryAfter(units float64, now time.Time) time.Duration {
-	room := a.bucket.Wait(units, now)
-	if units > a.part.capacity+a.part.maxOverdraft {
+	if units > a.part.capacity {
 		return maxRetryAfter
 	}
+	room := a.bucket.Wait(units, now)
 	a.refused = max(a.refused-a.part.perSecond*now.Sub(a.refusedAt).Seconds(), 0)
 	a.refusedAt = now
 	queued := allowance.WaitFor(a.refused, a.part.perSecond)
@@ -242,7 +242,7 @@
 		return
 	}
 	a.bucket.Return(given.Units, now)
-	if late := min(given.LateUnits, a.late.Level(now)); late > 0 && a.late.Take(late, 0, now) {
+	if late := min(given.LateUnits, a.late.Level(now)); late > 0 && a.late.Take(late, now) {
 		a.bucket.Return(late, now)
 	}
 }
--- /dev/null
+++ b/internal/coordination/quota/granter_test.go
@@ -0,0 +1,194 @@
+package quota
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/table"
+)
+
+// A singleOwner is a host that owns the only zone of a site.
+type singleOwner struct {
+	epoch uint64
+	era   table.Era
+	view  *site.View
+}
+
+func (o *singleOwner) OrderEpoch(zone string) (uint64, bool) {
+	return o.epoch, o.epoch > 0 && zone == "a"
+}
+
+func (o *singleOwner) OrderingZones() []string {
+	if o.epoch == 0 {
+		return nil
+	}
+	return []string{"a"}
+}
+
+func (o *singleOwner) View() *site.View { return o.view }
+
+func (o *singleOwner) Era() table.Era { return o.era }
+
+// setQuota publishes a view with one organisation.
+func (o *singleOwner) setQuota(quota site.Quota) {
+	o.view = &site.View{Desired: &site.DesiredState{Version: 1, Organisations: []site.Organisation{{Name: "o", Quota: quota}}}}
+}
+
+// newSingleGranter returns a granter for zone a that has owned it long enough for full
+// buckets.
+func newSingleGranter(quota site.Quota) (*Granter, *singleOwner) {
+	owner := &singleOwner{epoch: 1}
+	owner.setQuota(quota)
+	g := &Granter{Leases: owner, Views: owner, Regions: map[string]string{"a": "x"}, Tolerance: testTolerance}
+	g.Observe(time.Now())
+	time.Sleep(time.Hour)
+	return g, owner
+}
+
+func askGranter(g *Granter, organisation site.OrganisationName, units float64) site.QuotaAnswer {
+	reply := g.Grant(site.QuotaRequest{Zone: "a", Asks: []site.QuotaAsk{{Organisation: organisation, Units: units}}})
+	if len(reply.Answers) == 0 {
+		return site.QuotaAnswer{}
+	}
+	return reply.Answers[0]
+}
+
+// drain takes all units in steps and returns how many there were.
+func drain(g *Granter, step float64) float64 {
+	taken := 0.0
+	for askGranter(g, "o", step).Verdict == site.QuotaGranted {
+		taken += step
+	}
+	return taken
+}
+
+// TestUnknownHistoryBeginsEmpty guards against an owner that grants again what a former
+// owner, or the time before a restore of the store, has granted.
+func TestUnknownHistoryBeginsEmpty(t *testing.T) {
+	quota := site.Quota{Unit: site.QuotaTokens, PerSecond: 10_000, Burst: 10_000}
+	changes := map[string]func(o *singleOwner){
+		"new epoch": func(o *singleOwner) { o.epoch++ },
+		"new era":   func(o *singleOwner) { o.era++ },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				g, owner := newSingleGranter(quota)
+				c.Check(askGranter(g, "o", 1000).Verdict, quicktest.Equals, site.QuotaGranted)
+				change(owner)
+				c.Check(askGranter(g, "o", 1000).Verdict, quicktest.Equals, site.QuotaRefused)
+				time.Sleep(100 * time.Millisecond)
+				c.Check(drain(g, 100), quicktest.Equals, 1000.0)
+			})
+		})
+	}
+}
+
+// TestOnlyOwnersGrant guards against grants without a lease, and for organisations that the
+// owner does not know.
+func TestOnlyOwnersGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		g, owner := newSingleGranter(site.Quota{Unit: site.QuotaTokens, PerSecond: 10_000, Burst: 10_000})
+		c.Check(askGranter(g, "other", 1).Verdict, quicktest.Equals, site.QuotaUnknown)
+		owner.epoch = 0
+		c.Check(g.Grant(site.QuotaRequest{Zone: "a", Asks: []site.QuotaAsk{{Organisation: "o", Units: 1}}}), quicktest.DeepEquals, site.QuotaReply{})
+		owner.epoch, owner.view = 1, &site.View{}
+		c.Check(askGranter(g, "o", 1).Verdict, quicktest.Equals, site.QuotaUnknown)
+	})
+}
+
+// TestChangedLimit guards against a lower limit that does not hold at once, and against a
+// higher one that hands out units which were never there.
+func TestChangedLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		large := site.Quota{Unit: site.QuotaTokens, PerSecond: 100_000, Burst: 100_000}
+		small := site.Quota{Unit: site.QuotaTokens, PerSecond: 1_000, Burst: 1_000}
+		g, owner := newSingleGranter(large)
+		c.Check(askGranter(g, "o", 1).Verdict, quicktest.Equals, site.QuotaGranted)
+		owner.setQuota(small)
+		lower := drain(g, 100)
+		c.Check(lower <= testTolerance.burst(small), quicktest.IsTrue, quicktest.Commentf("%.0f units were left", lower))
+		owner.setQuota(large)
+		c.Check(drain(g, 100), quicktest.Equals, 0.0)
+		owner.setQuota(site.Quota{})
+		c.Check(askGranter(g, "o", 1e9).Verdict, quicktest.Equals, site.QuotaGranted)
+	})
+}
+
+// TestLateReturnsAreLimited guards against several seconds of the rate that run in one
+// window, because units that were taken before it come back in it.
+func TestLateReturnsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		quota := site.Quota{Unit: site.QuotaTokens, PerSecond: 10_000, Burst: 10_000}
+		g, _ := newSingleGranter(quota)
+		drain(g, 100)
+		g.Grant(site.QuotaRequest{Zone: "a", Returns: []site.QuotaReturn{{Organisation: "o", Units: 1000}}})
+		c.Check(drain(g, 100), quicktest.Equals, 1000.0)
+		returned := 0.0
+		for range 100 {
+			g.Grant(site.QuotaRequest{Zone: "a", Returns: []site.QuotaReturn{{Organisation: "o", LateUnits: 1000}}})
+			returned += drain(g, 100)
+		}
+		c.Check(returned > 0 && returned <= latePart*testTolerance.excess(quota), quicktest.IsTrue, quicktest.Commentf("%.0f units came back", returned))
+	})
+}
+
+// TestAbsurdQuotas guards against quotas and requests without a defined answer.
+func TestAbsurdQuotas(t *testing.T) {
+	tests := []struct {
+		name  string
+		quota site.Quota
+		units float64
+		want  site.QuotaVerdict
+	}{
+		{name: "no limit", quota: site.Quota{Unit: site.QuotaTokens}, units: 1e12, want: site.QuotaGranted},
+		{name: "no burst", quota: site.Quota{Unit: site.QuotaTokens, PerSecond: 1000}, units: 5000, want: site.QuotaGranted},
+		{name: "small with a large request", quota: site.Quota{Unit: site.QuotaTokens, PerSecond: 1}, units: 5000, want: site.QuotaGranted},
+		// The bucket would take two months to fill.
+		{name: "tiny with a large request", quota: site.Quota{Unit: site.QuotaTokens, PerSecond: 0.001}, units: 5000, want: site.QuotaRefused},
+		{name: "request beyond the tolerance", quota: site.Quota{Unit: site.QuotaTokens, PerSecond: 1, Burst: 1}, units: 1e6, want: site.QuotaRefused},
+		{name: "huge", quota: site.Quota{Unit: site.QuotaTokens, PerSecond: 1e300, Burst: 1e300}, units: 1e12, want: site.QuotaGranted},
+		{name: "one request a second", quota: site.Quota{Unit: site.QuotaRequests, PerSecond: 1}, units: 1, want: site.QuotaGranted},
+		{name: "a request an hour", quota: site.Quota{Unit: site.QuotaRequests, PerSecond: 1.0 / 3600, Burst: 0}, units: 1, want: site.QuotaGranted},
+		{name: "no units", quota: site.Quota{Unit: site.QuotaTokens, PerSecond: 1}, units: 0, want: site.QuotaGranted},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				g, _ := newSingleGranter(test.quota)
+				time.Sleep(time.Hour)
+				answer := askGranter(g, "o", test.units)
+				c.Check(answer.Verdict, quicktest.Equals, test.want)
+				c.Check(answer.RetryAfter >= 0 && answer.RetryAfter <= maxRetryAfter, quicktest.IsTrue)
+			})
+		})
+	}
+}
+
+// TestRefusedCallersComeBackApart guards against callers that all come back at the time at
+// which one of them can be served.
+func TestRefusedCallersComeBackApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		g, _ := newSingleGranter(site.Quota{Unit: site.QuotaTokens, PerSecond: 10_000, Burst: 10_000})
+		drain(g, 100)
+		var last time.Duration
+		for range 20 {
+			after := askGranter(g, "o", 1000).RetryAfter
+			c.Check(after >= last+100*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s after %s", after, last))
+			last = after
+		}
+		for range 100 {
+			c.Check(askGranter(g, "o", 1000).RetryAfter <= maxRetryAfter, quicktest.IsTrue)
+		}
+	})
+}
--- a/internal/coordination/quota/granterstate.go
+++ b/internal/coordination/quota/granterstate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/persimmonmux/persimmonmux/coordination/allowance"
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
@@ -50,7 +51,7 @@
 	if !ok || !known.isRefused {
 		return 0
 	}
-	return max(waitFor(a.units, known.capacity, known.units, known.perSecond)-now.Sub(known.at), 0)
+	return max(allowance.WaitFor(a.units-known.units, known.perSecond)-now.Sub(known.at), 0)
 }
 
 // roomAt returns the units that the granter has if nobody has taken any since its last
--- /dev/null
+++ b/internal/coordination/quota/limiter_test.go
@@ -0,0 +1,211 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/table"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
+)
+
+// A scriptedOwner is the owner of zone a on another host. Its fields are set before use.
+type scriptedOwner struct {
+	view  *site.View
+	delay time.Duration
+	// answer returns the answer to an ask; nil for an owner that does not answer.
+	answer func(ask site.QuotaAsk) site.QuotaAnswer
+
+	mutex    sync.Mutex
+	requests []site.QuotaRequest
+}
+
+func (o *scriptedOwner) View() *site.View { return o.view }
+
+func (o *scriptedOwner) Era() table.Era { return 1 }
+
+func (o *scriptedOwner) OrderEpoch(string) (uint64, bool) { return 0, false }
+
+func (o *scriptedOwner) OrderingZones() []string { return nil }
+
+func (o *scriptedOwner) GrantQuota(ctx context.Context, _ string, request site.QuotaRequest) (site.QuotaReply, error) {
+	o.mutex.Lock()
+	o.requests = append(o.requests, request)
+	o.mutex.Unlock()
+	if o.answer == nil || !sleep(ctx, o.delay) {
+		<-ctx.Done()
+		return site.QuotaReply{}, errUnreachable
+	}
+	reply := site.QuotaReply{Epoch: 5}
+	for _, ask := range request.Asks {
+		reply.Answers = append(reply.Answers, o.answer(ask))
+	}
+	return reply, nil
+}
+
+// received returns the requests that the owner has got.
+func (o *scriptedOwner) received() []site.QuotaRequest {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.requests
+}
+
+// runWithOwner runs a test with the limiter of a host whose site has the given owner.
+func runWithOwner(t *testing.T, owner *scriptedOwner, test func(c *quicktest.C, l *Limiter, organisation *site.Organisation)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		organisation := site.Organisation{Name: "o", Quota: site.Quota{Unit: site.QuotaTokens, PerSecond: 100_000, Burst: 100_000}}
+		owner.view = &site.View{
+			Desired: &site.DesiredState{Version: 3, Organisations: []site.Organisation{organisation}},
+			Hosts: map[string]*site.Host{
+				"me":    {Name: "me", Zone: "a"},
+				"owner": {Name: "owner", Zone: "a", Address: "owner", OwnedZones: map[string]uint64{"a": 5}},
+			},
+		}
+		owner.view.BuildIndex()
+		regions := map[string]string{"a": "x"}
+		l := &Limiter{
+			Self: "me", Zone: "a", Regions: regions, Tolerance: testTolerance, Views: owner, Peers: owner, Log: zerolog.Nop(),
+			Granter: &Granter{Leases: owner, Views: owner, Regions: regions, Tolerance: testTolerance},
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- l.Run(context.Background()) }()
+		synctest.Wait()
+		test(c, l, &organisation)
+		c.Check(l.Close(), quicktest.IsNil)
+		c.Check(<-ended, quicktest.IsNil)
+	})
+}
+
+func granted(site.QuotaAsk) site.QuotaAnswer { return site.QuotaAnswer{Verdict: site.QuotaGranted} }
+
+// TestWaitingRequestsShareCalls guards against a call for each request while calls are in
+// flight.
+func TestWaitingRequestsShareCalls(t *testing.T) {
+	owner := &scriptedOwner{delay: 20 * time.Millisecond, answer: granted}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		var group sync.WaitGroup
+		for range 50 {
+			group.Go(func() {
+				charge, err := l.Take(context.Background(), organisation, 100)
+				c.Check(err, quicktest.IsNil)
+				c.Check(charge.Granter, quicktest.Equals, "a")
+			})
+		}
+		group.Wait()
+		c.Check(len(owner.received()) <= 2*maxCallsInFlight, quicktest.IsTrue)
+	})
+}
+
+// TestKnownDeficitNeedsNoCall guards against a call for each request of an organisation
+// that is known to have no room, and against one that is never asked for again.
+func TestKnownDeficitNeedsNoCall(t *testing.T) {
+	owner := &scriptedOwner{answer: func(site.QuotaAsk) site.QuotaAnswer {
+		return site.QuotaAnswer{Verdict: site.QuotaRefused, RetryAfter: 300 * time.Millisecond}
+	}}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		for range 10 {
+			_, err := l.Take(context.Background(), organisation, 1000)
+			failure := verdict.FromError(err)
+			c.Assert(failure, quicktest.IsNotNil)
+			c.Check(failure.Code, quicktest.Equals, verdict.CodeQuotaExceeded)
+			c.Check(failure.Verdict, quicktest.Equals, verdict.NotRun)
+			c.Check(failure.RetryAfter >= 300*time.Millisecond && failure.RetryAfter < time.Second, quicktest.IsTrue)
+		}
+		c.Check(owner.received(), quicktest.HasLen, 1)
+		time.Sleep(time.Second)
+		_, _ = l.Take(context.Background(), organisation, 1000)
+		c.Check(owner.received(), quicktest.HasLen, 2)
+	})
+}
+
+// TestSilentOwner guards against requests that wait for an owner that does not answer, and
+// against refusals that call a quota exceeded of which nothing is known.
+func TestSilentOwner(t *testing.T) {
+	runWithOwner(t, &scriptedOwner{}, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		began := time.Now()
+		_, err := l.Take(context.Background(), organisation, 1000)
+		c.Check(time.Since(began), quicktest.Equals, callTimeout)
+		failure := verdict.FromError(err)
+		c.Assert(failure, quicktest.IsNotNil)
+		c.Check(failure.Code, quicktest.Equals, verdict.CodeOverloaded)
+		c.Check(failure.Verdict, quicktest.Equals, verdict.NotRun)
+		began = time.Now()
+		_, err = l.Take(context.Background(), organisation, 1000)
+		c.Check(err, quicktest.IsNotNil)
+		c.Check(time.Since(began), quicktest.Equals, time.Duration(0))
+	})
+}
+
+// TestShareWithoutOwner guards against a host that has a share and refuses everything
+// without an owner, and against a share that is used although the owner refuses.
+func TestShareWithoutOwner(t *testing.T) {
+	owner := &scriptedOwner{}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		time.Sleep(time.Hour)
+		charge, err := l.Take(context.Background(), organisation, 1000)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(charge.Granter, quicktest.Equals, "")
+		c.Check(l.Counts()["o"].ShareUnits, quicktest.Equals, 1000.0)
+	})
+	owner = &scriptedOwner{answer: func(site.QuotaAsk) site.QuotaAnswer { return site.QuotaAnswer{Verdict: site.QuotaRefused} }}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		time.Sleep(time.Hour)
+		_, err := l.Take(context.Background(), organisation, 1000)
+		c.Check(err, quicktest.IsNotNil)
+	})
+}
+
+// TestReturns guards against units of requests that did not run and are lost, and against
+// late ones that are returned as fresh ones.
+func TestReturns(t *testing.T) {
+	owner := &scriptedOwner{answer: granted}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		first, err := l.Take(context.Background(), organisation, 1000)
+		c.Assert(err, quicktest.IsNil)
+		second, err := l.Take(context.Background(), organisation, 300)
+		c.Assert(err, quicktest.IsNil)
+		l.Return(first)
+		time.Sleep(2 * returnDelay)
+		l.Return(second)
+		time.Sleep(2 * returnDelay)
+		requests := owner.received()
+		c.Assert(requests, quicktest.HasLen, 4)
+		c.Check(requests[2].Returns, quicktest.DeepEquals, []site.QuotaReturn{{Organisation: "o", Units: 1000}})
+		c.Check(requests[3].Returns, quicktest.DeepEquals, []site.QuotaReturn{{Organisation: "o", LateUnits: 300}})
+		c.Check(l.Counts()["o"].ReturnedUnits, quicktest.Equals, 1300.0)
+	})
+}
+
+// TestAbandonedRequestReturnsItsUnits guards against units that are lost because the caller
+// left while the owner was asked.
+func TestAbandonedRequestReturnsItsUnits(t *testing.T) {
+	owner := &scriptedOwner{delay: 50 * time.Millisecond, answer: granted}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		_, err := l.Take(ctx, organisation, 1000)
+		c.Check(verdict.FromError(err).Code, quicktest.Equals, verdict.CodeDeadline)
+		time.Sleep(time.Second)
+		requests := owner.received()
+		c.Assert(requests, quicktest.HasLen, 2)
+		c.Check(requests[1].Returns, quicktest.DeepEquals, []site.QuotaReturn{{Organisation: "o", Units: 1000}})
+	})
+}
+
+// TestStaleOwnerGrantsNothing guards against grants of a host that lost its zone to another
+// one.
+func TestStaleOwnerGrantsNothing(t *testing.T) {
+	owner := &scriptedOwner{answer: granted}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		owner.view.Hosts["owner"].OwnedZones["a"] = 6
+		_, err := l.Take(context.Background(), organisation, 1000)
+		c.Check(verdict.FromError(err).Code, quicktest.Equals, verdict.CodeOverloaded)
+	})
+}
--- a/internal/coordination/quota/share.go
+++ b/internal/coordination/quota/share.go
@@ -37,7 +37,7 @@
 	if own == nil || own.quota != quota || own.hosts != s.maxHosts {
 		own = s.resize(name, quota, own, now)
 	}
-	return rankOf(view, name, s.self) < own.holders && own.bucket.Take(units, 0, now)
+	return rankOf(view, name, s.self) < own.holders && own.bucket.Take(units, now)
 }
 
 // resize applies another quota or number of hosts. A new share is empty, because the
--- a/internal/coordination/quota/tolerance.go
+++ b/internal/coordination/quota/tolerance.go
@@ -18,13 +18,13 @@
 	largeRequestTokens = 8192
 	// minRequestsPerGranter is the number of large requests that a granter holds at least
 	// where more than two share a quota: small parts refuse requests though others have room.
-	minRequestsPerGranter = 4
-	// overdraftPart, hostPart and latePart are the parts of the tolerance that pay for
-	// requests larger than a bucket, for the shares of hosts, and for returns of units that
-	// were taken long ago. The rest is for the time between a grant and its send.
-	overdraftPart = 0.4
-	hostPart      = 0.25
-	latePart      = 0.1
+	minRequestsPerGranter = 2
+	// burstPart, hostPart and latePart are the parts of the tolerance that enlarge the
+	// bursts of the granters, that hosts share, and that pay for returns of units that were
+	// taken long ago. The rest is for the time between a grant and its send.
+	burstPart = 0.4
+	hostPart  = 0.25
+	latePart  = 0.1
 	// shareCapacityPart is the part of a host's share that it may spend at once. The rest
 	// becomes available over a window.
 	shareCapacityPart = 0.75
@@ -43,7 +43,7 @@
 
 // A part is what one granter holds of a quota.
 type part struct {
-	perSecond, capacity, maxOverdraft float64
+	perSecond, capacity float64
 	// latePerSecond and lateCapacity limit the returns of units that were taken long ago.
 	latePerSecond, lateCapacity float64
 }
@@ -57,27 +57,31 @@
 	return excess
 }
 
-// granterCount returns the number of zones that share a quota. Each of them can overdraw
-// its bucket by one request, so a small quota is not divided further than the tolerance
-// allows.
+// burst returns how many units all granters together may grant at once. The burst of the
+// quota is enlarged by a part of the tolerance, because a bucket that is divided has room
+// that no request fits into.
+func (t Tolerance) burst(q site.Quota) float64 {
+	return max(min(q.Burst, maxQuota)+burstPart*t.excess(q), 1)
+}
+
+// granterCount returns the number of zones that share a quota. A small quota is divided less
+// often, so that requests fit into its parts.
 func (t Tolerance) granterCount(q site.Quota, zones int) int {
-	large := largeRequest(q)
-	grantable := min(q.Burst, maxQuota) + overdraftPart*t.excess(q)
-	count := grantable / (large * minRequestsPerGranter)
+	requests := t.burst(q) / largeRequest(q)
+	count := requests / minRequestsPerGranter
 	if count < 2 {
-		count = min(grantable/large, 2)
+		count = min(requests, 2)
 	}
 	return int(max(1, min(count, float64(zones))))
 }
 
 // partOf returns what each of count granters holds of the quota.
 func (t Tolerance) partOf(q site.Quota, count int) part {
-	n, excess := float64(count), t.excess(q)
-	late := latePart * excess / n
+	n := float64(count)
+	late := latePart * t.excess(q) / n
 	return part{
 		perSecond:     min(q.PerSecond, maxQuota) / n,
-		capacity:      min(q.Burst, maxQuota) / n,
-		maxOverdraft:  overdraftPart * excess / n,
+		capacity:      t.burst(q) / n,
 		lateCapacity:  late / 2,
 		latePerSecond: late / 2 / t.Window.Seconds(),
 	}
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -281,7 +281,7 @@
 }
 
 // newRecorder starts the recorder of metrics and registers what it observes.
-func newRecorder(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, quota *buffering.Quota, client *peer.Client, server *peer.Server) (*metrics.Recorder, error) {
+func newRecorder(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, buffers *buffering.Quota, limiter *quota.Limiter, granter *quota.Granter, client *peer.Client, server *peer.Server) (*metrics.Recorder, error) {
 	recorder := &metrics.Recorder{}
 	if err := recorder.Start(); err != nil {
 		return nil, err
@@ -289,7 +289,10 @@
 	if err := registerTraffic(recorder.Meter(), client, server); err != nil {
 		return nil, err
 	}
-	return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer, quota)
+	if err := registerQuotas(recorder.Meter(), limiter, granter); err != nil {
+		return nil, err
+	}
+	return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer, buffers)
 }
 
 func (h *Host) newPeerServer(cache *watch.Cache, controller *adapter.Controller, elector *zone.Elector, balancer *balance.Balancer, blocked *quarantine.Quarantine, granter *quota.Granter) (*peer.Server, error) {
