adapter, balance: limits of servers use the shared token bucket

Cause: the quota would have been a further kind of token bucket beside those of adapter.requestLimit and balance.rateLimit. Change: both use coordination/allowance.Bucket in place of x/time/rate. Their tests are unchanged.

--- a/coordination/adapter/requestlimit.go
+++ b/coordination/adapter/requestlimit.go
@@ -1,10 +1,10 @@
 package adapter
 
 import (
+	"math"
 	"time"
 
-	"golang.org/x/time/rate"
-
+	"github.com/persimmonmux/persimmonmux/coordination/allowance"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
@@ -26,7 +26,7 @@
 type requestLimit struct {
 	// bucket has a token for each request that may be admitted; nil if the server states
 	// no limit.
-	bucket *rate.Limiter
+	bucket *allowance.Bucket
 	// statedAt is the time of the newest known statement of the server.
 	statedAt time.Time
 }
@@ -43,19 +43,14 @@
 		l.bucket = nil
 		return
 	}
-	perSecond := rate.Limit(stated.PerSecond)
-	burst := max(minRequestBurst, int(stated.PerSecond*requestBurst.Seconds()))
+	burst := max(minRequestBurst, math.Floor(stated.PerSecond*requestBurst.Seconds()))
 	if l.bucket == nil {
-		l.bucket = rate.NewLimiter(perSecond, burst)
 		// Hosts may have sent requests without turns, or with those of another owner, until
 		// just now.
-		l.bucket.AllowN(now, burst)
+		l.bucket = allowance.NewEmpty(stated.PerSecond, burst, now)
 		return
 	}
-	if l.bucket.Limit() != perSecond {
-		l.bucket.SetLimitAt(now, perSecond)
-		l.bucket.SetBurstAt(now, burst)
-	}
+	l.bucket.SetLimit(stated.PerSecond, burst, now)
 }
 
 // isActive reports whether the server states a limit.
@@ -71,7 +66,7 @@
 // take counts an admitted request.
 func (l *requestLimit) take(now time.Time) {
 	if l.bucket != nil {
-		l.bucket.AllowN(now, 1)
+		l.bucket.Take(1, now)
 	}
 }
 
@@ -85,8 +80,7 @@
 	if priority > 0 {
 		needed += urgentReserve
 	}
-	missing := float64(needed) - l.bucket.TokensAt(now)
-	return max(time.Duration(missing/float64(l.bucket.Limit())*float64(time.Second)), 0)
+	return l.bucket.Wait(float64(needed), now)
 }
 
 // refuseHopeless refuses the pending requests whose turn comes too late at the rate that
--- a/coordination/allowance/bucket.go
+++ b/coordination/allowance/bucket.go
@@ -36,6 +36,11 @@
 	b.level = min(b.level, b.capacity)
 }
 
+// Limit returns the number of units that become available a second.
+func (b *Bucket) Limit() float64 {
+	return b.perSecond
+}
+
 // Level returns the number of units at the given time.
 func (b *Bucket) Level(now time.Time) float64 {
 	b.advance(now)
--- a/coordination/balance/ratelimit.go
+++ b/coordination/balance/ratelimit.go
@@ -3,8 +3,7 @@
 import (
 	"time"
 
-	"golang.org/x/time/rate"
-
+	"github.com/persimmonmux/persimmonmux/coordination/allowance"
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
@@ -23,7 +22,7 @@
 	refusedUntil time.Time
 	// share admits this host's share of the limit while the owner does not answer; nil
 	// until it is needed.
-	share *rate.Limiter
+	share *allowance.Bucket
 }
 
 // RecordRateLimit records the limit that a response of the server states, in requests a
@@ -85,14 +84,13 @@
 	if l.perSecond <= 0 {
 		return true
 	}
-	perHost := rate.Limit(l.perSecond / float64(hosts))
+	perHost := l.perSecond / float64(hosts)
 	if l.share == nil {
-		l.share = rate.NewLimiter(perHost, 1)
 		// The owner may have given turns until just now.
-		l.share.AllowN(now, 1)
+		l.share = allowance.NewEmpty(perHost, 1, now)
 	}
-	l.share.SetLimitAt(now, perHost)
-	return l.share.AllowN(now, 1)
+	l.share.SetLimit(perHost, 1, now)
+	return l.share.Take(1, now)
 }
 
 // LimitedServers returns the number of servers that state a limit.
