--- a/internal/coordination/quota/ask.go
+++ b/internal/coordination/quota/ask.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/persimmonmux/persimmonmux/coordination/allowance"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
@@ -92,6 +91,8 @@
 			return site.QuotaCharge{}, result.err
 		}
 		return result.charge, nil
+	case <-l.ended:
+		return site.QuotaCharge{}, verdict.NewNotRun(verdict.CodeStopping, "the host is stopping")
 	case <-ctx.Done():
 	}
 	a.abandoned.Store(true)
@@ -128,61 +129,3 @@
 	a.zones = l.preferredZones(a, now)
 	l.forwardAsk(ctx, a, now)
 }
-
-// forwardAsk puts the ask into the next call to the next owner that may have the units, or
-// settles it if there is none.
-func (l *Limiter) forwardAsk(ctx context.Context, a *ask, now time.Time) {
-	if a.abandoned.Load() {
-		return
-	}
-	view := l.Views.View()
-	for _, zone := range a.zones {
-		if a.hasTried(zone) || len(a.tried) >= maxOwnersAsked {
-			continue
-		}
-		owner := view.Owners[zone]
-		state := l.granterOf(zone)
-		if owner == nil || state.isSilent(owner, now) {
-			a.isUnanswered = true
-			continue
-		}
-		if wait := state.knownWait(a, now); wait > 0 {
-			a.recordRefusal(max(wait, state.rooms[a.organisation].retryAfter))
-			continue
-		}
-		a.tried = append(a.tried, zone)
-		state.pending = append(state.pending, a)
-		l.call(ctx, zone, now)
-		return
-	}
-	l.settle(view, a, now)
-}
-
-// settle ends an ask that no owner grants.
-func (l *Limiter) settle(view *site.View, a *ask, now time.Time) {
-	counts := l.countsOf(a.organisation)
-	if a.isUnanswered && l.shares.take(view, a.organisation, a.quota, a.units, now) {
-		counts.ShareUnits += a.units
-		l.grant(a, "", now)
-		return
-	}
-	counts.RefusedRequests++
-	counts.RefusedUnits += a.units
-	a.reply <- takeResult{err: a.refusal()}
-}
-
-// grant ends an ask whose units were taken.
-func (l *Limiter) grant(a *ask, zone string, now time.Time) {
-	charge := site.QuotaCharge{Organisation: a.organisation, Units: a.units, Granter: zone, TakenAt: now}
-	l.countsOf(a.organisation).GrantedUnits += a.units
-	if a.abandoned.Load() {
-		l.recordReturn(charge, now)
-		return
-	}
-	a.reply <- takeResult{charge: charge}
-}
-
-// waitFor returns the time until the units are available at an owner with the given room.
-func waitFor(units, capacity, room, perSecond float64) time.Duration {
-	return allowance.WaitFor(min(units, capacity)-room, perSecond)
-}
