forward: no panic for a quota where none is enforced

Cause: front hosts set no Quotas, so every request of an organisation with a rate ended in a nil dereference and its connection was closed without an answer. Change: without Quotas nothing is limited. Result: TestQuotaWithoutQuotas panicked before and passes.

--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -136,7 +136,8 @@
 	Placer      Placer
 	RetryBudget RetryBudget
 	Quarantine  Quarantine
-	// Identifier and Quotas are used for desired states that have organisations.
+	// Identifier is used for desired states that have organisations, and Quotas for
+	// organisations that have a quota. Quotas may be nil: nothing is limited then.
 	Identifier Identifier
 	Quotas     Quotas
 	// RunEnds may be nil.
--- a/coordination/forward/organisation.go
+++ b/coordination/forward/organisation.go
@@ -95,7 +95,7 @@
 // runWithinQuota runs a request once its units are taken from the quota of its
 // organisation. They are given back if no server has run the request.
 func (f *Forwarder) runWithinQuota(ctx context.Context, p *progress) error {
-	if p.organisation == nil || !p.organisation.Quota.IsLimited() {
+	if f.Quotas == nil || p.organisation == nil || !p.organisation.Quota.IsLimited() {
 		return f.run(ctx, p)
 	}
 	charge, err := f.Quotas.Take(ctx, p.organisation, p.request.quotaUnits(p.organisation.Quota))
--- a/coordination/forward/organisation_test.go
+++ b/coordination/forward/organisation_test.go
@@ -158,6 +158,16 @@
 	c.Check(s.sent, quicktest.HasLen, 1)
 }
 
+// TestQuotaWithoutQuotas guards against a panic for an organisation that has a quota at a
+// host that enforces none.
+func TestQuotaWithoutQuotas(t *testing.T) {
+	c := quicktest.New(t)
+	s := newKeyedSystem(plainRoute)
+	s.view.Desired.Organisations[0].Quota = site.Quota{Unit: site.QuotaRequests, PerSecond: 1}
+	c.Check(s.forwardKey("known", &fakeIdentifier{}), quicktest.IsNil)
+	c.Check(s.sent, quicktest.HasLen, 1)
+}
+
 // TestNoOrganisationsNoKeys guards against a desired state without organisations under which
 // requests are refused or asked for.
 func TestNoOrganisationsNoKeys(t *testing.T) {
