watch, organisation: no 401 by the age of a view that is not there yet

Cause: the cache confirmed a table before it published the view with its rows, and the directory read the view before the age of the table. A host that had been cut off could refuse a key that the store has had for long, in the moment when it came back. Change: rows are confirmed and published under one lock; the age is read before the view. Result: TestConfirmedTableIsInTheView failed in 3 of 3 runs before, TestViewArrivesDuringDecision too; go test of both packages passes.

--- a/coordination/watch/apply.go
+++ b/coordination/watch/apply.go
@@ -29,9 +29,12 @@
 	for _, table := range w.tables {
 		allRead = allRead && table.completeThrough > 0
 	}
+	var before, next *site.View
+	if changed {
+		before, next = w.publish()
+	}
 	w.mutex.Unlock()
 	if changed {
-		before, next := w.publish()
 		w.logDesired(before, next, a.source, age)
 		w.logChanges(before, next)
 	}
--- a/coordination/watch/cache.go
+++ b/coordination/watch/cache.go
@@ -234,7 +234,10 @@
 				continue
 			}
 		case <-timer.C:
-			w.logChanges(w.publish())
+			w.mutex.Lock()
+			before, next := w.publish()
+			w.mutex.Unlock()
+			w.logChanges(before, next)
 		}
 		timer.Reset(w.dropTombstones(time.Now()))
 	}
--- a/coordination/watch/cache_test.go
+++ b/coordination/watch/cache_test.go
@@ -157,3 +157,26 @@
 		c.Assert(w.Close(), quicktest.IsNil)
 	})
 }
+
+// TestConfirmedTableIsInTheView guards against a table that counts as confirmed up to a
+// position while the view still lacks the rows before it.
+func TestConfirmedTableIsInTheView(t *testing.T) {
+	c := quicktest.New(t)
+	w := newTestCache()
+	go w.Run(context.Background())
+	var servers []site.Row
+	for n := range 2000 {
+		servers = append(servers, site.Row{Key: strconv.Itoa(n), Value: []byte("ready"), Position: 1})
+	}
+	c.Assert(w.Apply(context.Background(), site.Changes{Table: "servers", CompleteThrough: 1, Rows: servers}, StoreSource), quicktest.IsNil)
+	for version := byte(1); version <= 50; version++ {
+		position := site.Position(version)
+		c.Assert(w.Enqueue(site.Changes{Table: "op", CompleteThrough: position, Rows: []site.Row{{Key: "config", Value: []byte{version}, Position: position}}}, StoreSource), quicktest.IsTrue)
+		for w.Position("op") < position {
+			runtime.Gosched()
+		}
+		c.Assert(w.View().Desired, quicktest.IsNotNil)
+		c.Assert(w.View().Desired.Version, quicktest.Equals, int64(version))
+	}
+	c.Assert(w.Close(), quicktest.IsNil)
+}
--- a/coordination/watch/publish.go
+++ b/coordination/watch/publish.go
@@ -6,8 +6,9 @@
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
-// publish builds a view from the rows and replaces the published one. It returns
-// both. The version of the desired state never decreases: operators number desired states
+// publish builds a view from the rows and replaces the published one. It returns both. The
+// mutex is held, so that nobody sees a table as confirmed before the view has its rows. The
+// version of the desired state never decreases: operators number desired states
 // upwards and write the newest one again after the store has lost it.
 func (w *Cache) publish() (before, next *site.View) {
 	now := time.Now()
@@ -17,13 +18,11 @@
 		Versions: make(map[site.Adapter]int),
 		Hosts:    make(map[string]*site.Host),
 	}
-	w.mutex.Lock()
 	for _, c := range w.tables {
 		for _, e := range c.rows {
 			addDecodedRow(next, e.current(now))
 		}
 	}
-	w.mutex.Unlock()
 	if next.Desired == nil || before.Desired != nil && next.Desired.Version < before.Desired.Version {
 		next.Desired = before.Desired
 	}
--- a/internal/coordination/organisation/directory.go
+++ b/internal/coordination/organisation/directory.go
@@ -129,7 +129,7 @@
 		return organisation, nil
 	}
 	d.awaitRefresh(ctx, key)
-	return d.judge(d.Views.View(), key)
+	return d.judge(key)
 }
 
 // awaitRefresh waits until the duty has read the newest desired state or finds that it
@@ -148,15 +148,18 @@
 	}
 }
 
-// judge returns what the view says of a key.
-func (d *Directory) judge(view *site.View, key site.KeyDigest) (*site.Organisation, error) {
+// judge returns what the view says of a key. The age is read first, so that the view is at
+// least as recent as the age says.
+func (d *Directory) judge(key site.KeyDigest) (*site.Organisation, error) {
+	age := d.Source.Age()
+	view := d.Views.View()
 	if view.Desired == nil || !view.Desired.RequiresKeys {
 		return nil, nil
 	}
 	if organisation := view.OrganisationOf(key); organisation != nil {
 		return organisation, nil
 	}
-	if age := d.Source.Age(); age > maxRefusalAge {
+	if age > maxRefusalAge {
 		return nil, &verdict.Error{
 			Verdict: verdict.NotRun, Code: verdict.CodeTableUnavailable, RetryAfter: undecidedRetryDelay,
 			Message: "key is not known, and the desired state is " + age.Round(time.Millisecond).String() + " old",
--- a/internal/coordination/organisation/directory_test.go
+++ b/internal/coordination/organisation/directory_test.go
@@ -27,10 +27,18 @@
 	err   error
 	newer *site.View
 	reads atomic.Int64
+	// onAge is called before the age is read; it may be nil.
+	onAge func()
 }
 
-func (s *fakeSource) View() *site.View   { return s.view.Load() }
-func (s *fakeSource) Age() time.Duration { return time.Duration(s.age.Load()) }
+func (s *fakeSource) View() *site.View { return s.view.Load() }
+
+func (s *fakeSource) Age() time.Duration {
+	if s.onAge != nil {
+		s.onAge()
+	}
+	return time.Duration(s.age.Load())
+}
 
 func (s *fakeSource) Refresh(ctx context.Context) error {
 	s.reads.Add(1)
@@ -199,6 +207,21 @@
 	}
 }
 
+// TestViewArrivesDuringDecision guards against a 401 that goes by an old view and by the age
+// of the one that has replaced it.
+func TestViewArrivesDuringDecision(t *testing.T) {
+	s := &fakeSource{err: errors.New("refused")}
+	s.age.Store(int64(time.Minute))
+	s.onAge = func() {
+		s.view.Store(newView(2, "known", "new"))
+		s.age.Store(0)
+	}
+	testDirectory(t, s, func(c *quicktest.C, d *Directory) {
+		organisation, code, _ := identify(d, "new")
+		c.Check(organisation, quicktest.IsNotNil, quicktest.Commentf("%s", code))
+	})
+}
+
 // TestSlowStoreDoesNotHoldRequests guards against requests that wait for a silent store, and
 // against one read more for each of them.
 func TestSlowStoreDoesNotHoldRequests(t *testing.T) {
