organisation: a flood of keys does not make reads of new versions rare

Cause: a request with an unknown key that was handled between the arrival of a new desired state and the result of its read hid the change, so that the pause doubled as if the read had found nothing. Refused keys were kept by the number of the version, which operators may write twice with other keys. Change: the directory compares desired states instead of their versions, with the one that was known when the read began. Result: TestNewVersionDuringFloodKeepsReadsFrequent saw 3 of 5 reads before, TestSameVersionWithOtherKeys failed; go test of the package passes.

--- a/internal/coordination/organisation/directory.go
+++ b/internal/coordination/organisation/directory.go
@@ -78,10 +78,12 @@
 	refreshed chan error
 	// waiting are the queries that wait for the read.
 	waiting []query
-	// version is that of the desired state under which the keys in refused were refused
-	// at the given times.
-	version int64
+	// desired is the desired state under which the keys in refused were refused at the
+	// given times.
+	desired *site.DesiredState
 	refused map[site.KeyDigest]time.Time
+	// refreshedFrom is the desired state that was known when the read began.
+	refreshedFrom *site.DesiredState
 	// nextRefresh is when the next read may begin, and interval the time from the last one
 	// to it.
 	nextRefresh time.Time
@@ -206,8 +208,8 @@
 
 // forgetRefused forgets the refused keys if there is another desired state.
 func (d *Directory) forgetRefused() {
-	if desired := d.Views.View().Desired; desired != nil && desired.Version != d.version {
-		d.version = desired.Version
+	if desired := d.Views.View().Desired; desired != d.desired {
+		d.desired = desired
 		clear(d.refused)
 	}
 }
@@ -215,7 +217,7 @@
 // refresh begins a read of the desired state on a worker goroutine.
 func (d *Directory) refresh(ctx context.Context) {
 	refreshed := make(chan error, 1)
-	d.refreshed = refreshed
+	d.refreshed, d.refreshedFrom = refreshed, d.desired
 	d.refreshes.Add(1)
 	d.lifecycle.Go(func() {
 		limited, cancel := context.WithTimeout(ctx, refreshTimeout)
@@ -228,10 +230,9 @@
 // unknown, and sets when the next read may begin.
 func (d *Directory) handleRefreshed(err error, now time.Time) {
 	d.refreshed = nil
-	before := d.version
 	d.forgetRefused()
 	d.interval = min(max(2*d.interval, minRefreshInterval), maxRefreshInterval)
-	if d.version != before {
+	if d.desired != d.refreshedFrom {
 		d.interval = minRefreshInterval
 	}
 	d.nextRefresh = now.Add(d.interval)
--- a/internal/coordination/organisation/directory_test.go
+++ b/internal/coordination/organisation/directory_test.go
@@ -163,6 +163,37 @@
 	})
 }
 
+// TestNewVersionDuringFloodKeepsReadsFrequent guards against reads that become rare although
+// each finds a newer desired state, because requests with unknown keys arrive meanwhile.
+func TestNewVersionDuringFloodKeepsReadsFrequent(t *testing.T) {
+	s := &fakeSource{delay: 30 * time.Millisecond}
+	testDirectory(t, s, func(c *quicktest.C, d *Directory) {
+		for n := range 5 {
+			go identify(d, "first"+strconv.Itoa(n))
+			synctest.Wait()
+			// The view has the new version before the result of the read is handled.
+			s.view.Store(newView(int64(n)+2, "known"))
+			identify(d, "meanwhile"+strconv.Itoa(n))
+			time.Sleep(minRefreshInterval)
+		}
+		c.Check(s.reads.Load(), quicktest.Equals, int64(5))
+	})
+}
+
+// TestSameVersionWithOtherKeys guards against a key that is not looked up because it was
+// refused under another desired state with the same version.
+func TestSameVersionWithOtherKeys(t *testing.T) {
+	s := &fakeSource{}
+	testDirectory(t, s, func(c *quicktest.C, d *Directory) {
+		identify(d, "new")
+		time.Sleep(minRefreshInterval)
+		s.view.Store(newView(1, "known", "other"))
+		s.newer = newView(1, "known", "other", "new")
+		organisation, _, _ := identify(d, "new")
+		c.Check(organisation, quicktest.IsNotNil)
+	})
+}
+
 // TestReadsBecomeFrequentAgain guards against reads that stay rare long after a flood of
 // unknown keys.
 func TestReadsBecomeFrequentAgain(t *testing.T) {
