site, watch: index routes and keys once per desired state

Cause: each change of a server built the maps of routes and keys again: 658 us for 500 routes and 1000 keys, 32 us without keys. Change: a view takes these maps from the view before if the desired state is the same.

--- a/coordination/watch/publish.go
+++ b/coordination/watch/publish.go
@@ -27,7 +27,7 @@
 		next.Desired = before.Desired
 	}
 	next.HasRequiredKeys = before.HasRequiredKeys || next.Desired != nil && next.Desired.RequiresKeys
-	next.BuildIndex()
+	next.BuildIndexAfter(before)
 	w.view.Store(next)
 	return before, next
 }
--- a/state/site/view.go
+++ b/state/site/view.go
@@ -46,24 +46,19 @@
 	organisations    map[KeyDigest]*Organisation
 }
 
-// BuildIndex sets Owners and the maps behind Route and ServersOf from the other
-// fields. It is called once, before the view is published.
+// BuildIndex sets Owners and the maps behind Route, OrganisationOf and ServersOf from the
+// other fields. It is called once, before the view is published.
 func (v *View) BuildIndex() {
-	v.routesByHost = make(map[string][]*Route)
-	if v.Desired != nil {
-		for i := range v.Desired.Routes {
-			r := &v.Desired.Routes[i]
-			v.routesByHost[r.Host] = append(v.routesByHost[r.Host], r)
-		}
-	}
-	v.organisations = make(map[KeyDigest]*Organisation)
-	if v.Desired != nil {
-		for i := range v.Desired.Organisations {
-			o := &v.Desired.Organisations[i]
-			for _, key := range o.Keys {
-				v.organisations[key] = o
-			}
-		}
+	v.BuildIndexAfter(&View{})
+}
+
+// BuildIndexAfter does the same, and takes what depends on the desired state only from the
+// view before if that has the same one. Servers change much more often.
+func (v *View) BuildIndexAfter(before *View) {
+	if v.Desired == before.Desired {
+		v.routesByHost, v.organisations = before.routesByHost, before.organisations
+	} else {
+		v.indexDesired()
 	}
 	v.serversByService = make(map[ServiceName][]*Server)
 	for _, server := range v.Servers {
@@ -79,6 +74,25 @@
 	}
 }
 
+// indexDesired sets the maps of routes and organisations.
+func (v *View) indexDesired() {
+	v.routesByHost = make(map[string][]*Route)
+	v.organisations = make(map[KeyDigest]*Organisation)
+	if v.Desired == nil {
+		return
+	}
+	for i := range v.Desired.Routes {
+		r := &v.Desired.Routes[i]
+		v.routesByHost[r.Host] = append(v.routesByHost[r.Host], r)
+	}
+	for i := range v.Desired.Organisations {
+		o := &v.Desired.Organisations[i]
+		for _, key := range o.Keys {
+			v.organisations[key] = o
+		}
+	}
+}
+
 // Route returns the route of the host with the longest prefix of the path, or nil
 // if no route matches. The host is in lower case, without a port.
 func (v *View) Route(host, path string) *Route {
