forward, organisation: no 401 for a missing key by an old desired state

Cause: a host that was cut off refused requests without a key with 401, although the desired state in force may have made their route public or may need no keys any more. Change: as for an unknown key, 401 only while the desired state is at most 2.4 s old, and 503 with Retry-After after that. It is logged and counted as undecided. Without organisations Authorize looks up no route.

--- a/coordination/forward/organisation.go
+++ b/coordination/forward/organisation.go
@@ -15,6 +15,9 @@
 	// *verdict.Error with verdict NotRun: CodeUnauthorized if no desired state in force
 	// has the key, another code if that cannot be known now.
 	Identify(ctx context.Context, key site.KeyDigest) (*site.Organisation, error)
+	// RefuseMissing returns the error, with the same codes, for a request without a key on
+	// a route that needs one.
+	RefuseMissing() *verdict.Error
 }
 
 // Quotas limits the requests of organisations over all hosts.
@@ -31,11 +34,12 @@
 
 // The reasons for which a request is refused for its key.
 const (
-	// KeyMissing means that the request has no key.
+	// KeyMissing means that the request has no key and needs one.
 	KeyMissing KeyRefusal = "missing"
 	// KeyUnknown means that no organisation has the key.
 	KeyUnknown KeyRefusal = "unknown"
-	// KeyUndecided means that the host cannot know whether an organisation has the key.
+	// KeyUndecided means that the host cannot know whether an organisation has the key, or
+	// whether the request still needs one.
 	KeyUndecided KeyRefusal = "undecided"
 )
 
@@ -44,6 +48,9 @@
 // change until the body is read.
 func (f *Forwarder) Authorize(ctx context.Context, request *Request) *verdict.Error {
 	view := f.Views.View()
+	if view.Desired == nil || !view.Desired.RequiresKeys {
+		return nil
+	}
 	route := view.Route(request.Host, request.Path)
 	if route == nil {
 		return nil
@@ -58,26 +65,36 @@
 	if !needsKey(view, route) {
 		return nil, nil
 	}
-	if !request.HasKey {
-		return nil, f.refuseKey(request, route, KeyMissing, verdict.NewNotRun(verdict.CodeUnauthorized, "request has no key"))
-	}
-	if organisation := view.OrganisationOf(request.Key); organisation != nil {
-		return organisation, nil
-	}
-	organisation, err := f.Identifier.Identify(ctx, request.Key)
-	if err == nil {
+	organisation, failure := f.findOrganisation(ctx, view, request)
+	if failure == nil {
 		return organisation, nil
 	}
 	if newest := f.Views.View(); newest != view && !needsKey(newest, newest.Route(request.Host, request.Path)) {
 		return nil, nil
 	}
-	failure, reason := verdict.FromError(err), KeyUndecided
-	if failure.Code == verdict.CodeUnauthorized {
+	reason := KeyUndecided
+	switch {
+	case failure.Code == verdict.CodeUnauthorized && request.HasKey:
 		reason = KeyUnknown
+	case failure.Code == verdict.CodeUnauthorized:
+		reason = KeyMissing
 	}
 	return nil, f.refuseKey(request, route, reason, failure)
 }
 
+// findOrganisation returns the organisation of a request that needs a key, or why none is
+// found.
+func (f *Forwarder) findOrganisation(ctx context.Context, view *site.View, request *Request) (*site.Organisation, *verdict.Error) {
+	if !request.HasKey {
+		return nil, f.Identifier.RefuseMissing()
+	}
+	if organisation := view.OrganisationOf(request.Key); organisation != nil {
+		return organisation, nil
+	}
+	organisation, err := f.Identifier.Identify(ctx, request.Key)
+	return organisation, verdict.FromError(err)
+}
+
 // needsKey reports whether requests on the route need a key. A route that is not known
 // needs one, in case it was private before.
 func needsKey(view *site.View, route *site.Route) bool {
--- a/coordination/forward/organisation_test.go
+++ b/coordination/forward/organisation_test.go
@@ -29,6 +29,13 @@
 	return i.organisation, i.err
 }
 
+func (i *fakeIdentifier) RefuseMissing() *verdict.Error {
+	if i.onAsk != nil {
+		i.onAsk()
+	}
+	return verdict.FromError(i.err)
+}
+
 // A keyedSystem is a fakeSystem whose desired state requires keys. It records refusals.
 type keyedSystem struct {
 	*fakeSystem
@@ -94,8 +101,9 @@
 		code      verdict.Code
 		reason    KeyRefusal
 	}{
-		{"missing", "", nil, verdict.CodeUnauthorized, KeyMissing},
+		{"missing", "", verdict.NewNotRun(verdict.CodeUnauthorized, "missing"), verdict.CodeUnauthorized, KeyMissing},
 		{"unknown", "k", verdict.NewNotRun(verdict.CodeUnauthorized, "unknown"), verdict.CodeUnauthorized, KeyUnknown},
+		{"missing, undecided", "", verdict.NewNotRun(verdict.CodeTableUnavailable, "old"), verdict.CodeTableUnavailable, KeyUndecided},
 		{"undecided", "k", verdict.NewNotRun(verdict.CodeTableUnavailable, "old"), verdict.CodeTableUnavailable, KeyUndecided},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -146,16 +154,18 @@
 }
 
 // TestRouteBecomesPublicWhileKeyIsAskedFor guards against a 401 on a route that the newest
-// desired state calls public.
+// desired state calls public, with a key or without.
 func TestRouteBecomesPublicWhileKeyIsAskedFor(t *testing.T) {
 	c := quicktest.New(t)
-	s := newKeyedSystem(plainRoute)
-	public := plainRoute
-	public.Public = true
-	next := newKeyedSystem(public).view
-	identifier := &fakeIdentifier{err: verdict.NewNotRun(verdict.CodeUnauthorized, "unknown"), onAsk: func() { s.view = next }}
-	c.Check(s.forwardKey("k", identifier), quicktest.IsNil)
-	c.Check(s.sent, quicktest.HasLen, 1)
+	for _, key := range []string{"k", ""} {
+		s := newKeyedSystem(plainRoute)
+		public := plainRoute
+		public.Public = true
+		next := newKeyedSystem(public).view
+		identifier := &fakeIdentifier{err: verdict.NewNotRun(verdict.CodeUnauthorized, "unknown"), onAsk: func() { s.view = next }}
+		c.Check(s.forwardKey(key, identifier), quicktest.IsNil)
+		c.Check(s.sent, quicktest.HasLen, 1)
+	}
 }
 
 // TestQuotaWithoutQuotas guards against a panic for an organisation that has a quota at a
--- a/internal/coordination/organisation/directory.go
+++ b/internal/coordination/organisation/directory.go
@@ -37,11 +37,11 @@
 	// maxRefusedKeys bounds the refused keys that are remembered.
 	maxRefusedKeys = 4096
 	// maxRefusalAge is the age of the desired state up to which it shows that a key is
-	// unknown. It is longer than the usual pace of reading and shorter than the 2.5 s
+	// unknown or needed. It is longer than the usual pace of reading and shorter than the 2.5 s
 	// within which a new key has to be accepted.
 	maxRefusalAge = 2400 * time.Millisecond
-	// undecidedRetryDelay is the time after which a caller should retry whose key cannot
-	// be judged.
+	// undecidedRetryDelay is the time after which a caller should retry whose request
+	// cannot be judged.
 	undecidedRetryDelay = time.Second
 )
 
@@ -161,13 +161,24 @@
 	if organisation := view.OrganisationOf(key); organisation != nil {
 		return organisation, nil
 	}
-	if age > maxRefusalAge {
-		return nil, &verdict.Error{
-			Verdict: verdict.NotRun, Code: verdict.CodeTableUnavailable, RetryAfter: undecidedRetryDelay,
-			Message: "key is not known, and the desired state is " + age.Round(time.Millisecond).String() + " old",
-		}
+	return nil, newRefusal(age, "key is not known")
+}
+
+// RefuseMissing returns the error for a request without a key on a route that needs one:
+// CodeUnauthorized, or CodeTableUnavailable if a newer desired state may need none.
+func (d *Directory) RefuseMissing() *verdict.Error {
+	return newRefusal(d.Source.Age(), "request has no key")
+}
+
+// newRefusal returns the error for a request that a desired state of the given age refuses.
+func newRefusal(age time.Duration, message string) *verdict.Error {
+	if age <= maxRefusalAge {
+		return verdict.NewNotRun(verdict.CodeUnauthorized, "%s", message)
+	}
+	return &verdict.Error{
+		Verdict: verdict.NotRun, Code: verdict.CodeTableUnavailable, RetryAfter: undecidedRetryDelay,
+		Message: message + ", and the desired state is " + age.Round(time.Millisecond).String() + " old",
 	}
-	return nil, verdict.NewNotRun(verdict.CodeUnauthorized, "key is not known")
 }
 
 func (d *Directory) loop(ctx context.Context) error {
--- a/internal/coordination/organisation/directory_test.go
+++ b/internal/coordination/organisation/directory_test.go
@@ -212,8 +212,8 @@
 	})
 }
 
-// TestUndecidedKey guards against a 401 from a host that cannot know whether a key is valid,
-// and against one that refuses to say 401 although the owner that it follows is up to date.
+// TestUndecidedKey guards against a 401 from a host that cannot know whether a key is valid
+// or needed, and against one that refuses to say 401 although the owner that it follows is up to date.
 func TestUndecidedKey(t *testing.T) {
 	for _, test := range []struct {
 		name string
@@ -231,6 +231,7 @@
 					_, code, _ := identify(d, "new")
 					c.Check(code, quicktest.Equals, test.code)
 				}
+				c.Check(d.RefuseMissing().Code, quicktest.Equals, test.code)
 				organisation, _, _ := identify(d, "known")
 				c.Check(organisation, quicktest.IsNotNil)
 			})
--- a/transport/front/key_test.go
+++ b/transport/front/key_test.go
@@ -37,6 +37,10 @@
 	return nil, verdict.NewNotRun(verdict.CodeUnauthorized, "unknown")
 }
 
+func (keyIdentifier) RefuseMissing() *verdict.Error {
+	return verdict.NewNotRun(verdict.CodeUnauthorized, "missing")
+}
+
 // usedUpQuota refuses all requests.
 type usedUpQuota struct{}
 
