--- a/internal/coordination/organisation/directory.go
+++ b/internal/coordination/organisation/directory.go
@@ -37,11 +37,11 @@
 	// maxRefusedKeys bounds the refused keys that are remembered.
 	maxRefusedKeys = 4096
 	// maxRefusalAge is the age of the desired state up to which it shows that a key is
-	// unknown. It is longer than the usual pace of reading and shorter than the 2.5 s
+	// unknown or needed. It is longer than the usual pace of reading and shorter than the 2.5 s
 	// within which a new key has to be accepted.
 	maxRefusalAge = 2400 * time.Millisecond
-	// undecidedRetryDelay is the time after which a caller should retry whose key cannot
-	// be judged.
+	// undecidedRetryDelay is the time after which a caller should retry whose request
+	// cannot be judged.
 	undecidedRetryDelay = time.Second
 )
 
@@ -78,10 +78,12 @@
 	refreshed chan error
 	// waiting are the queries that wait for the read.
 	waiting []query
-	// version is that of the desired state under which the keys in refused were refused
-	// at the given times.
-	version int64
+	// desired is the desired state under which the keys in refused were refused at the
+	// given times.
+	desired *site.DesiredState
 	refused map[site.KeyDigest]time.Time
+	// refreshedFrom is the desired state that was known when the read began.
+	refreshedFrom *site.DesiredState
 	// nextRefresh is when the next read may begin, and interval the time from the last one
 	// to it.
 	nextRefresh time.Time
@@ -129,7 +131,7 @@
 		return organisation, nil
 	}
 	d.awaitRefresh(ctx, key)
-	return d.judge(d.Views.View(), key)
+	return d.judge(key)
 }
 
 // awaitRefresh waits until the duty has read the newest desired state or finds that it
@@ -148,21 +150,35 @@
 	}
 }
 
-// judge returns what the view says of a key.
-func (d *Directory) judge(view *site.View, key site.KeyDigest) (*site.Organisation, error) {
+// judge returns what the view says of a key. The age is read first, so that the view is at
+// least as recent as the age says.
+func (d *Directory) judge(key site.KeyDigest) (*site.Organisation, error) {
+	age := d.Source.Age()
+	view := d.Views.View()
 	if view.Desired == nil || !view.Desired.RequiresKeys {
 		return nil, nil
 	}
 	if organisation := view.OrganisationOf(key); organisation != nil {
 		return organisation, nil
 	}
-	if age := d.Source.Age(); age > maxRefusalAge {
-		return nil, &verdict.Error{
-			Verdict: verdict.NotRun, Code: verdict.CodeTableUnavailable, RetryAfter: undecidedRetryDelay,
-			Message: "key is not known, and the desired state is " + age.Round(time.Millisecond).String() + " old",
-		}
+	return nil, newRefusal(age, "key is not known")
+}
+
+// RefuseMissing returns the error for a request without a key on a route that needs one:
+// CodeUnauthorized, or CodeTableUnavailable if a newer desired state may need none.
+func (d *Directory) RefuseMissing() *verdict.Error {
+	return newRefusal(d.Source.Age(), "request has no key")
+}
+
+// newRefusal returns the error for a request that a desired state of the given age refuses.
+func newRefusal(age time.Duration, message string) *verdict.Error {
+	if age <= maxRefusalAge {
+		return verdict.NewNotRun(verdict.CodeUnauthorized, "%s", message)
+	}
+	return &verdict.Error{
+		Verdict: verdict.NotRun, Code: verdict.CodeTableUnavailable, RetryAfter: undecidedRetryDelay,
+		Message: message + ", and the desired state is " + age.Round(time.Millisecond).String() + " old",
 	}
-	return nil, verdict.NewNotRun(verdict.CodeUnauthorized, "key is not known")
 }
 
 func (d *Directory) loop(ctx context.Context) error {
@@ -203,8 +219,8 @@
 
 // forgetRefused forgets the refused keys if there is another desired state.
 func (d *Directory) forgetRefused() {
-	if desired := d.Views.View().Desired; desired != nil && desired.Version != d.version {
-		d.version = desired.Version
+	if desired := d.Views.View().Desired; desired != d.desired {
+		d.desired = desired
 		clear(d.refused)
 	}
 }
@@ -212,7 +228,7 @@
 // refresh begins a read of the desired state on a worker goroutine.
 func (d *Directory) refresh(ctx context.Context) {
 	refreshed := make(chan error, 1)
-	d.refreshed = refreshed
+	d.refreshed, d.refreshedFrom = refreshed, d.desired
 	d.refreshes.Add(1)
 	d.lifecycle.Go(func() {
 		limited, cancel := context.WithTimeout(ctx, refreshTimeout)
@@ -225,10 +241,9 @@
 // unknown, and sets when the next read may begin.
 func (d *Directory) handleRefreshed(err error, now time.Time) {
 	d.refreshed = nil
-	before := d.version
 	d.forgetRefused()
 	d.interval = min(max(2*d.interval, minRefreshInterval), maxRefreshInterval)
-	if d.version != before {
+	if d.desired != d.refreshedFrom {
 		d.interval = minRefreshInterval
 	}
 	d.nextRefresh = now.Add(d.interval)
--- a/internal/coordination/organisation/directory_test.go
+++ b/internal/coordination/organisation/directory_test.go
@@ -27,10 +27,18 @@
 	err   error
 	newer *site.View
 	reads atomic.Int64
+	// onAge is called before the age is read; it may be nil.
+	onAge func()
 }
 
-func (s *fakeSource) View() *site.View   { return s.view.Load() }
-func (s *fakeSource) Age() time.Duration { return time.Duration(s.age.Load()) }
+func (s *fakeSource) View() *site.View { return s.view.Load() }
+
+func (s *fakeSource) Age() time.Duration {
+	if s.onAge != nil {
+		s.onAge()
+	}
+	return time.Duration(s.age.Load())
+}
 
 func (s *fakeSource) Refresh(ctx context.Context) error {
 	s.reads.Add(1)
@@ -155,6 +163,37 @@
 	})
 }
 
+// TestNewVersionDuringFloodKeepsReadsFrequent guards against reads that become rare although
+// each finds a newer desired state, because requests with unknown keys arrive meanwhile.
+func TestNewVersionDuringFloodKeepsReadsFrequent(t *testing.T) {
+	s := &fakeSource{delay: 30 * time.Millisecond}
+	testDirectory(t, s, func(c *quicktest.C, d *Directory) {
+		for n := range 5 {
+			go identify(d, "first"+strconv.Itoa(n))
+			synctest.Wait()
+			// The view has the new version before the result of the read is handled.
+			s.view.Store(newView(int64(n)+2, "known"))
+			identify(d, "meanwhile"+strconv.Itoa(n))
+			time.Sleep(minRefreshInterval)
+		}
+		c.Check(s.reads.Load(), quicktest.Equals, int64(5))
+	})
+}
+
+// TestSameVersionWithOtherKeys guards against a key that is not looked up because it was
+// refused under another desired state with the same version.
+func TestSameVersionWithOtherKeys(t *testing.T) {
+	s := &fakeSource{}
+	testDirectory(t, s, func(c *quicktest.C, d *Directory) {
+		identify(d, "new")
+		time.Sleep(minRefreshInterval)
+		s.view.Store(newView(1, "known", "other"))
+		s.newer = newView(1, "known", "other", "new")
+		organisation, _, _ := identify(d, "new")
+		c.Check(organisation, quicktest.IsNotNil)
+	})
+}
+
 // TestReadsBecomeFrequentAgain guards against reads that stay rare long after a flood of
 // unknown keys.
 func TestReadsBecomeFrequentAgain(t *testing.T) {
@@ -173,8 +212,8 @@
 	})
 }
 
-// TestUndecidedKey guards against a 401 from a host that cannot know whether a key is valid,
-// and against one that refuses to say 401 although the owner that it follows is up to date.
+// TestUndecidedKey guards against a 401 from a host that cannot know whether a key is valid
+// or needed, and against one that refuses to say 401 although the owner that it follows is up to date.
 func TestUndecidedKey(t *testing.T) {
 	for _, test := range []struct {
 		name string
@@ -192,6 +231,7 @@
 					_, code, _ := identify(d, "new")
 					c.Check(code, quicktest.Equals, test.code)
 				}
+				c.Check(d.RefuseMissing().Code, quicktest.Equals, test.code)
 				organisation, _, _ := identify(d, "known")
 				c.Check(organisation, quicktest.IsNotNil)
 			})
@@ -199,6 +239,21 @@
 	}
 }
 
+// TestViewArrivesDuringDecision guards against a 401 that goes by an old view and by the age
+// of the one that has replaced it.
+func TestViewArrivesDuringDecision(t *testing.T) {
+	s := &fakeSource{err: errors.New("refused")}
+	s.age.Store(int64(time.Minute))
+	s.onAge = func() {
+		s.view.Store(newView(2, "known", "new"))
+		s.age.Store(0)
+	}
+	testDirectory(t, s, func(c *quicktest.C, d *Directory) {
+		organisation, code, _ := identify(d, "new")
+		c.Check(organisation, quicktest.IsNotNil, quicktest.Commentf("%s", code))
+	})
+}
+
 // TestSlowStoreDoesNotHoldRequests guards against requests that wait for a silent store, and
 // against one read more for each of them.
 func TestSlowStoreDoesNotHoldRequests(t *testing.T) {
