backend: a status below 200 and an unsound trailer are errors of the Client

Cause: net/http returns an answer whose status is 000, 099 or +20 and leaves it to its caller; it accepts a space in the name of a field, also in a trailer. The pool of the front refused such statuses, the Client of services, engines and the platform did not. Neither looked at trailers, where a signature shows that a request has run. Change: checkHead refuses statuses below 200 for both. A body in chunks ends with an error if a field name of its trailer has a space. Statuses of two and four digits and names with a space, a tab, NUL or DEL in the head were errors before.

--- a/transport/backend/checkedbody.go
+++ b/transport/backend/checkedbody.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 )
 
 // A checkedBody is the body of a response that ends with the error of check in place of io.EOF.
@@ -22,3 +23,7 @@
 	}
 	return n, err
 }
+
+// checkTrailer returns an error for a trailer that net/http accepts although it has a malformed
+// field name.
+func checkTrailer(response *http.Response) error { return checkNames(response.Trailer) }
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -116,6 +116,9 @@
 		_ = received.Body.Close()
 		return nil, true, err
 	}
+	if received.Body != http.NoBody {
+		received.Body = checkedBody{ReadCloser: received.Body, check: func() error { return checkTrailer(received) }}
+	}
 	if announcesMissingBody(received) {
 		// net/http has put the connection back already, and closes only all unused ones.
 		c.transport.CloseIdleConnections()
--- a/transport/backend/framing_test.go
+++ b/transport/backend/framing_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/standin/answer"
 )
 
 // checkRefused checks that the Client returns an error for an answer, on a fresh connection and on a
@@ -127,3 +129,21 @@
 	checkRefused(c, "HTTP/1.1 200 OK\r\nX-Other: a\r\n Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
 	checkRefused(c, "HTTP/1.1 200 OK\r\nX-Other: a\r\n\tContent-Length: 3\r\n\r\nhello")
 }
+
+// TestFaultyHeadIsAnError guards against an answer whose status is none, or in whose head the name
+// of a field has a byte that names cannot have.
+func TestFaultyHeadIsAnError(t *testing.T) {
+	c := quicktest.New(t)
+	for _, fault := range answer.HeadFaults {
+		for _, framing := range []answer.Framing{answer.Length, answer.Chunks, answer.UntilEnd} {
+			checkRefused(c, answer.Form{Status: http.StatusOK, Head: fault, Framing: framing, Body: "hello"}.Text(answer.Request{}))
+		}
+	}
+}
+
+// TestFaultyTrailerIsAnError guards against a signature or an id after a body that is not seen,
+// because a space follows its name.
+func TestFaultyTrailerIsAnError(t *testing.T) {
+	c := quicktest.New(t)
+	checkRefused(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Response-Signature : s\r\n\r\n")
+}
--- a/transport/backend/rawresponse.go
+++ b/transport/backend/rawresponse.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -50,9 +49,6 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, fmt.Errorf("received status %d, after which no response follows", response.StatusCode)
-		}
 		if !isInformational(response.StatusCode) {
 			return response, checkHead(response, conn.head.fields)
 		}
@@ -96,7 +92,7 @@
 // writing may look like an orderly end to the reader.
 func (in *RawResponse) checkEnd() error {
 	if !endsWithConnection(in.Response) {
-		return nil
+		return checkTrailer(in.Response)
 	}
 	return in.written.awaitReceipt(in.endContext, in.conn.Conn)
 }
--- a/transport/backend/responsehead.go
+++ b/transport/backend/responsehead.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 )
@@ -21,15 +22,21 @@
 	errTwoLengths = errors.New("response has a transfer encoding and a content length")
 	// errSpaceInName means that a field name has a space in it or before its colon. net/http
 	// takes `Transfer-Encoding :` for a name of its own (RFC 9112, 5.1).
-	errSpaceInName = errors.New("response header has a field name with a space")
+	errSpaceInName = errors.New("response header or trailer has a field name with a space")
+	// errNoFinalStatus means that the status is below 200 and not one that announces another
+	// response.
+	errNoFinalStatus = errors.New("response has a status after which no response follows")
 )
 
-// checkHead returns an error for a header that net/http accepts although it does not say
-// where the body begins and ends.
+// checkHead returns an error for a header that net/http accepts although it is not that of a final
+// response, or does not say where the body begins and ends.
 func checkHead(response *http.Response, fields framingFields) error {
 	if response.ProtoMajor != 1 {
 		return errOtherVersion
 	}
+	if response.StatusCode < http.StatusOK {
+		return fmt.Errorf("%w: %q", errNoFinalStatus, response.Status)
+	}
 	if fields.hasTransferEncoding && !response.ProtoAtLeast(1, 1) {
 		return errOldTransferEncoding
 	}
