site: the stand-in servers draw unsound heads and early resets

Cause: the stand-in servers drew no answer with a status that is none, an unsound field name, or a reset right after the head without reading the request. Change: drawAnswer adds such faults from a generator of its own. The forms that it drew before stay the same apart from them. Requests that get such an answer run.

--- a/standin/site/unsound.go
+++ b/standin/site/unsound.go
@@ -35,6 +35,11 @@
 		// A host cannot tell such a success from that of the run.
 		form = answer.Draw(random)
 	}
+	form = answer.DrawFaults(rand.New(rand.NewPCG(hash, 1)), form)
+	if form.Upload == answer.EndAndResetUpload {
+		// With a short request, a host cannot tell such an end from that of a whole answer.
+		form.Upload = answer.ResetUpload
+	}
 	return &drawnAnswer{form: form, request: answer.NewRequest(r, onReused)}
 }
 
