--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -91,7 +91,7 @@
 	r.Header.Del("Idempotency-Key")
 	r.Header.Del("X-Idempotency-Key")
 	for range maxSendTries {
-		a := &attempt{}
+		a := &attempt{contentBytes: r.ContentLength}
 		response, wrote, err = c.try(r, a)
 		if err == nil || wrote || !a.tookRetired {
 			break
@@ -116,6 +116,9 @@
 		_ = received.Body.Close()
 		return nil, true, err
 	}
+	if received.Body != http.NoBody {
+		received.Body = checkedBody{ReadCloser: received.Body, check: func() error { return checkTrailer(received) }}
+	}
 	if announcesMissingBody(received) {
 		// net/http has put the connection back already, and closes only all unused ones.
 		c.transport.CloseIdleConnections()
