balance, platform: servers are chosen by when an answer would begin, where they state their speed

Cause: a fourth number in X-Server-Load, how long work takes on the server at that moment, made platform.DecodeServerLoad drop the whole report. Reading three numbers of four favours slow servers, and the newest value of the fourth mostly tells the past.

Change: DecodeServerLoad reads the fourth number (absent: usual; bounded to a tenth and the hundredfold; no positive number: the report is dropped). balance.StartEstimate joins the load, its age, this host's requests, the speed and the prompt to the time until an answer begins. The speed is the average of what the server states and of what its answer times show, and the share of the newest deviation that a regression shows to persist. Plain servers, and engines that hold the adapter, are drawn with a chance that falls with the fourth power of the expected wait; slow engines get no replicas. Without the fourth number the choice takes the path of before. The forwarder passes the time of whole answers and the estimate on. Five metrics compare the estimates with what came.

No play of a whole site was made.

--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -24,6 +24,8 @@
 	MinVersion int
 	// Tried lists servers that must not be chosen again.
 	Tried []site.ServerID
+	// PromptTokens is the length of the prompt; 0 if it is not known.
+	PromptTokens int
 }
 
 // A Pick is the server chosen by Balancer.Choose.
@@ -34,12 +36,20 @@
 	Loaded bool
 	// Limited means that the owners of all servers left have no turn for now.
 	Limited bool
+	// Estimate is when the answer is expected to begin.
+	Estimate StartEstimate
 }
 
 // A LoadReport is the load that a server states in a response: the numbers of
 // running and waiting requests and of concurrency slots.
 type LoadReport struct {
 	Running, Waiting, Slots int
+	// Slowness is how long work takes on the server at that moment in relation to usual,
+	// which is 1. It is 0 if the server does not state it.
+	Slowness float64
+	// Answer is the time of the answer that the load came with. Its Delay is 0 if the answer
+	// begins later than its head.
+	Answer AnswerTime
 }
 
 // minEnginesPerRegion is the number of engines from which a region keeps its
@@ -73,6 +83,8 @@
 	mutex            sync.Mutex
 	states           map[site.ServerID]*serverState
 	serversDroppedAt time.Time
+	// times has the services whose servers state their slowness.
+	times map[site.ServiceName]*serviceTimes
 }
 
 // A serverState is what this host knows of one server instance. The Balancer owns
@@ -85,9 +97,13 @@
 	inFlight int
 	// load is the server's last reported load and reportedAt its time;
 	// inFlightAtReport is the value of inFlight at that time.
-	load                LoadReport
-	reportedAt          time.Time
-	inFlightAtReport    int
+	load             LoadReport
+	reportedAt       time.Time
+	inFlightAtReport int
+	// meanRequests is the average number of requests in the reports of a server that states
+	// its slowness.
+	meanRequests        float64
+	slowness            slowness
 	consecutiveFailures int
 	avoidUntil          time.Time
 	// adapters holds the versions of the loaded adapters according to the owner's
@@ -132,7 +148,7 @@
 		failure.RetryAfter = b.leastPause(view, w.Service, now)
 		return Pick{}, failure
 	}
-	chosen := cheapest(candidates, func(candidate) bool { return true })
+	chosen := b.choosePlain(candidates)
 	if w.Adapter.Model != "" {
 		chosen = candidate{}
 		if b.isRegionSelfSufficient(view) {
@@ -146,7 +162,9 @@
 		return Pick{}, verdict.NewNotRun(verdict.CodeNotOwner, "adapter %s is not loaded and no engine left to try has an owner", w.Adapter.Name)
 	}
 	chosen.state.inFlight++
-	return Pick{Server: chosen.server, Loaded: chosen.loaded, Limited: now.Before(chosen.state.limit.refusedUntil)}, nil
+	return Pick{
+		Server: chosen.server, Loaded: chosen.loaded, Limited: now.Before(chosen.state.limit.refusedUntil), Estimate: chosen.estimate,
+	}, nil
 }
 
 // RecordForward counts a request for the adapter that is forwarded to the server
@@ -161,10 +179,13 @@
 func (b *Balancer) RecordBegun(server *site.Server, promptTokens int, delay time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	begun := &b.stateOf(server).begun
-	begun.Count++
-	begun.PromptTokens += promptTokens
-	begun.Delay += delay
+	s := b.stateOf(server)
+	s.begun.Count++
+	s.begun.PromptTokens += promptTokens
+	s.begun.Delay += delay
+	if s.slowness.isStated() {
+		b.timesOf(server.Service).recordBegun(s, server.MaxConcurrency, promptTokens, delay, time.Now())
+	}
 }
 
 // Done stops counting a request that Choose assigned to the server. forwarded
@@ -195,7 +216,7 @@
 	defer b.mutex.Unlock()
 	var free []candidate
 	for _, c := range b.inRegion(b.candidates(view, w, now)) {
-		if !c.loaded && c.load < spillLoadThreshold {
+		if !c.loaded && c.load < spillLoadThreshold && c.estimate.slowness < maxReplicaSlowness {
 			free = append(free, c)
 		}
 	}
@@ -217,9 +238,15 @@
 	if !time.Now().Before(s.availability.pausedUntil) {
 		s.availability.pausedUntil = time.Time{}
 	}
-	if load != nil {
-		s.load, s.reportedAt, s.inFlightAtReport = *load, time.Now(), s.inFlight
+	if load == nil {
+		return
+	}
+	now := time.Now()
+	if load.Slowness > 0 {
+		s.recordReport(*load, now)
+		b.timesOf(server.Service).recordAnswer(s, load.Answer, now)
 	}
+	s.load, s.reportedAt, s.inFlightAtReport = *load, now, s.inFlight
 }
 
 // RecordFailure records that a server failed to respond properly, so that it is
--- a/coordination/balance/candidate.go
+++ b/coordination/balance/candidate.go
@@ -34,6 +34,9 @@
 	// load is the estimated ratio of requests to concurrency slots. cost is load
 	// plus the cost of the distance.
 	load, cost float64
+	// estimate is when an answer is expected to begin. It is the zero value if no server of
+	// the service states its slowness.
+	estimate StartEstimate
 }
 
 // candidates lists the servers to choose from. Servers that have no turn for now are left
@@ -42,6 +45,7 @@
 // no requests are not listed.
 func (b *Balancer) candidates(view *site.View, w ServerRequirements, now time.Time) []candidate {
 	var healthy, limited, avoided, leaving []candidate
+	times := b.times[w.Service]
 	for _, server := range view.ServersOf(w.Service) {
 		if server.State != site.Ready || containsServer(w.Tried, server.ID) {
 			continue
@@ -53,6 +57,9 @@
 		c := candidate{server: server, state: s, load: s.estimatedRequests(now) / float64(server.MaxConcurrency)}
 		c.cost = c.load + b.distanceCost(server.Zone)
 		c.loaded = s.hasAdapter(server, w)
+		if times != nil {
+			c.estimate = s.estimateStart(times, server.MaxConcurrency, w.PromptTokens, now)
+		}
 		switch {
 		case !s.availability.leavingSince.IsZero():
 			leaving = append(leaving, c)
@@ -146,6 +153,12 @@
 // busy, it considers the home engine, on which all hosts agree so that the
 // adapter is loaded only once.
 func (b *Balancer) chooseEngine(candidates []candidate, adapter site.Adapter) candidate {
+	if stateSlowness(candidates) {
+		soonest := b.likelySoonest(candidates, func(c candidate) bool { return c.loaded && c.load < spillLoadThreshold })
+		if soonest.state != nil {
+			return soonest
+		}
+	}
 	resident := cheapest(candidates, func(c candidate) bool { return c.loaded })
 	if resident.state != nil && resident.load < spillLoadThreshold {
 		return resident
--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -77,7 +77,7 @@
 	view := f.Views.View()
 	version := view.Versions[p.request.Adapter]
 	p.waitingFor, p.server = waitingForServer, ""
-	want := balance.ServerRequirements{Service: p.service, Adapter: p.request.Adapter, MinVersion: version, Tried: p.tried}
+	want := balance.ServerRequirements{Service: p.service, Adapter: p.request.Adapter, MinVersion: version, Tried: p.tried, PromptTokens: p.request.PromptTokens}
 	if service := view.Service(p.service); service == nil || service.Engines == nil {
 		want.Adapter = site.Adapter{}
 	}
@@ -97,6 +97,7 @@
 		}
 		return failure
 	}
+	p.estimate = pick.Estimate
 	forwarded := false
 	defer func() {
 		f.Balancer.Done(pick.Server, want.Adapter, forwarded)
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/persimmonmux/persimmonmux/coordination/balance"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
@@ -61,6 +62,8 @@
 	// watch of the present send for a block.
 	traits    []string
 	stopWatch func()
+	// estimate is when the answer to the present send is expected to begin.
+	estimate balance.StartEstimate
 	// onFirstEvent is called with the first event of the present send, if it is set.
 	onFirstEvent func()
 	// order checks the events of a stream over all sends.
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -26,8 +26,8 @@
 	p.sends++
 	p.waitingFor, p.server = waitingForResponse, server.ID
 	p.onFirstEvent = nil
+	sentAt := time.Now()
 	if p.request.PromptTokens > 0 {
-		sentAt := time.Now()
 		p.onFirstEvent = func() { f.Balancer.RecordBegun(server, p.request.PromptTokens, time.Since(sentAt)) }
 	}
 	sendContext, endSend := f.watchBlocks(ctx, p)
@@ -47,6 +47,9 @@
 		response.Discard()
 		return f.recordRejection(p, server, want, head)
 	}
+	if head.Load != nil && head.IsSuccess() && !p.isStream(head) {
+		head.Load.Answer = balance.AnswerTime{Estimate: p.estimate, Delay: time.Since(sentAt)}
+	}
 	f.Balancer.RecordResponse(server, head.Load)
 	p.runs++
 	if head.Status >= 500 && p.route.Repeatable() && !p.client.ResponseStarted() && p.runs < p.route.MaxAttempts &&
--- a/transport/front/response.go
+++ b/transport/front/response.go
@@ -44,8 +44,8 @@
 	head.IsPart = r.incoming.StatusCode == http.StatusPartialContent && r.exchange.request.Header.Get("Range") == ""
 	instanceID := r.incoming.Header.Get(platform.HeaderInstanceID)
 	head.FromExpectedServer = instanceID == "" || instanceID == r.expectedServer
-	if running, waiting, slots, ok := platform.DecodeServerLoad(r.incoming.Header.Get(platform.HeaderServerLoad)); ok {
-		head.Load = &balance.LoadReport{Running: running, Waiting: waiting, Slots: slots}
+	if load, ok := platform.DecodeServerLoad(r.incoming.Header.Get(platform.HeaderServerLoad)); ok {
+		head.Load = &balance.LoadReport{Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Slowness: load.Slowness}
 	}
 	head.Leaving = platform.DecodeServerLeaving(r.incoming.Header)
 	head.Pause = platform.DecodePause(r.incoming.StatusCode, r.incoming.Header, time.Now())
