adapter, forward: a request waits for a turn only while one can come in time, where speed is stated

Change: a request for a turn tells how much time the request has left in all. The owner refuses it at once when the prompts before it, read at the rate that more urgent requests leave, take longer, with the expected wait as Retry-After. Only where servers state their speed: without PlaceRequest.TimeLeft the queue is as before.

--- a/coordination/adapter/admission.go
+++ b/coordination/adapter/admission.go
@@ -43,8 +43,9 @@
 
 // An admission records a prompt that was admitted to an engine.
 type admission struct {
-	at     time.Time
-	tokens int
+	at       time.Time
+	tokens   int
+	priority int
 }
 
 // admitPrompt records and admits a prompt if the engine can read it without
@@ -58,6 +59,15 @@
 	return true
 }
 
+// admitRequest does the same with the prompt of a request, and records its priority.
+func (e *engine) admitRequest(r site.PlaceRequest, now time.Time) bool {
+	if !e.admitPrompt(r.PromptTokens, now) {
+		return false
+	}
+	e.admissions[len(e.admissions)-1].priority = r.Priority
+	return true
+}
+
 // dropOldAdmissions removes the admissions that have left loadWindow.
 func (e *engine) dropOldAdmissions(now time.Time) {
 	first := 0
--- a/coordination/adapter/controller.go
+++ b/coordination/adapter/controller.go
@@ -148,6 +148,7 @@
 	c.prepare()
 	now := time.Now()
 	d := &pendingRequest{request: request, latencyDeadline: now.Add(request.SlackTime), deadline: now.Add(request.MaxWait - refusalMargin), canceled: ctx.Done(), reply: make(chan placeResult, 1)}
+	d.lastUse = now.Add(request.TimeLeft)
 	d.turnDeadline = latestTurn(request, now, d.latencyDeadline, d.deadline)
 	if !c.messages.Offer(d) {
 		return site.Placement{}, verdict.NewNotRun(verdict.CodeOverloaded, "too many requests wait for adapters")
--- a/coordination/adapter/engine.go
+++ b/coordination/adapter/engine.go
@@ -85,6 +85,8 @@
 	// admissions are the prompts admitted within the last loadWindow, by ascending time.
 	admissions []admission
 	readRate   readRate
+	// lessUrgentDue is when the next less urgent request may go before more urgent ones.
+	lessUrgentDue time.Time
 	// slots measures how long requests wait for an adapter slot. capacity is the number of
 	// adapters that fit, as of the last request.
 	slots    slotTurnover
--- a/coordination/adapter/enginequeue.go
+++ b/coordination/adapter/enginequeue.go
@@ -45,9 +45,11 @@
 func (e *engine) servePending(now time.Time) time.Duration {
 	e.dropAbandoned(now)
 	e.sortPending(now)
+	e.promoteLessUrgent(now)
 	e.admitPending(now)
 	e.refuseHopeless(now)
 	e.refuseWithoutSlot(e.capacity, now)
+	e.refuseWithoutTurn(now)
 	return e.nextAdmissionDelay(now)
 }
 
@@ -95,11 +97,12 @@
 			d.reply <- placeResult{}
 			return true
 		}
-		if e.isFull() || !e.limit.hasTurn(d.request.Priority, now) || !e.admitPrompt(d.request.PromptTokens, now) {
+		if e.isFull() || !e.limit.hasTurn(d.request.Priority, now) || !e.admitRequest(d.request, now) {
 			full = true
 			return false
 		}
 		e.limit.take(now)
+		e.recordLessUrgent(d.request, now)
 		e.lastUsed[d.request.Adapter] = now
 		if !isForPlainServer(d.request) {
 			e.running.recordAdmission(d.request.Host, d.request.Adapter, now)
--- a/coordination/adapter/pendingrequest.go
+++ b/coordination/adapter/pendingrequest.go
@@ -15,6 +15,8 @@
 	// latencyDeadline is the latest time of admission at which the request can
 	// still meet its latency target. At deadline it is refused.
 	latencyDeadline, deadline time.Time
+	// lastUse is the time after which a turn at any server is of no use.
+	lastUse time.Time
 	// turnDeadline is the latest useful time of admission to a server that states a
 	// limit.
 	turnDeadline time.Time
--- a/coordination/balance/startestimate.go
+++ b/coordination/balance/startestimate.go
@@ -39,6 +39,9 @@
 	slowness, mean, deviation float64
 }
 
+// IsStated reports whether the server states how long work takes on it.
+func (e *StartEstimate) IsStated() bool { return e.isStated }
+
 // effort returns the expected time of the answer at the usual speed, in usual answer times.
 func (e *StartEstimate) effort() float64 { return e.crowding + e.prompt }
 
--- a/coordination/forward/answertime_test.go
+++ b/coordination/forward/answertime_test.go
@@ -12,6 +12,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
 	"github.com/persimmonmux/persimmonmux/coordination/execution"
 	"github.com/persimmonmux/persimmonmux/state/site"
+	"github.com/persimmonmux/persimmonmux/state/verdict"
 )
 
 // A loadRecorder keeps the loads that a Forwarder records.
@@ -62,3 +63,39 @@
 		})
 	}
 }
+
+// A realChooser chooses with a Balancer and leaves everything else to the fakeSystem.
+type realChooser struct {
+	*fakeSystem
+
+	balancer *balance.Balancer
+}
+
+func (r *realChooser) Choose(w balance.ServerRequirements) (balance.Pick, error) {
+	pick, err := r.balancer.Choose(w)
+	pick.Loaded = true
+	return pick, err
+}
+
+// TestOwnerJudgesByTimeLeftOnlyWhereSpeedIsStated guards against owners that refuse requests
+// earlier than before on sites whose servers state no speed.
+func TestOwnerJudgesByTimeLeftOnlyWhereSpeedIsStated(t *testing.T) {
+	for _, slowness := range []float64{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			c := quicktest.New(t)
+			r := &realChooser{fakeSystem: newFakeSystem(chatRoute)}
+			r.balancer = &balance.Balancer{Views: r, HasOwner: func(string) bool { return true }}
+			r.balancer.RecordResponse(r.view.Servers["e"], &balance.LoadReport{Slots: 8, Slowness: slowness})
+			r.onPlace = func(context.Context, site.PlaceRequest) error {
+				return &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeOverloaded, Message: "too late", RetryAfter: 5 * time.Second}
+			}
+			f := &Forwarder{Views: r, Balancer: r, Placer: r, RetryBudget: r, Quarantine: r, Recorder: r, Log: zerolog.Nop()}
+			request := &Request{AttemptID: "id", Host: "h", Path: "/x", Adapter: site.Adapter{Model: "m", Name: "a"}, Arrived: time.Now(), MaxWait: 3 * time.Second}
+			failure := verdict.FromError(f.Forward(context.Background(), request, r))
+			c.Assert(failure, quicktest.IsNotNil)
+			c.Assert(len(r.placed) > 0, quicktest.IsTrue)
+			c.Check(r.placed[0].TimeLeft > 0, quicktest.Equals, slowness > 0)
+			c.Check(failure.RetryAfter, quicktest.Equals, 5*time.Second)
+		})
+	}
+}
--- a/coordination/forward/placement.go
+++ b/coordination/forward/placement.go
@@ -52,6 +52,10 @@
 
 // placeRequest returns the request for admission to the picked server.
 func (f *Forwarder) placeRequest(p *progress, pick balance.Pick, want balance.ServerRequirements, until time.Time) site.PlaceRequest {
+	timeLeft := time.Duration(0)
+	if pick.Estimate.IsStated() && p.sends == 0 {
+		timeLeft = time.Until(p.unsentDeadline)
+	}
 	return site.PlaceRequest{
 		Server:         pick.Server.Incarnation,
 		Adapter:        want.Adapter,
@@ -60,6 +64,7 @@
 		PromptTokens:   p.request.PromptTokens,
 		SlackTime:      time.Until(p.request.Arrived.Add(p.route.TargetLatency)),
 		MaxWait:        time.Until(until),
+		TimeLeft:       timeLeft,
 		MayQueue:       p.refusedPlacements >= maxRefusedPlacements || pick.Limited,
 		AdapterMissing: p.adapterMissingAt == pick.Server.ID,
 		StatedLimit:    f.Balancer.StatedLimit(pick.Server),
--- a/state/site/peermessage.go
+++ b/state/site/peermessage.go
@@ -105,6 +105,9 @@
 	SlackTime time.Duration
 	// MaxWait is how long the entry host waits for the answer.
 	MaxWait time.Duration
+	// TimeLeft is the time after which a turn at any server is of no use to the request,
+	// which may wait at several. It is 0 if the owner is not to judge by it.
+	TimeLeft time.Duration
 	// MayQueue says that the request waits if the engine is full. Otherwise it is
 	// refused at once, so that the entry host can try another engine.
 	MayQueue bool
