--- a/coordination/balance/startestimate_test.go
+++ b/coordination/balance/startestimate_test.go
@@ -37,7 +37,7 @@
 // which was idle in the last report that they have.
 func TestOldReportDoesNotDrawAllHosts(t *testing.T) {
 	const (
-		hosts, servers, slots, rounds = 70, 9, 8, 20
+		hosts, servers, slots, rounds = 70, 9, 8, 100
 		// maxShare is the largest share of the requests that the server may get. Evenly it
 		// would get a ninth.
 		maxShare = 0.7
@@ -64,6 +64,7 @@
 			}
 		}
 		share := float64(idle) / float64(total)
+		c.Logf("share %.3f", share)
 		c.Check(share <= maxShare, quicktest.IsTrue, quicktest.Commentf("share %.2f", share))
 		c.Check(share >= 1.0/servers, quicktest.IsTrue, quicktest.Commentf("share %.2f", share))
 	})
