front, buffering: one quota bounds what callers take of a host

Cause: each head and each body had a limit, but not their sum, and neither the number of connections nor the time in which a body stops was bounded. Change: buffering.Quota bounds requests and responses together. Each connection of a caller has an Intake; a request without progress loses its room when others wait for it, the smallest of these first, and gets 503 with Retry-After. A request that is alone is always served. transport/inbound counts heads, bodies and connections; the ready and metrics ports have bounds of their own. A refusal with 431 closes its connection, since net/http waited for the body of the request. Settings limits.connections and limits.request-memory, three metrics.

--- a/internal/fronthost/gauges.go
+++ b/internal/fronthost/gauges.go
@@ -36,7 +36,9 @@
 		{"persimmonmux.prompt.blocks", "Sets of traits whose requests are refused because engines ended under them.", func() int64 { return int64(blocked.BlockCount()) }},
 		{"persimmonmux.servers.limited", "Servers that state a limit of requests a second in their answers to this host.", func() int64 { return int64(balancer.LimitedServers()) }},
 		{"persimmonmux.servers.leaving", "Servers that have stated in an answer that they leave.", func() int64 { return int64(len(balancer.LeavingServers())) }},
-		{"persimmonmux.responses.held", "Bytes that responses have taken from the quota for what is not passed on yet.", quota.Taken},
+		{"persimmonmux.responses.held", "Bytes that responses have taken from the quota for what is not passed on yet.", func() int64 { return quota.Taken() - quota.TakenByRequests() }},
+		{"persimmonmux.requests.held", "Bytes that requests of callers have taken from the quota.", quota.TakenByRequests},
+		{"persimmonmux.callers.connections", "Open connections of callers.", func() int64 { return int64(quota.Intakes()) }},
 		{"persimmonmux.servers.paused", "Servers that want no requests of this host for now.", func() int64 { return int64(balancer.PausedServers()) }},
 	}
 	for _, g := range counts {
@@ -48,7 +50,16 @@
 			return err
 		}
 	}
-	_, err := meter.Float64ObservableGauge("persimmonmux.store.age", metric.WithUnit("s"),
+	_, err := meter.Int64ObservableCounter("persimmonmux.callers.refused",
+		metric.WithDescription("Requests and connections of callers that were refused or closed for want of room."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(quota.Refusals())
+			return nil
+		}))
+	if err != nil {
+		return err
+	}
+	_, err = meter.Float64ObservableGauge("persimmonmux.store.age", metric.WithUnit("s"),
 		metric.WithDescription("Time since the platform's store was heard of, directly or by way of an owner."),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
 			o.Observe(cache.StoreAge().Seconds())
--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -50,9 +50,6 @@
 	// It is below 1 because each host counts on its own and the windows of the hosts
 	// do not begin together.
 	retryBudgetShare = 0.8
-	// bufferQuotaDivisor is the part of the memory setting, as a divisor, that responses
-	// which are not passed on yet may take beyond a few KiB each.
-	bufferQuotaDivisor = 16
 	// dialTimeout bounds the opening of a connection to the store or to an engine.
 	dialTimeout = 500 * time.Millisecond
 )
@@ -120,9 +117,7 @@
 				Client:  &backend.Client{DialTimeout: dialTimeout},
 			}
 		},
-		func() *buffering.Quota {
-			return &buffering.Quota{MaxBytes: h.Settings.MemoryMegabytes << 20 / bufferQuotaDivisor}
-		},
+		h.newBufferQuota,
 		func(balancer *balance.Balancer, quota *buffering.Quota) *platform.EngineClient {
 			return &platform.EngineClient{Client: &backend.Client{DialTimeout: dialTimeout}, BufferQuota: quota, Recorder: balancer}
 		},
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -25,9 +25,17 @@
 	LinkMegabits    float64           `json:"link-megabits" default:"1000" help:"Bandwidth of the host's link in Mbit/s. A host with a narrow link owns a failure domain only while no other one does."`
 	GraceTime       time.Duration     `json:"grace-time" default:"8s" help:"Time between the request to stop and the end of the process."`
 	OrderPause      time.Duration     `json:"order-pause" default:"3s" help:"How long the new owner of a failure domain's engines waits before its first order."`
+	Limits          FrontLimits       `json:"limits" help:"Bounds on what callers take of the host. At a bound, connections without progress are closed first."`
 	Repeats         Repeats           `json:"repeats" help:"Bounds on repeated sends; equal on all hosts of a deployment."`
 }
 
+// FrontLimits bounds what callers take of a front host. Zero stands for a bound that follows from
+// the machine.
+type FrontLimits struct {
+	Connections   int64 `json:"connections" default:"0" help:"Most connections of callers. 0 means one for each 128 KiB of memory-megabytes, and at most five eighths of the descriptors that the process may open."`
+	RequestMemory int64 `json:"request-memory" default:"0" help:"Most bytes that requests take together, beyond 16 KiB each, from their first byte until they are answered. A request that is alone is served in any case. 0 means three sixteenths of memory-megabytes."`
+}
+
 // Repeats limits the repeated sends of each service: those beyond the first send of
 // each request.
 type Repeats struct {
@@ -63,6 +71,9 @@
 	if s.MemoryMegabytes < 1 {
 		d.addProblem("memory-megabytes", "is %d, expected at least 1", s.MemoryMegabytes)
 	}
+	if s.Limits.Connections < 0 || s.Limits.RequestMemory < 0 {
+		d.addProblem("limits", "expected numbers of at least 0")
+	}
 	if !(s.LinkMegabits > 0) {
 		d.addProblem("link-megabits", "is %g, expected a number above 0", s.LinkMegabits)
 	}
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,12 +24,13 @@
 		w.Header().Set("Connection", "close")
 	}
 	if s.headerTooLarge(r) {
+		// net/http would wait for the body otherwise.
+		w.Header().Set("Connection", "close")
 		writeStatus(w, http.StatusRequestHeaderFieldsTooLarge, 0)
 		return
 	}
-	body, status := s.readBody(w, r)
-	if status != 0 {
-		writeStatus(w, status, 0)
+	body, ok := s.readBody(w, r)
+	if !ok {
 		return
 	}
 	if s.refusing.Load() {
@@ -70,32 +70,6 @@
 	writeStatus(w, statusOf(failure), failure.RetryAfter)
 }
 
-// readBody reads the whole body of a request. If the request is refused, status is
-// the HTTP status of the refusal, otherwise 0.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, status int) {
-	limit := int64(defaultMaxBodyBytes)
-	if desired := s.Views.View().Desired; desired != nil && desired.Limits.BodyBytes > 0 {
-		limit = int64(desired.Limits.BodyBytes)
-	}
-	if r.ContentLength > limit {
-		w.Header().Set("Connection", "close")
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	if r.ContentLength == 0 {
-		return nil, 0
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
-	case err != nil:
-		w.Header().Set("Connection", "close")
-		return nil, http.StatusBadRequest
-	}
-	return body, 0
-}
-
 // statusOf returns the HTTP status of a failure. Status 503 is used only for a
 // request that has not run, so that the caller may send it again.
 func statusOf(failure *verdict.Error) int {
--- a/transport/front/server.go
+++ b/transport/front/server.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -20,6 +18,7 @@
 	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/state/site"
 	"github.com/persimmonmux/persimmonmux/transport/backend"
+	"github.com/persimmonmux/persimmonmux/transport/inbound"
 )
 
 // A Forwarder selects servers for requests and forwards the requests to them.
@@ -39,10 +38,9 @@
 }
 
 const (
-	// maxHeaderBytes and defaultMaxBodyBytes apply until the desired state sets other
-	// limits. The desired state can lower maxHeaderBytes but not raise it.
-	maxHeaderBytes      = 64 << 10
-	defaultMaxBodyBytes = 4 << 20
+	// maxHeaderBytes applies until the desired state sets another limit, which can be
+	// lower but not higher.
+	maxHeaderBytes = 64 << 10
 	// headerTimeout is how long a caller may take to send a header. It is longer
 	// than the limit that operators set, so that no caller within that limit is
 	// disconnected.
@@ -76,7 +74,8 @@
 	Views ViewSource
 	// ConnectionPool holds the connections to backend servers.
 	ConnectionPool *backend.ConnectionPool
-	// BufferQuota bounds what the host holds of responses that it has not passed on.
+	// BufferQuota bounds the connections of callers, and what the host holds of requests
+	// and of responses that it has not passed on.
 	BufferQuota *buffering.Quota
 	// ShutdownTimeout bounds a stop, stopNoticeDelay included. The connections of
 	// requests still in flight after it are closed.
@@ -104,18 +103,18 @@
 		front := &http.Server{
 			Handler:           http.HandlerFunc(s.serve),
 			ReadHeaderTimeout: headerTimeout,
-			ConnState:         idleConnections.connStateChanged,
+			ConnState:         connStateHooks(idleConnections.connStateChanged, inbound.ConnStateChanged),
+			ConnContext:       inbound.ConnContext,
 			MaxHeaderBytes:    maxHeaderBytes,
 			BaseContext:       func(net.Listener) context.Context { return requests },
-			ErrorLog:          log.New(io.Discard, "", 0),
+			ErrorLog:          discardLog,
 		}
-		ready := &http.Server{Handler: checks, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout, ErrorLog: front.ErrorLog}
-		metrics := &http.Server{Handler: s.metricsHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout, ErrorLog: front.ErrorLog}
+		ready, metrics := newSideServer(checks), newSideServer(s.metricsHandler())
 		failed := make(chan error, 3)
-		s.lifecycle.Go(func() { failed <- front.Serve(s.Listener) })
-		s.lifecycle.Go(func() { failed <- ready.Serve(s.ReadyListener) })
+		s.lifecycle.Go(func() { failed <- front.Serve(&inbound.Listener{Listener: s.Listener, Quota: s.BufferQuota}) })
+		s.lifecycle.Go(func() { failed <- ready.Serve(sideListener(s.ReadyListener)) })
 		if s.MetricsListener != nil {
-			s.lifecycle.Go(func() { failed <- metrics.Serve(s.MetricsListener) })
+			s.lifecycle.Go(func() { failed <- metrics.Serve(sideListener(s.MetricsListener)) })
 		}
 		var err error
 		select {
