--- a/internal/processes/frontdeployment_test.go
+++ b/internal/processes/frontdeployment_test.go
@@ -8,10 +8,8 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -32,27 +30,17 @@
 // A frontDeployment is one front host with the stand-in platform and one plain server. The limits
 // of the machine and of the desired state are low, so that a small crowd can reach them.
 type frontDeployment struct {
-	t               *testing.T
+	crowdedHost
 	directory       string
 	platformAddress string
-	host            *process
-	callerAddress   string
 	readyAddress    string
 }
 
-// frontLimits are the limits of a front host in a test: those of its machine and those of the
-// desired state.
-type frontLimits struct {
-	memoryMegabytes int
-	descriptors     int
-	headerBytes     int
-	bodyBytes       int
-}
-
 // newFrontDeployment starts a front host and waits until it answers a request.
-func newFrontDeployment(t *testing.T, limits frontLimits) *frontDeployment {
+func newFrontDeployment(t *testing.T, limits crowdLimits) *frontDeployment {
 	t.Helper()
-	d := &frontDeployment{t: t, directory: t.TempDir(), platformAddress: freeAddress(t), callerAddress: freeAddress(t), readyAddress: freeAddress(t)}
+	d := &frontDeployment{directory: t.TempDir(), platformAddress: freeAddress(t), readyAddress: freeAddress(t)}
+	d.crowdedHost = crowdedHost{t: t, callerAddress: freeAddress(t), limits: limits, ordinaryStatus: d.callerStatus}
 	startProgram(t, d.directory, "platform", "standin", "platform", "--listen", d.platformAddress)
 	await(t, "the platform has the desired state", func() bool { return d.writeDesiredState(limits) == nil })
 	d.startServer()
@@ -75,7 +63,7 @@
 }
 
 // startHost starts the front host with the descriptor limit of its machine.
-func (d *frontDeployment) startHost(limits frontLimits) {
+func (d *frontDeployment) startHost(limits crowdLimits) {
 	d.t.Helper()
 	content, err := json.Marshal(map[string]any{
 		"host-name": "front", "failure-domain": frontZone, "regions": map[string]string{frontZone: "bayern-sued"},
@@ -85,13 +73,11 @@
 	qt.Assert(d.t, err, qt.IsNil)
 	path := filepath.Join(d.directory, "front.json")
 	qt.Assert(d.t, os.WriteFile(path, content, 0o600), qt.IsNil)
-	command := exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$@"`, limits.descriptors), "sh",
-		filepath.Join(programDirectory, "persimmonmux"), "front", "--settings", path)
-	d.host = startProcess(d.t, d.directory, "front", command, true)
+	d.host = startWithDescriptors(d.t, d.directory, "front", limits.descriptors, "front", "--settings", path)
 }
 
 // writeDesiredState writes a desired state with one route to the plain service.
-func (d *frontDeployment) writeDesiredState(limits frontLimits) error {
+func (d *frontDeployment) writeDesiredState(limits crowdLimits) error {
 	return d.setRow("op", "config", map[string]any{
 		"version": 1,
 		"routes": []any{map[string]any{
@@ -146,24 +132,3 @@
 	_ = answer.Body.Close()
 	return answer.StatusCode
 }
-
-// highestResidentBytes returns the most memory that the front host has had resident so far.
-func (d *frontDeployment) highestResidentBytes() int64 {
-	d.t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.host.command.Process.Pid))
-	qt.Assert(d.t, err, qt.IsNil)
-	_, rest, _ := strings.Cut(string(status), "VmHWM:")
-	var kilobytes int64
-	_, err = fmt.Sscanf(rest, "%d kB", &kilobytes)
-	qt.Assert(d.t, err, qt.IsNil)
-	return kilobytes << 10
-}
-
-// openDescriptors returns the number of descriptors that the front host has open.
-func (d *frontDeployment) openDescriptors() int {
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.host.command.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	return len(entries)
-}
