entry: the quota bounds requests and connections of serve

Cause: transport/entry allocated the declared length of each body at once, let chunked ones double, and bounded neither their sum nor the connections. A request that was refused before its body was read kept its connection until the body came. Change: the listener and ReadBody of transport/inbound, with the quota that the responses of engines and servers use. Settings limits.connections, limits.request-memory and memory-megabytes. A refusal before the body closes the connection. The first byte of a request counts as progress, so that a connection that was idle before is not taken for stalled.

--- a/internal/coordination/buffering/intake.go
+++ b/internal/coordination/buffering/intake.go
@@ -38,7 +38,8 @@
 	Quota  *Quota
 	Holder Holder
 
-	// unmarkedBytes is what has arrived since the last progress.
+	// unmarkedBytes is what has arrived since the last progress. It begins at progressBytes, so
+	// that the first byte of a request counts as progress.
 	unmarkedBytes int
 
 	// The following fields are guarded by the mutex of the quota.
@@ -81,7 +82,7 @@
 		dropped.leave()
 	}
 	q.intakes++
-	i.isOpen, i.progress = true, time.Now()
+	i.isOpen, i.progress, i.unmarkedBytes = true, time.Now(), progressBytes
 	i.element = q.receiving.PushBack(i)
 	interrupted := q.serveWaiting()
 	q.mutex.Unlock()
@@ -149,7 +150,7 @@
 
 // Received counts bytes of the request that have arrived.
 func (i *Intake) Received(bytes int) {
-	if i.unmarkedBytes += bytes; i.unmarkedBytes < progressBytes {
+	if i.unmarkedBytes += bytes; bytes == 0 || i.unmarkedBytes < progressBytes {
 		return
 	}
 	i.unmarkedBytes = 0
@@ -183,7 +184,7 @@
 func (i *Intake) Reset() {
 	q := i.Quota
 	q.mutex.Lock()
-	i.unmarkedBytes = 0
+	i.unmarkedBytes = progressBytes
 	i.release()
 	if i.isOpen {
 		i.stopReceiving()
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -66,6 +66,7 @@
 // returns the error of the duty that failed first, if any.
 func (h *Host) Run(ctx context.Context) error {
 	h.initReady()
+	h.setMemoryLimit()
 	if err := h.assemble(); err != nil {
 		close(h.ready)
 		return err
--- a/internal/entryhost/providers.go
+++ b/internal/entryhost/providers.go
@@ -49,7 +49,7 @@
 		},
 		func() *hostlist.Client { return &hostlist.Client{Address: h.Settings.PlatformAddress.String()} },
 		func() *peer.Client { return &peer.Client{FailureDomain: h.Settings.FailureDomain} },
-		func() *buffering.Quota { return &buffering.Quota{MaxBytes: h.Settings.Limits.ResponseMemory} },
+		h.newBufferQuota,
 		func(quota *buffering.Quota) *engine.Client { return &engine.Client{BufferQuota: quota} },
 		h.newServiceClient,
 		func() *revisionWatcher { return &revisionWatcher{} },
@@ -285,6 +285,7 @@
 	distributor *revision.Distributor,
 	dispatcher *dispatch.Dispatcher,
 	recorder *metrics.Recorder,
+	quota *buffering.Quota,
 ) *entry.Server {
 	return &entry.Server{
 		Listener:      sockets.Caller,
@@ -295,6 +296,7 @@
 		GraceTime:     h.Settings.Limits.GraceTime,
 		BodyLimit:     h.Settings.Limits.BodySize,
 		HeaderTimeout: 10 * time.Second,
+		BufferQuota:   quota,
 	}
 }
 
--- a/internal/processes/entrydeployment_test.go
+++ b/internal/processes/entrydeployment_test.go
@@ -46,7 +46,7 @@
 	return map[string]any{
 		"host-name": "host", "failure-domain": "east-a", "region": "east",
 		"caller-address": d.callerAddress, "peer-address": freeAddress(d.t), "platform-address": d.platformAddress,
-		"limits":    map[string]any{"body-size": d.limits.bodyBytes},
+		"memory-megabytes": d.limits.memoryMegabytes, "limits": map[string]any{"body-size": d.limits.bodyBytes},
 		"decisions": map[string]any{"load-rate-share": 1},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,7 @@
 	OperatorAddress   netip.AddrPort          `json:"operator-address" help:"Address to listen on for operators; 0.0.0.0 means all. Without it the host serves no operators."`
 	OperatorTokenHash string                  `json:"operator-token-hash" help:"SHA-256 of the operators' token in hexadecimal. Without it the host serves operators from loopback only."`
 	LogLevel          string                  `json:"log-level" default:"info" help:"Least level that is logged: trace, debug, info, warn or error."`
+	MemoryMegabytes   int64                   `json:"memory-megabytes" help:"Memory that the process may use. The Go runtime collects garbage more often near seven tenths of it. Without it there is no such bound."`
 	Limits            Limits                  `json:"limits" help:"Limits of this host."`
 	Timings           Timings                 `json:"timings" help:"Times of leases and grants; equal on all hosts of a deployment."`
 	Decisions         Decisions               `json:"decisions" required:"true" help:"What loads and placement weigh; equal on all hosts of a failure domain."`
@@ -39,6 +40,8 @@
 	HostConcurrency int           `json:"host-concurrency" default:"2000" help:"Most requests in flight at this host; more are refused as overloaded."`
 	GraceTime       time.Duration `json:"grace-time" default:"5s" help:"How long requests are still accepted after a stop began, so that load balancers notice it."`
 	BodySize        int64         `json:"body-size" default:"1048576" help:"Most bytes of a request's body."`
+	Connections     int64         `json:"connections" help:"Most connections of callers; at the bound those without progress are closed first. Without it, five eighths of the descriptors that the process may open, and at most one for each 128 KiB of memory-megabytes."`
+	RequestMemory   int64         `json:"request-memory" help:"Most bytes that requests take together, beyond 16 KiB each, from their first byte until they are answered. A request that is alone is served in any case. Without it, three sixteenths of memory-megabytes, or 128 MiB."`
 	ResponseMemory  int64         `json:"response-memory" default:"67108864" help:"Most bytes that responses of engines and backend servers take together while they are read, beyond 16 KiB each. A response that needs more then fails."`
 }
 
@@ -183,6 +186,9 @@
 	if s.Limits.BodySize < 1 {
 		d.addProblem("limits.body-size", "is %d, expected at least 1", s.Limits.BodySize)
 	}
+	if s.Limits.Connections < 0 || s.Limits.RequestMemory < 0 || s.MemoryMegabytes < 0 {
+		d.addProblem("limits", "expected connections, request-memory and memory-megabytes of at least 0")
+	}
 	if s.Limits.ResponseMemory < minResponseMemory {
 		d.addProblem("limits.response-memory", "is %d, expected at least %d", s.Limits.ResponseMemory, minResponseMemory)
 	}
--- a/transport/entry/handler.go
+++ b/transport/entry/handler.go
@@ -15,6 +15,7 @@
 	"github.com/persimmonmux/persimmonmux/state/fleet"
 	"github.com/persimmonmux/persimmonmux/state/request"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/inbound"
 )
 
 const contentTypeJSON = "application/json"
@@ -34,6 +35,7 @@
 		failure = read(w, r, req, index)
 	}
 	if failure != nil {
+		inbound.CloseIfUnread(w, r)
 		s.refuse(w, idOf(req), failure)
 		return
 	}
--- a/transport/entry/parse.go
+++ b/transport/entry/parse.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -187,53 +185,6 @@
 	return time.Duration(milliseconds) * time.Millisecond, nil
 }
 
-// readBody reads the whole body of a request within the body limit and timeout.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
-	limit := orDefault(s.BodyLimit, DefaultBodyLimit)
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if r.ContentLength > limit {
-		w.Header().Set("Connection", "close")
-		return nil, verdict.NewNotRun(verdict.CodeTooLarge, "body: longer than %d bytes", limit)
-	}
-	// The error is ignored: it means that the connection supports no deadlines,
-	// as in some tests.
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(orDefault(s.BodyTimeout, DefaultBodyTimeout)))
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	if err == nil {
-		// net/http goes on reading to detect that the caller disconnects. A read
-		// deadline that expires would look like a disconnect.
-		_ = control.SetReadDeadline(time.Time{})
-		return body, nil
-	}
-	w.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, verdict.NewNotRun(verdict.CodeTooLarge, "body: longer than %d bytes", limit)
-	}
-	return nil, &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeMalformed, Message: "body: did not arrive whole in time", Cause: err}
-}
-
-// readAll reads r to its end. length is the size of the content, or less than 0
-// if it is unknown; a known length avoids growing the buffer.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, err
-	}
-	// net/http starts to detect that the caller disconnects only after a read has
-	// returned io.EOF.
-	if _, err := r.Read(make([]byte, 1)); err != nil && !errors.Is(err, io.EOF) {
-		return nil, err
-	}
-	return body, nil
-}
-
 // servicePath returns the path and query to send to a plain service: the request
 // target without /services/ and the name of the service, still escaped.
 func servicePath(r *http.Request) (string, *verdict.Error) {
--- a/transport/entry/server.go
+++ b/transport/entry/server.go
@@ -16,9 +16,11 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/dispatch"
 	"github.com/persimmonmux/persimmonmux/coordination/duty"
+	"github.com/persimmonmux/persimmonmux/internal/coordination/buffering"
 	"github.com/persimmonmux/persimmonmux/state/configuration"
 	"github.com/persimmonmux/persimmonmux/state/request"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/inbound"
 )
 
 // The limits that apply where a field of Server is zero.
@@ -85,6 +87,9 @@
 	HeaderTimeout, BodyTimeout time.Duration
 	// IdleTimeout is how long a connection stays open without a request.
 	IdleTimeout time.Duration
+	// BufferQuota bounds the connections, and what the host holds of requests. If it is nil,
+	// there is no bound.
+	BufferQuota *buffering.Quota
 	// WriteTimeout bounds the writing of one chunk or of one whole response. The
 	// connection of a caller that reads more slowly is closed.
 	WriteTimeout time.Duration
@@ -121,8 +126,13 @@
 		ReadHeaderTimeout: orDefault(s.HeaderTimeout, DefaultHeaderTimeout),
 		IdleTimeout:       orDefault(s.IdleTimeout, DefaultIdleTimeout),
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         inbound.ConnStateChanged,
+		ConnContext:       inbound.ConnContext,
 		ErrorLog:          log.New(s.Log, "", 0),
 	}
+	if s.BufferQuota != nil {
+		listener = &inbound.Listener{Listener: listener, Quota: s.BufferQuota}
+	}
 	s.Log.Info().Stringer("address", listener.Addr()).Msg("entry server is listening")
 	served := make(chan error, 1)
 	s.lifecycle.Go(func() { served <- server.Serve(listener) })
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -13,6 +13,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/inbound"
 )
 
 // serve handles one request of a caller.
@@ -24,8 +25,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if s.headerTooLarge(r) {
-		// net/http would wait for the body otherwise.
-		w.Header().Set("Connection", "close")
+		inbound.CloseIfUnread(w, r)
 		writeStatus(w, http.StatusRequestHeaderFieldsTooLarge, 0)
 		return
 	}
--- a/transport/inbound/body.go
+++ b/transport/inbound/body.go
@@ -49,6 +49,14 @@
 	return data, nil
 }
 
+// CloseIfUnread makes the answer to a request end its connection if the request has a body that
+// ReadBody has not read. net/http would wait for that body.
+func CloseIfUnread(w http.ResponseWriter, r *http.Request) {
+	if c := connOf(r); r.ContentLength != 0 && (c == nil || !c.hasHead.Load()) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // A bodyReader reads one body.
 type bodyReader struct {
 	// conn is nil in tests that have no Listener.
