--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 	"github.com/persimmonmux/persimmonmux/coordination/forward"
 	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/verdict"
+	"github.com/persimmonmux/persimmonmux/transport/inbound"
 )
 
 // serve handles one request of a caller.
@@ -25,6 +25,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if s.headerTooLarge(r) {
+		inbound.CloseIfUnread(w, r)
 		writeStatus(w, http.StatusRequestHeaderFieldsTooLarge, 0)
 		return
 	}
@@ -38,16 +39,12 @@
 	}
 	request.Key, request.HasKey = platform.DecodeKey(r.Header)
 	if failure := s.Forwarder.Authorize(r.Context(), request); failure != nil {
-		if r.ContentLength != 0 {
-			// Otherwise net/http reads a body of up to 256 KiB before it answers.
-			w.Header().Set("Connection", "close")
-		}
+		inbound.CloseIfUnread(w, r)
 		writeFailure(w, failure)
 		return
 	}
-	body, status := s.readBody(w, r)
-	if status != 0 {
-		writeStatus(w, status, 0)
+	body, ok := s.readBody(w, r)
+	if !ok {
 		return
 	}
 	if s.refusing.Load() {
@@ -87,32 +84,6 @@
 	writeStatus(w, status, failure.RetryAfter)
 }
 
-// readBody reads the whole body of a request. If the request is refused, status is
-// the HTTP status of the refusal, otherwise 0.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, status int) {
-	limit := int64(defaultMaxBodyBytes)
-	if desired := s.Views.View().Desired; desired != nil && desired.Limits.BodyBytes > 0 {
-		limit = int64(desired.Limits.BodyBytes)
-	}
-	if r.ContentLength > limit {
-		w.Header().Set("Connection", "close")
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	if r.ContentLength == 0 {
-		return nil, 0
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
-	case err != nil:
-		w.Header().Set("Connection", "close")
-		return nil, http.StatusBadRequest
-	}
-	return body, 0
-}
-
 // statusOf returns the HTTP status of a failure. Status 503 is used only for a
 // request that has not run, so that the caller may send it again.
 func statusOf(failure *verdict.Error) int {
