fronthost: test of keys at a host that the store turns away

Cause: no test showed that such a host learns of removed and new keys from an owner. Change: TestKeysOfRefusedHost turns away the host that does not own the zone.

--- a/internal/fronthost/key_test.go
+++ b/internal/fronthost/key_test.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +45,8 @@
 	hosts   []settings.Front
 	log     lockedBuffer
 	version int
+	// isRefused says which hosts the store turns away.
+	isRefused []atomic.Bool
 
 	mutex sync.Mutex
 	// tenants are the values of X-Tenant of the requests that the server got, and leaks what
@@ -72,7 +75,7 @@
 // newKeySite starts a store, a server and the given number of hosts, until the end of the
 // test.
 func newKeySite(t *testing.T, hosts int) *keySite {
-	s := &keySite{C: quicktest.New(t)}
+	s := &keySite{C: quicktest.New(t), isRefused: make([]atomic.Bool, hosts)}
 	s.store = httptest.NewServer(&standin.Server{Table: standin.NewTable(1), Objects: standin.NewObjectStore(1), Hosts: standin.NewHostList(0), Weights: standin.NewWeightStore(0, 1)})
 	s.Cleanup(s.store.Close)
 	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
@@ -83,9 +86,11 @@
 	s.Cleanup(group.Wait)
 	s.Cleanup(cancel)
 	for n := range hosts {
+		store := httptest.NewServer(s.storeFor(n))
+		s.Cleanup(store.Close)
 		front := settings.Front{
 			HostName: fmt.Sprintf("host-%d", n), FailureDomain: "z", Regions: map[string]string{"z": "r"}, CallerAddress: s.freeAddress(), ReadyAddress: s.freeAddress(),
-			PeerAddress: s.freeAddress(), MetricsAddress: s.freeAddress(), PlatformAddress: netip.MustParseAddrPort(s.store.Listener.Addr().String()),
+			PeerAddress: s.freeAddress(), MetricsAddress: s.freeAddress(), PlatformAddress: netip.MustParseAddrPort(store.Listener.Addr().String()),
 			LogLevel: "debug", MemoryMegabytes: 256, LinkMegabits: 1000, GraceTime: 4 * time.Second, OrderPause: time.Second,
 			Repeats: settings.Repeats{Window: 10 * time.Second, Share: 0.2, Slack: 20},
 		}
@@ -96,6 +101,17 @@
 	return s
 }
 
+// storeFor returns the store as one host reaches it.
+func (s *keySite) storeFor(host int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isRefused[host].Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.store.Config.Handler.ServeHTTP(w, r)
+	})
+}
+
 // freeAddress returns a loopback address with a free port.
 func (s *keySite) freeAddress() netip.AddrPort {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -199,6 +215,36 @@
 	s.Check(s.log.text(), quicktest.Contains, "request refused for its key")
 }
 
+// awaitOwner waits until all hosts know the owner of the zone and returns its index.
+func (s *keySite) awaitOwner(limit time.Duration) int {
+	const line = "zone has a new owner"
+	for deadline := time.Now().Add(limit); strings.Count(s.log.text(), line) < len(s.hosts); time.Sleep(10 * time.Millisecond) {
+		s.Assert(time.Now().Before(deadline), quicktest.IsTrue, quicktest.Commentf("%s", s.log.text()))
+	}
+	for host, front := range s.hosts {
+		if strings.Contains(s.log.text(), `"owner":"`+front.HostName+`"`) {
+			return host
+		}
+	}
+	s.Fatalf("no owner: %s", s.log.text())
+	return 0
+}
+
+// TestKeysOfRefusedHost guards against a host that the store turns away and that accepts a
+// removed key, or refuses a new one, for longer than other hosts.
+func TestKeysOfRefusedHost(t *testing.T) {
+	s := newKeySite(t, 2)
+	s.writeKeys(firstKey)
+	s.awaitStatus(firstKey, http.StatusOK, 15*time.Second)
+	refused := 1 - s.awaitOwner(15*time.Second)
+	s.isRefused[refused].Store(true)
+	time.Sleep(5 * time.Second)
+	s.writeKeys(secondKey)
+	s.awaitStatus(firstKey, http.StatusUnauthorized, changeBound)
+	s.awaitStatus(secondKey, http.StatusOK, 0)
+	s.checkMessages()
+}
+
 // checkMessages checks that the replies of hosts to each other and their metrics hold no key.
 func (s *keySite) checkMessages() {
 	client := &peer.Client{FailureDomain: "z"}
