asynclog: count dropped lines where they are reported

Cause: TestWriteDoesNotBlock read the count of dropped lines, which Run moves into a report as it writes its first line. If Run begins after the queue is full, the count is 0 and the check fails, although no line is lost. Change: the test adds the lines that were written and the reported drops, which must be all lines, and ends Run in a way that also holds if it has not begun. Result: red once in a run of all packages on a busy machine.

--- a/internal/asynclog/writer_test.go
+++ b/internal/asynclog/writer_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"fmt"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -34,27 +36,42 @@
 	})
 }
 
-// A blockedTarget blocks each write until released is closed.
-type blockedTarget struct{ released chan struct{} }
+// A blockedTarget blocks each write until released is closed, and then records it.
+type blockedTarget struct {
+	released chan struct{}
+	written  bytes.Buffer
+}
 
-func (b blockedTarget) Write(line []byte) (int, error) {
+func (b *blockedTarget) Write(line []byte) (int, error) {
 	<-b.released
-	return len(line), nil
+	return b.written.Write(line)
 }
 
 // Guards against requests that wait for the log: while the target blocks, Write must
-// drop the lines that do not fit into the queue.
+// drop the lines that do not fit into the queue, and count them. Run may begin before or after
+// the queue is full.
 func TestWriteDoesNotBlock(t *testing.T) {
 	c := quicktest.New(t)
-	target := blockedTarget{released: make(chan struct{})}
+	target := &blockedTarget{released: make(chan struct{})}
 	w := &Writer{Target: target}
-	go w.Run(context.Background())
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- w.Run(ctx) }()
 	began := time.Now()
 	for range 2 * maxQueuedLines {
 		fmt.Fprintln(w, "line")
 	}
 	c.Assert(time.Since(began) < time.Second, quicktest.IsTrue)
-	c.Assert(w.dropped.Load() > 0, quicktest.IsTrue)
 	close(target.released)
-	c.Assert(w.Close(), quicktest.IsNil)
+	// Close before Run would leave the lines in the queue.
+	end()
+	c.Assert(<-ended, quicktest.IsNil)
+	dropped := 0
+	for _, report := range regexp.MustCompile(`"dropped":(\d+)`).FindAllStringSubmatch(target.written.String(), -1) {
+		count, err := strconv.Atoi(report[1])
+		c.Assert(err, quicktest.IsNil)
+		dropped += count
+	}
+	c.Assert(dropped > 0, quicktest.IsTrue)
+	c.Assert(strings.Count(target.written.String(), "line\n")+dropped, quicktest.Equals, 2*maxQueuedLines)
 }
