buffering, front: who waits for room keeps its connection, refusals are bounded

Cause: a crowd of all forms that comes back at once showed three faults. To end a deadlock of requests that hold room and wait, the largest waiters were refused, which often hold none. At the bound on connections, those that wait for room were dropped as if they were stalled. And a caller that never reads its refusals kept its connection for good, since a refusal had no write deadline. Change: the one that holds most is refused; refused and stalled connections are dropped first, then the largest waiter; writeStatus sets a deadline. The ready port has a crowd of its own in the tests.

--- a/internal/coordination/buffering/intake.go
+++ b/internal/coordination/buffering/intake.go
@@ -53,8 +53,9 @@
 	isOpen bool
 	// isWaiting says that the holder waits for room, which is no lack of progress.
 	isWaiting bool
-	// isInterrupted says that Holder.Interrupt was called for the request.
-	isInterrupted bool
+	// isInterrupted says that Holder.Interrupt was called for the request, and isRefused that it was
+	// or that the request got no room.
+	isInterrupted, isRefused bool
 }
 
 // A waiter is an intake that waits for room.
@@ -73,12 +74,10 @@
 	var dropped *Intake
 	if q.MaxIntakes > 0 && q.intakes >= q.MaxIntakes {
 		q.refusals++
-		front := q.receiving.Front()
-		if front == nil {
+		if dropped = q.leastActive(); dropped == nil {
 			q.mutex.Unlock()
 			return false
 		}
-		dropped = front.Value.(*Intake)
 		dropped.leave()
 	}
 	q.intakes++
@@ -132,8 +131,7 @@
 	q := w.intake.Quota
 	q.mutex.Lock()
 	if q.removeWaiter(w) {
-		q.refusals++
-		w.end(ErrFull)
+		w.refuse()
 	}
 	interrupted := q.serveWaiting()
 	q.mutex.Unlock()
@@ -148,6 +146,19 @@
 	w.result <- result
 }
 
+// refuse ends the wait without room. The holder refuses the request, so the intake is the next one
+// that is dropped. The mutex of the quota is held.
+func (w *waiter) refuse() {
+	i := w.intake
+	i.Quota.refusals++
+	i.release()
+	w.end(ErrFull)
+	i.isRefused = true
+	if i.element != nil {
+		i.Quota.receiving.MoveToFront(i.element)
+	}
+}
+
 // Received counts bytes of the request that have arrived.
 func (i *Intake) Received(bytes int) {
 	if i.unmarkedBytes += bytes; bytes == 0 || i.unmarkedBytes < progressBytes {
@@ -186,6 +197,7 @@
 	q.mutex.Lock()
 	i.unmarkedBytes = progressBytes
 	i.release()
+	i.isRefused = false
 	if i.isOpen {
 		i.stopReceiving()
 		i.progress = time.Now()
--- a/internal/coordination/buffering/intake_test.go
+++ b/internal/coordination/buffering/intake_test.go
@@ -156,6 +156,31 @@
 	})
 }
 
+// TestDeadlockIsNotPaidByOthers guards against the refusal of requests that wait without room, to
+// end a deadlock of those that hold it.
+func TestDeadlockIsNotPaidByOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		q := testQuota()
+		first, second, other := openHolder(c, q), openHolder(c, q), openHolder(c, q)
+		c.Assert(first.Reserve(steps(1)), quicktest.IsNil)
+		c.Assert(second.Reserve(steps(2)), quicktest.IsNil)
+		var waiting sync.WaitGroup
+		waiting.Go(func() {
+			c.Check(other.Reserve(steps(3)), quicktest.IsNil)
+			other.Reset()
+		})
+		synctest.Wait()
+		waiting.Go(func() {
+			c.Check(first.Reserve(steps(2)), quicktest.IsNil)
+			first.Reset()
+		})
+		synctest.Wait()
+		waiting.Go(func() { c.Check(errors.Is(second.Reserve(steps(3)), ErrFull), quicktest.IsTrue) })
+		waiting.Wait()
+	})
+}
+
 // TestRequestThatIsAloneGetsItsRoom guards against a single request that a host with little memory
 // refuses although it is within the limits of the desired state.
 func TestRequestThatIsAloneGetsItsRoom(t *testing.T) {
@@ -205,6 +230,48 @@
 	})
 }
 
+// TestWaitingRequestIsNotDropped guards against the end of a request that waits for room, while
+// there are connections without progress, and against the end of a small one for a large one.
+func TestWaitingRequestIsNotDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		q := testQuota()
+		q.MaxIntakes = 4
+		running, idle := openHolder(c, q), openHolder(c, q)
+		c.Assert(running.Reserve(steps(3)), quicktest.IsNil)
+		c.Assert(running.Complete(), quicktest.IsTrue)
+		time.Sleep(stallTime)
+		large, small := openHolder(c, q), openHolder(c, q)
+		var reserving sync.WaitGroup
+		reserving.Go(func() { c.Check(large.Reserve(steps(2)), quicktest.Equals, ErrInterrupted) })
+		reserving.Go(func() { c.Check(small.Reserve(steps(1)), quicktest.IsNil) })
+		synctest.Wait()
+		openHolder(c, q)
+		c.Check([]bool{idle.dropped, large.dropped, small.dropped}, quicktest.DeepEquals, []bool{true, false, false})
+		openHolder(c, q)
+		c.Check([]bool{large.dropped, small.dropped}, quicktest.DeepEquals, []bool{true, false})
+		running.Reset()
+		reserving.Wait()
+	})
+}
+
+// TestRefusedRequestIsDroppedFirst guards against idle connections that are closed for callers who
+// were refused and keep their connections.
+func TestRefusedRequestIsDroppedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		q := testQuota()
+		q.MaxIntakes = 3
+		running, idle := openHolder(c, q), openHolder(c, q)
+		c.Assert(running.Reserve(steps(3)), quicktest.IsNil)
+		c.Assert(running.Complete(), quicktest.IsTrue)
+		refused := openHolder(c, q)
+		c.Check(refused.Reserve(steps(1)), quicktest.Equals, ErrFull)
+		openHolder(c, q)
+		c.Check([]bool{refused.dropped, idle.dropped}, quicktest.DeepEquals, []bool{true, false})
+	})
+}
+
 // TestIntakesGiveEverythingBack guards against a quota that shrinks, or a request that waits for
 // good, when many take, wait, lose and return at the same time.
 func TestIntakesGiveEverythingBack(t *testing.T) {
--- a/internal/coordination/buffering/quota.go
+++ b/internal/coordination/buffering/quota.go
@@ -40,8 +40,8 @@
 	// taken is what requests and responses have taken, takenByRequests the part of the requests and
 	// withdrawnBytes the part of those whose holders were interrupted.
 	taken, takenByRequests, withdrawnBytes int64
-	// receiving holds the intakes of requests that have not arrived whole, the one without progress
-	// for longest first. intakes counts them and the others.
+	// receiving holds the intakes of requests that have not arrived whole: those that were refused or
+	// interrupted first, then the one without progress for longest. intakes counts them and the others.
 	receiving list.List
 	intakes   int
 	// waiting holds the intakes that wait for room, the one that is the smallest with it first.
--- a/internal/coordination/buffering/waiting.go
+++ b/internal/coordination/buffering/waiting.go
@@ -1,6 +1,7 @@
 package buffering
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -50,7 +51,7 @@
 		stalled, delay := q.longestStalled()
 		switch {
 		case stalled == nil && q.isDeadlocked():
-			q.refuseLast()
+			q.refuseLargestHolder()
 			continue
 		case stalled == nil:
 		case delay > 0:
@@ -90,6 +91,24 @@
 	return nil, 0
 }
 
+// leastActive returns the intake to drop for another one: one that was refused or is stalled, then
+// the largest of those that wait for room, then the one without progress for longest. It returns nil
+// if all requests have arrived whole. The mutex is held.
+func (q *Quota) leastActive() *Intake {
+	for e := q.receiving.Front(); e != nil; e = e.Next() {
+		if i := e.Value.(*Intake); !i.isWaiting && (i.isRefused || time.Since(i.progress) >= stallTime) {
+			return i
+		}
+	}
+	if len(q.waiting) > 0 {
+		return q.waiting[len(q.waiting)-1].intake
+	}
+	if e := q.receiving.Front(); e != nil {
+		return e.Value.(*Intake)
+	}
+	return nil
+}
+
 // isDeadlocked reports whether all room of requests is held by those that wait for more. The mutex
 // is held.
 func (q *Quota) isDeadlocked() bool {
@@ -100,20 +119,20 @@
 	return held > 0 && held == q.takenByRequests-q.withdrawnBytes
 }
 
-// refuseLast refuses the largest of those that wait and gives its room back. The mutex is held.
-func (q *Quota) refuseLast() {
-	last := q.waiting[len(q.waiting)-1]
-	q.waiting = q.waiting[:len(q.waiting)-1]
-	q.refusals++
-	last.intake.release()
-	last.end(ErrFull)
+// refuseLargestHolder refuses the one of those that wait which holds most, and gives its room back.
+// The mutex is held.
+func (q *Quota) refuseLargestHolder() {
+	largest := slices.MaxFunc(q.waiting, func(a, b *waiter) int { return cmp.Compare(a.intake.taken, b.intake.taken) })
+	q.removeWaiter(largest)
+	largest.refuse()
 }
 
 // withdraw marks the room of an intake as coming back. The mutex is held.
 func (q *Quota) withdraw(i *Intake) {
-	i.isInterrupted = true
+	i.isInterrupted, i.isRefused = true, true
 	q.withdrawnBytes += i.taken
 	q.refusals++
+	q.receiving.MoveToFront(i.element)
 }
 
 // scheduleReview runs review after the delay. The mutex is held.
--- a/internal/processes/crowd_test.go
+++ b/internal/processes/crowd_test.go
@@ -77,6 +77,7 @@
 // A crowd is a number of callers that send the same bytes at the same time and then leave their
 // connections open.
 type crowd struct {
+	// address is where the callers connect; checkCrowd sets that of callers if it is empty.
 	address string
 	size    int
 	// rounds is how often a caller connects again after its connection has ended.
@@ -192,7 +193,9 @@
 // afterwards.
 func (h *crowdedHost) checkCrowd(crowd *crowd) {
 	h.t.Helper()
-	crowd.address = h.callerAddress
+	if crowd.address == "" {
+		crowd.address = h.callerAddress
+	}
 	before := h.highestResidentBytes()
 	stop, sampled := make(chan struct{}), make(chan int)
 	go func() { sampled <- h.sampleDescriptors(stop) }()
--- a/internal/processes/unfinishedrequests_test.go
+++ b/internal/processes/unfinishedrequests_test.go
@@ -26,6 +26,27 @@
 	}
 }
 
+// TestCrowdAtReadyPort guards against callers that take the descriptors or the memory of a front host
+// at the port of the load balancer's checks, so that the checks or ordinary callers get no answers.
+func TestCrowdAtReadyPort(t *testing.T) {
+	for _, test := range []namedCrowd{
+		{"heads that stop", &crowd{size: headCrowdSize, head: []byte("GET /readyz HTTP/1.1\r\nHost: x\r\n"), rest: shortLines(60 << 10)}},
+		{"silent connections", &crowd{size: silentCrowdSize}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newFrontDeployment(t, frontLimits)
+			test.crowd.address = d.readyAddress
+			d.ordinaryStatus = func() int {
+				if !isReady(d.readyAddress) {
+					return 0
+				}
+				return d.callerStatus()
+			}
+			d.checkCrowd(test.crowd)
+		})
+	}
+}
+
 // TestRequestAtTheLimitsIsServed guards against limits for crowds that refuse a single request which
 // is as large as the desired state allows.
 func TestRequestAtTheLimitsIsServed(t *testing.T) {
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -92,6 +92,8 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
 	w.Header().Set("Content-Length", "0")
+	// Without a deadline a write still ends with the connection.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	w.WriteHeader(status)
 }
 
--- a/transport/front/requestbody.go
+++ b/transport/front/requestbody.go
@@ -31,7 +31,6 @@
 	if err == nil {
 		return body, true
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	writeStatus(w, bodyStatusOf(err), fullRetryDelay)
 	return nil, false
 }
--- a/transport/front/requestbody_test.go
+++ b/transport/front/requestbody_test.go
@@ -144,3 +144,25 @@
 	status, _ := readStatus(c, other)
 	c.Check(status, quicktest.Equals, http.StatusOK)
 }
+
+// TestCallerThatDoesNotReadIsCutOff guards against callers that send requests without reading the
+// refusals, so that their connections stay open for good and leave none for others.
+func TestCallerThatDoesNotReadIsCutOff(t *testing.T) {
+	c := quicktest.New(t)
+	quota := &buffering.Quota{MaxBytes: 1 << 20}
+	address := startFrontWithQuota(c, quota)
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, quicktest.IsNil)
+	defer conn.Close()
+	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	requests := []byte(strings.Repeat("GET /unknown/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id-1\r\n\r\n", 1000))
+	for err == nil {
+		_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+		_, err = conn.Write(requests)
+	}
+	deadline := time.Now().Add(3 * callerWriteTimeout)
+	for quota.Intakes() > 0 && time.Now().Before(deadline) {
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.Check(quota.Intakes(), quicktest.Equals, 0)
+}
