quota: what waits long before its send is counted when it is sent

Units are taken before a request waits for its turn at an engine. When engines gave no turns for 3 s, an organisation at its limit ran 4,127,451 units in 8 s; 3,743,311 are allowed.

Before each first run the forwarder renews a charge that is older than the tolerance covers (0.24 s for a large organisation): the units go back and are taken anew in one call, or the request is refused and not sent. Returns carry the time since the grant, and granters keep what they granted in the last window, so that returned units are granted again in full where no window is exceeded. Late returns were limited to a tenth of the excess, so that a renewal would have been charged twice.

--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -116,6 +116,9 @@
 			return failure
 		}
 	}
+	if failure := f.renewCharge(ctx, p); failure != nil {
+		return failure
+	}
 	forwarded = true
 	f.Balancer.RecordForward(pick.Server, want.Adapter)
 	return f.send(ctx, p, pick.Server, want)
--- a/coordination/forward/organisation.go
+++ b/coordination/forward/organisation.go
@@ -25,6 +25,10 @@
 	// Take takes units from the quota of the organisation. The error is a *verdict.Error
 	// with CodeQuotaExceeded and the time after which so many units are available.
 	Take(ctx context.Context, organisation *site.Organisation, units float64) (site.QuotaCharge, error)
+	// Renew returns a charge under which the request may be sent now: the given one, or
+	// another one if it is too old. After an error, which is like that of Take, nothing is
+	// charged.
+	Renew(ctx context.Context, organisation *site.Organisation, charge site.QuotaCharge) (site.QuotaCharge, error)
 	// Return gives back the charge of a request that no server ran.
 	Return(charge site.QuotaCharge)
 }
@@ -122,11 +126,26 @@
 	p.charge = charge
 	err = f.run(ctx, p)
 	if p.runs == 0 {
-		f.Quotas.Return(charge)
+		f.Quotas.Return(p.charge)
 	}
 	return err
 }
 
+// renewCharge has the units of a request that no server has run counted at the time of its
+// send, if it has waited for long.
+func (f *Forwarder) renewCharge(ctx context.Context, p *progress) *verdict.Error {
+	if p.charge.Units <= 0 || p.runs > 0 {
+		return nil
+	}
+	charge, err := f.Quotas.Renew(ctx, p.organisation, p.charge)
+	p.charge = charge
+	if err != nil {
+		p.turnDenied = true
+		return verdict.FromError(err)
+	}
+	return nil
+}
+
 // quotaUnits returns what the request takes from the quota.
 func (r *Request) quotaUnits(quota site.Quota) float64 {
 	if quota.Unit != site.QuotaTokens {
--- a/coordination/forward/organisation_test.go
+++ b/coordination/forward/organisation_test.go
@@ -178,6 +178,93 @@
 	c.Check(s.sent, quicktest.HasLen, 1)
 }
 
+// A fakeQuotas grants what its errors allow.
+type fakeQuotas struct {
+	takeErr, renewErr error
+	renewed, returned []site.QuotaCharge
+}
+
+func (q *fakeQuotas) Take(_ context.Context, organisation *site.Organisation, units float64) (site.QuotaCharge, error) {
+	if q.takeErr != nil {
+		return site.QuotaCharge{}, q.takeErr
+	}
+	return site.QuotaCharge{Organisation: organisation.Name, Units: units, Granter: "first"}, nil
+}
+
+func (q *fakeQuotas) Renew(_ context.Context, _ *site.Organisation, charge site.QuotaCharge) (site.QuotaCharge, error) {
+	q.renewed = append(q.renewed, charge)
+	if q.renewErr != nil {
+		return site.QuotaCharge{}, q.renewErr
+	}
+	charge.Granter = "second"
+	return charge, nil
+}
+
+func (q *fakeQuotas) Return(charge site.QuotaCharge) {
+	if charge.Units > 0 {
+		q.returned = append(q.returned, charge)
+	}
+}
+
+// forwardWithin runs a request of an organisation with a quota.
+func (s *keyedSystem) forwardWithin(quotas *fakeQuotas) error {
+	s.view.Desired.Organisations[0].Quota = site.Quota{Unit: site.QuotaRequests, PerSecond: 1}
+	f := &Forwarder{Views: s, Balancer: s, Placer: s, RetryBudget: s, Quarantine: s, Recorder: s, Identifier: &fakeIdentifier{}, Quotas: quotas, Log: zerolog.Nop()}
+	request := &Request{
+		AttemptID: "id", Host: "h", Path: "/x", Adapter: site.Adapter{Model: "m", Name: "a"}, Arrived: time.Now(), MaxWait: time.Second,
+		HasKey: true, Key: site.NewKeyDigest("known"),
+	}
+	return f.Forward(context.Background(), request, s)
+}
+
+// TestChargeOfRequest guards against a request that runs without units, is tried again
+// although the quota is exceeded, or keeps the units of a run that never was.
+func TestChargeOfRequest(t *testing.T) {
+	exceeded := &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeQuotaExceeded, RetryAfter: time.Second}
+	success := func(int) (Response, error) { return fakeResponse{head: ResponseHead{Status: 200, IsSigned: true}}, nil }
+	notSent := func(int) (Response, error) { return nil, verdict.NewNotRun(verdict.CodeBackendRefused, "refused") }
+	interrupted := func(int) (Response, error) {
+		return nil, verdict.NewMayHaveRun(verdict.CodeBackendRefused, nil, "reset")
+	}
+	second := site.QuotaCharge{Organisation: "o", Units: 1, Granter: "second"}
+	for _, test := range []struct {
+		name     string
+		quotas   fakeQuotas
+		onSend   func(int) (Response, error)
+		code     verdict.Code
+		sent     bool
+		placed   bool
+		returned []site.QuotaCharge
+	}{
+		{name: "runs", onSend: success, sent: true, placed: true},
+		{name: "quota exceeded", quotas: fakeQuotas{takeErr: exceeded}, onSend: success, code: verdict.CodeQuotaExceeded},
+		{name: "quota exceeded after a wait", quotas: fakeQuotas{renewErr: exceeded}, onSend: success, code: verdict.CodeQuotaExceeded, placed: true},
+		{name: "refused by servers", onSend: notSent, code: verdict.CodeBackendRefused, sent: true, placed: true, returned: []site.QuotaCharge{second}},
+		{name: "interrupted", onSend: interrupted, code: verdict.CodeBackendRefused, sent: true, placed: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s := newKeyedSystem(plainRoute)
+			s.onSend = test.onSend
+			failure := verdict.FromError(s.forwardWithin(&test.quotas))
+			if test.code == "" {
+				c.Check(failure == nil, quicktest.IsTrue)
+			} else {
+				c.Assert(failure, quicktest.IsNotNil)
+				c.Check(failure.Code, quicktest.Equals, test.code)
+			}
+			if test.code == verdict.CodeQuotaExceeded {
+				c.Check(failure.Verdict, quicktest.Equals, verdict.NotRun)
+				c.Check(failure.RetryAfter, quicktest.Equals, time.Second)
+				c.Check(len(test.quotas.renewed) <= 1, quicktest.IsTrue)
+			}
+			c.Check(len(s.sent) > 0, quicktest.Equals, test.sent)
+			c.Check(len(s.placed) > 0, quicktest.Equals, test.placed)
+			c.Check(test.quotas.returned, quicktest.DeepEquals, test.returned)
+		})
+	}
+}
+
 // TestNoOrganisationsNoKeys guards against a desired state without organisations under which
 // requests are refused or asked for.
 func TestNoOrganisationsNoKeys(t *testing.T) {
--- a/internal/coordination/quota/ask.go
+++ b/internal/coordination/quota/ask.go
@@ -107,6 +107,17 @@
 	}
 }
 
+// Renew returns the charge if its request may still be sent under it. Otherwise it gives the
+// units back and takes them anew: what waited long would run in another window than the one
+// in which it was counted. If that fails, nothing is charged.
+func (l *Limiter) Renew(ctx context.Context, organisation *site.Organisation, charge site.QuotaCharge) (site.QuotaCharge, error) {
+	if time.Since(charge.TakenAt) <= l.Tolerance.maxSendDelay(organisation.Quota) {
+		return charge, nil
+	}
+	l.Return(charge)
+	return l.Take(ctx, organisation, charge.Units)
+}
+
 // Return gives back the units of a request that no server ran. It does not wait.
 func (l *Limiter) Return(charge site.QuotaCharge) {
 	if charge.Units <= 0 {
--- a/internal/coordination/quota/call.go
+++ b/internal/coordination/quota/call.go
@@ -24,7 +24,7 @@
 	}
 	view := l.Views.View()
 	owner := view.Owners[zone]
-	request, asks := state.takeBatch(versionOf(view))
+	request, asks := state.takeBatch(versionOf(view), now)
 	if owner == nil {
 		l.passOn(ctx, asks, now)
 		return
--- a/internal/coordination/quota/granter.go
+++ b/internal/coordination/quota/granter.go
@@ -65,8 +65,10 @@
 	quota site.Quota
 	part  part
 	// isGranter says that the zone holds a part of the quota.
-	isGranter    bool
-	bucket, late *allowance.Bucket
+	isGranter bool
+	bucket    *allowance.Bucket
+	// usage has what the bucket granted in the last window.
+	usage *usage
 	// refused holds the units refused lately, less what has become available since. Those
 	// who asked for them come back one after the other.
 	refused   float64
@@ -121,7 +123,7 @@
 	defer g.mutex.Unlock()
 	for key, a := range g.accounts {
 		if epoch, held := g.Leases.OrderEpoch(key.zone); held && epoch == a.term.epoch && a.isGranter {
-			levels[key.organisation] += a.bucket.Level(now)
+			levels[key.organisation] += a.room(now)
 		}
 	}
 	return levels
@@ -197,10 +199,13 @@
 		a.bucket = allowance.NewEmpty(p.perSecond, p.capacity, now)
 	}
 	a.bucket.SetLimit(p.perSecond, p.capacity, now)
-	if a.late == nil {
-		a.late = allowance.NewEmpty(p.latePerSecond, p.lateCapacity, a.term.since)
-	}
-	a.late.SetLimit(p.latePerSecond, p.lateCapacity, now)
+	// What was granted under another limit does not count against the new one.
+	a.usage = newUsage(tolerance.Window, now)
+}
+
+// room returns the units that may be granted now.
+func (a *account) room(now time.Time) float64 {
+	return min(a.bucket.Level(now), a.part.perWindow-a.usage.sum(now))
 }
 
 // answer decides on an ask. The account is nil if the organisation is not known.
@@ -212,10 +217,11 @@
 		return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: maxQuota}
 	case !a.isGranter:
 		return site.QuotaAnswer{Verdict: site.QuotaUnknown}
-	case a.bucket.Take(units, now):
-		return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: a.bucket.Level(now)}
+	case units <= a.room(now) && a.bucket.Take(units, now):
+		a.usage.add(units, now)
+		return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: a.room(now)}
 	}
-	return site.QuotaAnswer{Verdict: site.QuotaRefused, Room: a.bucket.Level(now), RetryAfter: a.retryAfter(units, now)}
+	return site.QuotaAnswer{Verdict: site.QuotaRefused, Room: a.room(now), RetryAfter: a.retryAfter(units, now)}
 }
 
 // retryAfter returns when the refused units are available after those refused before. If
@@ -224,7 +230,7 @@
 	if units > a.part.capacity {
 		return maxRetryAfter
 	}
-	room := a.bucket.Wait(units, now)
+	room := allowance.WaitFor(units-a.room(now), a.part.perSecond)
 	a.refused = max(a.refused-a.part.perSecond*now.Sub(a.refusedAt).Seconds(), 0)
 	a.refusedAt = now
 	queued := allowance.WaitFor(a.refused, a.part.perSecond)
@@ -235,16 +241,13 @@
 	return room + queued
 }
 
-// giveBack returns units to the bucket. Units that were taken long ago are returned up to a
-// limit: they were counted in an earlier window than the one in which they are used.
+// giveBack returns units to the bucket. Units that were granted under another limit, in an
+// earlier term or before the window are lost.
 func (a *account) giveBack(given site.QuotaReturn, now time.Time) {
-	if !(given.Units >= 0) || !(given.LateUnits >= 0) || math.IsInf(given.Units, 0) {
+	if !(given.Units >= 0) || math.IsInf(given.Units, 0) || given.Age < 0 {
 		return
 	}
-	a.bucket.Return(given.Units, now)
-	if late := min(given.LateUnits, a.late.Level(now)); late > 0 && a.late.Take(late, now) {
-		a.bucket.Return(late, now)
-	}
+	a.bucket.Return(a.usage.remove(given.Units, given.Age, now), now)
 }
 
 // An organisationIndex finds the organisations of a desired state by name.
--- a/internal/coordination/quota/granterstate.go
+++ b/internal/coordination/quota/granterstate.go
@@ -11,7 +11,7 @@
 // for the next calls to it. The goroutine of Run owns it.
 type granterState struct {
 	pending []*ask
-	returns map[site.OrganisationName]site.QuotaReturn
+	returns []site.QuotaCharge
 	// inFlight is the number of calls without an answer.
 	inFlight int
 	// silentUntil is the time until which silentOwner, the owner under silentEpoch, is not
@@ -62,6 +62,16 @@
 	return max(allowance.WaitFor(a.units-known.units, known.perSecond)-now.Sub(known.at), 0)
 }
 
+// addReturn has the units of a charge given back with the next call, which also brings them
+// to the requests of that call.
+func (g *granterState) addReturn(charge site.QuotaCharge) {
+	g.returns = append(g.returns, charge)
+	if known, ok := g.rooms[charge.Organisation]; ok {
+		known.units += charge.Units
+		g.rooms[charge.Organisation] = known
+	}
+}
+
 // roomAt returns the units that the granter has if nobody has taken any since its last
 // answer.
 func (g *granterState) roomAt(name site.OrganisationName, p part, now time.Time) float64 {
@@ -74,7 +84,7 @@
 
 // takeBatch removes the asks and returns of the next call. Asks whose requests no longer
 // wait are left out.
-func (g *granterState) takeBatch(version int64) (site.QuotaRequest, []*ask) {
+func (g *granterState) takeBatch(version int64, now time.Time) (site.QuotaRequest, []*ask) {
 	request := site.QuotaRequest{Zone: g.zone, DesiredVersion: version}
 	var asks []*ask
 	for len(g.pending) > 0 && len(asks) < maxAsksPerCall {
@@ -86,9 +96,9 @@
 		asks = append(asks, a)
 		request.Asks = append(request.Asks, site.QuotaAsk{Organisation: a.organisation, Units: a.units})
 	}
-	for _, returned := range g.returns {
-		request.Returns = append(request.Returns, returned)
+	for _, charge := range g.returns {
+		request.Returns = append(request.Returns, site.QuotaReturn{Organisation: charge.Organisation, Units: charge.Units, Age: now.Sub(charge.TakenAt)})
 	}
-	clear(g.returns)
+	g.returns = nil
 	return request, asks
 }
--- a/internal/coordination/quota/limiter.go
+++ b/internal/coordination/quota/limiter.go
@@ -31,9 +31,6 @@
 	maxOwnersAsked = 3
 	// returnDelay is how long returned units are collected if no call takes them along.
 	returnDelay = 100 * time.Millisecond
-	// maxFreshAge is the age up to which the units of a request that did not run are
-	// returned in full.
-	maxFreshAge = 150 * time.Millisecond
 	// checkInterval is the time between two looks at the organisations of the view.
 	checkInterval = 500 * time.Millisecond
 	// reportInterval is the time between two log lines on the refusals of an organisation.
@@ -176,9 +173,8 @@
 	state := l.granters[zone]
 	if state == nil {
 		state = &granterState{
-			zone:    zone,
-			returns: make(map[site.OrganisationName]site.QuotaReturn),
-			rooms:   make(map[site.OrganisationName]room),
+			zone:  zone,
+			rooms: make(map[site.OrganisationName]room),
 		}
 		l.granters[zone] = state
 	}
@@ -223,15 +219,7 @@
 		l.shares.giveBack(charge.Organisation, charge.Units, now)
 		return
 	}
-	state := l.granterOf(charge.Granter)
-	returned := state.returns[charge.Organisation]
-	returned.Organisation = charge.Organisation
-	if now.Sub(charge.TakenAt) <= maxFreshAge {
-		returned.Units += charge.Units
-	} else {
-		returned.LateUnits += charge.Units
-	}
-	state.returns[charge.Organisation] = returned
+	l.granterOf(charge.Granter).addReturn(charge)
 }
 
 func (l *Limiter) hasReturns() bool {
--- a/internal/coordination/quota/scenario_test.go
+++ b/internal/coordination/quota/scenario_test.go
@@ -132,6 +132,9 @@
 			s.at(faultTime, func() { s.enginesRefuse.Store(true) })
 			s.at(faultTime+6*time.Second, func() { s.enginesRefuse.Store(false) })
 		}},
+		{name: "engines-stall-and-recover", share: func(time.Duration) float64 { return 7 * usualShare }, fault: func(s *testSite, _ []site.Organisation) {
+			s.at(faultTime, func() { s.stallEnd.Store(int64(faultTime + 3*time.Second)) })
+		}},
 		{name: "hosts-die", fault: func(s *testSite, _ []site.Organisation) {
 			s.at(faultTime, func() {
 				for _, h := range s.hosts[20:45] {
--- a/internal/coordination/quota/tolerance.go
+++ b/internal/coordination/quota/tolerance.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/persimmonmux/persimmonmux/coordination/allowance"
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
@@ -19,12 +20,15 @@
 	// minRequestsPerGranter is the number of large requests that a granter holds at least
 	// where more than two share a quota: small parts refuse requests though others have room.
 	minRequestsPerGranter = 2
-	// burstPart, hostPart and latePart are the parts of the tolerance that enlarge the
-	// bursts of the granters, that hosts share, and that pay for returns of units that were
-	// taken long ago. The rest is for the time between a grant and its send.
+	// burstPart, hostPart, slotPart and sendPart are the parts of the tolerance that enlarge
+	// the bursts of the granters, that hosts share, that cover the width of a usage's slots,
+	// and that cover the time between a grant and its send.
 	burstPart = 0.4
 	hostPart  = 0.25
-	latePart  = 0.1
+	slotPart  = 0.1
+	sendPart  = 0.25
+	// minSendDelay is more than a request without a wait needs from its grant to its send.
+	minSendDelay = 100 * time.Millisecond
 	// shareCapacityPart is the part of a host's share that it may spend at once. The rest
 	// becomes available over a window.
 	shareCapacityPart = 0.75
@@ -44,8 +48,8 @@
 // A part is what one granter holds of a quota.
 type part struct {
 	perSecond, capacity float64
-	// latePerSecond and lateCapacity limit the returns of units that were taken long ago.
-	latePerSecond, lateCapacity float64
+	// perWindow is what may run of the part in a window, whenever it was granted.
+	perWindow float64
 }
 
 // excess returns how many units of a quota may be used in a window beyond it.
@@ -78,13 +82,17 @@
 // partOf returns what each of count granters holds of the quota.
 func (t Tolerance) partOf(q site.Quota, count int) part {
 	n := float64(count)
-	late := latePart * t.excess(q) / n
-	return part{
-		perSecond:     min(q.PerSecond, maxQuota) / n,
-		capacity:      t.burst(q) / n,
-		lateCapacity:  late / 2,
-		latePerSecond: late / 2 / t.Window.Seconds(),
-	}
+	p := part{perSecond: min(q.PerSecond, maxQuota) / n, capacity: t.burst(q) / n}
+	slots := max(slotPart*t.excess(q)/n, p.perSecond*slotWidth(t.Window).Seconds())
+	p.perWindow = p.capacity + p.perSecond*t.Window.Seconds() + slots
+	return p
+}
+
+// maxSendDelay returns the longest time from a grant to the send of its request. It is the
+// time that the tolerance covers, but not so short that each request asks twice.
+func (t Tolerance) maxSendDelay(q site.Quota) time.Duration {
+	covered := allowance.WaitFor(sendPart*t.excess(q), min(q.PerSecond, maxQuota))
+	return min(max(covered, minSendDelay), t.Window)
 }
 
 // hostShare returns the number of hosts that have a share of a quota, and the units that
--- a/protocol/peer/convertquota.go
+++ b/protocol/peer/convertquota.go
@@ -14,13 +14,13 @@
 		message.Asks = append(message.Asks, &QuotaAsk{Organisation: string(ask.Organisation), Units: ask.Units})
 	}
 	for _, returned := range r.Returns {
-		message.Returns = append(message.Returns, &QuotaReturn{Organisation: string(returned.Organisation), Units: returned.Units, LateUnits: returned.LateUnits})
+		message.Returns = append(message.Returns, &QuotaReturn{Organisation: string(returned.Organisation), Units: returned.Units, AgeNanoseconds: int64(returned.Age)})
 	}
 	return message
 }
 
 // ToQuotaRequest converts a message to a quota request. Units out of range become
-// infinite in asks, which nothing grants, and 0 in returns.
+// infinite in asks, which nothing grants. Returns with values out of range are left out.
 func ToQuotaRequest(message *QuotaRequest) site.QuotaRequest {
 	r := site.QuotaRequest{Zone: message.GetZone(), DesiredVersion: message.GetDesiredVersion()}
 	for _, ask := range message.GetAsks() {
@@ -31,8 +31,8 @@
 		r.Asks = append(r.Asks, site.QuotaAsk{Organisation: site.OrganisationName(ask.GetOrganisation()), Units: units})
 	}
 	for _, returned := range message.GetReturns() {
-		if isAmount(returned.GetUnits()) && isAmount(returned.GetLateUnits()) {
-			r.Returns = append(r.Returns, site.QuotaReturn{Organisation: site.OrganisationName(returned.GetOrganisation()), Units: returned.GetUnits(), LateUnits: returned.GetLateUnits()})
+		if isAmount(returned.GetUnits()) && returned.GetAgeNanoseconds() >= 0 {
+			r.Returns = append(r.Returns, site.QuotaReturn{Organisation: site.OrganisationName(returned.GetOrganisation()), Units: returned.GetUnits(), Age: time.Duration(returned.GetAgeNanoseconds())})
 		}
 	}
 	return r
--- a/state/site/peermessage.go
+++ b/state/site/peermessage.go
@@ -159,11 +159,12 @@
 	Units        float64
 }
 
-// QuotaReturn gives back units.
+// A QuotaReturn gives back the units of a request that did not run.
 type QuotaReturn struct {
 	Organisation OrganisationName
-	// Units were taken a moment ago, and LateUnits longer ago.
-	Units, LateUnits float64
+	Units        float64
+	// Age is the time since the units were granted.
+	Age time.Duration
 }
 
 // A QuotaReply is the answer to a QuotaRequest.
@@ -194,8 +195,7 @@
 // A QuotaAnswer is the answer to a QuotaAsk.
 type QuotaAnswer struct {
 	Verdict QuotaVerdict
-	// Room is the number of units that the owner has left; it is below 0 after a request
-	// that was larger than its part of the burst.
+	// Room is the number of units that the owner has left.
 	Room float64
 	// RetryAfter is the time after which the refused units are available, with those that
 	// were refused before.
--- a/transport/front/key_test.go
+++ b/transport/front/key_test.go
@@ -48,6 +48,12 @@
 	return site.QuotaCharge{}, &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeQuotaExceeded, RetryAfter: 1500 * time.Millisecond}
 }
 
+func (usedUpQuota) Renew(_ context.Context, _ *site.Organisation, charge site.QuotaCharge) (site.QuotaCharge, error) {
+	return charge, nil
+}
+
+func (usedUpQuota) TakeRepeat(*site.Organisation, float64) {}
+
 func (usedUpQuota) Return(site.QuotaCharge) {}
 
 // startKeyedFront starts a Server in front of b whose desired state has the organisation
