quota: units of a suspended host are as old as their call

A host that was suspended after the reply of an owner had arrived noted the time of its wake-up as that of the grant. Its requests would be sent together with units of an earlier window, and the renewal before the send would not notice. A reply that is handled later than the timeout of its call now counts from the time of the call.

TestSuspendedHostRenewsItsCharges fails without it.

--- a/internal/coordination/quota/call.go
+++ b/internal/coordination/quota/call.go
@@ -14,6 +14,8 @@
 	asks  []*ask
 	reply site.QuotaReply
 	err   error
+	// sentAt is when the call was made.
+	sentAt time.Time
 }
 
 // call sends what waits for the owner of a zone, unless enough calls to it are in flight.
@@ -33,7 +35,7 @@
 		return
 	}
 	state.inFlight++
-	result := callResult{zone: zone, owner: owner, asks: asks}
+	result := callResult{zone: zone, owner: owner, asks: asks, sentAt: now}
 	if owner.Name == l.Self {
 		result.reply = l.Granter.Grant(request)
 		result.handle(ctx, l, now)
@@ -62,8 +64,13 @@
 		return
 	}
 	state.recordAnswer()
+	grantedAt := now
+	if now.Sub(r.sentAt) > callTimeout {
+		// This process was suspended after the reply had arrived.
+		grantedAt = r.sentAt
+	}
 	for i, answer := range r.reply.Answers {
-		l.applyAnswer(ctx, r.zone, r.asks[i], answer, now)
+		l.applyAnswer(ctx, r.zone, r.asks[i], answer, grantedAt, now)
 	}
 	if len(state.pending) > 0 {
 		l.call(ctx, r.zone, now)
@@ -79,17 +86,17 @@
 }
 
 // applyAnswer ends an ask that was granted and has the next owner asked otherwise.
-func (l *Limiter) applyAnswer(ctx context.Context, zone string, a *ask, answer site.QuotaAnswer, now time.Time) {
+func (l *Limiter) applyAnswer(ctx context.Context, zone string, a *ask, answer site.QuotaAnswer, grantedAt, now time.Time) {
 	state := l.granterOf(zone)
 	if answer.Verdict != site.QuotaUnknown {
 		state.rooms[a.organisation] = room{
-			part: l.Tolerance.partOf(a.quota, len(a.zones)), units: answer.Room, at: now,
+			part: l.Tolerance.partOf(a.quota, len(a.zones)), units: answer.Room, at: grantedAt,
 			retryAfter: answer.RetryAfter, isRefused: answer.Verdict == site.QuotaRefused,
 		}
 	}
 	switch answer.Verdict {
 	case site.QuotaGranted:
-		l.grant(a, zone, now)
+		l.grant(a, zone, grantedAt, now)
 		return
 	case site.QuotaRefused:
 		a.recordRefusal(answer.RetryAfter)
@@ -133,7 +140,7 @@
 	counts := l.countsOf(a.organisation)
 	if a.isUnanswered && l.shares.take(view, a.organisation, a.quota, a.units, now) {
 		counts.ShareUnits += a.units
-		l.grant(a, "", now)
+		l.grant(a, "", now, now)
 		return
 	}
 	counts.RefusedRequests++
@@ -142,8 +149,8 @@
 }
 
 // grant ends an ask whose units were taken.
-func (l *Limiter) grant(a *ask, zone string, now time.Time) {
-	charge := site.QuotaCharge{Organisation: a.organisation, Units: a.units, Granter: zone, TakenAt: now}
+func (l *Limiter) grant(a *ask, zone string, grantedAt, now time.Time) {
+	charge := site.QuotaCharge{Organisation: a.organisation, Units: a.units, Granter: zone, TakenAt: grantedAt}
 	l.countsOf(a.organisation).GrantedUnits += a.units
 	if a.abandoned.Load() {
 		l.recordReturn(charge, now)
--- a/internal/coordination/quota/limiter_test.go
+++ b/internal/coordination/quota/limiter_test.go
@@ -263,6 +263,33 @@
 	})
 }
 
+// suspendedPeers are the peers of a host that is suspended for a second after each reply of
+// an owner has arrived.
+type suspendedPeers struct{ *scriptedOwner }
+
+func (p suspendedPeers) GrantQuota(ctx context.Context, address string, request site.QuotaRequest) (site.QuotaReply, error) {
+	reply, err := p.scriptedOwner.GrantQuota(ctx, address, request)
+	time.Sleep(time.Second)
+	return reply, err
+}
+
+// TestSuspendedHostRenewsItsCharges guards against a host that was suspended and sends
+// requests with units that were granted long before.
+func TestSuspendedHostRenewsItsCharges(t *testing.T) {
+	owner := &scriptedOwner{answer: granted}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		l.Peers = suspendedPeers{owner}
+		asked := time.Now()
+		charge, err := l.Take(context.Background(), organisation, 1000)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(charge.TakenAt, quicktest.Equals, asked)
+		l.Peers = owner
+		renewed, err := l.Renew(context.Background(), organisation, charge)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(renewed.TakenAt, quicktest.Equals, time.Now())
+	})
+}
+
 // TestStaleOwnerGrantsNothing guards against grants of a host that lost its zone to another
 // one.
 func TestStaleOwnerGrantsNothing(t *testing.T) {
