quota: parts of a raised limit begin empty in further zones

A raised limit may be divided over more zones. The owner of a zone that held no part before had no account, and its first request created one that was full, because it counted from the begin of the owner's term: after a change from 1,000 to 100,000 units a second, over two zones, the second one granted its whole burst at once on top of what the first one had granted. Owners now follow the quotas of all organisations with a limit, so that they see a part begin.

TestRaisedLimitOfNewGranter fails without it; TestFirstLimitBeginsWithABurst keeps the burst of an organisation that had no limit.

--- a/internal/coordination/quota/granter.go
+++ b/internal/coordination/quota/granter.go
@@ -43,6 +43,13 @@
 	organisations organisationIndex
 	terms         map[string]term
 	accounts      map[accountKey]*account
+	observed      map[string]observation
+}
+
+// An observation is the desired state whose quotas a zone's accounts have in a term.
+type observation struct {
+	term    term
+	desired *site.DesiredState
 }
 
 // A term is the time for which this host owns a zone under one lease and one history of the
@@ -67,7 +74,8 @@
 	// isGranter says that the zone holds a part of the quota.
 	isGranter bool
 	bucket    *allowance.Bucket
-	// usage has what the bucket granted in the last window.
+	// usage has what the bucket granted in the last window. It is nil if the zone holds no
+	// part or the quota has no limit.
 	usage *usage
 	// refused holds the units refused lately, less what has become available since. Those
 	// who asked for them come back one after the other.
@@ -76,18 +84,37 @@
 }
 
 // Observe notes which zones this host owns, so that the parts of a zone fill from the time
-// at which it was taken over and not from the first request.
+// at which it was taken over and not from the first request. It also applies changed quotas:
+// a part that a zone did not hold before begins empty, because others granted from it.
 func (g *Granter) Observe(now time.Time) {
 	zones := g.Leases.OrderingZones()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	era := g.Views.Era()
+	view, era := g.Views.View(), g.Views.Era()
 	for _, zone := range zones {
 		if epoch, held := g.Leases.OrderEpoch(zone); held {
-			g.termOf(zone, epoch, era, now)
+			g.applyQuotas(view, g.termOf(zone, epoch, era, now), zone, now)
+		}
+	}
+	g.dropUnknown(view)
+}
+
+// applyQuotas applies the quotas of a desired state to the accounts of a zone, once. An
+// organisation without a limit gets no account, so that its first limit begins with a burst.
+func (g *Granter) applyQuotas(view *site.View, t term, zone string, now time.Time) {
+	seen := observation{term: t, desired: view.Desired}
+	if view.Desired == nil || g.observed[zone] == seen {
+		return
+	}
+	if g.observed == nil {
+		g.observed = make(map[string]observation)
+	}
+	g.observed[zone] = seen
+	for i := range view.Desired.Organisations {
+		if o := &view.Desired.Organisations[i]; o.Quota.IsLimited() {
+			g.accountOf(view, t, zone, o.Name, now)
 		}
 	}
-	g.dropUnknown(g.Views.View())
 }
 
 // Grant answers the asks of a host and applies its returns.
@@ -199,12 +226,18 @@
 		a.bucket = allowance.NewEmpty(p.perSecond, p.capacity, now)
 	}
 	a.bucket.SetLimit(p.perSecond, p.capacity, now)
-	// What was granted under another limit does not count against the new one.
-	a.usage = newUsage(tolerance.Window, now)
+	a.usage = nil
+	if isGranter && quota.IsLimited() {
+		// What was granted under another limit does not count against the new one.
+		a.usage = newUsage(tolerance.Window, now)
+	}
 }
 
 // room returns the units that may be granted now.
 func (a *account) room(now time.Time) float64 {
+	if a.usage == nil {
+		return a.bucket.Level(now)
+	}
 	return min(a.bucket.Level(now), a.part.perWindow-a.usage.sum(now))
 }
 
@@ -244,7 +277,7 @@
 // giveBack returns units to the bucket. Units that were granted under another limit, in an
 // earlier term or before the window are lost.
 func (a *account) giveBack(given site.QuotaReturn, now time.Time) {
-	if !(given.Units >= 0) || math.IsInf(given.Units, 0) || given.Age < 0 {
+	if !(given.Units >= 0) || math.IsInf(given.Units, 0) || given.Age < 0 || a.usage == nil {
 		return
 	}
 	a.bucket.Return(a.usage.remove(given.Units, given.Age, now), now)
--- a/internal/coordination/quota/granter_test.go
+++ b/internal/coordination/quota/granter_test.go
@@ -124,6 +124,45 @@
 	})
 }
 
+// TestRaisedLimitOfNewGranter guards against a zone that begins with a full bucket when a
+// raised limit makes it one of the granters, though others have granted the quota until then.
+func TestRaisedLimitOfNewGranter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		small := site.Quota{Unit: site.QuotaTokens, PerSecond: 1_000, Burst: 1_000}
+		large := site.Quota{Unit: site.QuotaTokens, PerSecond: 100_000, Burst: 100_000}
+		regions := map[string]string{"a": "x", "b": "y"}
+		// Another name of the second zone may come first for the organisation.
+		for i := 0; testTolerance.grantingZones("o", small, regions)[0] == "a"; i++ {
+			regions = map[string]string{"a": "x", string(rune('b' + i)): "y"}
+		}
+		owner := &singleOwner{epoch: 1}
+		owner.setQuota(small)
+		g := &Granter{Leases: owner, Views: owner, Regions: regions, Tolerance: testTolerance}
+		g.Observe(time.Now())
+		time.Sleep(time.Hour)
+		g.Observe(time.Now())
+		owner.setQuota(large)
+		g.Observe(time.Now())
+		c.Check(askGranter(g, "o", 100).Verdict, quicktest.Equals, site.QuotaRefused)
+		time.Sleep(100 * time.Millisecond)
+		c.Check(drain(g, 100), quicktest.Equals, 5000.0)
+	})
+}
+
+// TestFirstLimitBeginsWithABurst guards against an organisation that is refused below its
+// quota because it had no limit before.
+func TestFirstLimitBeginsWithABurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		g, owner := newSingleGranter(site.Quota{Unit: site.QuotaTokens})
+		g.Observe(time.Now())
+		owner.setQuota(site.Quota{Unit: site.QuotaTokens, PerSecond: 10_000, Burst: 10_000})
+		g.Observe(time.Now())
+		c.Check(askGranter(g, "o", 10_000).Verdict, quicktest.Equals, site.QuotaGranted)
+	})
+}
+
 // TestReturnsRunInOneWindow guards against units of several seconds that run in one window
 // because they come back late, and against units that are lost although they may run.
 func TestReturnsRunInOneWindow(t *testing.T) {
