quota: units are not lost when a caller leaves as they come

A caller whose context ended between the duty's look at abandoned and its reply left the charge in the reply, so that its units were never returned. Either side now ends the wait with one compare-and-swap, and the caller that comes second takes the reply.

--- a/internal/coordination/quota/ask.go
+++ b/internal/coordination/quota/ask.go
@@ -21,7 +21,7 @@
 )
 
 // An ask is a request that waits for units. The goroutine of Run owns its fields, except
-// that abandoned is set by the request.
+// that isEnded is set by whoever ends the wait.
 type ask struct {
 	organisation site.OrganisationName
 	quota        site.Quota
@@ -38,8 +38,9 @@
 	isUnanswered bool
 	// reply has room for one result.
 	reply chan takeResult
-	// abandoned means that the request no longer waits.
-	abandoned atomic.Bool
+	// isEnded means that the request no longer waits: its result is in reply or about to be,
+	// or its caller has left.
+	isEnded atomic.Bool
 }
 
 // A takeResult is the outcome of an ask.
@@ -56,6 +57,11 @@
 	a.isRefused = true
 }
 
+// end reports whether the wait ends with this call, and not with an earlier one.
+func (a *ask) end() bool {
+	return a.isEnded.CompareAndSwap(false, true)
+}
+
 // hasTried reports whether the owner of the zone has been asked.
 func (a *ask) hasTried(zone string) bool {
 	return slices.Contains(a.tried, zone)
@@ -95,11 +101,8 @@
 		return site.QuotaCharge{}, verdict.NewNotRun(verdict.CodeStopping, "the host is stopping")
 	case <-ctx.Done():
 	}
-	a.abandoned.Store(true)
-	select {
-	case result := <-a.reply:
-		l.Return(result.charge)
-	default:
+	if !a.end() {
+		l.Return((<-a.reply).charge)
 	}
 	return site.QuotaCharge{}, &verdict.Error{
 		Verdict: verdict.NotRun, Code: verdict.CodeDeadline, Cause: ctx.Err(),
--- a/internal/coordination/quota/call.go
+++ b/internal/coordination/quota/call.go
@@ -109,7 +109,7 @@
 // forwardAsk puts the ask into the next call to the next owner that may have the units, or
 // settles it if there is none.
 func (l *Limiter) forwardAsk(ctx context.Context, a *ask, now time.Time) {
-	if a.abandoned.Load() {
+	if a.isEnded.Load() {
 		return
 	}
 	view := l.Views.View()
@@ -143,6 +143,9 @@
 		l.grant(a, "", now, now)
 		return
 	}
+	if !a.end() {
+		return
+	}
 	counts.RefusedRequests++
 	counts.RefusedUnits += a.units
 	a.reply <- takeResult{err: a.refusal()}
@@ -152,7 +155,7 @@
 func (l *Limiter) grant(a *ask, zone string, grantedAt, now time.Time) {
 	charge := site.QuotaCharge{Organisation: a.organisation, Units: a.units, Granter: zone, TakenAt: grantedAt}
 	l.countsOf(a.organisation).GrantedUnits += a.units
-	if a.abandoned.Load() {
+	if !a.end() {
 		l.recordReturn(charge, now)
 		return
 	}
--- a/internal/coordination/quota/granterstate.go
+++ b/internal/coordination/quota/granterstate.go
@@ -90,7 +90,7 @@
 	for len(g.pending) > 0 && len(asks) < maxAsksPerCall {
 		a := g.pending[0]
 		g.pending = g.pending[1:]
-		if a.abandoned.Load() {
+		if a.isEnded.Load() {
 			continue
 		}
 		asks = append(asks, a)
--- a/internal/coordination/quota/limiter_test.go
+++ b/internal/coordination/quota/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -223,6 +224,32 @@
 	})
 }
 
+// TestCallerLeavesAsUnitsCome guards against units that are lost because the caller leaves
+// while its request is granted.
+func TestCallerLeavesAsUnitsCome(t *testing.T) {
+	owner := &scriptedOwner{delay: 10 * time.Millisecond, answer: granted}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		var group sync.WaitGroup
+		for range 3000 {
+			group.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), owner.delay)
+				defer cancel()
+				if charge, err := l.Take(ctx, organisation, 1); err == nil {
+					l.Return(charge)
+				}
+			})
+			if rand.N(8) == 0 {
+				group.Wait()
+			}
+		}
+		group.Wait()
+		time.Sleep(time.Second)
+		counts := l.Counts()["o"]
+		c.Check(counts.GrantedUnits > 0, quicktest.IsTrue)
+		c.Check(counts.ReturnedUnits, quicktest.Equals, counts.GrantedUnits)
+	})
+}
+
 // TestRenew guards against a request that waited long and is sent with units of another
 // window, against units that are taken twice, and against calls for requests that did not
 // wait.
