quota: a second run of a request takes its units again

A request whose first engine may have run it and which is sent to another one runs on both, but its units were taken once, so that an organisation at its limit could run more than its quota allows by its share of repeated sends. Before each further send the units are now taken from a granter whether it has them or not, in the background: nothing waits and no stream that has begun is refused. The level of the bucket is below 0 until it has filled again.

TestSecondRunIsCharged, TestRepeatIsCharged and TestRepeatsArePaidOff hold it.

--- a/coordination/allowance/bucket.go
+++ b/coordination/allowance/bucket.go
@@ -13,10 +13,10 @@
 // A Bucket holds units that become available at a rate. The zero value holds none and never
 // fills. It is not safe for concurrent use.
 //
-// In a time t it grants at most its capacity + its rate * t.
+// In a time t it grants at most its capacity + its rate * t, less what is debited.
 type Bucket struct {
 	perSecond, capacity float64
-	// level is the number of units at the time at.
+	// level is the number of units at the time at. It is below 0 after debits.
 	level float64
 	at    time.Time
 }
@@ -58,6 +58,12 @@
 	return true
 }
 
+// Debit takes units whether there are as many or not.
+func (b *Bucket) Debit(units float64, now time.Time) {
+	b.advance(now)
+	b.level -= bounded(units)
+}
+
 // Return gives back units that were taken. Units beyond the capacity are lost.
 func (b *Bucket) Return(units float64, now time.Time) {
 	b.advance(now)
--- a/coordination/allowance/bucket_test.go
+++ b/coordination/allowance/bucket_test.go
@@ -81,6 +81,19 @@
 	}
 }
 
+// TestDebitIsPaidOff guards against units that are used beyond the level and granted again.
+func TestDebitIsPaidOff(t *testing.T) {
+	c := quicktest.New(t)
+	start := time.Unix(100, 0)
+	b := NewEmpty(10, 50, start)
+	now := start.Add(time.Second)
+	b.Debit(30, now)
+	c.Check(b.Level(now), quicktest.Equals, -20.0)
+	c.Check(b.Take(1, now), quicktest.IsFalse)
+	c.Check(b.Wait(1, now), quicktest.Equals, 2100*time.Millisecond)
+	c.Check(b.Take(10, now.Add(3*time.Second)), quicktest.IsTrue)
+}
+
 // TestLowerLimitHoldsAtOnce guards against units that stay available beyond a lowered
 // capacity.
 func TestLowerLimitHoldsAtOnce(t *testing.T) {
--- a/coordination/forward/attempt.go
+++ b/coordination/forward/attempt.go
@@ -116,7 +116,7 @@
 			return failure
 		}
 	}
-	if failure := f.renewCharge(ctx, p); failure != nil {
+	if failure := f.chargeSend(ctx, p); failure != nil {
 		return failure
 	}
 	forwarded = true
--- a/coordination/forward/organisation.go
+++ b/coordination/forward/organisation.go
@@ -29,6 +29,9 @@
 	// another one if it is too old. After an error, which is like that of Take, nothing is
 	// charged.
 	Renew(ctx context.Context, organisation *site.Organisation, charge site.QuotaCharge) (site.QuotaCharge, error)
+	// TakeRepeat takes the units of a request that may have run and is sent again, even if
+	// the quota is used up: a response that has begun is not refused.
+	TakeRepeat(organisation *site.Organisation, units float64)
 	// Return gives back the charge of a request that no server ran.
 	Return(charge site.QuotaCharge)
 }
@@ -131,10 +134,14 @@
 	return err
 }
 
-// renewCharge has the units of a request that no server has run counted at the time of its
-// send, if it has waited for long.
-func (f *Forwarder) renewCharge(ctx context.Context, p *progress) *verdict.Error {
-	if p.charge.Units <= 0 || p.runs > 0 {
+// chargeSend has the units of a request counted at the time of its send: those of a first
+// run anew if it has waited for long, and those of each further run.
+func (f *Forwarder) chargeSend(ctx context.Context, p *progress) *verdict.Error {
+	if p.charge.Units <= 0 {
+		return nil
+	}
+	if p.runs > 0 {
+		f.Quotas.TakeRepeat(p.organisation, p.charge.Units)
 		return nil
 	}
 	charge, err := f.Quotas.Renew(ctx, p.organisation, p.charge)
--- a/coordination/forward/organisation_test.go
+++ b/coordination/forward/organisation_test.go
@@ -182,6 +182,8 @@
 type fakeQuotas struct {
 	takeErr, renewErr error
 	renewed, returned []site.QuotaCharge
+	// repeated has the units of each repeat.
+	repeated []float64
 }
 
 func (q *fakeQuotas) Take(_ context.Context, organisation *site.Organisation, units float64) (site.QuotaCharge, error) {
@@ -200,6 +202,10 @@
 	return charge, nil
 }
 
+func (q *fakeQuotas) TakeRepeat(_ *site.Organisation, units float64) {
+	q.repeated = append(q.repeated, units)
+}
+
 func (q *fakeQuotas) Return(charge site.QuotaCharge) {
 	if charge.Units > 0 {
 		q.returned = append(q.returned, charge)
@@ -265,6 +271,25 @@
 	}
 }
 
+// TestSecondRunIsCharged guards against a request that runs on two engines and counts once.
+func TestSecondRunIsCharged(t *testing.T) {
+	c := quicktest.New(t)
+	route := plainRoute
+	route.MaxAttempts = 2
+	s, quotas := newKeyedSystem(route), &fakeQuotas{}
+	s.onSend = func(int) (Response, error) {
+		if len(s.sent) == 1 {
+			return nil, verdict.NewMayHaveRun(verdict.CodeBackendRefused, nil, "reset")
+		}
+		return fakeResponse{head: ResponseHead{Status: 200, IsSigned: true}}, nil
+	}
+	c.Assert(s.forwardWithin(quotas), quicktest.IsNil)
+	c.Check(s.sent, quicktest.HasLen, 2)
+	c.Check(quotas.renewed, quicktest.HasLen, 1)
+	c.Check(quotas.repeated, quicktest.DeepEquals, []float64{1})
+	c.Check(quotas.returned, quicktest.HasLen, 0)
+}
+
 // TestNoOrganisationsNoKeys guards against a desired state without organisations under which
 // requests are refused or asked for.
 func TestNoOrganisationsNoKeys(t *testing.T) {
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -29,7 +29,8 @@
 	route   *site.Route
 	service site.ServiceName
 	// organisation is the organisation that the request belongs to; nil on public routes
-	// and where no keys are required. charge is what was taken from its quota.
+	// and where no keys are required. charge is what was taken from its quota
+	// for the first run.
 	organisation *site.Organisation
 	charge       site.QuotaCharge
 	// At deadline the request gets its final response. A request that has not been
--- a/internal/coordination/quota/ask.go
+++ b/internal/coordination/quota/ask.go
@@ -26,6 +26,8 @@
 	organisation site.OrganisationName
 	quota        site.Quota
 	units        float64
+	// isRepeat says that the units are taken even if there are none. Nobody waits for it.
+	isRepeat bool
 	// zones are those whose owners share the quota, in the order of preference.
 	zones []string
 	// tried are the zones whose owners have been asked.
@@ -84,10 +86,14 @@
 	}
 }
 
+func newAsk(organisation *site.Organisation, units float64) *ask {
+	return &ask{organisation: organisation.Name, quota: organisation.Quota, units: max(units, 0), reply: make(chan takeResult, 1)}
+}
+
 // Take takes units from the quota of the organisation.
 func (l *Limiter) Take(ctx context.Context, organisation *site.Organisation, units float64) (site.QuotaCharge, error) {
 	l.prepare()
-	a := &ask{organisation: organisation.Name, quota: organisation.Quota, units: max(units, 0), reply: make(chan takeResult, 1)}
+	a := newAsk(organisation, units)
 	if !l.messages.Offer(a) {
 		return site.QuotaCharge{}, verdict.NewNotRun(verdict.CodeOverloaded, "too many requests wait for their quotas")
 	}
@@ -121,6 +127,14 @@
 	return l.Take(ctx, organisation, charge.Units)
 }
 
+// TakeRepeat takes the units of a request that has run and is sent again. It does not wait.
+func (l *Limiter) TakeRepeat(organisation *site.Organisation, units float64) {
+	l.prepare()
+	a := newAsk(organisation, units)
+	a.isRepeat = true
+	l.messages.Offer(a)
+}
+
 // Return gives back the units of a request that no server ran. It does not wait.
 func (l *Limiter) Return(charge site.QuotaCharge) {
 	if charge.Units <= 0 {
--- a/internal/coordination/quota/call.go
+++ b/internal/coordination/quota/call.go
@@ -143,7 +143,7 @@
 		l.grant(a, "", now, now)
 		return
 	}
-	if !a.end() {
+	if !a.end() || a.isRepeat {
 		return
 	}
 	counts.RefusedRequests++
--- a/internal/coordination/quota/granter.go
+++ b/internal/coordination/quota/granter.go
@@ -136,7 +136,7 @@
 	}
 	for _, ask := range r.Asks {
 		a := g.accountOf(view, t, r.Zone, ask.Organisation, now)
-		reply.Answers = append(reply.Answers, a.answer(ask.Units, now))
+		reply.Answers = append(reply.Answers, a.answer(ask, now))
 	}
 	return reply
 }
@@ -242,7 +242,8 @@
 }
 
 // answer decides on an ask. The account is nil if the organisation is not known.
-func (a *account) answer(units float64, now time.Time) site.QuotaAnswer {
+func (a *account) answer(ask site.QuotaAsk, now time.Time) site.QuotaAnswer {
+	units := ask.Units
 	switch {
 	case a == nil:
 		return site.QuotaAnswer{Verdict: site.QuotaUnknown}
@@ -250,6 +251,10 @@
 		return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: maxQuota}
 	case !a.isGranter:
 		return site.QuotaAnswer{Verdict: site.QuotaUnknown}
+	case ask.IsRepeat && !math.IsInf(units, 0):
+		a.bucket.Debit(units, now)
+		a.usage.add(units, now)
+		return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: a.room(now)}
 	case units <= a.room(now) && a.bucket.Take(units, now):
 		a.usage.add(units, now)
 		return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: a.room(now)}
--- a/internal/coordination/quota/granter_test.go
+++ b/internal/coordination/quota/granter_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -124,6 +125,26 @@
 	})
 }
 
+// TestRepeatsArePaidOff guards against second runs that come on top of the quota, and against
+// a message without a sound number that empties a quota.
+func TestRepeatsArePaidOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		g, _ := newSingleGranter(site.Quota{Unit: site.QuotaTokens, PerSecond: 10_000, Burst: 10_000})
+		repeat := func(units float64) site.QuotaVerdict {
+			ask := site.QuotaAsk{Organisation: "o", Units: units, IsRepeat: true}
+			return g.Grant(site.QuotaRequest{Zone: "a", Asks: []site.QuotaAsk{ask}}).Answers[0].Verdict
+		}
+		drain(g, 100)
+		c.Check(repeat(5000), quicktest.Equals, site.QuotaGranted)
+		c.Check(repeat(math.Inf(1)), quicktest.Equals, site.QuotaRefused)
+		time.Sleep(500 * time.Millisecond)
+		c.Check(drain(g, 100) <= 100, quicktest.IsTrue)
+		time.Sleep(100 * time.Millisecond)
+		c.Check(drain(g, 100) >= 900, quicktest.IsTrue)
+	})
+}
+
 // TestRaisedLimitOfNewGranter guards against a zone that begins with a full bucket when a
 // raised limit makes it one of the granters, though others have granted the quota until then.
 func TestRaisedLimitOfNewGranter(t *testing.T) {
--- a/internal/coordination/quota/granterstate.go
+++ b/internal/coordination/quota/granterstate.go
@@ -56,7 +56,7 @@
 // ask, as far as its last answer tells.
 func (g *granterState) knownWait(a *ask, now time.Time) time.Duration {
 	known, ok := g.rooms[a.organisation]
-	if !ok || !known.isRefused {
+	if !ok || !known.isRefused || a.isRepeat {
 		return 0
 	}
 	return max(allowance.WaitFor(a.units-known.units, known.perSecond)-now.Sub(known.at), 0)
@@ -94,7 +94,7 @@
 			continue
 		}
 		asks = append(asks, a)
-		request.Asks = append(request.Asks, site.QuotaAsk{Organisation: a.organisation, Units: a.units})
+		request.Asks = append(request.Asks, site.QuotaAsk{Organisation: a.organisation, Units: a.units, IsRepeat: a.isRepeat})
 	}
 	for _, charge := range g.returns {
 		request.Returns = append(request.Returns, site.QuotaReturn{Organisation: charge.Organisation, Units: charge.Units, Age: now.Sub(charge.TakenAt)})
--- a/internal/coordination/quota/limiter_test.go
+++ b/internal/coordination/quota/limiter_test.go
@@ -250,6 +250,32 @@
 	})
 }
 
+// TestRepeatIsCharged guards against a second run that is not counted because its owner had
+// no room, or that counts as a refusal if no owner answers.
+func TestRepeatIsCharged(t *testing.T) {
+	owner := &scriptedOwner{answer: func(ask site.QuotaAsk) site.QuotaAnswer {
+		if ask.IsRepeat {
+			return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: -ask.Units}
+		}
+		return site.QuotaAnswer{Verdict: site.QuotaRefused}
+	}}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		_, err := l.Take(context.Background(), organisation, 1000)
+		c.Assert(err, quicktest.IsNotNil)
+		l.TakeRepeat(organisation, 1000)
+		synctest.Wait()
+		requests := owner.received()
+		c.Assert(requests, quicktest.HasLen, 2)
+		c.Check(requests[1].Asks, quicktest.DeepEquals, []site.QuotaAsk{{Organisation: "o", Units: 1000, IsRepeat: true}})
+		c.Check(l.Counts()["o"].GrantedUnits, quicktest.Equals, 1000.0)
+	})
+	runWithOwner(t, &scriptedOwner{}, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		l.TakeRepeat(organisation, 1000)
+		time.Sleep(time.Second)
+		c.Check(l.Counts()["o"].RefusedRequests, quicktest.Equals, int64(0))
+	})
+}
+
 // TestRenew guards against a request that waited long and is sent with units of another
 // window, against units that are taken twice, and against calls for requests that did not
 // wait.
--- a/protocol/peer/convertquota.go
+++ b/protocol/peer/convertquota.go
@@ -11,7 +11,7 @@
 func FromQuotaRequest(r site.QuotaRequest) *QuotaRequest {
 	message := &QuotaRequest{Zone: r.Zone, DesiredVersion: r.DesiredVersion}
 	for _, ask := range r.Asks {
-		message.Asks = append(message.Asks, &QuotaAsk{Organisation: string(ask.Organisation), Units: ask.Units})
+		message.Asks = append(message.Asks, &QuotaAsk{Organisation: string(ask.Organisation), Units: ask.Units, IsRepeat: ask.IsRepeat})
 	}
 	for _, returned := range r.Returns {
 		message.Returns = append(message.Returns, &QuotaReturn{Organisation: string(returned.Organisation), Units: returned.Units, AgeNanoseconds: int64(returned.Age)})
@@ -28,7 +28,7 @@
 		if !isAmount(units) {
 			units = math.Inf(1)
 		}
-		r.Asks = append(r.Asks, site.QuotaAsk{Organisation: site.OrganisationName(ask.GetOrganisation()), Units: units})
+		r.Asks = append(r.Asks, site.QuotaAsk{Organisation: site.OrganisationName(ask.GetOrganisation()), Units: units, IsRepeat: ask.GetIsRepeat()})
 	}
 	for _, returned := range message.GetReturns() {
 		if isAmount(returned.GetUnits()) && returned.GetAgeNanoseconds() >= 0 {
--- a/protocol/peer/convertquota_test.go
+++ b/protocol/peer/convertquota_test.go
@@ -15,7 +15,7 @@
 	c := quicktest.New(t)
 	request := site.QuotaRequest{
 		Zone: "a", DesiredVersion: 7,
-		Asks:    []site.QuotaAsk{{Organisation: "o", Units: 800}, {Organisation: "p", Units: 1}},
+		Asks:    []site.QuotaAsk{{Organisation: "o", Units: 800}, {Organisation: "p", Units: 1, IsRepeat: true}},
 		Returns: []site.QuotaReturn{{Organisation: "o", Units: 5, Age: 6}},
 	}
 	c.Check(ToQuotaRequest(FromQuotaRequest(request)), quicktest.DeepEquals, request)
--- a/state/site/peermessage.go
+++ b/state/site/peermessage.go
@@ -157,6 +157,9 @@
 type QuotaAsk struct {
 	Organisation OrganisationName
 	Units        float64
+	// IsRepeat says that the request has run and runs again. The units are taken even if
+	// there are none.
+	IsRepeat bool
 }
 
 // A QuotaReturn gives back the units of a request that did not run.
@@ -195,7 +198,7 @@
 // A QuotaAnswer is the answer to a QuotaAsk.
 type QuotaAnswer struct {
 	Verdict QuotaVerdict
-	// Room is the number of units that the owner has left.
+	// Room is the number of units that the owner has left. Repeats take it below 0.
 	Room float64
 	// RetryAfter is the time after which the refused units are available, with those that
 	// were refused before.
