peer: returned units are sent once

GrantQuota is sent again if its connection turns out to be closed. The granter may have applied the first message: units that it grants twice are lost, but returns that it applies twice are granted beyond the quota. The second message has no returns.

--- a/transport/peer/quota_test.go
+++ b/transport/peer/quota_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
+	"github.com/persimmonmux/persimmonmux/protocol/peer"
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
@@ -47,3 +49,30 @@
 	called := server.Traffic.Counts()["GrantQuota"]
 	c.Check(called.ReceivedBytes < 100 && called.SentBytes < 100, quicktest.IsTrue, quicktest.Commentf("%d bytes received and %d sent", called.ReceivedBytes, called.SentBytes))
 }
+
+// returnCounter counts the returns that a granter gets.
+type returnCounter struct {
+	peer.DRPCPeerClient
+
+	asks, returns int
+}
+
+func (r *returnCounter) GrantQuota(_ context.Context, message *peer.QuotaRequest) (*peer.QuotaReply, error) {
+	r.asks += len(message.GetAsks())
+	r.returns += len(message.GetReturns())
+	return nil, io.EOF
+}
+
+// TestReturnsAreSentOnce guards against units that come back twice, and are granted beyond the
+// quota, because a call is sent again on another connection.
+func TestReturnsAreSentOnce(t *testing.T) {
+	c := quicktest.New(t)
+	granter := &returnCounter{}
+	call := quotaCall{message: peer.FromQuotaRequest(site.QuotaRequest{Asks: make([]site.QuotaAsk, 1), Returns: make([]site.QuotaReturn, 1)})}
+	for range 2 {
+		_, err := call.send(context.Background(), granter)
+		c.Check(err, quicktest.Equals, io.EOF)
+	}
+	c.Check(granter.asks, quicktest.Equals, 2)
+	c.Check(granter.returns, quicktest.Equals, 1)
+}
