--- a/internal/coordination/quota/granter.go
+++ b/internal/coordination/quota/granter.go
@@ -43,6 +43,13 @@
 	organisations organisationIndex
 	terms         map[string]term
 	accounts      map[accountKey]*account
+	observed      map[string]observation
+}
+
+// An observation is the desired state whose quotas a zone's accounts have in a term.
+type observation struct {
+	term    term
+	desired *site.DesiredState
 }
 
 // A term is the time for which this host owns a zone under one lease and one history of the
@@ -65,8 +72,11 @@
 	quota site.Quota
 	part  part
 	// isGranter says that the zone holds a part of the quota.
-	isGranter    bool
-	bucket, late *allowance.Bucket
+	isGranter bool
+	bucket    *allowance.Bucket
+	// usage has what the bucket granted in the last window. It is nil if the zone holds no
+	// part or the quota has no limit.
+	usage *usage
 	// refused holds the units refused lately, less what has become available since. Those
 	// who asked for them come back one after the other.
 	refused   float64
@@ -74,18 +84,37 @@
 }
 
 // Observe notes which zones this host owns, so that the parts of a zone fill from the time
-// at which it was taken over and not from the first request.
+// at which it was taken over and not from the first request. It also applies changed quotas:
+// a part that a zone did not hold before begins empty, because others granted from it.
 func (g *Granter) Observe(now time.Time) {
 	zones := g.Leases.OrderingZones()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	era := g.Views.Era()
+	view, era := g.Views.View(), g.Views.Era()
 	for _, zone := range zones {
 		if epoch, held := g.Leases.OrderEpoch(zone); held {
-			g.termOf(zone, epoch, era, now)
+			g.applyQuotas(view, g.termOf(zone, epoch, era, now), zone, now)
+		}
+	}
+	g.dropUnknown(view)
+}
+
+// applyQuotas applies the quotas of a desired state to the accounts of a zone, once. An
+// organisation without a limit gets no account, so that its first limit begins with a burst.
+func (g *Granter) applyQuotas(view *site.View, t term, zone string, now time.Time) {
+	seen := observation{term: t, desired: view.Desired}
+	if view.Desired == nil || g.observed[zone] == seen {
+		return
+	}
+	if g.observed == nil {
+		g.observed = make(map[string]observation)
+	}
+	g.observed[zone] = seen
+	for i := range view.Desired.Organisations {
+		if o := &view.Desired.Organisations[i]; o.Quota.IsLimited() {
+			g.accountOf(view, t, zone, o.Name, now)
 		}
 	}
-	g.dropUnknown(g.Views.View())
 }
 
 // Grant answers the asks of a host and applies its returns.
@@ -107,7 +136,7 @@
 	}
 	for _, ask := range r.Asks {
 		a := g.accountOf(view, t, r.Zone, ask.Organisation, now)
-		reply.Answers = append(reply.Answers, a.answer(ask.Units, now))
+		reply.Answers = append(reply.Answers, a.answer(ask, now))
 	}
 	return reply
 }
@@ -121,7 +150,7 @@
 	defer g.mutex.Unlock()
 	for key, a := range g.accounts {
 		if epoch, held := g.Leases.OrderEpoch(key.zone); held && epoch == a.term.epoch && a.isGranter {
-			levels[key.organisation] += a.bucket.Level(now)
+			levels[key.organisation] += a.room(now)
 		}
 	}
 	return levels
@@ -197,14 +226,24 @@
 		a.bucket = allowance.NewEmpty(p.perSecond, p.capacity, now)
 	}
 	a.bucket.SetLimit(p.perSecond, p.capacity, now)
-	if a.late == nil {
-		a.late = allowance.NewEmpty(p.latePerSecond, p.lateCapacity, a.term.since)
+	a.usage = nil
+	if isGranter && quota.IsLimited() {
+		// What was granted under another limit does not count against the new one.
+		a.usage = newUsage(tolerance.Window, now)
 	}
-	a.late.SetLimit(p.latePerSecond, p.lateCapacity, now)
+}
+
+// room returns the units that may be granted now.
+func (a *account) room(now time.Time) float64 {
+	if a.usage == nil {
+		return a.bucket.Level(now)
+	}
+	return min(a.bucket.Level(now), a.part.perWindow-a.usage.sum(now))
 }
 
 // answer decides on an ask. The account is nil if the organisation is not known.
-func (a *account) answer(units float64, now time.Time) site.QuotaAnswer {
+func (a *account) answer(ask site.QuotaAsk, now time.Time) site.QuotaAnswer {
+	units := ask.Units
 	switch {
 	case a == nil:
 		return site.QuotaAnswer{Verdict: site.QuotaUnknown}
@@ -212,10 +251,15 @@
 		return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: maxQuota}
 	case !a.isGranter:
 		return site.QuotaAnswer{Verdict: site.QuotaUnknown}
-	case a.bucket.Take(units, now):
-		return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: a.bucket.Level(now)}
+	case ask.IsRepeat && !math.IsInf(units, 0):
+		a.bucket.Debit(units, now)
+		a.usage.add(units, now)
+		return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: a.room(now)}
+	case units <= a.room(now) && a.bucket.Take(units, now):
+		a.usage.add(units, now)
+		return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: a.room(now)}
 	}
-	return site.QuotaAnswer{Verdict: site.QuotaRefused, Room: a.bucket.Level(now), RetryAfter: a.retryAfter(units, now)}
+	return site.QuotaAnswer{Verdict: site.QuotaRefused, Room: a.room(now), RetryAfter: a.retryAfter(units, now)}
 }
 
 // retryAfter returns when the refused units are available after those refused before. If
@@ -224,7 +268,7 @@
 	if units > a.part.capacity {
 		return maxRetryAfter
 	}
-	room := a.bucket.Wait(units, now)
+	room := allowance.WaitFor(units-a.room(now), a.part.perSecond)
 	a.refused = max(a.refused-a.part.perSecond*now.Sub(a.refusedAt).Seconds(), 0)
 	a.refusedAt = now
 	queued := allowance.WaitFor(a.refused, a.part.perSecond)
@@ -235,16 +279,13 @@
 	return room + queued
 }
 
-// giveBack returns units to the bucket. Units that were taken long ago are returned up to a
-// limit: they were counted in an earlier window than the one in which they are used.
+// giveBack returns units to the bucket. Units that were granted under another limit, in an
+// earlier term or before the window are lost.
 func (a *account) giveBack(given site.QuotaReturn, now time.Time) {
-	if !(given.Units >= 0) || !(given.LateUnits >= 0) || math.IsInf(given.Units, 0) {
+	if !(given.Units >= 0) || math.IsInf(given.Units, 0) || given.Age < 0 || a.usage == nil {
 		return
 	}
-	a.bucket.Return(given.Units, now)
-	if late := min(given.LateUnits, a.late.Level(now)); late > 0 && a.late.Take(late, now) {
-		a.bucket.Return(late, now)
-	}
+	a.bucket.Return(a.usage.remove(given.Units, given.Age, now), now)
 }
 
 // An organisationIndex finds the organisations of a desired state by name.
--- a/internal/coordination/quota/limiter_test.go
+++ b/internal/coordination/quota/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -187,7 +188,7 @@
 }
 
 // TestReturns guards against units of requests that did not run and are lost, and against
-// late ones that are returned as fresh ones.
+// units that are returned without the time for which they were taken.
 func TestReturns(t *testing.T) {
 	owner := &scriptedOwner{answer: granted}
 	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
@@ -201,8 +202,8 @@
 		time.Sleep(2 * returnDelay)
 		requests := owner.received()
 		c.Assert(requests, quicktest.HasLen, 4)
-		c.Check(requests[2].Returns, quicktest.DeepEquals, []site.QuotaReturn{{Organisation: "o", Units: 1000}})
-		c.Check(requests[3].Returns, quicktest.DeepEquals, []site.QuotaReturn{{Organisation: "o", LateUnits: 300}})
+		c.Check(requests[2].Returns, quicktest.DeepEquals, []site.QuotaReturn{{Organisation: "o", Units: 1000, Age: returnDelay}})
+		c.Check(requests[3].Returns, quicktest.DeepEquals, []site.QuotaReturn{{Organisation: "o", Units: 300, Age: 3 * returnDelay}})
 		c.Check(l.Counts()["o"].ReturnedUnits, quicktest.Equals, 1300.0)
 	})
 }
@@ -219,7 +220,126 @@
 		time.Sleep(time.Second)
 		requests := owner.received()
 		c.Assert(requests, quicktest.HasLen, 2)
-		c.Check(requests[1].Returns, quicktest.DeepEquals, []site.QuotaReturn{{Organisation: "o", Units: 1000}})
+		c.Check(requests[1].Returns, quicktest.DeepEquals, []site.QuotaReturn{{Organisation: "o", Units: 1000, Age: returnDelay}})
+	})
+}
+
+// TestCallerLeavesAsUnitsCome guards against units that are lost because the caller leaves
+// while its request is granted.
+func TestCallerLeavesAsUnitsCome(t *testing.T) {
+	owner := &scriptedOwner{delay: 10 * time.Millisecond, answer: granted}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		var group sync.WaitGroup
+		for range 3000 {
+			group.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), owner.delay)
+				defer cancel()
+				if charge, err := l.Take(ctx, organisation, 1); err == nil {
+					l.Return(charge)
+				}
+			})
+			if rand.N(8) == 0 {
+				group.Wait()
+			}
+		}
+		group.Wait()
+		time.Sleep(time.Second)
+		counts := l.Counts()["o"]
+		c.Check(counts.GrantedUnits > 0, quicktest.IsTrue)
+		c.Check(counts.ReturnedUnits, quicktest.Equals, counts.GrantedUnits)
+	})
+}
+
+// TestRepeatIsCharged guards against a second run that is not counted because its owner had
+// no room, or that counts as a refusal if no owner answers.
+func TestRepeatIsCharged(t *testing.T) {
+	owner := &scriptedOwner{answer: func(ask site.QuotaAsk) site.QuotaAnswer {
+		if ask.IsRepeat {
+			return site.QuotaAnswer{Verdict: site.QuotaGranted, Room: -ask.Units}
+		}
+		return site.QuotaAnswer{Verdict: site.QuotaRefused}
+	}}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		_, err := l.Take(context.Background(), organisation, 1000)
+		c.Assert(err, quicktest.IsNotNil)
+		l.TakeRepeat(organisation, 1000)
+		synctest.Wait()
+		requests := owner.received()
+		c.Assert(requests, quicktest.HasLen, 2)
+		c.Check(requests[1].Asks, quicktest.DeepEquals, []site.QuotaAsk{{Organisation: "o", Units: 1000, IsRepeat: true}})
+		c.Check(l.Counts()["o"].GrantedUnits, quicktest.Equals, 1000.0)
+	})
+	runWithOwner(t, &scriptedOwner{}, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		l.TakeRepeat(organisation, 1000)
+		time.Sleep(time.Second)
+		c.Check(l.Counts()["o"].RefusedRequests, quicktest.Equals, int64(0))
+	})
+}
+
+// TestRenew guards against a request that waited long and is sent with units of another
+// window, against units that are taken twice, and against calls for requests that did not
+// wait.
+func TestRenew(t *testing.T) {
+	owner := &scriptedOwner{answer: granted}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		first, err := l.Take(context.Background(), organisation, 1000)
+		c.Assert(err, quicktest.IsNil)
+		time.Sleep(testTolerance.maxSendDelay(organisation.Quota))
+		same, err := l.Renew(context.Background(), organisation, first)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(same, quicktest.Equals, first)
+		time.Sleep(time.Millisecond)
+		renewed, err := l.Renew(context.Background(), organisation, first)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(renewed.TakenAt, quicktest.Equals, time.Now())
+		requests := owner.received()
+		c.Assert(requests, quicktest.HasLen, 2)
+		c.Check(requests[1].Asks, quicktest.DeepEquals, []site.QuotaAsk{{Organisation: "o", Units: 1000}})
+		c.Check(requests[1].Returns, quicktest.DeepEquals, []site.QuotaReturn{{Organisation: "o", Units: 1000, Age: time.Since(first.TakenAt)}})
+	})
+}
+
+// TestRenewAsksDespiteADeficit guards against a request that is refused before its send
+// because its owner had no room, although its own units come back to the owner.
+func TestRenewAsksDespiteADeficit(t *testing.T) {
+	owner := &scriptedOwner{answer: granted}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		charge, err := l.Take(context.Background(), organisation, 1000)
+		c.Assert(err, quicktest.IsNil)
+		time.Sleep(testTolerance.Window)
+		owner.answer = func(site.QuotaAsk) site.QuotaAnswer { return site.QuotaAnswer{Verdict: site.QuotaRefused} }
+		_, err = l.Take(context.Background(), organisation, 1000)
+		c.Assert(err, quicktest.IsNotNil)
+		owner.answer = granted
+		_, err = l.Renew(context.Background(), organisation, charge)
+		c.Check(err, quicktest.IsNil)
+	})
+}
+
+// suspendedPeers are the peers of a host that is suspended for a second after each reply of
+// an owner has arrived.
+type suspendedPeers struct{ *scriptedOwner }
+
+func (p suspendedPeers) GrantQuota(ctx context.Context, address string, request site.QuotaRequest) (site.QuotaReply, error) {
+	reply, err := p.scriptedOwner.GrantQuota(ctx, address, request)
+	time.Sleep(time.Second)
+	return reply, err
+}
+
+// TestSuspendedHostRenewsItsCharges guards against a host that was suspended and sends
+// requests with units that were granted long before.
+func TestSuspendedHostRenewsItsCharges(t *testing.T) {
+	owner := &scriptedOwner{answer: granted}
+	runWithOwner(t, owner, func(c *quicktest.C, l *Limiter, organisation *site.Organisation) {
+		l.Peers = suspendedPeers{owner}
+		asked := time.Now()
+		charge, err := l.Take(context.Background(), organisation, 1000)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(charge.TakenAt, quicktest.Equals, asked)
+		l.Peers = owner
+		renewed, err := l.Renew(context.Background(), organisation, charge)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(renewed.TakenAt, quicktest.Equals, time.Now())
 	})
 }
 
