fronthost: metrics read their sources from one struct

Cause: newRecorder took ten parameters and registerGauges seven, each on one line, and gauges.go held the metrics of quotas, of estimates and of the state in one file. Long parameter lists of newPeerServer and newServer stand one a line. The buffer quota is called buffers, as the package quota has the other name.

--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -97,6 +97,22 @@
 	Metrics       *metrics.Recorder
 }
 
+// metricSources holds what the metrics of the host show. The dig container sets the fields.
+type metricSources struct {
+	dig.In
+
+	Cache         *watch.Cache
+	Elector       *zone.Elector
+	Quarantine    *quarantine.Quarantine
+	Balancer      *balance.Balancer
+	Buffers       *buffering.Quota
+	Organisations *organisation.Directory
+	Quotas        *quota.Limiter
+	Granter       *quota.Granter
+	PeerClient    *peer.Client
+	PeerServer    *peer.Server
+}
+
 // A namedRunner is a duty with the name under which log lines and errors show it.
 type namedRunner struct {
 	name   string
@@ -141,8 +157,8 @@
 			}
 		},
 		h.newBufferQuota,
-		func(balancer *balance.Balancer, quota *buffering.Quota) *platform.EngineClient {
-			return &platform.EngineClient{Client: &backend.Client{DialTimeout: dialTimeout}, BufferQuota: quota, Recorder: balancer}
+		func(balancer *balance.Balancer, buffers *buffering.Quota) *platform.EngineClient {
+			return &platform.EngineClient{Client: &backend.Client{DialTimeout: dialTimeout}, BufferQuota: buffers, Recorder: balancer}
 		},
 		func() *peer.Client {
 			return &peer.Client{FailureDomain: fleet.FailureDomainName(h.Settings.FailureDomain)}
@@ -310,21 +326,38 @@
 }
 
 // newRecorder starts the recorder of metrics and registers what it observes.
-func newRecorder(cache *watch.Cache, elector *zone.Elector, blocked *quarantine.Quarantine, balancer *balance.Balancer, buffers *buffering.Quota, directory *organisation.Directory, limiter *quota.Limiter, granter *quota.Granter, client *peer.Client, server *peer.Server) (*metrics.Recorder, error) {
+func newRecorder(s metricSources) (*metrics.Recorder, error) {
 	recorder := &metrics.Recorder{}
 	if err := recorder.Start(); err != nil {
 		return nil, err
 	}
-	if err := registerTraffic(recorder.Meter(), client, server); err != nil {
+	meter := recorder.Meter()
+	if err := registerTraffic(meter, s.PeerClient, s.PeerServer); err != nil {
+		return nil, err
+	}
+	if err := registerQuotas(meter, s.Quotas, s.Granter); err != nil {
+		return nil, err
+	}
+	if err := registerGauges(meter, &s); err != nil {
+		return nil, err
+	}
+	if err := registerCallerRefusals(meter, &s); err != nil {
 		return nil, err
 	}
-	if err := registerQuotas(recorder.Meter(), limiter, granter); err != nil {
+	if err := registerAges(meter, &s); err != nil {
 		return nil, err
 	}
-	return recorder, registerGauges(recorder.Meter(), cache, elector, blocked, balancer, buffers, directory)
+	return recorder, registerEstimateMetrics(meter, s.Balancer)
 }
 
-func (h *Host) newPeerServer(cache *watch.Cache, controller *adapter.Controller, elector *zone.Elector, balancer *balance.Balancer, blocked *quarantine.Quarantine, granter *quota.Granter) (*peer.Server, error) {
+func (h *Host) newPeerServer(
+	cache *watch.Cache,
+	controller *adapter.Controller,
+	elector *zone.Elector,
+	balancer *balance.Balancer,
+	blocked *quarantine.Quarantine,
+	granter *quota.Granter,
+) (*peer.Server, error) {
 	listener, err := net.Listen("tcp", h.Settings.PeerAddress.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for entry hosts")
@@ -337,7 +370,13 @@
 	}, nil
 }
 
-func (h *Host) newServer(forwarder *forward.Forwarder, cache *watch.Cache, pool *backend.ConnectionPool, quota *buffering.Quota, recorder *metrics.Recorder) (*front.Server, error) {
+func (h *Host) newServer(
+	forwarder *forward.Forwarder,
+	cache *watch.Cache,
+	pool *backend.ConnectionPool,
+	buffers *buffering.Quota,
+	recorder *metrics.Recorder,
+) (*front.Server, error) {
 	callers, err := net.Listen("tcp", h.Settings.CallerAddress.String())
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for callers")
@@ -354,7 +393,7 @@
 		Forwarder:       forwarder,
 		Views:           cache,
 		ConnectionPool:  pool,
-		BufferQuota:     quota,
+		BufferQuota:     buffers,
 		ShutdownTimeout: h.Settings.GraceTime - shutdownMargin,
 		Log:             h.Log,
 	}
