balance, fronthost, entryhost: one file for each job

Cause: startestimate.go held the estimate, the draw of a server and what is learned from answers. The default memory of requests stood in two host packages, in files named quota.go that have nothing to do with the quotas of organisations. recordBegun and the comments said "begin" for the start of an answer. Change: soonestchoice.go has the draw, servicetimes.go what is learned; inbound.RequestMemory; bufferquota.go and memory.go; recordStarted. Result: go build, go vet and the tests of coordination/balance pass.

--- a/coordination/balance/servicetimes.go
+++ b/coordination/balance/servicetimes.go
@@ -6,8 +6,13 @@
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
-// answerTimeDecay is the weight that earlier answers keep with each new one.
-const answerTimeDecay = 0.995
+const (
+	// answerTimeDecay is the weight that earlier answers keep with each new one.
+	answerTimeDecay = 0.995
+	// minDeterminant is the least determinant, in relation to the product of its diagonal,
+	// with which the times of an answer and of its prompt can be told apart.
+	minDeterminant = 0.01
+)
 
 // serviceTimes are what this host has learned from the answers of a service whose servers state
 // their slowness. The Balancer guards them by its mutex.
@@ -21,7 +26,7 @@
 type EstimateAccuracy struct {
 	// Answers is the number of answers with an estimate.
 	Answers int64
-	// Estimated and Measured are the sums of the times until they began, and Errors that of
+	// Estimated and Measured are the sums of the times until they started, and Errors that of
 	// the differences without their signs.
 	Estimated, Measured, Errors time.Duration
 	// Persistence is the share of a newest statement's deviation from its average that holds
@@ -58,6 +63,41 @@
 	return all
 }
 
+// An AnswerTime compares the start of an answer with its estimate.
+type AnswerTime struct {
+	// Estimate is that of the Pick, and Delay the time from the send until the answer started.
+	Estimate StartEstimate
+	Delay    time.Duration
+}
+
+// recordAnswer learns from the time of an answer of a server that states its slowness.
+func (t *serviceTimes) recordAnswer(s *serverState, a AnswerTime, now time.Time) {
+	if !a.Estimate.isStated || a.Delay <= 0 {
+		return
+	}
+	t.compare(a)
+	if usual := t.answers.usual; usual > 0 {
+		measured := float64(a.Delay) / (float64(usual) * a.Estimate.effort())
+		t.persistence.record(a.Estimate.deviation, min(measured, maxSlowness)-a.Estimate.mean)
+		s.slowness.recordMeasured(measured, now)
+	}
+	t.answers.record(a.Estimate.crowding*a.Estimate.slowness, 0, a.Delay)
+}
+
+// recordStarted learns from the first event of a stream. What was expected of the server when the
+// request was sent is not known any more, so that its present state stands for it.
+func (t *serviceTimes) recordStarted(s *serverState, slots, promptTokens int, delay time.Duration, now time.Time) {
+	if delay <= 0 {
+		return
+	}
+	e := s.estimateStart(t, slots, promptTokens, now)
+	t.compare(AnswerTime{Estimate: e, Delay: delay})
+	if usual := t.answers.usual; usual > 0 {
+		s.slowness.recordMeasured(float64(delay)/(float64(usual)*e.effort()), now)
+	}
+	t.answers.record(e.crowding*e.slowness, float64(promptTokens)*e.slowness, delay)
+}
+
 // compare counts an answer whose estimate was known.
 func (t *serviceTimes) compare(a AnswerTime) {
 	if a.Estimate.Delay <= 0 {
@@ -69,7 +109,7 @@
 	t.accuracy.Errors += (a.Delay - a.Estimate.Delay).Abs()
 }
 
-// answerTimes fits the times until answers begin: usual for an answer on an idle server at its
+// answerTimes fits the times until answers start: usual for an answer on an idle server at its
 // usual speed, and perToken for each token of the prompt.
 type answerTimes struct {
 	usual, perToken time.Duration
@@ -105,10 +145,6 @@
 	t.usual, t.perToken = time.Duration(t.effortDelay/t.effortEffort), 0
 }
 
-// minDeterminant is the least determinant, in relation to the product of its diagonal, with
-// which the times of an answer and of its prompt can be told apart.
-const minDeterminant = 0.01
-
 // promptShare returns the time of reading a prompt in usual answer times.
 func (t *answerTimes) promptShare(tokens int) float64 {
 	if t.usual <= 0 {
--- a/internal/entryhost/quota.go
+++ b/internal/entryhost/memory.go
@@ -12,10 +12,8 @@
 	// goMemoryShare is the share of the memory setting that becomes the soft memory limit of the Go
 	// runtime. The remaining share is left for sockets and stacks.
 	goMemoryShare = 0.7
-	// requestMemorySixteenths is the part of the memory setting, in sixteenths, that requests may
-	// take by default, and defaultRequestMemory what they may take without that setting.
-	requestMemorySixteenths = 3
-	defaultRequestMemory    = 128 << 20
+	// defaultRequestMemory is how many bytes requests may take without a memory setting.
+	defaultRequestMemory = 128 << 20
 )
 
 // setMemoryLimit sets the soft memory limit of the Go runtime if the settings have one.
@@ -25,10 +23,10 @@
 	}
 }
 
-// newBufferQuota returns the quota for all that the host holds for callers and servers.
+// newBufferQuota returns the quota for what the host holds of requests and responses.
 func (h *Host) newBufferQuota() *buffering.Quota {
 	memory, limits := h.Settings.MemoryMegabytes<<20, h.Settings.Limits
-	requests := cmp.Or(limits.RequestMemory, memory/16*requestMemorySixteenths, defaultRequestMemory)
+	requests := cmp.Or(limits.RequestMemory, inbound.RequestMemory(memory), defaultRequestMemory)
 	return &buffering.Quota{
 		MaxBytes:        requests + limits.ResponseMemory,
 		MaxRequestBytes: requests,
--- a/transport/inbound/capacity.go
+++ b/transport/inbound/capacity.go
@@ -12,8 +12,14 @@
 	// connectionDescriptorShare is the part of the descriptors, in eighths, that connections of
 	// callers may take. The others are for servers, other hosts and the store.
 	connectionDescriptorShare = 5
+	// requestMemoryShare is the part of the memory of a host, in sixteenths, that requests may take
+	// by default beyond the few KiB of each that the quota doesn't count.
+	requestMemoryShare = 3
 )
 
+// RequestMemory returns how many bytes of the memory of a host requests may take by default.
+func RequestMemory(memoryBytes int64) int64 { return memoryBytes / 16 * requestMemoryShare }
+
 // MaxConnections returns how many connections of callers a host has room for, by its memory and by
 // the descriptors that the process may open. Without a bound on memory, memoryBytes is 0.
 func MaxConnections(memoryBytes int64) int {
