adapter, balance: a named condition for requests that may go first

Cause: one line of promoteLessUrgent joined five conditions without saying what they mean. Change: mayBePromoted. The name recordBegun is back: RecordBegun is used elsewhere for the same event. Result: the tests of coordination/adapter with Urgent or Turn in their names, and those of coordination/balance, pass.

--- a/coordination/adapter/turnwait.go
+++ b/coordination/adapter/turnwait.go
@@ -25,7 +25,7 @@
 	}
 	mostUrgent, longest := e.pending[0].request.Priority, -1
 	for i, d := range e.pending {
-		if d.request.Priority == mostUrgent || d.request.TimeLeft <= 0 || isForPlainServer(d.request) || !e.hasAdapter(d.request) || d.isAbandoned(now) {
+		if d.request.Priority == mostUrgent || !e.mayBePromoted(d, now) {
 			continue
 		}
 		if longest < 0 || d.lastUse.Before(e.pending[longest].lastUse) {
@@ -38,6 +38,15 @@
 	}
 }
 
+// mayBePromoted reports whether a pending request can be admitted next: the owner may judge it by
+// its time, the engine has its adapter, and it still waits.
+func (e *engine) mayBePromoted(d *pendingRequest, now time.Time) bool {
+	if d.request.TimeLeft <= 0 || isForPlainServer(d.request) {
+		return false
+	}
+	return e.hasAdapter(d.request) && !d.isAbandoned(now)
+}
+
 // recordLessUrgent records that a request was admitted that may not be of the most urgent ones.
 func (e *engine) recordLessUrgent(r site.PlaceRequest, now time.Time) {
 	if r.Priority > 0 {
--- a/coordination/balance/balancer.go
+++ b/coordination/balance/balancer.go
@@ -184,7 +184,7 @@
 	s.begun.PromptTokens += promptTokens
 	s.begun.Delay += delay
 	if s.slowness.isStated() {
-		b.timesOf(server.Service).recordStarted(s, server.MaxConcurrency, promptTokens, delay, time.Now())
+		b.timesOf(server.Service).recordBegun(s, server.MaxConcurrency, promptTokens, delay, time.Now())
 	}
 }
 
--- a/coordination/balance/servicetimes.go
+++ b/coordination/balance/servicetimes.go
@@ -84,9 +84,9 @@
 	t.answers.record(a.Estimate.crowding*a.Estimate.slowness, 0, a.Delay)
 }
 
-// recordStarted learns from the first event of a stream. What was expected of the server when the
+// recordBegun learns from the first event of a stream. What was expected of the server when the
 // request was sent is not known any more, so that its present state stands for it.
-func (t *serviceTimes) recordStarted(s *serverState, slots, promptTokens int, delay time.Duration, now time.Time) {
+func (t *serviceTimes) recordBegun(s *serverState, slots, promptTokens int, delay time.Duration, now time.Time) {
 	if delay <= 0 {
 		return
 	}
