site, peer: the room of a granter is never below 0

Cause: comments told of requests larger than the part of the burst that leave it below 0. Overdrafts were left out of the design, and a bucket refuses such requests.

--- a/state/site/peermessage.go
+++ b/state/site/peermessage.go
@@ -159,7 +159,7 @@
 	Units        float64
 }
 
-// QuotaReturn gives back units.
+// A QuotaReturn gives back units.
 type QuotaReturn struct {
 	Organisation OrganisationName
 	// Units were taken a moment ago, and LateUnits longer ago.
@@ -194,8 +194,7 @@
 // A QuotaAnswer is the answer to a QuotaAsk.
 type QuotaAnswer struct {
 	Verdict QuotaVerdict
-	// Room is the number of units that the owner has left; it is below 0 after a request
-	// that was larger than its part of the burst.
+	// Room is the number of units that the owner's part of the quota has left.
 	Room float64
 	// RetryAfter is the time after which the refused units are available, with those that
 	// were refused before.
