processes, settings: limits are those of the process

Cause: comments spoke of the limits of a machine, which are the descriptors and the memory setting of one process. Change: comments; the description of persimmonmux.start.answers says start. Result: go vet passes, also with the tag processes.

--- a/internal/fronthost/estimatemetrics.go
+++ b/internal/fronthost/estimatemetrics.go
@@ -16,8 +16,8 @@
 	value             func(a balance.EstimateAccuracy) time.Duration
 }
 
-// registerEstimateMetrics adds metrics to the meter that compare the estimated begin of answers
-// with what came, for services whose servers state how long work takes on them.
+// registerEstimateMetrics adds metrics to the meter that compare the estimated start of answers
+// with the measured one, for services whose servers state how long work takes on them.
 func registerEstimateMetrics(meter metric.Meter, balancer *balance.Balancer) error {
 	sums := []estimateSum{
 		{"persimmonmux.start.estimated", "Sum of the estimated times until answers began.", func(a balance.EstimateAccuracy) time.Duration { return a.Estimated }},
@@ -36,7 +36,7 @@
 			return err
 		}
 	}
-	_, err := meter.Int64ObservableCounter("persimmonmux.start.answers", metric.WithDescription("Answers whose begin was estimated."),
+	_, err := meter.Int64ObservableCounter("persimmonmux.start.answers", metric.WithDescription("Answers whose start was estimated."),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			for service, accuracy := range balancer.EstimateAccuracies() {
 				o.Observe(accuracy.Answers, metric.WithAttributes(attribute.String("application", string(service))))
--- a/internal/processes/crowd_test.go
+++ b/internal/processes/crowd_test.go
@@ -34,7 +34,7 @@
 	steadyInterval = 500 * time.Millisecond
 )
 
-// crowdLimits are the limits of a host in a test: those of its machine, and those of requests.
+// crowdLimits are the limits of a host in a test: those of its process, and those of requests.
 type crowdLimits struct {
 	memoryMegabytes int
 	descriptors     int
@@ -188,7 +188,7 @@
 }
 
 // checkCrowd lets the crowd send, and checks that the host lives, that its memory and descriptors
-// stay under the bounds of its machine, and that it answers ordinary requests meanwhile and
+// stay under the bounds of its process, and that it answers ordinary requests meanwhile and
 // afterwards.
 func (h *crowdedHost) checkCrowd(crowd *crowd) {
 	h.t.Helper()
@@ -212,7 +212,7 @@
 	default:
 	}
 	qt.Check(h.t, resident <= int64(h.limits.memoryMegabytes)<<20, qt.IsTrue, qt.Commentf("%d MB were resident", resident>>20))
-	// An eighth of the machine's descriptors stay free for connections to servers.
+	// An eighth of the descriptors stay free for connections to servers.
 	maxDescriptors := h.limits.descriptors * 7 / 8
 	qt.Check(h.t, descriptors <= maxDescriptors, qt.IsTrue, qt.Commentf("%d descriptors were open", descriptors))
 }
--- a/internal/processes/frontdeployment_test.go
+++ b/internal/processes/frontdeployment_test.go
@@ -28,7 +28,7 @@
 )
 
 // A frontDeployment is one front host with the stand-in platform and one plain server. The limits
-// of the machine and of the desired state are low, so that a small crowd can reach them.
+// of the process and of the desired state are low, so that a small crowd can reach them.
 type frontDeployment struct {
 	crowdedHost
 	directory       string
@@ -62,7 +62,7 @@
 	qt.Assert(d.t, d.setRow("servers", "server", row), qt.IsNil)
 }
 
-// startHost starts the front host with the descriptor limit of its machine.
+// startHost starts the front host with the descriptor limit of the test.
 func (d *frontDeployment) startHost(limits crowdLimits) {
 	d.t.Helper()
 	content, err := json.Marshal(map[string]any{
--- a/internal/processes/unfinishedrequests_test.go
+++ b/internal/processes/unfinishedrequests_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// frontLimits are the limits of the machine and of the desired state in the tests of a front host.
+// frontLimits are the limits of the process and of the desired state in the tests of a front host.
 var frontLimits = crowdLimits{memoryMegabytes: 96, descriptors: 600, headerBytes: 16 << 10, bodyBytes: 1 << 20}
 
 // TestUnfinishedRequestsDoNotEndTheHost guards against callers outside the limits, or many inside
@@ -37,7 +37,7 @@
 	qt.Check(t, d.statusOf(nil, header), qt.Equals, http.StatusOK)
 }
 
-// entryLimits are the limits of the machine and of the settings in the tests of an entry host.
+// entryLimits are the limits of the process and of the settings in the tests of an entry host.
 var entryLimits = crowdLimits{memoryMegabytes: 96, descriptors: 600, headerBytes: 16 << 10, bodyBytes: 1 << 20}
 
 // TestUnfinishedRequestsDoNotEndTheEntryHost guards against the same callers at a host that serves
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -31,7 +31,7 @@
 }
 
 // FrontLimits bounds what callers take of a front host. Zero stands for a bound that follows from
-// the machine.
+// the memory setting and the descriptors of the process.
 type FrontLimits struct {
 	Connections   int64 `json:"connections" default:"0" help:"Most connections of callers. 0 means one for each 128 KiB of memory-megabytes, and at most five eighths of the descriptors that the process may open."`
 	RequestMemory int64 `json:"request-memory" default:"0" help:"Most bytes that requests take together, beyond 16 KiB each, from their first byte until they are answered. A request that is alone is served in any case. 0 means three sixteenths of memory-megabytes."`
