--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -80,39 +80,6 @@
 	Server         *front.Server
 }
 
-// forwarderParts holds what the forwarder is built from. The dig container sets the fields.
-type forwarderParts struct {
-	dig.In
-
-	Cache         *watch.Cache
-	Balancer      *balance.Balancer
-	Controller    *adapter.Controller
-	PeerClient    *peer.Client
-	RetryBudget   *retry.WindowBudget
-	Quarantine    *quarantine.Quarantine
-	Organisations *organisation.Directory
-	Quotas        *quota.Limiter
-	Completions   *completion.Notifier
-	Owners        *ownerLiveness
-	Metrics       *metrics.Recorder
-}
-
-// metricSources holds what the metrics of the host show. The dig container sets the fields.
-type metricSources struct {
-	dig.In
-
-	Cache         *watch.Cache
-	Elector       *zone.Elector
-	Quarantine    *quarantine.Quarantine
-	Balancer      *balance.Balancer
-	Buffers       *buffering.Quota
-	Organisations *organisation.Directory
-	Quotas        *quota.Limiter
-	Granter       *quota.Granter
-	PeerClient    *peer.Client
-	PeerServer    *peer.Server
-}
-
 // A namedRunner is a duty with the name under which log lines and errors show it.
 type namedRunner struct {
 	name   string
@@ -189,22 +156,7 @@
 		h.newLimiter,
 		func() *backend.ConnectionPool { return &backend.ConnectionPool{} },
 		newRecorder,
-		func(p forwarderParts) *forward.Forwarder {
-			region := h.Settings.Regions[h.Settings.FailureDomain]
-			placer := &placer{self: h.Settings.HostName, region: region, cache: p.Cache, controller: p.Controller, client: p.PeerClient, owners: p.Owners}
-			return &forward.Forwarder{
-				Views:       p.Cache,
-				Balancer:    p.Balancer,
-				Placer:      placer,
-				RetryBudget: p.RetryBudget,
-				Quarantine:  p.Quarantine,
-				Identifier:  p.Organisations,
-				Quotas:      p.Quotas,
-				RunEnds:     p.Completions,
-				Recorder:    &recorder{metricsRecorder: p.Metrics},
-				Log:         h.Log,
-			}
-		},
+		h.newForwarder,
 		h.newPeerServer,
 		h.newServer,
 	}
@@ -293,29 +245,6 @@
 	}
 }
 
-func (h *Host) newGranter(cache *watch.Cache, elector *zone.Elector) *quota.Granter {
-	return &quota.Granter{Leases: elector, Views: cache, Regions: h.Settings.Regions, Tolerance: h.quotaTolerance()}
-}
-
-func (h *Host) newLimiter(cache *watch.Cache, granter *quota.Granter, client *peer.Client) *quota.Limiter {
-	return &quota.Limiter{
-		Self:      h.Settings.HostName,
-		Zone:      h.Settings.FailureDomain,
-		Regions:   h.Settings.Regions,
-		Tolerance: h.quotaTolerance(),
-		Views:     cache,
-		Granter:   granter,
-		Peers:     client,
-		Log:       h.Log,
-	}
-}
-
-// quotaTolerance returns how far quotas may be exceeded.
-func (h *Host) quotaTolerance() quota.Tolerance {
-	s := h.Settings.Quotas
-	return quota.Tolerance{Window: s.Window, OverShare: s.OverShare, Slack: s.Slack}
-}
-
 func (h *Host) newRetryBudget(cache *watch.Cache) *retry.WindowBudget {
 	return &retry.WindowBudget{
 		Window:     h.Settings.Repeats.Window,
@@ -325,31 +254,6 @@
 	}
 }
 
-// newRecorder starts the recorder of metrics and registers what it observes.
-func newRecorder(s metricSources) (*metrics.Recorder, error) {
-	recorder := &metrics.Recorder{}
-	if err := recorder.Start(); err != nil {
-		return nil, err
-	}
-	meter := recorder.Meter()
-	if err := registerTraffic(meter, s.PeerClient, s.PeerServer); err != nil {
-		return nil, err
-	}
-	if err := registerQuotas(meter, s.Quotas, s.Granter); err != nil {
-		return nil, err
-	}
-	if err := registerGauges(meter, &s); err != nil {
-		return nil, err
-	}
-	if err := registerCallerRefusals(meter, &s); err != nil {
-		return nil, err
-	}
-	if err := registerAges(meter, &s); err != nil {
-		return nil, err
-	}
-	return recorder, registerEstimateMetrics(meter, s.Balancer)
-}
-
 func (h *Host) newPeerServer(
 	cache *watch.Cache,
 	controller *adapter.Controller,
