--- a/internal/coordination/organisation/directory.go
+++ b/internal/coordination/organisation/directory.go
@@ -135,7 +135,7 @@
 }
 
 // awaitRefresh waits until the duty has read the newest desired state or finds that it
-// should not. A full ring does not wait.
+// should not. If the ring is full, it returns at once.
 func (d *Directory) awaitRefresh(ctx context.Context, key site.KeyDigest) {
 	q := query{key: key, answered: make(chan struct{})}
 	if !d.queries.Offer(q) {
