adapter, balance: names of the loads in tests

Cause: overnight and chat in the test of turns name uses that no code knows. Change: lessUrgent and urgent; bounds and checks are the same. Result: TestLessUrgentRequestsAreRefusedInTime passes.

--- a/coordination/adapter/turnwait_test.go
+++ b/coordination/adapter/turnwait_test.go
@@ -19,10 +19,10 @@
 	overloadEngines      = 3
 	overloadPromptTokens = 1000
 	overloadDuration     = 20 * time.Second
-	// overnightBudget is how long a less urgent request may wait for its turn in all, and
-	// chatBudget an urgent one.
-	overnightBudget = 2600 * time.Millisecond
-	chatBudget      = 1800 * time.Millisecond
+	// lessUrgentBudget is how long a less urgent request may wait for its turn in all, and
+	// urgentBudget an urgent one.
+	lessUrgentBudget = 2600 * time.Millisecond
+	urgentBudget     = 1800 * time.Millisecond
 )
 
 // An overloadOutcome is how one request ended.
@@ -96,7 +96,7 @@
 // less urgent ones. It guards against requests that wait for most of their time although no turn
 // comes, and against less urgent ones that are never served.
 func TestLessUrgentRequestsAreRefusedInTime(t *testing.T) {
-	const chat, overnight = 0, 3
+	const urgent, lessUrgent = 0, 3
 	for _, statesTimeLeft := range []bool{false, true} {
 		t.Run(fmt.Sprintf("time left is stated: %v", statesTimeLeft), func(t *testing.T) {
 			f := newFakeSite(overloadEngines, 4)
@@ -106,11 +106,11 @@
 			runWithController(t, f, func(c *quicktest.C, o *Controller) {
 				l := &overload{site: f, controller: o, statesTimeLeft: statesTimeLeft, outcomes: make(map[int][]overloadOutcome)}
 				var loads sync.WaitGroup
-				loads.Go(func() { l.run(chat, 1.3, chatBudget) })
-				loads.Go(func() { l.run(overnight, 0.3, overnightBudget) })
+				loads.Go(func() { l.run(urgent, 1.3, urgentBudget) })
+				loads.Go(func() { l.run(lessUrgent, 0.3, lessUrgentBudget) })
 				loads.Wait()
 				servedUrgent := 0
-				for _, outcome := range l.outcomes[chat] {
+				for _, outcome := range l.outcomes[urgent] {
 					if outcome.served {
 						servedUrgent++
 					}
@@ -120,7 +120,7 @@
 				var refusedAfter []time.Duration
 				servedAt := make(map[int64]int)
 				served := 0
-				for _, outcome := range l.outcomes[overnight] {
+				for _, outcome := range l.outcomes[lessUrgent] {
 					if outcome.served {
 						served++
 						servedAt[outcome.endedAt.Unix()/5]++
@@ -133,10 +133,10 @@
 				}
 				slices.Sort(refusedAfter)
 				median := refusedAfter[len(refusedAfter)/2]
-				c.Logf("%d of %d less urgent requests served, %v in periods of 5 s; refused after %s", served, len(l.outcomes[overnight]), servedAt, median)
+				c.Logf("%d of %d less urgent requests served, %v in periods of 5 s; refused after %s", served, len(l.outcomes[lessUrgent]), servedAt, median)
 				if !statesTimeLeft {
 					// As before: the requests are held for all of their time.
-					c.Check(median >= overnightBudget-100*time.Millisecond, quicktest.IsTrue)
+					c.Check(median >= lessUrgentBudget-100*time.Millisecond, quicktest.IsTrue)
 					return
 				}
 				c.Check(median < 300*time.Millisecond, quicktest.IsTrue)
--- a/coordination/balance/startestimate_test.go
+++ b/coordination/balance/startestimate_test.go
@@ -143,7 +143,7 @@
 	replayWork = 50 * time.Millisecond
 )
 
-// run plays the load and returns the sorted times of the answers, the number that each server
+// run sends the load and returns the sorted times of the answers, the number that each server
 // gave, and one of the hosts.
 func (p *replay) run(c *quicktest.C) ([]time.Duration, []int, *Balancer) {
 	random := rand.New(rand.NewPCG(1, 1))
