fronthost: counters of quotas register themselves

Cause: a nested loop with one long call built the counters. Change: quotaSum and its method register; the names and descriptions are the same.

--- a/internal/fronthost/quotametrics.go
+++ b/internal/fronthost/quotametrics.go
@@ -10,6 +10,12 @@
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
+// A quotaSum is a counter of what this host has counted for each organisation.
+type quotaSum struct {
+	name, description string
+	value             func(quota.Counts) float64
+}
+
 // registerQuotas adds what the metrics show of the quotas of organisations. The names of
 // organisations come from the desired state, so that callers cannot create time series.
 func registerQuotas(meter metric.Meter, limiter *quota.Limiter, granter *quota.Granter) error {
@@ -24,10 +30,7 @@
 	if err != nil {
 		return err
 	}
-	sums := []struct {
-		name, description string
-		value             func(quota.Counts) float64
-	}{
+	sums := []quotaSum{
 		{"persimmonmux.quota.granted", "Units granted for requests of this host, by organisation.", func(c quota.Counts) float64 { return c.GrantedUnits }},
 		{"persimmonmux.quota.returned", "Granted units of requests that no server ran, by organisation.", func(c quota.Counts) float64 { return c.ReturnedUnits }},
 		{"persimmonmux.quota.share", "Granted units that came from the host's own share, because an owner did not answer, by organisation.", func(c quota.Counts) float64 { return c.ShareUnits }},
@@ -35,19 +38,28 @@
 		{"persimmonmux.quota.refusals", "Requests refused because of quotas, by organisation.", func(c quota.Counts) float64 { return float64(c.RefusedRequests) }},
 	}
 	for _, sum := range sums {
-		_, err := meter.Float64ObservableCounter(sum.name, metric.WithDescription(sum.description), metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
-			for name, counts := range limiter.Counts() {
-				o.Observe(sum.value(counts), withOrganisation(name))
-			}
-			return nil
-		}))
-		if err != nil {
+		if err := sum.register(meter, limiter); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// register adds the counter to the meter.
+func (s quotaSum) register(meter metric.Meter, limiter *quota.Limiter) error {
+	_, err := meter.Float64ObservableCounter(
+		s.name,
+		metric.WithDescription(s.description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for name, counts := range limiter.Counts() {
+				o.Observe(s.value(counts), withOrganisation(name))
+			}
+			return nil
+		}),
+	)
+	return err
+}
+
 func withOrganisation(name site.OrganisationName) metric.MeasurementOption {
 	return metric.WithAttributes(attribute.String("organisation", string(name)))
 }
