--- a/internal/coordination/quota/ask.go
+++ b/internal/coordination/quota/ask.go
@@ -21,11 +21,13 @@
 )
 
 // An ask is a request that waits for units. The goroutine of Run owns its fields, except
-// that abandoned is set by the request.
+// that isEnded is set by whoever ends the wait.
 type ask struct {
 	organisation site.OrganisationName
 	quota        site.Quota
 	units        float64
+	// isRepeat says that the units are taken even if there are none. Nobody waits for it.
+	isRepeat bool
 	// zones are those whose owners share the quota, in the order of preference.
 	zones []string
 	// tried are the zones whose owners have been asked.
@@ -38,8 +40,9 @@
 	isUnanswered bool
 	// reply has room for one result.
 	reply chan takeResult
-	// abandoned means that the request no longer waits.
-	abandoned atomic.Bool
+	// isEnded means that the request no longer waits: its result is in reply or about to be,
+	// or its caller has left.
+	isEnded atomic.Bool
 }
 
 // A takeResult is the outcome of an ask.
@@ -56,6 +59,11 @@
 	a.isRefused = true
 }
 
+// end reports whether the wait ends with this call, and not with an earlier one.
+func (a *ask) end() bool {
+	return a.isEnded.CompareAndSwap(false, true)
+}
+
 // hasTried reports whether the owner of the zone has been asked.
 func (a *ask) hasTried(zone string) bool {
 	return slices.Contains(a.tried, zone)
@@ -78,10 +86,14 @@
 	}
 }
 
+func newAsk(organisation *site.Organisation, units float64) *ask {
+	return &ask{organisation: organisation.Name, quota: organisation.Quota, units: max(units, 0), reply: make(chan takeResult, 1)}
+}
+
 // Take takes units from the quota of the organisation.
 func (l *Limiter) Take(ctx context.Context, organisation *site.Organisation, units float64) (site.QuotaCharge, error) {
 	l.prepare()
-	a := &ask{organisation: organisation.Name, quota: organisation.Quota, units: max(units, 0), reply: make(chan takeResult, 1)}
+	a := newAsk(organisation, units)
 	if !l.messages.Offer(a) {
 		return site.QuotaCharge{}, verdict.NewNotRun(verdict.CodeOverloaded, "too many requests wait for their quotas")
 	}
@@ -95,11 +107,8 @@
 		return site.QuotaCharge{}, verdict.NewNotRun(verdict.CodeStopping, "the host is stopping")
 	case <-ctx.Done():
 	}
-	a.abandoned.Store(true)
-	select {
-	case result := <-a.reply:
-		l.Return(result.charge)
-	default:
+	if !a.end() {
+		l.Return((<-a.reply).charge)
 	}
 	return site.QuotaCharge{}, &verdict.Error{
 		Verdict: verdict.NotRun, Code: verdict.CodeDeadline, Cause: ctx.Err(),
@@ -107,6 +116,25 @@
 	}
 }
 
+// Renew returns the charge if its request may still be sent under it. Otherwise it gives the
+// units back and takes them anew: what waited long would run in another window than the one
+// in which it was counted. If that fails, nothing is charged.
+func (l *Limiter) Renew(ctx context.Context, organisation *site.Organisation, charge site.QuotaCharge) (site.QuotaCharge, error) {
+	if time.Since(charge.TakenAt) <= l.Tolerance.maxSendDelay(organisation.Quota) {
+		return charge, nil
+	}
+	l.Return(charge)
+	return l.Take(ctx, organisation, charge.Units)
+}
+
+// TakeRepeat takes the units of a request that has run and is sent again. It does not wait.
+func (l *Limiter) TakeRepeat(organisation *site.Organisation, units float64) {
+	l.prepare()
+	a := newAsk(organisation, units)
+	a.isRepeat = true
+	l.messages.Offer(a)
+}
+
 // Return gives back the units of a request that no server ran. It does not wait.
 func (l *Limiter) Return(charge site.QuotaCharge) {
 	if charge.Units <= 0 {
--- a/internal/coordination/quota/granterstate.go
+++ b/internal/coordination/quota/granterstate.go
@@ -11,7 +11,7 @@
 // for the next calls to it. The goroutine of Run owns it.
 type granterState struct {
 	pending []*ask
-	returns map[site.OrganisationName]site.QuotaReturn
+	returns []site.QuotaCharge
 	// inFlight is the number of calls without an answer.
 	inFlight int
 	// silentUntil is the time until which silentOwner, the owner under silentEpoch, is not
@@ -56,12 +56,22 @@
 // ask, as far as its last answer tells.
 func (g *granterState) knownWait(a *ask, now time.Time) time.Duration {
 	known, ok := g.rooms[a.organisation]
-	if !ok || !known.isRefused {
+	if !ok || !known.isRefused || a.isRepeat {
 		return 0
 	}
 	return max(allowance.WaitFor(a.units-known.units, known.perSecond)-now.Sub(known.at), 0)
 }
 
+// addReturn has the units of a charge given back with the next call, which also brings them
+// to the requests of that call.
+func (g *granterState) addReturn(charge site.QuotaCharge) {
+	g.returns = append(g.returns, charge)
+	if known, ok := g.rooms[charge.Organisation]; ok {
+		known.units += charge.Units
+		g.rooms[charge.Organisation] = known
+	}
+}
+
 // roomAt returns the units that the granter has if nobody has taken any since its last
 // answer.
 func (g *granterState) roomAt(name site.OrganisationName, p part, now time.Time) float64 {
@@ -74,21 +84,21 @@
 
 // takeBatch removes the asks and returns of the next call. Asks whose requests no longer
 // wait are left out.
-func (g *granterState) takeBatch(version int64) (site.QuotaRequest, []*ask) {
+func (g *granterState) takeBatch(version int64, now time.Time) (site.QuotaRequest, []*ask) {
 	request := site.QuotaRequest{Zone: g.zone, DesiredVersion: version}
 	var asks []*ask
 	for len(g.pending) > 0 && len(asks) < maxAsksPerCall {
 		a := g.pending[0]
 		g.pending = g.pending[1:]
-		if a.abandoned.Load() {
+		if a.isEnded.Load() {
 			continue
 		}
 		asks = append(asks, a)
-		request.Asks = append(request.Asks, site.QuotaAsk{Organisation: a.organisation, Units: a.units})
+		request.Asks = append(request.Asks, site.QuotaAsk{Organisation: a.organisation, Units: a.units, IsRepeat: a.isRepeat})
 	}
-	for _, returned := range g.returns {
-		request.Returns = append(request.Returns, returned)
+	for _, charge := range g.returns {
+		request.Returns = append(request.Returns, site.QuotaReturn{Organisation: charge.Organisation, Units: charge.Units, Age: now.Sub(charge.TakenAt)})
 	}
-	clear(g.returns)
+	g.returns = nil
 	return request, asks
 }
--- a/protocol/peer/convertquota.go
+++ b/protocol/peer/convertquota.go
@@ -11,16 +11,16 @@
 func FromQuotaRequest(r site.QuotaRequest) *QuotaRequest {
 	message := &QuotaRequest{Zone: r.Zone, DesiredVersion: r.DesiredVersion}
 	for _, ask := range r.Asks {
-		message.Asks = append(message.Asks, &QuotaAsk{Organisation: string(ask.Organisation), Units: ask.Units})
+		message.Asks = append(message.Asks, &QuotaAsk{Organisation: string(ask.Organisation), Units: ask.Units, IsRepeat: ask.IsRepeat})
 	}
 	for _, returned := range r.Returns {
-		message.Returns = append(message.Returns, &QuotaReturn{Organisation: string(returned.Organisation), Units: returned.Units, LateUnits: returned.LateUnits})
+		message.Returns = append(message.Returns, &QuotaReturn{Organisation: string(returned.Organisation), Units: returned.Units, AgeNanoseconds: int64(returned.Age)})
 	}
 	return message
 }
 
 // ToQuotaRequest converts a message to a quota request. Units out of range become
-// infinite in asks, which nothing grants, and 0 in returns.
+// infinite in asks, which nothing grants. Returns with values out of range are left out.
 func ToQuotaRequest(message *QuotaRequest) site.QuotaRequest {
 	r := site.QuotaRequest{Zone: message.GetZone(), DesiredVersion: message.GetDesiredVersion()}
 	for _, ask := range message.GetAsks() {
@@ -28,11 +28,11 @@
 		if !isAmount(units) {
 			units = math.Inf(1)
 		}
-		r.Asks = append(r.Asks, site.QuotaAsk{Organisation: site.OrganisationName(ask.GetOrganisation()), Units: units})
+		r.Asks = append(r.Asks, site.QuotaAsk{Organisation: site.OrganisationName(ask.GetOrganisation()), Units: units, IsRepeat: ask.GetIsRepeat()})
 	}
 	for _, returned := range message.GetReturns() {
-		if isAmount(returned.GetUnits()) && isAmount(returned.GetLateUnits()) {
-			r.Returns = append(r.Returns, site.QuotaReturn{Organisation: site.OrganisationName(returned.GetOrganisation()), Units: returned.GetUnits(), LateUnits: returned.GetLateUnits()})
+		if isAmount(returned.GetUnits()) && returned.GetAgeNanoseconds() >= 0 {
+			r.Returns = append(r.Returns, site.QuotaReturn{Organisation: site.OrganisationName(returned.GetOrganisation()), Units: returned.GetUnits(), Age: time.Duration(returned.GetAgeNanoseconds())})
 		}
 	}
 	return r
