watch, zone: hosts without an owner ask other hosts

Cause: a host that the store turns away asked only the owners in its view, and learns of owners only from the store and from owners. Without one that answers it kept its desired state, and served removed keys, without end: a host turned away before it knew an owner, and the owner of the only zone. Nobody took such a zone over, because an owner that answers counted as one, also after its lease had ended.

Change: while no owner answers, the store has turned the host away and a table is outdated, the follower asks two other registered hosts for changes, each every 350 ms, those of the own region first; a host that does not help is replaced by the next one without a call more. The checks of positions and eras are those for owners. The elector treats an owner that answers and gives no orders for FirstOrderDelay and 2 s as missing, unless the store is away for this host too. The hosts of key_test.go listen on ports below those of outgoing connections, which had taken some.

Result: TestRefusedHostWithoutOwnerAsksOtherHosts (4 parts) and the "store replies" part of TestZoneOfIdleOwnerIsTaken are red without the change. Where owners answer no call is added (TestHostsAreNotAskedWhereOwnersReply).

--- a/coordination/watch/cache.go
+++ b/coordination/watch/cache.go
@@ -73,10 +73,11 @@
 	// isSynced means that every table was read at least once and a desired state is
 	// known. It stays true from then on.
 	isSynced atomic.Bool
-	// lastOutage is the time of the last failure to reach the store, in nanoseconds
-	// since started.
-	started    time.Time
-	lastOutage atomic.Int64
+	// lastOutage is the time of the last failure to reach the store, and lastStoreReply that
+	// of its last reply to this host, in nanoseconds since started.
+	started        time.Time
+	lastOutage     atomic.Int64
+	lastStoreReply atomic.Int64
 
 	// mutex guards tables. Only the goroutine of Run changes them; the goroutines
 	// that answer other hosts and the store reader read them.
@@ -114,6 +115,7 @@
 		empty.BuildIndex()
 		w.view.Store(empty)
 		w.lastOutage.Store(int64(-time.Hour))
+		w.lastStoreReply.Store(int64(-time.Hour))
 	})
 }
 
@@ -140,12 +142,14 @@
 // changes, or StoreSource.
 func (w *Cache) Enqueue(changes site.Changes, source string) bool {
 	w.prepare()
+	w.recordStoreReply(source)
 	return w.arrivals.Offer(arrival{changes: changes, source: source, confirmedAt: time.Now().Add(-changes.Age)})
 }
 
 // Apply does the same and waits until the changes are applied, or ctx ends.
 func (w *Cache) Apply(ctx context.Context, changes site.Changes, source string) error {
 	w.prepare()
+	w.recordStoreReply(source)
 	applied := make(chan struct{})
 	if !w.arrivals.Offer(arrival{changes: changes, source: source, confirmedAt: time.Now().Add(-changes.Age), applied: applied}) {
 		return errCacheBusy
@@ -164,6 +168,20 @@
 	w.lastOutage.Store(int64(time.Since(w.started)))
 }
 
+// recordStoreReply records that the store replied to this host just now if it is the source.
+func (w *Cache) recordStoreReply(source string) {
+	if source == StoreSource {
+		w.lastStoreReply.Store(int64(time.Since(w.started)))
+	}
+}
+
+// isStoreLost reports whether the store could not be reached and has not replied to this
+// host since.
+func (w *Cache) isStoreLost() bool {
+	w.prepare()
+	return w.lastOutage.Load() > w.lastStoreReply.Load()
+}
+
 // HasSynced reports whether all tables were read at least once and a desired
 // state is known. It stays true from then on.
 func (w *Cache) HasSynced() bool {
--- a/coordination/watch/changebound_test.go
+++ b/coordination/watch/changebound_test.go
@@ -25,7 +25,7 @@
 
 // A changingStore holds a desired state that a test changes. A server changes before
 // each read of the table of servers, so that such a read returns at once. The table of
-// hosts is empty.
+// hosts does not change.
 type changingStore struct {
 	mutex sync.Mutex
 	// version and desiredPosition are those of the desired state.
@@ -35,6 +35,8 @@
 	// changed is closed when the desired state changes.
 	changed chan struct{}
 	reads   map[site.Table]int
+	// hosts are the rows of the table of hosts, whose position is 1.
+	hosts []site.Row
 }
 
 func newChangingStore() *changingStore {
@@ -61,6 +63,8 @@
 		return []site.Row{{Key: "server", Value: []byte("ready"), Position: s.position}}
 	case table == "op" && s.desiredPosition > after:
 		return []site.Row{{Key: "config", Value: []byte{s.version}, Position: s.desiredPosition}}
+	case table == "hosts" && after == 0:
+		return s.hosts
 	default:
 		return nil
 	}
--- a/coordination/watch/follower.go
+++ b/coordination/watch/follower.go
@@ -68,7 +68,8 @@
 )
 
 // A Follower is the duty that polls the owners of all zones and applies their
-// replies to Cache and Residencies. Its exported fields are set before Run.
+// replies to Cache and Residencies. While neither the store nor an owner replies, it asks
+// other hosts for changes. Its exported fields are set before Run.
 type Follower struct {
 	// Self is the name of this host.
 	Self string
@@ -86,6 +87,7 @@
 	// owners holds the state of each polled owner by host name. It belongs to the
 	// goroutine of Run.
 	owners map[string]*ownerState
+	others otherHosts
 	// liveOwners holds the owners that are neither lost nor leaving, by host name.
 	// The map is replaced with each change and never modified.
 	liveOwners atomic.Pointer[map[string]liveOwner]
@@ -122,6 +124,7 @@
 			f.handleResult(r, time.Now())
 		case <-timer.C:
 			f.pollOwners(ctx, time.Now())
+			f.pollOtherHosts(ctx, time.Now())
 			timer.Reset(ownerCheckInterval)
 		}
 	}
@@ -191,13 +194,19 @@
 	if l.zones[f.Zone] || f.replacesOwnZoneOwner(l, now) {
 		request.Positions = f.Cache.Positions()
 	}
-	host := l.host
+	f.sendFollow(ctx, l.host, request, followResult{requestedChanges: len(request.Positions) > 0, sentAt: now})
+}
+
+// sendFollow sends a follow request on a worker goroutine, which adds the host and its
+// reply to the result and passes it to the goroutine of Run.
+func (f *Follower) sendFollow(ctx context.Context, host *site.Host, request site.FollowRequest, result followResult) {
 	f.lifecycle.Go(func() {
 		limited, cancel := context.WithTimeout(ctx, followTimeout)
 		defer cancel()
-		reply, err := f.Peers.Follow(limited, host.Address, request)
+		result.host, result.start = host.Name, host.Start
+		result.reply, result.err = f.Peers.Follow(limited, host.Address, request)
 		select {
-		case f.results <- followResult{host: host.Name, start: host.Start, requestedChanges: len(request.Positions) > 0, sentAt: now, reply: reply, err: err}:
+		case f.results <- result:
 		case <-ctx.Done():
 		}
 	})
--- a/coordination/watch/followreply.go
+++ b/coordination/watch/followreply.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/persimmonmux/persimmonmux/state/site"
@@ -10,6 +11,8 @@
 type followResult struct {
 	host  string
 	start int64
+	// isOtherHost reports whether the host was asked in place of an owner.
+	isOtherHost bool
 	// requestedChanges reports whether the request included changes of the tables.
 	requestedChanges bool
 	sentAt           time.Time
@@ -19,6 +22,10 @@
 
 // handleResult applies the reply to a follow request.
 func (f *Follower) handleResult(r followResult, now time.Time) {
+	if r.isOtherHost {
+		f.handleOtherHost(r, now)
+		return
+	}
 	l := f.owners[r.host]
 	if l == nil || l.host.Start != r.start {
 		return
@@ -30,6 +37,7 @@
 	if l.isLost {
 		f.Log.Info().Str("owner", r.host).Msg("owner regained")
 	}
+	l.hasReplied = true
 	l.lastReply, l.isLeaving, l.isLost, l.orderingZones = now, r.reply.Leaving, false, r.reply.OrderingZones
 	f.publishLiveOwners()
 	if r.requestedChanges {
@@ -49,14 +57,22 @@
 // applyChanges passes the changes of a reply to the cache and records whether the
 // owner is stale.
 func (f *Follower) applyChanges(l *ownerState, r followResult, now time.Time) {
+	hasLostHistory := slices.ContainsFunc(r.reply.Changes, func(changes site.Changes) bool {
+		return changes.CompleteThrough.Era() < f.Cache.Position(changes.Table).Era()
+	})
+	ages := f.enqueueChanges(r, now)
+	l.isStale = hasLostHistory || f.Cache.isStaleOwner(ages)
+}
+
+// enqueueChanges passes the changes of a reply to the cache and returns the age of each
+// table at the host that sent them.
+func (f *Follower) enqueueChanges(r followResult, now time.Time) map[site.Table]time.Duration {
 	ages := make(map[site.Table]time.Duration, len(r.reply.Changes))
-	hasLostHistory := false
 	for _, changes := range r.reply.Changes {
 		ages[changes.Table] = changes.Age
-		hasLostHistory = hasLostHistory || changes.CompleteThrough.Era() < f.Cache.Position(changes.Table).Era()
 		// The owner wrote the reply after the request was sent.
 		changes.Age += now.Sub(r.sentAt)
 		f.Cache.Enqueue(changes, r.host)
 	}
-	l.isStale = hasLostHistory || f.Cache.isStaleOwner(ages)
+	return ages
 }
--- a/coordination/watch/owner.go
+++ b/coordination/watch/owner.go
@@ -21,9 +21,11 @@
 	zones          map[string]bool
 	nextPoll       time.Time
 	requestPending bool
-	lastReply      time.Time
-	isLeaving      bool
-	isLost         bool
+	// lastReply is when this host learned of the owner until hasReplied is true.
+	lastReply  time.Time
+	hasReplied bool
+	isLeaving  bool
+	isLost     bool
 	// isStale means that the last reply to a request for changes came from an owner
 	// whose own tables are too old, or of a history that the store has lost.
 	isStale bool
--- a/coordination/zone/elector.go
+++ b/coordination/zone/elector.go
@@ -33,6 +33,13 @@
 	// minOwnerLinkMegabits is the bandwidth in Mbit/s that an owner needs, because
 	// each host of the zone sends it follow requests and placement requests.
 	minOwnerLinkMegabits = 50
+	// idleOwnerDelay is how much longer than FirstOrderDelay an owner that replies may send
+	// no orders in its zone. It then counts as missing, because the store has turned it away
+	// until its lease ended.
+	idleOwnerDelay = 2 * time.Second
+	// maxStoreAge is the time since the last known reply of the store from which owners
+	// without a lease are not replaced: nobody can take a lease then.
+	maxStoreAge = 4 * time.Second
 )
 
 // Leases are the leases of this host. lease.Manager implements them.
@@ -47,11 +54,15 @@
 	View() *site.View
 	// Era returns the highest era of the tables that the view is built from.
 	Era() table.Era
+	// StoreAge returns the time since the last known reply of the platform's store.
+	StoreAge() time.Duration
 }
 
 // Owners reports which owners of zones reply to this host.
 type Owners interface {
 	Alive(host string) bool
+	// GivesOrders reports whether the host is alive and sends orders in the zone.
+	GivesOrders(host, zone string) bool
 }
 
 // An Elector is the duty that registers this host and acquires the leases of
@@ -84,9 +95,10 @@
 	gainedEvents map[lease.Name]lease.Event
 	// wantedZones holds the zones whose leases this host requested.
 	wantedZones map[string]bool
-	// ownerlessSince holds the time since when a zone has had no owner that
-	// replies.
+	// ownerlessSince holds the time since when a zone has had no owner that works.
 	ownerlessSince map[string]time.Time
+	// idleOwners holds the owners that reply and send no orders in their zone, by zone.
+	idleOwners map[string]idleOwner
 	// registration is what is known of the row of this host.
 	registration registration
 	// registrationResults receives the outcome of each write of the row.
@@ -100,6 +112,13 @@
 	ordersFrom time.Time
 }
 
+// An idleOwner is an owner that replies and sends no orders in its zone under an epoch.
+type idleOwner struct {
+	host  string
+	epoch uint64
+	since time.Time
+}
+
 // LeaseName returns the name of a zone's lease.
 func LeaseName(zone string) lease.Name {
 	return lease.Name("zone-" + zone)
@@ -110,6 +129,7 @@
 		e.gainedEvents = make(map[lease.Name]lease.Event)
 		e.wantedZones = make(map[string]bool)
 		e.ownerlessSince = make(map[string]time.Time)
+		e.idleOwners = make(map[string]idleOwner)
 		e.registrationResults = ring.New[registrationResult](1)
 		e.heldZones.Store(&map[string]heldZone{})
 	})
@@ -228,14 +248,13 @@
 }
 
 // updateCandidacy requests a zone's lease if the zone has had no owner that
-// replies for the given delay, and withdraws the request if another owner
-// replies.
+// works for the given delay, and withdraws the request if another owner does.
 func (e *Elector) updateCandidacy(view *site.View, zone string, held map[string]heldZone, delay time.Duration, now time.Time) {
 	if _, ok := held[zone]; ok {
 		return
 	}
 	owner := view.Owners[zone]
-	if owner != nil && owner.Name != e.Host.Name && e.Owners.Alive(owner.Name) {
+	if owner != nil && owner.Name != e.Host.Name && e.isWorking(owner, zone, now) {
 		delete(e.ownerlessSince, zone)
 		if e.wantedZones[zone] {
 			delete(e.wantedZones, zone)
@@ -256,6 +275,24 @@
 	}
 }
 
+// isWorking reports whether an owner replies and has not been idle for too long. It keeps
+// idleOwners.
+func (e *Elector) isWorking(owner *site.Host, zone string, now time.Time) bool {
+	if !e.Owners.Alive(owner.Name) {
+		return false
+	}
+	if e.Owners.GivesOrders(owner.Name, zone) || !e.wantedZones[zone] && e.Views.StoreAge() > maxStoreAge {
+		delete(e.idleOwners, zone)
+		return true
+	}
+	idle := e.idleOwners[zone]
+	if idle.host != owner.Name || idle.epoch != owner.OwnedZones[zone] {
+		idle = idleOwner{host: owner.Name, epoch: owner.OwnedZones[zone], since: now}
+		e.idleOwners[zone] = idle
+	}
+	return now.Sub(idle.since) < e.FirstOrderDelay+idleOwnerDelay
+}
+
 // candidateRank returns this host's rank among the candidates of a zone. Hosts
 // with narrow links rank after all others.
 func (e *Elector) candidateRank(zone string) int {
--- a/coordination/zone/elector_test.go
+++ b/coordination/zone/elector_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,9 @@
 type fakePlatform struct {
 	view  *site.View
 	alive bool
+	// isIdle says that the owner of the view sends no orders.
+	isIdle   atomic.Bool
+	storeAge time.Duration
 
 	events *ring.Ring[lease.Event]
 
@@ -66,9 +70,11 @@
 	f.epochs[name] = epoch
 }
 
-func (f *fakePlatform) View() *site.View  { return f.view }
-func (f *fakePlatform) Era() table.Era    { return 0 }
-func (f *fakePlatform) Alive(string) bool { return f.alive }
+func (f *fakePlatform) View() *site.View                { return f.view }
+func (f *fakePlatform) Era() table.Era                  { return 0 }
+func (f *fakePlatform) Alive(string) bool               { return f.alive }
+func (f *fakePlatform) StoreAge() time.Duration         { return f.storeAge }
+func (f *fakePlatform) GivesOrders(string, string) bool { return f.alive && !f.isIdle.Load() }
 func (f *fakePlatform) Commit(context.Context, table.Transaction) ([]table.WriteResult, error) {
 	return nil, errors.New("no store")
 }
@@ -166,3 +172,43 @@
 		c.Check(f.ranks, quicktest.HasLen, 0)
 	})
 }
+
+// isWanted reports whether the lease was requested since the last call.
+func (f *fakePlatform) isWanted(name lease.Name) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	_, ok := f.ranks[name]
+	delete(f.ranks, name)
+	return ok
+}
+
+// TestZoneOfIdleOwnerIsTaken guards against a zone that nobody takes over, because its owner
+// replies although the store has turned it away until its lease ended. It guards also
+// against reads of the lease of a new owner that waits before its first order, and of all
+// leases while the store is away.
+func TestZoneOfIdleOwnerIsTaken(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		storeAge time.Duration
+		isTaken  bool
+	}{{"store replies", time.Second, true}, {"store is away", maxStoreAge + time.Second, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFakePlatform()
+			f.alive, f.storeAge = true, test.storeAge
+			f.view = &site.View{Hosts: map[string]*site.Host{"other": {Name: "other", OwnedZones: map[string]uint64{"east": 1}}}}
+			f.view.BuildIndex()
+			withElector(t, f, 200, func(c *quicktest.C, elector *Elector) {
+				f.isIdle.Store(true)
+				time.Sleep(elector.FirstOrderDelay)
+				c.Check(f.isWanted(LeaseName("east")), quicktest.IsFalse)
+				time.Sleep(idleOwnerDelay + 2*checkInterval)
+				c.Check(f.isWanted(LeaseName("east")), quicktest.Equals, test.isTaken)
+				f.isIdle.Store(false)
+				time.Sleep(10 * time.Second)
+				f.isIdle.Store(true)
+				time.Sleep(elector.FirstOrderDelay)
+				c.Check(f.isWanted(LeaseName("east")), quicktest.IsFalse)
+			})
+		})
+	}
+}
--- a/internal/explain/explanation.go
+++ b/internal/explain/explanation.go
@@ -76,6 +76,8 @@
 		return "zone " + line.fieldText("zone")
 	case "owner lost", "owner regained":
 		return "owner " + line.fieldText("owner")
+	case "store and owners do not reply; other hosts are asked", "tables come from the store or an owner again":
+		return "source of tables"
 	case "front host started", "front host stops: giving zones up and finishing requests", "settings reloaded; other changes need a restart":
 		return "host"
 	case "server announced", "server is gone", "engine does not answer", "engine answers again":
--- a/internal/fronthost/key_test.go
+++ b/internal/fronthost/key_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -112,12 +113,19 @@
 	})
 }
 
-// freeAddress returns a loopback address with a free port.
+// freeAddress returns a loopback address with a free port. The port is below those that
+// outgoing connections get, so that none of them takes it before the host listens.
 func (s *keySite) freeAddress() netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	s.Assert(err, quicktest.IsNil)
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	const firstPort, portCount, tries = 27000, 5000, 100
+	for range tries {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(portCount)))
+		if listener, err := net.Listen("tcp", address.String()); err == nil {
+			listener.Close()
+			return address
+		}
+	}
+	s.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 // serve answers a request of a host and records whose it is.
@@ -245,6 +253,39 @@
 	s.checkMessages()
 }
 
+// TestKeysOfRefusedOwner guards against an owner that the store turns away and that accepts a
+// removed key without end, before its lease ends and after that, and against a zone that
+// nobody takes over from it.
+func TestKeysOfRefusedOwner(t *testing.T) {
+	const leaseTime = 13 * time.Second
+	s := newKeySite(t, 2)
+	s.writeKeys(firstKey)
+	s.awaitStatus(firstKey, http.StatusOK, 15*time.Second)
+	refused := s.awaitOwner(15 * time.Second)
+	s.isRefused[refused].Store(true)
+	refusedAt := time.Now()
+	time.Sleep(5 * time.Second)
+	s.writeKeys(secondKey)
+	s.awaitStatus(firstKey, http.StatusUnauthorized, changeBound)
+	time.Sleep(time.Until(refusedAt.Add(leaseTime)))
+	s.writeKeys(firstKey)
+	s.awaitStatus(secondKey, http.StatusUnauthorized, changeBound)
+	s.awaitStatus(firstKey, http.StatusOK, 0)
+
+	// The zone is without an owner until the lease of this one and the wait of the next
+	// one have ended.
+	for isTaken := false; !isTaken; time.Sleep(100 * time.Millisecond) {
+		s.Assert(time.Since(refusedAt) < 3*leaseTime, quicktest.IsTrue, quicktest.Commentf("no other host has taken the zone over"))
+		isTaken = strings.Contains(s.log.text(), `"owner":"`+s.hosts[1-refused].HostName+`"`)
+	}
+	t.Logf("zone has a new owner %s after the store turned the last one away", time.Since(refusedAt).Round(time.Second))
+	time.Sleep(2 * time.Second)
+	s.writeKeys(secondKey)
+	s.awaitStatus(firstKey, http.StatusUnauthorized, changeBound)
+	s.awaitStatus(secondKey, http.StatusOK, 0)
+	s.checkMessages()
+}
+
 // checkMessages checks that the replies of hosts to each other and their metrics hold no key.
 func (s *keySite) checkMessages() {
 	client := &peer.Client{FailureDomain: "z"}
--- a/internal/fronthost/ownerliveness.go
+++ b/internal/fronthost/ownerliveness.go
@@ -31,8 +31,13 @@
 	}
 }
 
-// Alive reports whether the host has answered recently and is not stopping. It
-// implements the interface through which the elector checks owners.
+// Alive reports whether the host has answered recently and is not stopping. With
+// GivesOrders it implements the interface through which the elector checks owners.
 func (l *ownerLiveness) Alive(host string) bool {
 	return l.follower != nil && l.follower.Alive(host)
 }
+
+// GivesOrders reports whether the host is alive and sends orders in the zone.
+func (l *ownerLiveness) GivesOrders(host, zone string) bool {
+	return l.follower != nil && l.follower.GivesOrders(host, zone)
+}
