fronthost: hide keys in replies of hosts of earlier versions

Cause: a host of an earlier version sends the desired state as the store has it. Its rows were stored and passed on with the keys. Change: followClient, between the follower and the peer client, has platform.HideKeys put digests in place of keys in each reply. Rows without a value stay, since they stand for known rows.

--- a/internal/fronthost/parts.go
+++ b/internal/fronthost/parts.go
@@ -221,7 +221,7 @@
 		Zone:        h.Settings.FailureDomain,
 		Region:      h.Settings.Regions[h.Settings.FailureDomain],
 		Cache:       cache,
-		Peers:       client,
+		Peers:       followClient{client},
 		Residencies: balancer,
 		Log:         h.Log,
 	}
