forward: public requests count as organisation priority 0

Cause: without an organisation the queue of owners took the priority of the route and engines twice that. Among requests of organisations, a public one of route priority 1 went before all but the first at owners, and after two more levels at engines. Change: while keys are required, a request on a public route is ordered as one of an organisation of priority 0, in both. The urgency is decided once for each request. Where no keys are required the values are as before.

--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -176,7 +176,7 @@
 	if failure != nil {
 		return failure
 	}
-	p.organisation = organisation
+	p.organisation, p.urgency = organisation, newUrgency(f.Views.View(), organisation, route)
 	limit := route.Timeout
 	if request.MaxWait > 0 && request.MaxWait < limit {
 		limit = request.MaxWait
--- a/coordination/forward/organisation.go
+++ b/coordination/forward/organisation.go
@@ -127,6 +127,16 @@
 	return err
 }
 
+// newUrgency returns the urgency of a request. While keys are required, requests on public
+// routes have the priority of the most urgent organisations, so that they are ordered
+// alike at owners and at engines.
+func newUrgency(view *site.View, organisation *site.Organisation, route *site.Route) site.Urgency {
+	if organisation == nil && view.Desired.RequiresKeys {
+		organisation = &site.Organisation{}
+	}
+	return site.NewUrgency(organisation, route)
+}
+
 // quotaUnits returns what the request takes from the quota.
 func (r *Request) quotaUnits(quota site.Quota) float64 {
 	if quota.Unit != site.QuotaTokens {
--- a/coordination/forward/placement.go
+++ b/coordination/forward/placement.go
@@ -60,7 +60,7 @@
 		Server:         pick.Server.Incarnation,
 		Adapter:        want.Adapter,
 		MinVersion:     want.MinVersion,
-		Priority:       site.NewUrgency(p.organisation, p.route).Queue,
+		Priority:       p.urgency.Queue,
 		PromptTokens:   p.request.PromptTokens,
 		SlackTime:      time.Until(p.request.Arrived.Add(p.route.TargetLatency)),
 		MaxWait:        time.Until(until),
--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -32,6 +32,8 @@
 	// and where no keys are required. charge is what was taken from its quota.
 	organisation *site.Organisation
 	charge       site.QuotaCharge
+	// urgency orders the request among others.
+	urgency site.Urgency
 	// At deadline the request gets its final response. A request that has not been
 	// sent to any server by unsentDeadline is refused then.
 	deadline, unsentDeadline time.Time
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -18,7 +18,7 @@
 		NewConnection: !p.route.Repeatable() && f.namelessRefusals.has(server.ID, time.Now()),
 	}
 	if want.Adapter.Model != "" {
-		options.Priority = site.NewUrgency(p.organisation, p.route).Engine
+		options.Priority = p.urgency.Engine
 		if want.Adapter.Name != "" {
 			options.Version = want.MinVersion
 		}
