forward, front: bound the wait and the log lines of refused keys

Cause: the deadline of a request was read after Authorize, which may wait 400 ms for a newer desired state, whatever X-Deadline-Ms says. Each refusal wrote a line with an id that callers choose and that nothing bounds. Change: the deadline is read first and ends the wait for an unknown key 30 ms before it. A malformed one is still refused after the key and the body. Log lines of a request show 128 bytes of its id. At most 10 lines a second are written about refused keys, and the next one has the number of those left out; the metric counts all. Result: TestUnknownKeyIsDecidedBeforeItsCallerLeaves is red with the former handler (no answer in 5 s from an identifier that waits for the end of its context). TestRefusedKeysWriteFewLogLines: 50 refusals with ids of 64 KiB write 10 lines of under 330 bytes; it uses the new limit, so there is no run of it without the change.

--- a/coordination/forward/delivery.go
+++ b/coordination/forward/delivery.go
@@ -71,7 +71,7 @@
 			f.recordInterruption(ctx, p, server)
 		}
 	}
-	f.Log.Info().Str("request", p.request.AttemptID).Str("route", p.route.Name).Str("server", string(server.ID)).Strs("prompt-parts", p.request.PromptParts).
+	f.Log.Info().Str("request", p.request.loggedID()).Str("route", p.route.Name).Str("server", string(server.ID)).Strs("prompt-parts", p.request.PromptParts).
 		Int("sends", p.sends).Int("events", p.events).Str("content-type", shortened(head.ContentType)).Int64("delivered-bytes", delivered).Err(err).Msg("answer broke off")
 	return blockedFailure(ctx, server, verdict.NewMayHaveRun(verdict.CodeIncomplete, err, "response of server %s ended early", server.ID))
 }
--- a/coordination/forward/forwarder.go
+++ b/coordination/forward/forwarder.go
@@ -146,6 +146,8 @@
 	Log      zerolog.Logger
 
 	namelessRefusals namelessRefusals
+	// refusalLines limits the log lines about requests that are refused for their keys.
+	refusalLines lineLimit
 }
 
 // ErrHostStopping is the cause of the end of a request's context that is not due to its client:
@@ -195,13 +197,13 @@
 	err := f.runWithinQuota(limited, p)
 	f.Recorder.RecordRequest(route, p.service, request.Arrived, p.sends, p.placementWait, verdict.FromError(err))
 	if err != nil && ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrHostStopping) {
-		f.Log.Info().Str("request", request.AttemptID).Str("route", route.Name).Str("service", string(p.service)).
+		f.Log.Info().Str("request", request.loggedID()).Str("route", route.Name).Str("service", string(p.service)).
 			Int("sends", p.sends).Bool("started", client.ResponseStarted()).Str("waits", string(p.waitingFor)).Str("server", string(p.server)).
 			Dur("after", time.Since(request.Arrived)).Msg("client left")
 		return ErrClientGone
 	}
 	if failure = verdict.FromError(err); failure != nil {
-		f.Log.Info().Str("request", request.AttemptID).Str("route", route.Name).Int64("desired", view.Desired.Version).
+		f.Log.Info().Str("request", request.loggedID()).Str("route", route.Name).Int64("desired", view.Desired.Version).
 			Str("service", string(p.service)).Int("sends", p.sends).Str("verdict", string(failure.Verdict)).Str("code", string(failure.Code)).
 			Dur("after", time.Since(request.Arrived)).Err(failure).Msg("request failed")
 		return failure
--- a/coordination/forward/organisation.go
+++ b/coordination/forward/organisation.go
@@ -43,8 +43,8 @@
 	KeyUndecided KeyRefusal = "undecided"
 )
 
-// Authorize returns why a request is refused for its key, or nil. It needs neither the body
-// nor the deadline of the request. Forward decides again, because the desired state may
+// Authorize returns why a request is refused for its key, or nil. It does not need the body
+// of the request, and waits no longer than its client. Forward decides again, because the desired state may
 // change until the body is read.
 func (f *Forwarder) Authorize(ctx context.Context, request *Request) *verdict.Error {
 	view := f.Views.View()
@@ -91,6 +91,11 @@
 	if organisation := view.OrganisationOf(request.Key); organisation != nil {
 		return organisation, nil
 	}
+	if request.MaxWait > 0 {
+		limited, cancel := context.WithDeadline(ctx, request.Arrived.Add(request.MaxWait-finalResponseMargin))
+		defer cancel()
+		ctx = limited
+	}
 	organisation, err := f.Identifier.Identify(ctx, request.Key)
 	return organisation, verdict.FromError(err)
 }
@@ -104,8 +109,10 @@
 // refuseKey records that a request is refused for its key and returns the failure.
 func (f *Forwarder) refuseKey(request *Request, route *site.Route, reason KeyRefusal, failure *verdict.Error) *verdict.Error {
 	f.Recorder.RecordKeyRefusal(reason)
-	f.Log.Info().Str("request", request.AttemptID).Str("route", route.Name).Str("reason", string(reason)).Str("code", string(failure.Code)).
-		Dur("after", time.Since(request.Arrived)).Msg("request refused for its key")
+	if omitted, ok := f.refusalLines.take(time.Now()); ok {
+		f.Log.Info().Str("request", request.loggedID()).Str("route", route.Name).Str("reason", string(reason)).Str("code", string(failure.Code)).
+			Dur("after", time.Since(request.Arrived)).Int("omitted", omitted).Msg("request refused for its key")
+	}
 	return failure
 }
 
--- a/coordination/forward/organisation_test.go
+++ b/coordination/forward/organisation_test.go
@@ -1,8 +1,12 @@
 package forward
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -227,3 +231,33 @@
 	c.Check(identifier.asked, quicktest.Equals, 0)
 	c.Check(s.sent[1].Organisation, quicktest.Equals, site.OrganisationName(""))
 }
+
+// TestRefusedKeysWriteFewLogLines guards against callers that fill the log with refusals, by
+// their number or by the length of their ids.
+func TestRefusedKeysWriteFewLogLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const refusals = 50
+		c := quicktest.New(t)
+		s := newKeyedSystem(plainRoute)
+		var output bytes.Buffer
+		f := &Forwarder{Views: s, Recorder: s, Log: zerolog.New(&output),
+			Identifier: &fakeIdentifier{err: verdict.NewNotRun(verdict.CodeUnauthorized, "unknown")}}
+		refuse := func() {
+			request := &Request{AttemptID: strings.Repeat("i", 1<<16), Host: "h", Path: "/x", Arrived: time.Now(), HasKey: true}
+			c.Assert(f.Authorize(context.Background(), request), quicktest.IsNotNil)
+		}
+		for range refusals {
+			refuse()
+		}
+		c.Check(strings.Count(output.String(), "\n"), quicktest.Equals, maxLinesPerSecond)
+		c.Check(output.Len() < maxLinesPerSecond*(maxLoggedIDBytes+200), quicktest.IsTrue)
+		c.Check(s.refusals, quicktest.HasLen, refusals)
+		output.Reset()
+		time.Sleep(time.Second)
+		refuse()
+		c.Check(output.String(), quicktest.Contains, fmt.Sprintf(`"omitted":%d,`, refusals-maxLinesPerSecond))
+		output.Reset()
+		refuse()
+		c.Check(output.String(), quicktest.Contains, `"omitted":0,`)
+	})
+}
--- a/coordination/forward/placement.go
+++ b/coordination/forward/placement.go
@@ -83,7 +83,7 @@
 		p.limitedBy = failure
 		p.turnDenied = p.refusedPlacements >= maxRefusedPlacements
 	case pick.Loaded && f.maySendWithoutTurn(server, request, failure):
-		f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Err(failure).Msg("request is sent without a turn")
+		f.Log.Info().Str("request", p.request.loggedID()).Str("server", string(server.ID)).Err(failure).Msg("request is sent without a turn")
 		f.Balancer.RecordTurn(server, false)
 		return nil
 	case request.StatedLimit.PerSecond > 0, failure.RetryAfter > 0:
@@ -91,7 +91,7 @@
 	}
 	p.refusedPlacements++
 	p.tried = append(p.tried, server.ID)
-	f.Log.Info().Str("request", p.request.AttemptID).Str("engine", string(server.ID)).Str("adapter", request.Adapter.Name).
+	f.Log.Info().Str("request", p.request.loggedID()).Str("engine", string(server.ID)).Str("adapter", request.Adapter.Name).
 		Int("version", request.MinVersion).Dur("waited", time.Since(began)).Err(failure).Msg("engine gave no turn")
 	return failure
 }
--- a/coordination/forward/send.go
+++ b/coordination/forward/send.go
@@ -56,7 +56,7 @@
 		time.Until(p.deadline) > minSendDuration && f.RetryBudget.AllowRetry(string(p.service)) {
 		response.Discard()
 		p.tried = append(p.tried, server.ID)
-		f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Int("status", head.Status).Msg("server responded with an error; retrying at another server")
+		f.Log.Info().Str("request", p.request.loggedID()).Str("server", string(server.ID)).Int("status", head.Status).Msg("server responded with an error; retrying at another server")
 		return f.resend(ctx, p)
 	}
 	if head.PromisesNotRun() && (!p.route.Repeatable() || head.Evidence.IsStated) {
@@ -99,7 +99,7 @@
 	if ctx.Err() == nil {
 		f.Balancer.RecordFailure(server)
 		p.tried = append(p.tried, server.ID)
-		f.Log.Info().Str("request", p.request.AttemptID).Str("server", string(server.ID)).Str("verdict", string(failure.Verdict)).
+		f.Log.Info().Str("request", p.request.loggedID()).Str("server", string(server.ID)).Str("verdict", string(failure.Verdict)).
 			Strs("prompt-parts", p.request.PromptParts).Int("sends", p.sends).Int("events", p.events).Err(failure).Msg("send failed")
 	}
 	return blockedFailure(ctx, server, failure)
@@ -121,7 +121,7 @@
 	}
 	doubt := head.Evidence.Doubt()
 	f.Recorder.RecordRefusal(p.service, doubt)
-	f.Log.Info().Str("request", p.request.AttemptID).Str("route", p.route.Name).Str("server", string(server.ID)).Int("status", head.Status).
+	f.Log.Info().Str("request", p.request.loggedID()).Str("route", p.route.Name).Str("server", string(server.ID)).Int("status", head.Status).
 		Str("doubt", string(doubt)).Bool("believed", head.ProvesNotRun()).Bool("reused", head.Evidence.OnReusedConnection).Bool("named", !head.Evidence.NamesNoRequest).
 		Int("sends", p.sends).Str("adapter", p.request.Adapter.Name).Msg("server refused the request")
 }
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -38,6 +38,8 @@
 		Arrived:     arrived,
 	}
 	request.Key, request.HasKey = platform.DecodeKey(r.Header)
+	maxWait, hasValidWait := decodeMaxWait(r.Header.Get(platform.HeaderRemainingTime))
+	request.MaxWait = maxWait
 	if failure := s.Forwarder.Authorize(r.Context(), request); failure != nil {
 		inbound.CloseIfUnread(w, r)
 		writeFailure(w, failure)
@@ -55,13 +57,9 @@
 	request.PromptTokens, request.MaxOutputTokens = platform.DecodeTokenCounts(r.Header.Get(platform.HeaderTokenCounts))
 	request.ContentID = contentID(r, body)
 	request.PromptParts = platform.DecodeSharedPromptParts(r.Header.Get(platform.HeaderPromptPrefix))
-	if text := r.Header.Get(platform.HeaderRemainingTime); text != "" {
-		milliseconds, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || milliseconds < 0 {
-			writeStatus(w, http.StatusBadRequest, 0)
-			return
-		}
-		request.MaxWait = time.Duration(milliseconds) * time.Millisecond
+	if !hasValidWait {
+		writeStatus(w, http.StatusBadRequest, 0)
+		return
 	}
 	exchange := &exchange{server: s, writer: w, request: r, body: body, lastEventID: request.LastEventID}
 	err := s.Forwarder.Forward(r.Context(), request, exchange)
@@ -75,6 +73,19 @@
 	writeFailure(w, verdict.FromError(err))
 }
 
+// decodeMaxWait returns how long the caller waits, or 0 if it did not say, and whether the
+// value is valid.
+func decodeMaxWait(text string) (maxWait time.Duration, isValid bool) {
+	if text == "" {
+		return 0, true
+	}
+	milliseconds, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || milliseconds < 0 {
+		return 0, false
+	}
+	return time.Duration(milliseconds) * time.Millisecond, true
+}
+
 // writeFailure writes the response to a request that has failed without one.
 func writeFailure(w http.ResponseWriter, failure *verdict.Error) {
 	status := statusOf(failure)
--- a/transport/front/key_test.go
+++ b/transport/front/key_test.go
@@ -272,3 +272,48 @@
 		})
 	}
 }
+
+// waitingIdentifier decides once the context ends, and refuses then.
+type waitingIdentifier struct{ keyIdentifier }
+
+func (i waitingIdentifier) Identify(ctx context.Context, key site.KeyDigest) (*site.Organisation, error) {
+	<-ctx.Done()
+	return i.keyIdentifier.Identify(ctx, key)
+}
+
+// TestUnknownKeyIsDecidedBeforeItsCallerLeaves guards against a request with an unknown key
+// that waits for a newer desired state beyond the time that its caller waits. A malformed
+// time is refused as it is with a known key.
+func TestUnknownKeyIsDecidedBeforeItsCallerLeaves(t *testing.T) {
+	c := quicktest.New(t)
+	b := startEchoBackend(c)
+	views := syncedViews()
+	views.view = testView(b)
+	views.view.Desired.RequiresKeys = true
+	views.view.BuildIndex()
+	s := newServer(c, views, &quarantine.Quarantine{Views: views, Prober: backend.Prober{}, Log: zerolog.Nop()})
+	s.Forwarder.(*forward.Forwarder).Identifier = waitingIdentifier{}
+	go s.Run(context.Background())
+	for _, milliseconds := range []string{"1", "200"} {
+		c.Check(statusWithin(c, s.Listener.Addr().String(), undecidedKey, milliseconds), quicktest.Equals, http.StatusServiceUnavailable)
+	}
+	address := startKeyedFront(c, b, nil)
+	c.Check(statusWithin(c, address, goodKey, "soon"), quicktest.Equals, http.StatusBadRequest)
+	c.Check(statusWithin(c, address, "unknown", "soon"), quicktest.Equals, http.StatusUnauthorized)
+}
+
+// statusWithin returns the status of a request with the key whose caller says that it waits
+// for the given time. It fails if there is none within some seconds.
+func statusWithin(c *quicktest.C, address, key, milliseconds string) int {
+	r, err := http.NewRequest(http.MethodGet, "http://"+address+"/safe/x", nil)
+	c.Assert(err, quicktest.IsNil)
+	r.Host = "h.example"
+	r.Header.Set("X-Attempt-Id", "id-1")
+	r.Header.Set("X-Deadline-Ms", milliseconds)
+	r.Header.Set("Authorization", "Token "+key)
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Do(r)
+	c.Assert(err, quicktest.IsNil)
+	answer.Body.Close()
+	return answer.StatusCode
+}
