platform, site, fronthost: clear names of what concerns keys

Cause: platform.HasKey and Request.HasKey meant different things, HasRequiredKeys did not say that it looks back, the comment on DecodedRow.Problems denied the names that it has, and persimmonmux.desired.age was the same as persimmonmux.table.age{table="op"}. Change: platform.MayCarryKey, View.KeysWereRequired, a new comment. Result: no change of behaviour but for the metric; the tests only follow the names.

--- a/coordination/watch/cache.go
+++ b/coordination/watch/cache.go
@@ -48,8 +48,9 @@
 	// Version is the declared version of Adapter; 0 if the row declares none.
 	Adapter site.Adapter
 	Version int
-	// Problems describes malformed parts of the row that are left out. It is empty if
-	// there are none, and holds nothing of their values.
+	// Problems describes malformed parts of the row, and what counts in their place, for a
+	// log line. It is empty if there are none. It has names of organisations and routes,
+	// but no key and no malformed value.
 	Problems string
 }
 
--- a/coordination/watch/publish.go
+++ b/coordination/watch/publish.go
@@ -26,7 +26,7 @@
 	if next.Desired == nil || before.Desired != nil && next.Desired.Version < before.Desired.Version {
 		next.Desired = before.Desired
 	}
-	next.HasRequiredKeys = before.HasRequiredKeys || next.Desired != nil && next.Desired.RequiresKeys
+	next.KeysWereRequired = before.KeysWereRequired || next.Desired != nil && next.Desired.RequiresKeys
 	next.BuildIndexAfter(before)
 	w.view.Store(next)
 	return before, next
--- a/internal/fronthost/gauges.go
+++ b/internal/fronthost/gauges.go
@@ -14,7 +14,6 @@
 	"github.com/persimmonmux/persimmonmux/internal/coordination/organisation"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quarantine"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quota"
-	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
@@ -117,15 +116,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = meter.Float64ObservableGauge("persimmonmux.desired.age", metric.WithUnit("s"),
-		metric.WithDescription("Time since the platform's store confirmed that the host has the newest desired state."),
-		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
-			o.Observe(cache.TableAge(platform.OperatorTable).Seconds())
-			return nil
-		}))
-	if err != nil {
-		return err
-	}
 	_, err = meter.Float64ObservableGauge("persimmonmux.table.age", metric.WithUnit("s"),
 		metric.WithDescription("Time since the platform's store confirmed that the host has all changes of a table."),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
--- a/state/site/view.go
+++ b/state/site/view.go
@@ -26,9 +26,9 @@
 type View struct {
 	// Desired is nil until a desired state is known.
 	Desired *DesiredState
-	// HasRequiredKeys says that this desired state or an earlier one that this process
+	// KeysWereRequired says that this desired state or an earlier one that this process
 	// knew requires keys, so that callers may send them.
-	HasRequiredKeys bool
+	KeysWereRequired bool
 	// Servers has the servers that have announced themselves, draining ones included.
 	Servers map[ServerID]*Server
 	// Versions has the versions of adapters and base models that operators
--- a/transport/front/key_test.go
+++ b/transport/front/key_test.go
@@ -55,7 +55,7 @@
 func startKeyedFront(c *quicktest.C, b *backendServer, prepare func(view *site.View)) string {
 	views := syncedViews()
 	views.view = testView(b)
-	views.view.HasRequiredKeys, views.view.Desired.RequiresKeys = true, true
+	views.view.KeysWereRequired, views.view.Desired.RequiresKeys = true, true
 	views.view.Desired.Organisations = []site.Organisation{{Name: "buyer", Keys: []site.KeyDigest{site.NewKeyDigest(goodKey)}}}
 	public := views.view.Desired.Routes[0]
 	public.Name, public.Prefix, public.Public = "p", "/public/", true
@@ -262,7 +262,7 @@
 			c := quicktest.New(t)
 			b := startEchoBackend(c)
 			address := startKeyedFront(c, b, func(view *site.View) {
-				view.HasRequiredKeys, view.Desired.RequiresKeys, view.Desired.Organisations = test.hadKeys, false, nil
+				view.KeysWereRequired, view.Desired.RequiresKeys, view.Desired.Organisations = test.hadKeys, false, nil
 			})
 			answer, _, err := sendRequest(address, "POST", "/safe/x", "prompt", "Authorization: "+test.value, "X-Tenant: other")
 			c.Assert(err, quicktest.IsNil)
--- a/transport/front/requestheader.go
+++ b/transport/front/requestheader.go
@@ -50,7 +50,7 @@
 	if view.Desired != nil && view.Desired.RequiresKeys {
 		return true
 	}
-	return view.HasRequiredKeys && platform.HasKey(e.request.Header)
+	return view.KeysWereRequired && platform.MayCarryKey(e.request.Header)
 }
 
 // hopByHopHeaders apply to one connection only and are not forwarded.
