--- a/coordination/forward/progress.go
+++ b/coordination/forward/progress.go
@@ -33,6 +33,8 @@
 	// for the first run.
 	organisation *site.Organisation
 	charge       site.QuotaCharge
+	// urgency orders the request among others.
+	urgency site.Urgency
 	// At deadline the request gets its final response. A request that has not been
 	// sent to any server by unsentDeadline is refused then.
 	deadline, unsentDeadline time.Time
--- a/internal/fronthost/gauges.go
+++ b/internal/fronthost/gauges.go
@@ -9,7 +9,6 @@
 
 	"github.com/persimmonmux/persimmonmux/coordination/balance"
 	"github.com/persimmonmux/persimmonmux/internal/coordination/quota"
-	"github.com/persimmonmux/persimmonmux/platform"
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
@@ -77,15 +76,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = meter.Float64ObservableGauge("persimmonmux.desired.age", metric.WithUnit("s"),
-		metric.WithDescription("Time since the platform's store confirmed that the host has the newest desired state."),
-		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
-			o.Observe(s.Cache.TableAge(platform.OperatorTable).Seconds())
-			return nil
-		}))
-	if err != nil {
-		return err
-	}
 	_, err = meter.Float64ObservableGauge("persimmonmux.table.age", metric.WithUnit("s"),
 		metric.WithDescription("Time since the platform's store confirmed that the host has all changes of a table."),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
