front: tests of request bodies close idle connections soon again

Cause: with 30 s of idle timeout since the fixture's change, the caller of TestCallerThatDoesNotReadIsCutOff can also stay on an idle connection: beside load it stops sending before the host has a refusal to write. Its bound and check are unchanged.

--- a/transport/front/requestbody_test.go
+++ b/transport/front/requestbody_test.go
@@ -32,6 +32,8 @@
 	views := syncedViews()
 	views.view = testView(b)
 	views.view.Desired.Limits.BodyBytes = bodyLimit
+	// Connections that are idle end soon, so that those that stay open have a request or a refusal.
+	views.view.Desired.Limits.IdleTimeout = shortIdleTimeout
 	blocked := &quarantine.Quarantine{Views: views, Prober: backend.Prober{}, Log: zerolog.Nop()}
 	go blocked.Run(c.Context())
 	s := newServer(c, views, blocked)
