--- a/review/_trial2/main.go
+++ b/review/_trial2/main.go
@@ -10,6 +10,7 @@
 // cases has the function of each case. It reports whether the rule held.
 var cases = map[string]func(*world) bool{
 	"second-stop": secondStop,
+	"callers":     callersCase,
 	"crowd":       crowdMemory,
 	"long-prompt": longPrompt,
 	"deadly-part": deadlyPartCase,
