quarantine: block a part that crashes engines without the adapters of its callers

Cause: three ends under one caller cannot tell the part from the part with that caller's adapter, and the narrower set was blocked. Its ends then counted as explained, so that the part alone never had three ends left before the adapter of the next caller explained those as well. Evidence: the logs of all hosts show six blocks that differ in the adapter only, each at all hosts within 57 ms.

Change: two further ends under a part of a blocked set, without the rest of it, have that part blocked in place of the set. A part that was in use in the minute before is left out of this, since different crashing parts may share it; hosts tell each other of such use as of other answers, dated before the end. The adapter is thereby refuted as the cause by the first ends without it, whoever calls next.

--- a/internal/coordination/quarantine/block.go
+++ b/internal/coordination/quarantine/block.go
@@ -106,7 +106,7 @@
 // blocks returns the blocks that follow from the evidence, sorted by their keys. A pair of
 // traits is blocked only for ends that no single trait explains, and a wider set only for
 // ends that narrower ones do not explain: traits that the requests share with sound ones
-// stay in use.
+// stay in use. A set that engines go on ending under is replaced by a part of it.
 func (e *evidence) blocks(now time.Time) []block {
 	candidates := e.candidates()
 	explained := make(map[*end]bool)
@@ -116,6 +116,7 @@
 		if countMoments(open) < minEnds {
 			continue
 		}
+		s = e.generalize(s, candidates)
 		for _, known := range s.ends {
 			explained[known] = true
 		}
@@ -128,6 +129,39 @@
 	return slices.SortedFunc(maps.Values(byKey), func(a, b block) int { return strings.Compare(a.key(), b.key()) })
 }
 
+// generalize returns the suspicion to act on in place of the given one: one against fewer of
+// its traits, if engines ended under requests with these and not the others. The others are then
+// those of the callers that came first. Traits that were in use shortly before an end are not
+// blocked for it: two sets that crash engines may share them.
+func (e *evidence) generalize(s *suspicion, candidates []*suspicion) *suspicion {
+	for {
+		i := slices.IndexFunc(candidates, func(general *suspicion) bool {
+			return general.isPartOf(s) && countMoments(e.furtherEnds(general, s)) >= minFurtherEnds
+		})
+		if i < 0 {
+			return s
+		}
+		s = candidates[i]
+	}
+}
+
+// isPartOf reports whether the suspicion is against some but not all traits of the other.
+func (s *suspicion) isPartOf(other *suspicion) bool {
+	return len(s.common) < len(other.common) && len(intersect(s.common, other.common)) == len(s.common)
+}
+
+// furtherEnds returns the ends that speak for the general suspicion and not for the narrow one,
+// without those shortly before which the traits of the general one were in use.
+func (e *evidence) furtherEnds(general, narrow *suspicion) []*end {
+	var further []*end
+	for _, known := range general.ends {
+		if !slices.Contains(narrow.ends, known) && known.at.Sub(e.soundAt[general.set]) >= recentUse {
+			further = append(further, known)
+		}
+	}
+	return further
+}
+
 // candidates returns the suspicions with at least minEnds ends: those against one trait
 // before those against pairs, then those against the most traits together, then those with
 // the most ends.
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -12,6 +12,9 @@
 	// are blocked. With fewer, traits that happened to be on engines that ended for
 	// other reasons would be blocked.
 	minEnds = 3
+	// minFurtherEnds is the number of engines that end in spite of a block, under requests
+	// that share some of its traits, from which these traits are blocked in its place.
+	minFurtherEnds = 2
 	// sameMomentWindow is the time within which several ends count as one. Engines
 	// that lose power together end together, with sound requests on all of them.
 	sameMomentWindow = 100 * time.Millisecond
@@ -92,6 +95,15 @@
 	}
 }
 
+// tellsUse reports whether the answer tells that any of its traits were in use clearly later
+// than known.
+func (e *evidence) tellsUse(a answer) bool {
+	return slices.ContainsFunc(a.traits, func(trait string) bool {
+		known := e.soundAt[traitSet{service: a.service, first: trait}]
+		return a.at.Sub(known) >= recentUse/2
+	})
+}
+
 // isCleared reports whether an answer that begins now to a request with the sorted traits
 // clears any of them of an end.
 func (e *evidence) isCleared(service site.ServiceName, traits []string, now time.Time) bool {
--- a/internal/coordination/quarantine/ledger.go
+++ b/internal/coordination/quarantine/ledger.go
@@ -72,6 +72,18 @@
 	return true
 }
 
+// recordEarlier records an answer of this process that began before an engine ended under a
+// request with the same sorted traits, and reports whether it tells that any of them were in use
+// later than known. It makes a difference to which traits are blocked.
+func (l *ledger) recordEarlier(a answer) bool {
+	if !l.evidence.tellsUse(a) {
+		return false
+	}
+	l.evidence.addSound(a.service, a.traits, a.at)
+	l.append(site.Observation{Service: a.service, Traits: a.traits}, a.at)
+	return true
+}
+
 // append adds an observation of this process.
 func (l *ledger) append(o site.Observation, at time.Time) {
 	own := l.logs[l.self]
--- a/internal/coordination/quarantine/message.go
+++ b/internal/coordination/quarantine/message.go
@@ -17,12 +17,18 @@
 	engine  site.Incarnation
 	service site.ServiceName
 	traits  []string
+	// earlier has answers that this host has seen to requests with some of the traits.
+	earlier []answer
 	// done is closed when the evidence is published.
 	done chan struct{}
 }
 
 func (i *interruption) apply(l *ledger, now time.Time) bool {
-	return l.recordEnd(i.engine, i.service, i.traits, now)
+	changed := l.recordEnd(i.engine, i.service, i.traits, now)
+	for _, a := range i.earlier {
+		changed = l.recordEarlier(a) || changed
+	}
+	return changed
 }
 
 // A soundAnswer is an answer that has begun. traits is sorted.
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -65,6 +65,7 @@
 	// change and never modified.
 	published atomic.Pointer[snapshot]
 	watches   watchList
+	recent    recentAnswers
 	// askOnce starts the goroutine that asks other hosts and then closes asked.
 	askOnce sync.Once
 	asked   chan struct{}
@@ -143,7 +144,10 @@
 	if !q.published.Load().ended[server.Incarnation] && !q.hasEnded(ctx, server) {
 		return
 	}
-	m := &interruption{engine: server.Incarnation, service: server.Service, traits: traits, done: make(chan struct{})}
+	m := &interruption{
+		engine: server.Incarnation, service: server.Service, traits: traits,
+		earlier: q.recent.withTraitsOf(server.Service, traits, time.Now()), done: make(chan struct{}),
+	}
 	if !q.messages.Offer(m) {
 		return
 	}
@@ -164,6 +168,7 @@
 // RecordSound records that the answer to a request with these traits has begun.
 func (q *Quarantine) RecordSound(service site.ServiceName, traits []string) {
 	q.prepare()
+	q.recent.add(answer{service: service, traits: traits, at: time.Now()})
 	suspects := q.published.Load().suspects
 	if len(suspects) == 0 {
 		return
