quarantine: answers clear every set of traits that their requests have

Cause: the traits of a suspect request were cut to 16 before they were sorted, so that the guilty part was never judged. And an answer cleared only the pairs that a suspect with the same traits would be judged by, the first eight in order: a pair of two shared parts that the shortened suspect was judged by, and the answered request was not, stayed suspect whatever was answered, and was blocked.

Change: up to 2,048 traits of a request are judged, more than a head of 16 KiB holds; memory and reports are bounded by the number of all traits, and a larger report goes out in parts. An answer clears each suspect set that its request contains, found in an index of the sets, also for ends that arrive later. Whether a set stays suspect then no longer depends on the other traits of the request, and no block refuses a request that was answered since the ends (drawn test).

TestHostsReachTheSameBlocks draws answers now, too. TestLongPromptsAreBounded and TestLargeReportArrivesInParts guard the new bounds.

--- a/coordination/forward/traits.go
+++ b/coordination/forward/traits.go
@@ -12,18 +12,18 @@
 var errBlocked = errors.New("servers ended under requests with the same traits")
 
 // traits returns what the request has in common with others that may crash servers in the
-// same way.
+// same way. The quarantine judges only the first ones of a very long list.
 func (r *Request) traits() []string {
 	traits := make([]string, 0, len(r.PromptParts)+2)
-	for _, id := range r.PromptParts {
-		traits = append(traits, "part:"+id)
-	}
 	if r.Adapter.Name != "" {
 		traits = append(traits, "adapter:"+r.Adapter.Model+"/"+r.Adapter.Name)
 	}
 	if r.ContentID != "" {
 		traits = append(traits, "content:"+r.ContentID)
 	}
+	for _, id := range r.PromptParts {
+		traits = append(traits, "part:"+id)
+	}
 	return traits
 }
 
--- a/internal/coordination/quarantine/block.go
+++ b/internal/coordination/quarantine/block.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -26,46 +27,90 @@
 	return string(b.service) + "\x00" + strings.Join(b.traits, "\x00")
 }
 
+// A suspect is a request whose answer had not begun on an engine that ended.
+type suspect struct {
+	end *end
+	// traits are sorted. open has those that no answer has cleared since the end.
+	traits, open []string
+}
+
 // A suspicion is what speaks against one set of traits.
 type suspicion struct {
 	set traitSet
 	// ends are the ends with such a request among the suspects and no answer to one
 	// since, by ascending time.
 	ends []*end
+	// suspects has the places of these requests in the list of all suspects.
+	suspects []int
 	// common has the set, and those other traits that all these suspect requests share and
-	// that no answer has cleared since.
+	// that no answer has cleared since. It is sorted and not modified.
 	common []string
 }
 
-// suspicions collects what speaks against each set of traits.
-func (e *evidence) suspicions() map[traitSet]*suspicion {
-	all := make(map[traitSet]*suspicion)
+// suspects lists the suspects of all ends. Those of one end follow each other.
+func (e *evidence) suspects() []suspect {
+	var list []suspect
 	for _, known := range e.ends {
 		for _, traits := range known.suspects {
-			open := e.openTraits(traits, known)
-			for set := range traitSets(known.service, traits) {
-				if !e.isSuspect(set, known) {
-					continue
-				}
-				blamed := set.union(open)
-				s := all[set]
-				if s == nil {
-					s = &suspicion{set: set, common: blamed}
-					all[set] = s
-				}
-				s.common = intersect(s.common, blamed)
-				if !slices.Contains(s.ends, known) {
-					s.ends = append(s.ends, known)
-				}
+			list = append(list, suspect{end: known, traits: traits, open: e.openTraits(traits, known)})
+		}
+	}
+	return list
+}
+
+// suspicions returns what speaks against those sets of traits under which engines ended in at
+// least minEnds moments.
+func (e *evidence) suspicions() map[traitSet]*suspicion {
+	e.suspectIndex()
+	suspects := e.suspects()
+	all := make(map[traitSet]*suspicion)
+	for place, request := range suspects {
+		for set := range traitSets(request.end.service, request.traits) {
+			if !e.isSuspect(set, request.end) {
+				continue
 			}
+			if all[set] == nil {
+				all[set] = &suspicion{set: set}
+			}
+			all[set].add(place, request.end)
 		}
 	}
-	for _, s := range all {
+	for set, s := range all {
 		slices.SortFunc(s.ends, func(a, b *end) int { return a.at.Compare(b.at) })
+		if countMoments(s.ends) < minEnds {
+			delete(all, set)
+		}
 	}
+	findCommon(all, suspects)
 	return all
 }
 
+// add adds the suspect at a place. Suspects are added by ascending place.
+func (s *suspicion) add(place int, known *end) {
+	s.suspects = append(s.suspects, place)
+	if len(s.ends) == 0 || s.ends[len(s.ends)-1] != known {
+		s.ends = append(s.ends, known)
+	}
+}
+
+// findCommon sets the common traits of the suspicions. The parts of a long prompt mostly have
+// the same suspects, whose common traits are then computed once.
+func findCommon(all map[traitSet]*suspicion, suspects []suspect) {
+	known := make(map[string][]string)
+	for set, s := range all {
+		key := fmt.Sprint(s.suspects)
+		common, ok := known[key]
+		if !ok {
+			common = suspects[s.suspects[0]].open
+			for _, place := range s.suspects[1:] {
+				common = intersect(common, suspects[place].open)
+			}
+			known[key] = common
+		}
+		s.common = set.union(common)
+	}
+}
+
 // openTraits returns those traits of a suspect request that no answer has cleared since the
 // end.
 func (e *evidence) openTraits(traits []string, known *end) []string {
@@ -81,9 +126,15 @@
 // intersect returns the strings that are in both sorted lists.
 func intersect(a, b []string) []string {
 	var both []string
-	for _, text := range a {
-		if _, found := slices.BinarySearch(b, text); found {
-			both = append(both, text)
+	for len(a) > 0 && len(b) > 0 {
+		switch strings.Compare(a[0], b[0]) {
+		case -1:
+			a = a[1:]
+		case 1:
+			b = b[1:]
+		default:
+			both = append(both, a[0])
+			a, b = a[1:], b[1:]
 		}
 	}
 	return both
@@ -168,12 +219,10 @@
 func (e *evidence) candidates() []*suspicion {
 	var list []*suspicion
 	for _, s := range e.suspicions() {
-		if countMoments(s.ends) >= minEnds {
-			list = append(list, s)
-		}
+		list = append(list, s)
 	}
 	slices.SortFunc(list, func(a, b *suspicion) int {
-		return cmp.Or(a.set.size()-b.set.size(), len(b.common)-len(a.common), len(b.ends)-len(a.ends), slices.Compare(a.common, b.common))
+		return cmp.Or(a.set.size()-b.set.size(), len(b.common)-len(a.common), len(b.ends)-len(a.ends), a.set.compare(b.set))
 	})
 	return list
 }
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -25,25 +25,32 @@
 	// unusedEndAge the age for other ends.
 	maxEndAge    = time.Hour
 	unusedEndAge = 2 * time.Minute
-	// maxEnds, maxSuspectsPerEnd and maxTraitsPerSuspect bound the memory for evidence
-	// to about 4 MB with traits of 16 bytes.
-	maxEnds             = 256
-	maxSuspectsPerEnd   = 64
-	maxTraitsPerSuspect = 16
-	// maxPairedTraits bounds the traits of one request that are also judged in pairs.
-	maxPairedTraits = 8
+	// maxTraits bounds the traits of one request. A head of 16 KiB holds 1,365 parts of
+	// prompts with ids of eight characters.
+	maxTraits = 2048
+	// maxEnds, maxSuspectsPerEnd, maxTraitsPerEnd and maxSuspectTraits bound the memory for
+	// suspects to about 4 MB with traits of 16 bytes.
+	maxEnds           = 256
+	maxSuspectsPerEnd = 64
+	maxTraitsPerEnd   = 8 * maxTraits
+	maxSuspectTraits  = 16 * maxTraitsPerEnd
+	// maxAnswers bounds the answers that are kept for ends which arrive after them.
+	maxAnswers = 512
 )
 
 // evidence is what is known of engines that ended and of the requests on them. The
 // goroutine of Quarantine.Run owns it.
 type evidence struct {
 	ends map[site.Incarnation]*end
-	// soundAt is when an answer last began to a request with the traits, for those that
-	// are among the suspects of an end or were so at the host that sent the answer.
+	// answers are the last answers, which clear ends that arrive later, too. Their traits are
+	// sorted.
+	answers []answer
+	// soundAt is when an answer last began to a request with the traits, for the sets in the
+	// index.
 	soundAt map[traitSet]time.Time
-	// newest has, for each set of suspect traits, the time of the newest end with them. It
-	// is nil if it has to be computed again.
-	newest map[traitSet]time.Time
+	// index has the sets that the suspects of the ends are judged by. It is nil if it has to
+	// be computed again.
+	index *suspectIndex
 }
 
 // An end is the end of one engine process.
@@ -52,6 +59,8 @@
 	at      time.Time
 	// suspects has the sorted traits of each request whose answer had not begun.
 	suspects [][]string
+	// traitCount is the number of traits of all suspects.
+	traitCount int
 }
 
 func newEvidence() *evidence {
@@ -70,27 +79,48 @@
 	}
 	if at.Before(known.at) {
 		known.at = at
-		e.newest = nil
+		e.index = nil
 	}
 	for _, traits := range suspects {
-		traits = slices.Compact(slices.Sorted(slices.Values(traits[:min(len(traits), maxTraitsPerSuspect)])))
-		isKnown := slices.ContainsFunc(known.suspects, func(other []string) bool { return slices.Equal(other, traits) })
-		if len(traits) > 0 && !isKnown && len(known.suspects) < maxSuspectsPerEnd {
-			known.suspects = append(known.suspects, traits)
-			changed = true
-		}
+		changed = known.addSuspect(sortedTraits(traits)) || changed
 	}
 	if changed {
-		e.newest = nil
+		e.index = nil
 	}
 	return changed
 }
 
-// addSound records an answer that began to a request with the sorted traits.
-func (e *evidence) addSound(service site.ServiceName, traits []string, at time.Time) {
-	for set := range traitSets(service, traits) {
-		if at.After(e.soundAt[set]) {
-			e.soundAt[set] = at
+// addSuspect adds a request with the sorted traits if it is not known and there is room for it,
+// and reports whether it did.
+func (n *end) addSuspect(traits []string) bool {
+	isKnown := slices.ContainsFunc(n.suspects, func(other []string) bool { return slices.Equal(other, traits) })
+	if len(traits) == 0 || isKnown || len(n.suspects) >= maxSuspectsPerEnd || n.traitCount+len(traits) > maxTraitsPerEnd {
+		return false
+	}
+	n.suspects = append(n.suspects, traits)
+	n.traitCount += len(traits)
+	return true
+}
+
+// sortedTraits returns up to maxTraits of the traits, sorted and each once.
+func sortedTraits(traits []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(traits[:min(len(traits), maxTraits)])))
+}
+
+// addSound records an answer.
+func (e *evidence) addSound(a answer) {
+	if len(e.answers) == maxAnswers {
+		e.answers = slices.Delete(e.answers, 0, maxAnswers/2)
+	}
+	e.answers = append(e.answers, a)
+	e.clear(a, e.suspectIndex())
+}
+
+// clear records that the answer clears the sets in the index whose traits its request had.
+func (e *evidence) clear(a answer, index *suspectIndex) {
+	for set := range index.within(a.service, a.traits) {
+		if a.at.After(e.soundAt[set]) {
+			e.soundAt[set] = a.at
 		}
 	}
 }
@@ -104,11 +134,10 @@
 	})
 }
 
-// isCleared reports whether an answer that begins now to a request with the sorted traits
-// clears any of them of an end.
-func (e *evidence) isCleared(service site.ServiceName, traits []string, now time.Time) bool {
-	for set := range traitSets(service, traits) {
-		if last, ok := e.newestEnds()[set]; ok && now.After(last) && !e.soundAt[set].After(last) {
+// isCleared reports whether an answer clears any set of traits of an end.
+func (e *evidence) isCleared(a answer) bool {
+	for set, last := range e.suspectIndex().within(a.service, a.traits) {
+		if a.at.After(last) && !e.soundAt[set].After(last) {
 			return true
 		}
 	}
@@ -117,30 +146,40 @@
 
 // clears reports whether any of the sorted traits is among the suspects of an end.
 func (e *evidence) clears(service site.ServiceName, traits []string) bool {
-	for set := range traitSets(service, traits) {
-		if _, ok := e.newestEnds()[set]; ok {
-			return true
-		}
+	for range e.suspectIndex().within(service, traits) {
+		return true
 	}
 	return false
 }
 
-// newestEnds returns, for each set of suspect traits, the time of the newest end with it.
-func (e *evidence) newestEnds() map[traitSet]time.Time {
-	if e.newest != nil {
-		return e.newest
+// suspectIndex returns the index of the sets that the suspects of the ends are judged by.
+func (e *evidence) suspectIndex() *suspectIndex {
+	if e.index != nil {
+		return e.index
 	}
-	e.newest = make(map[traitSet]time.Time)
+	e.index = newSuspectIndex()
 	for _, known := range e.ends {
 		for _, traits := range known.suspects {
 			for set := range traitSets(known.service, traits) {
-				if known.at.After(e.newest[set]) {
-					e.newest[set] = known.at
-				}
+				e.index.add(set, known.at)
 			}
 		}
 	}
-	return e.newest
+	for _, a := range e.answers {
+		e.clear(a, e.index)
+	}
+	return e.index
+}
+
+// openSuspects returns an index of the sets that no answer has cleared since their newest end.
+func (e *evidence) openSuspects() *suspectIndex {
+	open := newSuspectIndex()
+	for set, at := range e.suspectIndex().newest {
+		if !e.soundAt[set].After(at) {
+			open.add(set, at)
+		}
+	}
+	return open
 }
 
 // isSuspect reports whether no answer has begun to a request with the traits since the end.
@@ -149,31 +188,45 @@
 }
 
 // prune forgets old evidence: ends that no block depends on after unusedEndAge, all ends
-// after maxEndAge, the oldest ends beyond maxEnds, and answers to requests with traits that
-// are no longer among the suspects.
+// after maxEndAge, the oldest ends beyond maxEnds and maxSuspectTraits, and what is known of
+// answers to requests with traits that are no longer among the suspects.
 func (e *evidence) prune(blocks []block, now time.Time) {
+	traitCount := 0
 	for engine, known := range e.ends {
 		age := now.Sub(known.at)
 		if age >= maxEndAge || age >= unusedEndAge && !slices.ContainsFunc(blocks, func(b block) bool { return b.dependsOn(known) }) {
-			delete(e.ends, engine)
-			e.newest = nil
+			e.forget(engine)
+			continue
 		}
+		traitCount += known.traitCount
 	}
-	for len(e.ends) > maxEnds {
-		var oldest site.Incarnation
-		for engine, known := range e.ends {
-			if oldest == (site.Incarnation{}) || known.at.Before(e.ends[oldest].at) {
-				oldest = engine
-			}
-		}
-		delete(e.ends, oldest)
-		e.newest = nil
+	for len(e.ends) > maxEnds || traitCount > maxSuspectTraits {
+		oldest := e.oldestEnd()
+		traitCount -= e.ends[oldest].traitCount
+		e.forget(oldest)
 	}
-	newest := e.newestEnds()
-	for set, at := range e.soundAt {
-		// The end of which an answer clears its request may arrive later than the answer.
-		if _, ok := newest[set]; !ok && now.Sub(at) >= unusedEndAge {
+	e.answers = slices.DeleteFunc(e.answers, func(a answer) bool { return now.Sub(a.at) >= unusedEndAge })
+	index := e.suspectIndex()
+	for set := range e.soundAt {
+		if _, ok := index.newest[set]; !ok {
 			delete(e.soundAt, set)
 		}
 	}
 }
+
+// forget forgets the end of the engine.
+func (e *evidence) forget(engine site.Incarnation) {
+	delete(e.ends, engine)
+	e.index = nil
+}
+
+// oldestEnd returns the engine that ended first.
+func (e *evidence) oldestEnd() site.Incarnation {
+	var oldest site.Incarnation
+	for engine, known := range e.ends {
+		if oldest == (site.Incarnation{}) || known.at.Before(e.ends[oldest].at) {
+			oldest = engine
+		}
+	}
+	return oldest
+}
--- a/internal/coordination/quarantine/evidence_test.go
+++ b/internal/coordination/quarantine/evidence_test.go
@@ -188,6 +188,10 @@
 		for n := range rapid.IntRange(1, 12).Draw(r, "ends") {
 			suspects := rapid.SliceOfN(parts, 1, 3).Draw(r, "suspects")
 			host := hosts[rapid.IntRange(0, 2).Draw(r, "host")]
+			if rapid.IntRange(0, 3).Draw(r, "kind") == 0 {
+				began(time.Duration(n)*time.Second, parts.Draw(r, "answered")...).apply(host, start)
+				continue
+			}
 			ended(time.Duration(n)*time.Second, rapid.IntRange(0, 8).Draw(r, "engine"), suspects...).apply(host, start)
 		}
 		now := start.Add(time.Minute)
@@ -233,3 +237,26 @@
 	c.Check(l.size, quicktest.Equals, 0)
 	c.Check(e.soundAt, quicktest.HasLen, 0)
 }
+
+// TestLongPromptsAreBounded guards against evidence that takes the memory of a host when the
+// requests on engines that end have prompts of very many parts.
+func TestLongPromptsAreBounded(t *testing.T) {
+	c := quicktest.New(t)
+	l, start := newTestLedger(0), time.Now()
+	for n := range 20 {
+		now := start.Add(time.Duration(n) * time.Second)
+		for suspect := range 12 {
+			ended(now.Sub(start), n, promptTraits(2*maxTraits, 0, "", fmt.Sprintf("content:%d", suspect))).apply(l, start)
+			ended(now.Sub(start), n, promptTraits(maxTraits, suspect+1, "part:own")).apply(l, start)
+		}
+		l.prune(nil, now)
+	}
+	traitCount := 0
+	for _, known := range l.evidence.ends {
+		traitCount += known.traitCount
+		c.Check(known.traitCount <= maxTraitsPerEnd, quicktest.IsTrue)
+	}
+	c.Check(traitCount <= maxSuspectTraits, quicktest.IsTrue, quicktest.Commentf("%d traits", traitCount))
+	c.Check(len(l.evidence.ends) >= minEnds, quicktest.IsTrue)
+	c.Check(l.size <= maxObservedTraits, quicktest.IsTrue, quicktest.Commentf("%d traits observed", l.size))
+}
--- a/internal/coordination/quarantine/ledger.go
+++ b/internal/coordination/quarantine/ledger.go
@@ -9,8 +9,14 @@
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
-// maxObservations bounds the observations that a host keeps for others, to about 0.5 MB.
-const maxObservations = 4096
+const (
+	// maxObservedTraits bounds the traits of the observations that a host keeps for others, to
+	// about 2 MB with traits of 16 bytes.
+	maxObservedTraits = 1 << 17
+	// maxReportedTraits bounds those in one report, to about 0.3 MB: a link of 10 Mbit/s has
+	// to carry a report within exchangeTimeout.
+	maxReportedTraits = 1 << 14
+)
 
 // A ledger has the observations of all processes that this host knows, and the evidence that
 // follows from them. Each observation has one process and one number for good, so that hosts
@@ -19,7 +25,7 @@
 	self     site.Process
 	evidence *evidence
 	logs     map[site.Process]processLog
-	// size is the number of observations in all logs.
+	// size is the number of traits in all logs.
 	size int
 }
 
@@ -53,6 +59,7 @@
 // recordEnd records an observation of this process, that an engine ended under a request with
 // the traits, and reports whether it is new.
 func (l *ledger) recordEnd(engine site.Incarnation, service site.ServiceName, traits []string, now time.Time) bool {
+	traits = sortedTraits(traits)
 	if !l.evidence.addEnd(engine, service, now, [][]string{traits}) {
 		return false
 	}
@@ -64,10 +71,11 @@
 // with the sorted traits, and reports whether it clears any of them of an end. Other answers
 // are not kept.
 func (l *ledger) recordSound(service site.ServiceName, traits []string, now time.Time) bool {
-	if !l.evidence.isCleared(service, traits, now) {
+	a := answer{service: service, traits: traits, at: now}
+	if !l.evidence.isCleared(a) {
 		return false
 	}
-	l.evidence.addSound(service, traits, now)
+	l.evidence.addSound(a)
 	l.append(site.Observation{Service: service, Traits: traits}, now)
 	return true
 }
@@ -79,7 +87,7 @@
 	if !l.evidence.tellsUse(a) {
 		return false
 	}
-	l.evidence.addSound(a.service, a.traits, a.at)
+	l.evidence.addSound(a)
 	l.append(site.Observation{Service: a.service, Traits: a.traits}, a.at)
 	return true
 }
@@ -91,7 +99,7 @@
 	o.Number, o.Clock = own.completeThrough, at.Sub(own.clockZero)
 	own.entries = append(own.entries, entry{observation: o, at: at})
 	l.logs[l.self] = own
-	l.size++
+	l.size += len(o.Traits)
 	l.bound()
 }
 
@@ -112,7 +120,7 @@
 			e := entry{observation: o, at: log.timeOf(o, now)}
 			l.apply(e)
 			log.entries = append(log.entries, e)
-			l.size++
+			l.size += len(o.Traits)
 			changed = true
 		}
 		log.completeThrough, log.heardAt = list.CompleteThrough, now
@@ -130,14 +138,13 @@
 		l.evidence.addEnd(o.Engine, o.Service, e.at, [][]string{o.Traits})
 		return
 	}
-	traits := slices.Sorted(slices.Values(o.Traits[:min(len(o.Traits), maxTraitsPerSuspect)]))
-	l.evidence.addSound(o.Service, traits, e.at)
+	l.evidence.addSound(answer{service: o.Service, traits: sortedTraits(o.Traits), at: e.at})
 }
 
-// bound drops the oldest observations of the longest logs beyond maxObservations. The evidence
+// bound drops the oldest observations of the longest logs beyond maxObservedTraits. The evidence
 // keeps what they say.
 func (l *ledger) bound() {
-	for l.size > maxObservations {
+	for l.size > maxObservedTraits {
 		var longest site.Process
 		for process, log := range l.logs {
 			if len(log.entries) > len(l.logs[longest].entries) {
@@ -146,12 +153,21 @@
 		}
 		log := l.logs[longest]
 		dropped := (len(log.entries) + 1) / 2
+		l.size -= countTraits(log.entries[:dropped])
 		log.entries = log.entries[dropped:]
 		l.logs[longest] = log
-		l.size -= dropped
 	}
 }
 
+// countTraits returns the number of traits of the observations.
+func countTraits(entries []entry) int {
+	count := 0
+	for _, e := range entries {
+		count += len(e.observation.Traits)
+	}
+	return count
+}
+
 // prune forgets what the evidence no longer needs. It keeps how far the observations of each
 // process are known until no host has them any more, so that they are not sent again.
 func (l *ledger) prune(blocks []block, now time.Time) {
@@ -165,7 +181,7 @@
 			continue
 		}
 		kept := slices.DeleteFunc(slices.Clone(log.entries), func(e entry) bool { return !l.isNeeded(e, now) })
-		l.size -= len(log.entries) - len(kept)
+		l.size -= countTraits(log.entries) - countTraits(kept)
 		log.entries = kept
 		l.logs[process] = log
 	}
@@ -199,24 +215,29 @@
 }
 
 // missing returns the observations that a host lacks which knows those of each process up to
-// the given number.
+// the given number. What exceeds maxReportedTraits is left to the next report.
 func (p publishedLedger) missing(known map[site.Process]uint64, now time.Time) []site.ProcessObservations {
 	var lists []site.ProcessObservations
+	room := maxReportedTraits
 	for process, log := range p.logs {
 		after := known[process]
 		first, _ := slices.BinarySearchFunc(log.entries, after+1, func(e entry, number uint64) int {
 			return cmp.Compare(e.observation.Number, number)
 		})
-		if first == len(log.entries) {
-			continue
-		}
 		list := site.ProcessObservations{Process: process, CompleteThrough: log.completeThrough}
 		for _, e := range log.entries[first:] {
 			o := e.observation
+			if room < len(o.Traits) {
+				list.CompleteThrough = o.Number - 1
+				break
+			}
+			room -= len(o.Traits)
 			o.Age = now.Sub(e.at)
 			list.Observations = append(list.Observations, o)
 		}
-		lists = append(lists, list)
+		if len(list.Observations) > 0 {
+			lists = append(lists, list)
+		}
 	}
 	return lists
 }
--- a/internal/coordination/quarantine/ledger_test.go
+++ b/internal/coordination/quarantine/ledger_test.go
@@ -1,10 +1,13 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
 // relayDelay is how long a report takes from host to host in tests.
@@ -61,3 +64,32 @@
 	}
 	c.Check(blockedTraits(receiver.evidence.blocks(now)), quicktest.DeepEquals, [][]string{{"bad"}})
 }
+
+// TestLargeReportArrivesInParts guards against a report that takes longer over a narrow link than
+// an exchange may last, is sent again as a whole, and never arrives.
+func TestLargeReportArrivesInParts(t *testing.T) {
+	c := quicktest.New(t)
+	origin, receiver, start := newTestLedger(0), newTestLedger(1), time.Now()
+	for n := range 5 {
+		for suspect := range 10 {
+			ended(time.Duration(n)*time.Second, n, promptTraits(1000, 999, "part:bad", fmt.Sprintf("content:%d-%d", n, suspect))).apply(origin, start)
+		}
+	}
+	now := start.Add(time.Minute)
+	exchanges := 0
+	for ; exchanges < 10; exchanges++ {
+		lists := origin.published().missing(receiver.published().known(), now)
+		if len(lists) == 0 {
+			break
+		}
+		traitCount := 0
+		for _, o := range lists[0].Observations {
+			traitCount += len(o.Traits)
+		}
+		c.Assert(traitCount <= maxReportedTraits, quicktest.IsTrue)
+		receiver.merge(lists, now)
+	}
+	c.Check(exchanges, quicktest.Equals, 4)
+	c.Check(receiver.published().known(), quicktest.DeepEquals, map[site.Process]uint64{{Host: hostName(0), Start: 1}: 50, {Host: hostName(1), Start: 1}: 0})
+	c.Check(blockedTraits(receiver.evidence.blocks(now)), quicktest.DeepEquals, blockedTraits(origin.evidence.blocks(now)))
+}
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -79,9 +78,8 @@
 // A snapshot is the evidence at one time, with what follows from it.
 type snapshot struct {
 	blocks []block
-	// suspects has the time of the newest end of each set of suspect traits without an
-	// answer since.
-	suspects map[traitSet]time.Time
+	// suspects has the sets of suspect traits without an answer since their newest end.
+	suspects *suspectIndex
 	// ended has the engines that are known to have ended.
 	ended map[site.Incarnation]bool
 	// ledger has the observations that hosts exchange.
@@ -92,7 +90,7 @@
 	q.once.Do(func() {
 		q.messages = ring.New[message](messageCapacity)
 		q.ledger = newLedger(site.Process{Host: q.Self, Start: q.Start})
-		q.published.Store(&snapshot{})
+		q.published.Store(&snapshot{suspects: newSuspectIndex()})
 		q.asked = make(chan struct{})
 	})
 }
@@ -170,15 +168,13 @@
 	q.prepare()
 	q.recent.add(answer{service: service, traits: traits, at: time.Now()})
 	suspects := q.published.Load().suspects
-	if len(suspects) == 0 {
+	if len(suspects.newest) == 0 {
 		return
 	}
-	traits = slices.Sorted(slices.Values(traits))
-	for set := range traitSets(service, traits) {
-		if _, ok := suspects[set]; ok {
-			q.messages.Offer(soundAnswer{service: service, traits: traits})
-			return
-		}
+	traits = sortedTraits(traits)
+	for range suspects.within(service, traits) {
+		q.messages.Offer(soundAnswer{service: service, traits: traits})
+		return
 	}
 }
 
@@ -236,12 +232,7 @@
 	blocks := e.blocks(now)
 	q.ledger.prune(blocks, now)
 	q.logChanges(q.published.Load().blocks, blocks)
-	s := &snapshot{blocks: blocks, suspects: make(map[traitSet]time.Time), ended: make(map[site.Incarnation]bool), ledger: q.ledger.published()}
-	for set, at := range e.newestEnds() {
-		if !e.soundAt[set].After(at) {
-			s.suspects[set] = at
-		}
-	}
+	s := &snapshot{blocks: blocks, suspects: e.openSuspects(), ended: make(map[site.Incarnation]bool), ledger: q.ledger.published()}
 	for engine := range e.ends {
 		s.ended[engine] = true
 	}
