quarantine: extend the index of suspects by each new one

Cause: each new suspect of an end had the whole index of suspect sets computed again by the next answer. Ends and answers come mixed while engines crash.

Change: the sets of a new suspect are added to the index, and the answers that are kept for ends which arrive late clear these sets. The index is computed anew only if an end moves or is forgotten.

TestHostsReachTheSameBlocks and TestBlocksRefuseNoRequestWithAnAnswer pass 20,000 draws each.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -29,7 +29,7 @@
 	// prompts with ids of eight characters.
 	maxTraits = 2048
 	// maxEnds, maxSuspectsPerEnd, maxTraitsPerEnd and maxSuspectTraits bound the memory for
-	// suspects to about 4 MB with traits of 16 bytes.
+	// suspects to about 8 MB with traits of 16 bytes.
 	maxEnds           = 256
 	maxSuspectsPerEnd = 64
 	maxTraitsPerEnd   = 8 * maxTraits
@@ -82,14 +82,30 @@
 		e.index = nil
 	}
 	for _, traits := range suspects {
-		changed = known.addSuspect(sortedTraits(traits)) || changed
-	}
-	if changed {
-		e.index = nil
+		traits = sortedTraits(traits)
+		if known.addSuspect(traits) {
+			e.indexSuspect(known, traits)
+			changed = true
+		}
 	}
 	return changed
 }
 
+// indexSuspect adds the sets that a new suspect of the end is judged by to the index.
+func (e *evidence) indexSuspect(known *end, traits []string) {
+	if e.index == nil {
+		return
+	}
+	added := newSuspectIndex()
+	for set := range traitSets(known.service, traits) {
+		e.index.add(set, known.at)
+		added.add(set, known.at)
+	}
+	for _, a := range e.answers {
+		e.clear(a, added)
+	}
+}
+
 // addSuspect adds a request with the sorted traits if it is not known and there is room for it,
 // and reports whether it did.
 func (n *end) addSuspect(traits []string) bool {
--- a/internal/coordination/quarantine/evidence_test.go
+++ b/internal/coordination/quarantine/evidence_test.go
@@ -249,8 +249,8 @@
 			ended(now.Sub(start), n, promptTraits(2*maxTraits, 0, "", fmt.Sprintf("content:%d", suspect))).apply(l, start)
 			ended(now.Sub(start), n, promptTraits(maxTraits, suspect+1, "part:own")).apply(l, start)
 		}
-		l.prune(nil, now)
 	}
+	l.prune(nil, start.Add(time.Minute))
 	traitCount := 0
 	for _, known := range l.evidence.ends {
 		traitCount += known.traitCount
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -78,7 +78,8 @@
 // A snapshot is the evidence at one time, with what follows from it.
 type snapshot struct {
 	blocks []block
-	// suspects has the sets of suspect traits without an answer since their newest end.
+	// suspects has the sets of suspect traits without an answer since their newest end. It is
+	// not modified.
 	suspects *suspectIndex
 	// ended has the engines that are known to have ended.
 	ended map[site.Incarnation]bool
--- a/internal/coordination/quarantine/suspectindex.go
+++ b/internal/coordination/quarantine/suspectindex.go
@@ -8,8 +8,7 @@
 	"github.com/persimmonmux/persimmonmux/state/site"
 )
 
-// A suspectIndex has the sets of traits that the suspect requests of ends are judged by. It is
-// not modified once it is complete.
+// A suspectIndex has the sets of traits that the suspect requests of ends are judged by.
 type suspectIndex struct {
 	// newest has the time of the newest end of each set.
 	newest map[traitSet]time.Time
