quarantine: bound what answers and observations keep by their traits

Cause: since a request is judged by up to 2,048 traits, lists that were bounded by their number could take tens of megabytes: the answers that a host remembers, those that are kept for late ends, and observations of few traits.

Change: one list of answers, bounded by number and by traits, serves both uses. The sizes of the ledger and of a report count an observation without its traits, too.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -34,8 +34,6 @@
 	maxSuspectsPerEnd = 64
 	maxTraitsPerEnd   = 8 * maxTraits
 	maxSuspectTraits  = 16 * maxTraitsPerEnd
-	// maxAnswers bounds the answers that are kept for ends which arrive after them.
-	maxAnswers = 512
 )
 
 // evidence is what is known of engines that ended and of the requests on them. The
@@ -44,7 +42,7 @@
 	ends map[site.Incarnation]*end
 	// answers are the last answers, which clear ends that arrive later, too. Their traits are
 	// sorted.
-	answers []answer
+	answers answerList
 	// soundAt is when an answer last began to a request with the traits, for the sets in the
 	// index.
 	soundAt map[traitSet]time.Time
@@ -101,7 +99,7 @@
 		e.index.add(set, known.at)
 		added.add(set, known.at)
 	}
-	for _, a := range e.answers {
+	for _, a := range e.answers.answers {
 		e.clear(a, added)
 	}
 }
@@ -125,10 +123,7 @@
 
 // addSound records an answer.
 func (e *evidence) addSound(a answer) {
-	if len(e.answers) == maxAnswers {
-		e.answers = slices.Delete(e.answers, 0, maxAnswers/2)
-	}
-	e.answers = append(e.answers, a)
+	e.answers.add(a)
 	e.clear(a, e.suspectIndex())
 }
 
@@ -181,7 +176,7 @@
 			}
 		}
 	}
-	for _, a := range e.answers {
+	for _, a := range e.answers.answers {
 		e.clear(a, e.index)
 	}
 	return e.index
@@ -221,7 +216,7 @@
 		traitCount -= e.ends[oldest].traitCount
 		e.forget(oldest)
 	}
-	e.answers = slices.DeleteFunc(e.answers, func(a answer) bool { return now.Sub(a.at) >= unusedEndAge })
+	e.answers.prune(now.Add(-unusedEndAge))
 	index := e.suspectIndex()
 	for set := range e.soundAt {
 		if _, ok := index.newest[set]; !ok {
--- a/internal/coordination/quarantine/evidence_test.go
+++ b/internal/coordination/quarantine/evidence_test.go
@@ -258,5 +258,5 @@
 	}
 	c.Check(traitCount <= maxSuspectTraits, quicktest.IsTrue, quicktest.Commentf("%d traits", traitCount))
 	c.Check(len(l.evidence.ends) >= minEnds, quicktest.IsTrue)
-	c.Check(l.size <= maxObservedTraits, quicktest.IsTrue, quicktest.Commentf("%d traits observed", l.size))
+	c.Check(l.size <= maxLedgerSize, quicktest.IsTrue, quicktest.Commentf("%d traits observed", l.size))
 }
--- a/internal/coordination/quarantine/ledger.go
+++ b/internal/coordination/quarantine/ledger.go
@@ -10,12 +10,14 @@
 )
 
 const (
-	// maxObservedTraits bounds the traits of the observations that a host keeps for others, to
-	// about 2 MB with traits of 16 bytes.
-	maxObservedTraits = 1 << 17
-	// maxReportedTraits bounds those in one report, to about 0.3 MB: a link of 10 Mbit/s has
-	// to carry a report within exchangeTimeout.
-	maxReportedTraits = 1 << 14
+	// observationOverhead is the size of an observation without its traits, in traits.
+	observationOverhead = 8
+	// maxLedgerSize bounds the observations that a host keeps for others, in traits: to about
+	// 2 MB with traits of 16 bytes.
+	maxLedgerSize = 1 << 16
+	// maxReportSize bounds the observations in one report, in traits, to about 0.3 MB. A link
+	// of 10 Mbit/s has to carry a report within exchangeTimeout.
+	maxReportSize = 1 << 14
 )
 
 // A ledger has the observations of all processes that this host knows, and the evidence that
@@ -25,7 +27,7 @@
 	self     site.Process
 	evidence *evidence
 	logs     map[site.Process]processLog
-	// size is the number of traits in all logs.
+	// size is the size of the observations in all logs, in traits.
 	size int
 }
 
@@ -99,7 +101,7 @@
 	o.Number, o.Clock = own.completeThrough, at.Sub(own.clockZero)
 	own.entries = append(own.entries, entry{observation: o, at: at})
 	l.logs[l.self] = own
-	l.size += len(o.Traits)
+	l.size += sizeOf(o)
 	l.bound()
 }
 
@@ -120,7 +122,7 @@
 			e := entry{observation: o, at: log.timeOf(o, now)}
 			l.apply(e)
 			log.entries = append(log.entries, e)
-			l.size += len(o.Traits)
+			l.size += sizeOf(o)
 			changed = true
 		}
 		log.completeThrough, log.heardAt = list.CompleteThrough, now
@@ -141,10 +143,10 @@
 	l.evidence.addSound(answer{service: o.Service, traits: sortedTraits(o.Traits), at: e.at})
 }
 
-// bound drops the oldest observations of the longest logs beyond maxObservedTraits. The evidence
+// bound drops the oldest observations of the longest logs beyond maxLedgerSize. The evidence
 // keeps what they say.
 func (l *ledger) bound() {
-	for l.size > maxObservedTraits {
+	for l.size > maxLedgerSize {
 		var longest site.Process
 		for process, log := range l.logs {
 			if len(log.entries) > len(l.logs[longest].entries) {
@@ -153,19 +155,24 @@
 		}
 		log := l.logs[longest]
 		dropped := (len(log.entries) + 1) / 2
-		l.size -= countTraits(log.entries[:dropped])
+		l.size -= sizeOfAll(log.entries[:dropped])
 		log.entries = log.entries[dropped:]
 		l.logs[longest] = log
 	}
 }
 
-// countTraits returns the number of traits of the observations.
-func countTraits(entries []entry) int {
-	count := 0
+// sizeOf returns the size of the observation, in traits.
+func sizeOf(o site.Observation) int {
+	return observationOverhead + len(o.Traits)
+}
+
+// sizeOfAll returns the size of the observations, in traits.
+func sizeOfAll(entries []entry) int {
+	size := 0
 	for _, e := range entries {
-		count += len(e.observation.Traits)
+		size += sizeOf(e.observation)
 	}
-	return count
+	return size
 }
 
 // prune forgets what the evidence no longer needs. It keeps how far the observations of each
@@ -181,7 +188,7 @@
 			continue
 		}
 		kept := slices.DeleteFunc(slices.Clone(log.entries), func(e entry) bool { return !l.isNeeded(e, now) })
-		l.size -= countTraits(log.entries) - countTraits(kept)
+		l.size -= sizeOfAll(log.entries) - sizeOfAll(kept)
 		log.entries = kept
 		l.logs[process] = log
 	}
@@ -215,10 +222,10 @@
 }
 
 // missing returns the observations that a host lacks which knows those of each process up to
-// the given number. What exceeds maxReportedTraits is left to the next report.
+// the given number. What exceeds maxReportSize is left to the next report.
 func (p publishedLedger) missing(known map[site.Process]uint64, now time.Time) []site.ProcessObservations {
 	var lists []site.ProcessObservations
-	room := maxReportedTraits
+	room := maxReportSize
 	for process, log := range p.logs {
 		after := known[process]
 		first, _ := slices.BinarySearchFunc(log.entries, after+1, func(e entry, number uint64) int {
@@ -227,11 +234,11 @@
 		list := site.ProcessObservations{Process: process, CompleteThrough: log.completeThrough}
 		for _, e := range log.entries[first:] {
 			o := e.observation
-			if room < len(o.Traits) {
+			if room < sizeOf(o) {
 				list.CompleteThrough = o.Number - 1
 				break
 			}
-			room -= len(o.Traits)
+			room -= sizeOf(o)
 			o.Age = now.Sub(e.at)
 			list.Observations = append(list.Observations, o)
 		}
--- a/internal/coordination/quarantine/ledger_test.go
+++ b/internal/coordination/quarantine/ledger_test.go
@@ -86,7 +86,7 @@
 		for _, o := range lists[0].Observations {
 			traitCount += len(o.Traits)
 		}
-		c.Assert(traitCount <= maxReportedTraits, quicktest.IsTrue)
+		c.Assert(traitCount <= maxReportSize, quicktest.IsTrue)
 		receiver.merge(lists, now)
 	}
 	c.Check(exchanges, quicktest.Equals, 4)
--- a/internal/coordination/quarantine/recentanswers.go
+++ b/internal/coordination/quarantine/recentanswers.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// recentAnswerCount is the number of answers that a host remembers.
-	recentAnswerCount = 256
 	// recentUse is the time for which an answer says that its traits are in use.
 	recentUse = time.Minute
 	// maxEarlierAnswers is the number of earlier answers that are told of the request on an
@@ -18,31 +16,17 @@
 	maxEarlierAnswers = 3
 )
 
-// An answer is an answer that began to a request with the traits.
-type answer struct {
-	service site.ServiceName
-	traits  []string
-	at      time.Time
-}
-
 // recentAnswers has the last answers of this host. It is safe for concurrent use.
 type recentAnswers struct {
 	mutex sync.Mutex
-	// answers is a ring; next is the place of the oldest answer once it is full.
-	answers []answer
-	next    int
+	list  answerList
 }
 
 // add adds an answer. The traits are not modified later.
 func (r *recentAnswers) add(a answer) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if len(r.answers) < recentAnswerCount {
-		r.answers = append(r.answers, a)
-		return
-	}
-	r.answers[r.next] = a
-	r.next = (r.next + 1) % recentAnswerCount
+	r.list.add(a)
 }
 
 // withTraitsOf returns earlier answers to requests that share traits with the given request,
@@ -56,7 +40,7 @@
 	missing := traits
 	for range maxEarlierAnswers {
 		best, count := answer{}, 0
-		for _, a := range r.answers {
+		for _, a := range r.list.answers {
 			if a.service != service || now.Sub(a.at) >= recentUse {
 				continue
 			}
