--- a/internal/coordination/quarantine/recentanswers.go
+++ b/internal/coordination/quarantine/recentanswers.go
@@ -33,7 +33,7 @@
 // each with sorted traits of the request only. The first one shares the most; each later one
 // has traits that those before it lack.
 func (r *recentAnswers) withTraitsOf(service site.ServiceName, traits []string, now time.Time) []answer {
-	traits = slices.Sorted(slices.Values(traits))
+	traits = sortedTraits(traits)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var found []answer
