quarantine: drawn orders of callers and documents end few engines

Cause: TestAdaptersOfCallersDoNotHideAPart plays one order of callers; blocks also covered what requests of one caller shared beside the adapter, such as a document.

Change: TestOrderOfCallersDoesNotHideAPart draws callers, documents, tries and answers.

--- a/internal/coordination/quarantine/block_test.go
+++ b/internal/coordination/quarantine/block_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 )
 
 // began has a host record that an answer began to a request with the traits.
@@ -62,6 +64,44 @@
 	}
 }
 
+// TestOrderOfCallersDoesNotHideAPart guards against orders of callers and documents in which engines
+// go on ending under a part, because each block also covers what the last requests shared.
+func TestOrderOfCallersDoesNotHideAPart(t *testing.T) {
+	const (
+		requestCount = 40
+		// allowedEnds is the fifth end and the three requests that may reach engines after it.
+		allowedEnds = 5 + 3
+	)
+	rapid.Check(t, func(r *rapid.T) {
+		l, start := newTestLedger(0), time.Now()
+		callers, documents, tries := rapid.IntRange(0, 5), rapid.IntRange(0, 3), rapid.IntRange(1, 5)
+		hasAnswers := rapid.Bool().Draw(r, "hasAnswers")
+		ends, remainingTries := 0, 0
+		var traits []string
+		for n := range requestCount {
+			after := time.Duration(n) * 550 * time.Millisecond
+			if remainingTries == 0 {
+				remainingTries = tries.Draw(r, "tries")
+				traits = []string{
+					fmt.Sprintf("adapter:%d", callers.Draw(r, "caller")), fmt.Sprintf("part:document-%d", documents.Draw(r, "document")),
+					"part:bad", "part:system",
+				}
+			}
+			remainingTries--
+			if !slices.ContainsFunc(l.evidence.blocks(start.Add(after)), func(b block) bool { return b.matches(traits) }) {
+				ended(after, ends, traits).apply(l, start)
+				ends++
+			}
+			if hasAnswers {
+				began(after+200*time.Millisecond, fmt.Sprintf("adapter:%d", callers.Draw(r, "sound caller")), "part:sound", "part:system").apply(l, start)
+			}
+		}
+		if ends > allowedEnds {
+			r.Fatalf("%d engines ended", ends)
+		}
+	})
+}
+
 // TestPartsDoNotBlockWhatTheyShare guards against refusing all requests of a route because two
 // parts that crash engines came with the same sound part, which had answers until then but none
 // while the engines ended.
