--- a/internal/coordination/quarantine/answerlist.go
+++ b/internal/coordination/quarantine/answerlist.go
@@ -45,6 +45,7 @@
 	}
 }
 
+// dropFirst drops the answer that was added first.
 func (l *answerList) dropFirst() {
 	l.size -= len(l.answers[0].traits)
 	l.answers[0] = answer{}
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -61,6 +61,7 @@
 	traitCount int
 }
 
+// newEvidence returns evidence of no ends.
 func newEvidence() *evidence {
 	return &evidence{ends: make(map[site.Incarnation]*end), soundAt: make(map[traitSet]time.Time)}
 }
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -64,7 +64,8 @@
 	// change and never modified.
 	published atomic.Pointer[snapshot]
 	watches   watchList
-	recent    recentAnswers
+	// recent has the last answers of this host.
+	recent recentAnswers
 	// askOnce starts the goroutine that asks other hosts and then closes asked.
 	askOnce sync.Once
 	asked   chan struct{}
--- a/internal/coordination/quarantine/suspectindex.go
+++ b/internal/coordination/quarantine/suspectindex.go
@@ -16,6 +16,7 @@
 	partners map[traitSet][]string
 }
 
+// newSuspectIndex returns an index without sets.
 func newSuspectIndex() *suspectIndex {
 	return &suspectIndex{newest: make(map[traitSet]time.Time), partners: make(map[traitSet][]string)}
 }
