quarantine: a name that does not resemble those of what it is beside

Cause: evidence had clear, clears and isCleared, of which clears changes nothing and asks about suspects.

Change: clears is hasSuspectsWithin.

Measured: the tests of the package pass.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -156,8 +156,8 @@
 	return false
 }
 
-// clears reports whether any of the sorted traits is among the suspects of an end.
-func (e *evidence) clears(service site.ServiceName, traits []string) bool {
+// hasSuspectsWithin reports whether a suspect is judged by any set of the sorted traits.
+func (e *evidence) hasSuspectsWithin(service site.ServiceName, traits []string) bool {
 	for range e.suspectIndex().within(service, traits) {
 		return true
 	}
--- a/internal/coordination/quarantine/ledger.go
+++ b/internal/coordination/quarantine/ledger.go
@@ -199,7 +199,7 @@
 	if e.observation.Engine != (site.Incarnation{}) {
 		return l.evidence.ends[e.observation.Engine] != nil
 	}
-	return now.Sub(e.at) < unusedEndAge || l.evidence.clears(e.observation.Service, slices.Sorted(slices.Values(e.observation.Traits)))
+	return now.Sub(e.at) < unusedEndAge || l.evidence.hasSuspectsWithin(e.observation.Service, slices.Sorted(slices.Values(e.observation.Traits)))
 }
 
 // A published ledger is what other goroutines read of a ledger. It is not modified.
