--- a/review/_cases3/knownpart.go
+++ b/review/_cases3/knownpart.go
@@ -24,11 +24,11 @@
 	restartTime = 3 * time.Second
 	// readers is the number of callers that use the deadly part, each with an adapter of its own, and
 	// readerTries how often each asks, every readerPause.
-	readers     = 6
+	readers     = 7
 	readerTries = 5
 	readerPause = 550 * time.Millisecond
 	// soundPause is the time between two requests of other callers.
-	soundPause = 20 * time.Millisecond
+	soundPause = 17 * time.Millisecond
 )
 
 // runKnownPart has callers use a part of a prompt soundly. With the disruption the part then begins to
@@ -37,7 +37,7 @@
 	d.startPlatform()
 	d.setDesiredState(firstVersion, route("chat", "streaming", engineName, 1, false))
 	stop := make(chan struct{})
-	calm := 22 * time.Second
+	calm := 23 * time.Second
 	from := time.Now().Add(calm)
 	var keepers sync.WaitGroup
 	for i := range 9 {
